The whole path, thin: callers, permits, chains, claims, bundles, stand-ins

Cause: there was no code; every later part needs agreed ports, data classes and a path that runs. Conclusion: the path runs in one process; separate processes are documented but not yet covered by a test.

--- /dev/null
+++ b/marigoldswitch/compose.py
@@ -0,0 +1,85 @@
+"""Composition root: the one place where the parts of a host are wired."""
+
+import secrets
+
+import aiohttp
+
+from marigoldswitch.administration import Administration
+from marigoldswitch.backends import ChainClient, PlainClient
+from marigoldswitch.callers import CallerInterface
+from marigoldswitch.claiming import Claims
+from marigoldswitch.clocks import SystemClock
+from marigoldswitch.core.adoption import Adoption
+from marigoldswitch.core.ids import DataCentre, HostId, Incarnation
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.dispatching import Dispatching
+from marigoldswitch.followers import Follower
+from marigoldswitch.fronts import Front
+from marigoldswitch.hosts import Host, HostParts, HostState, describe_status
+from marigoldswitch.members import Member, MemberView
+from marigoldswitch.metrics import Metrics
+from marigoldswitch.peers import PeerNetwork
+from marigoldswitch.releases import Releases
+from marigoldswitch.runs import Parts
+from marigoldswitch.settings import Settings
+from marigoldswitch.stores import PlatformClient
+
+INCARNATION_BITS = 48
+
+
+def compose_host(settings: Settings, clock: Clock | None = None) -> Host:
+    """Wire one host; it must be called with a loop running.
+
+    :param clock: the source of time; the machine's clock by default.
+    """
+    clock = clock or SystemClock()
+    state = HostState()
+    own = Member(
+        HostId(settings.host),
+        DataCentre(settings.data_centre),
+        f"{settings.listen.address}:{settings.listen.peers}",
+    )
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    platform = PlatformClient(
+        session, settings.host, settings.platform.address, settings.platform.timeout
+    )
+    view = MemberView(own)
+    network = PeerNetwork(own.host, settings.peers.secrets, view.locate)
+    adoption = Adoption()
+    releases = Releases(platform, platform)
+    follower = Follower(releases, platform, adoption, settings.platform.poll)
+    dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout)
+    incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
+    claims = Claims(platform, own.host, incarnation)
+    plain, chains = PlainClient(session), ChainClient(session)
+    parts = Parts(clock, own, dispatching, claims, plain, chains)
+    metrics = Metrics()
+    front = Front(parts, metrics, settings.requests.held)
+    follower.watch_bundle(lambda bundle: metrics.bundle.set({}, bundle.version))
+    callers = CallerInterface(
+        clock,
+        settings.requests,
+        adoption,
+        front,
+        claims,
+        metrics,
+        is_ready=lambda: state.ready and adoption.bundle is not None,
+        accepts=lambda: state.accepting,
+    )
+    administration = Administration(
+        settings.operators, releases, lambda: describe_status(host_parts)
+    )
+    host_parts = HostParts(
+        settings,
+        state,
+        session,
+        adoption,
+        view,
+        network,
+        follower,
+        dispatching,
+        front,
+        callers,
+        administration,
+    )
+    return Host(host_parts)
--- /dev/null
+++ b/marigoldswitch/runs.py
@@ -0,0 +1,135 @@
+"""What all kinds of runs share: one request, its permits, its retries, its end."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from marigoldswitch.backends import ChainClient, PlainClient
+from marigoldswitch.claiming import Claims
+from marigoldswitch.core.catalogue import Bundle, Target
+from marigoldswitch.core.delivery import Delivery, Miss
+from marigoldswitch.core.errors import Advice, ErrorKind, Fault
+from marigoldswitch.core.ids import TargetId
+from marigoldswitch.core.lifecycle import Lifecycle
+from marigoldswitch.core.messages import Ask, Grant, TargetReport
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.requests import Answer, End, Request, Token
+from marigoldswitch.core.retries import is_not_run, may_retry
+from marigoldswitch.dispatching import Dispatching
+from marigoldswitch.members import Member
+
+Event = Token | Answer | End | Fault
+Emit = Callable[[Event], Awaitable[None]]
+"""Takes the events of one answer; it waits while the caller reads slowly."""
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """What a run works with."""
+
+    clock: Clock
+    own: Member
+    dispatching: Dispatching
+    claims: Claims
+    plain: PlainClient
+    chains: ChainClient
+
+
+class Run:
+    """One request; subclasses say how its kind of service is called.
+
+    :param bundle: the bundle that the request began with and keeps.
+    :param emit: takes the answer.
+    """
+
+    def __init__(
+        self, parts: Parts, request: Request, bundle: Bundle, emit: Emit
+    ) -> None:
+        self.parts = parts
+        self.request = request
+        self.bundle = bundle
+        self.emit = emit
+        self.service = bundle.services[request.service]
+        self.life = Lifecycle(request.id, request.idempotent)
+        self.attempt = 0
+        self.avoid: tuple[TargetId, ...] = ()
+
+    async def drive(self) -> None:
+        """Run the request to its one end and emit the whole answer."""
+        raise NotImplementedError
+
+    @property
+    def left(self) -> float:
+        """Return the seconds until the deadline."""
+        return max(0.0, self.request.deadline - self.parts.clock.monotonic())
+
+    def find_targets(self, grant: Grant) -> tuple[Target, ...]:
+        """Return the targets of a grant."""
+        return tuple(self.bundle.targets[name] for name in grant.targets)
+
+    async def acquire(self) -> Result[Grant, Fault]:
+        """Get a permit for the next attempt."""
+        self.attempt += 1
+        self.life.advance("queue")
+        grant = await self.parts.dispatching.acquire(self._build_ask())
+        if isinstance(grant, Ok):
+            self.life.advance("permit")
+            self.avoid += grant.ok_value.targets
+            return grant
+        if self.life.deliveries and grant.err_value.not_run:
+            detail = f"lost, then {grant.err_value.kind.value}"
+            return Err(Fault(ErrorKind.TARGET_LOST, detail))
+        return grant
+
+    def release(self, grant: Grant, seconds: float, *reports: TargetReport) -> None:
+        """Give a permit back with what was seen of the targets."""
+        self.parts.dispatching.release(grant, seconds, reports)
+
+    def judge(self, miss: Miss) -> Fault | None:
+        """Return how the request ends after a miss, or ``None`` to try again."""
+        trusts = self.service.trusts_not_run
+        if is_not_run(miss, trusts):
+            self.life.retract_delivery()
+        if may_retry(miss, self.request.idempotent, trusts, self.attempt):
+            return None
+        if not self.life.deliveries:
+            return _describe_unrun(miss)
+        if self.left <= 0.0:
+            return Fault(ErrorKind.DEADLINE_EXCEEDED, miss.detail)
+        return Fault(ErrorKind.TARGET_LOST, miss.detail)
+
+    async def end_with(self, fault: Fault) -> None:
+        """End the request without its whole answer."""
+        await self.emit(self.life.end_with(fault))
+
+    def _build_ask(self) -> Ask:
+        request = self.request
+        return Ask(
+            request=request.id,
+            attempt=self.attempt,
+            front=self.parts.own.host,
+            data_centre=self.parts.own.data_centre,
+            service=request.service,
+            account=request.account,
+            priority=request.priority,
+            weight=request.weight,
+            cost=request.cost,
+            remaining=self.left,
+            prefix=request.prefix,
+            avoid=self.avoid,
+        )
+
+
+def describe_miss(target: Target, miss: Miss) -> TargetReport:
+    """Return what a miss says of a target."""
+    refused = miss.delivery is Delivery.REFUSED
+    return TargetReport(target.id, -1.0, refused, not refused, miss.leaving, miss.load)
+
+
+def _describe_unrun(miss: Miss) -> Fault:
+    if miss.delivery is Delivery.NOT_DELIVERED:
+        return Fault(ErrorKind.NOT_DELIVERED, miss.detail)
+    if miss.advice is Advice.STOP:
+        return Fault(ErrorKind.TARGET_STOP, miss.detail)
+    return Fault(ErrorKind.TARGET_REFUSED, miss.detail)
--- /dev/null
+++ b/marigoldswitch/settings.py
@@ -0,0 +1,176 @@
+"""Settings of the daemon: one table of defaults, checked whole at the start."""
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+Port = Annotated[int, Field(ge=0, le=65535)]
+Seconds = Annotated[float, Field(gt=0)]
+
+
+class Section(BaseModel):
+    """A group of settings; unknown names are faults."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class ListenSettings(Section):
+    """Where the daemon listens; port 0 takes one from the kernel."""
+
+    address: str = Field("127.0.0.1", description="IP number to listen on.")
+    callers: Port = Field(8400, description="HTTP port for callers.")
+    peers: Port = Field(8401, description="TCP port for streams from other hosts.")
+    gossip: Port = Field(8402, description="UDP port for membership.")
+    administration: Port = Field(8403, description="HTTP port for operators.")
+
+
+class PlatformSettings(Section):
+    """The platform's service."""
+
+    address: str = Field(description="Base address, ``http://IP:port``.")
+    timeout: Seconds = Field(
+        1.0,
+        description="Longest wait for one answer, in seconds; a platform that is "
+        "slower counts as out, so that callers are not held up.",
+    )
+    poll: Seconds = Field(
+        2.0,
+        description="Seconds between two looks at the accepted bundle and the host "
+        "list; with gossip between, a version is in force within 8 s.",
+    )
+
+
+class PeerSettings(Section):
+    """The other hosts."""
+
+    seeds: tuple[str, ...] = Field(
+        (),
+        description="Peers to join by, each ``IP:port`` of a gossip listener; used "
+        "beside the host list.",
+    )
+    secrets: tuple[str, ...] = Field(
+        min_length=1,
+        description="Shared keys that authenticate messages between hosts; the first "
+        "signs, all are accepted, so that keys can be changed one by one.",
+    )
+    ask_timeout: Seconds = Field(
+        0.5,
+        description="Seconds without a word from the dispatcher after which a front "
+        "decides alone; longer than a pause of the interpreter, shorter than a wait "
+        "that a caller notices.",
+    )
+
+
+class RequestSettings(Section):
+    """Bounds on requests from callers."""
+
+    body_bytes: int = Field(
+        256 * 1024, gt=0, description="Largest body of a request, in bytes."
+    )
+    header_bytes: int = Field(
+        8190, gt=0, description="Largest header line of a request, in bytes."
+    )
+    deadline: Seconds = Field(
+        60.0, description="Deadline of a request that names none, in seconds."
+    )
+    longest_deadline: Seconds = Field(
+        900.0, description="Longest deadline that a caller may name, in seconds."
+    )
+    held: int = Field(
+        2000,
+        gt=0,
+        description="Most requests that the host holds at once; bounds its memory.",
+    )
+
+
+class DrainSettings(Section):
+    """The planned stop of a host."""
+
+    balancer_lag: float = Field(
+        3.0,
+        ge=0,
+        description="Seconds for which new requests are still accepted after readiness "
+        "has failed; the time the balancer needs to look away.",
+    )
+    longest: Seconds = Field(
+        900.0,
+        description="Seconds after which a stop no longer waits for requests in "
+        "flight; not shorter than the longest deadline.",
+    )
+
+
+class OperatorSettings(Section):
+    """One operator."""
+
+    key_digest: str = Field(
+        pattern=r"^[0-9a-f]{64}$", description="SHA-256 of the operator's bearer key."
+    )
+    roles: tuple[str, ...] = Field(
+        ("viewer",), description="Any of ``viewer``, ``reviewer``, ``releaser``."
+    )
+    public_key: str = Field(
+        "", description="The operator's Ed25519 public key, as hexadecimal."
+    )
+
+
+class LogSettings(Section):
+    """Logs."""
+
+    level: str = Field(
+        "info",
+        pattern="^(debug|info|warning|error)$",
+        description="Least level written: debug, info, warning or error.",
+    )
+
+
+class Settings(Section):
+    """All settings of one daemon."""
+
+    host: str = Field(min_length=1, description="Name of this host, its own alone.")
+    data_centre: str = Field(min_length=1, description="Data centre that it is in.")
+    region: str = Field(min_length=1, description="Region that it is in.")
+    listen: ListenSettings = Field(default_factory=ListenSettings)
+    platform: PlatformSettings
+    peers: PeerSettings
+    requests: RequestSettings = Field(default_factory=RequestSettings)
+    drain: DrainSettings = Field(default_factory=DrainSettings)
+    operators: dict[str, OperatorSettings] = Field(
+        default_factory=dict,
+        description="Operators by name; each has ``key_digest`` (SHA-256 of the bearer "
+        "key), ``roles`` (any of viewer, reviewer, releaser) and ``public_key``.",
+    )
+    logs: LogSettings = Field(default_factory=LogSettings)
+
+
+def describe_faults(source: str, error: ValidationError) -> list[str]:
+    """Return one line for each fault: file, key, value, what is allowed."""
+    lines = []
+    for fault in error.errors():
+        key = ".".join(str(part) for part in fault["loc"])
+        value = "" if fault["type"] == "missing" else f" (is {fault['input']!r})"
+        lines.append(f"{source}: {key}{value}: {fault['msg']}")
+    return lines
+
+
+def parse_settings(source: str, content: Any) -> Result[Settings, list[str]]:
+    """Check settings as a whole.
+
+    :param source: file name, for messages.
+    :param content: what the YAML holds.
+    """
+    try:
+        return Ok(Settings.model_validate(content))
+    except ValidationError as error:
+        return Err(describe_faults(source, error))
+
+
+def read_settings(path: Path) -> Result[Settings, list[str]]:
+    """Read settings from a YAML file and check them as a whole."""
+    try:
+        content = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        return Err([f"{path}: {error}"])
+    return parse_settings(str(path), content)
--- /dev/null
+++ b/marigoldswitch/tests/helpers.py
@@ -0,0 +1,101 @@
+"""Small builders that several tests share."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
+
+import aiohttp
+
+from marigoldswitch.core.catalogue import (
+    LayerRange,
+    Priority,
+    Service,
+    ServiceKind,
+    Target,
+)
+from marigoldswitch.core.ids import (
+    AccountId,
+    DataCentre,
+    HostId,
+    RequestId,
+    ServiceName,
+    TargetId,
+)
+from marigoldswitch.core.messages import Ask
+from marigoldswitch.core.targets import TargetState
+from marigoldswitch.standins.deployment import Deployment
+
+HOBART = DataCentre("hobart")
+DRAFTING = Service(ServiceName("drafting"), ServiceKind.MODEL, True, layers=12)
+BOOKINGS = Service(ServiceName("bookings"), ServiceKind.PLAIN, False)
+LETTERS_PATH = "/v1/brands/dollhouse/applications/letters/requests"
+BOOKINGS_PATH = "/v1/brands/dollhouse/applications/bookings/requests"
+
+
+def build_target(
+    name: str, layers: tuple[int, int] | None = None, **changes: Any
+) -> Target:
+    service = DRAFTING.name if layers else BOOKINGS.name
+    fields: dict[str, Any] = {
+        "id": TargetId(name),
+        "service": service,
+        "data_centre": HOBART,
+        "address": "http://127.0.0.1:1",
+        "slots": 2,
+        "layers": LayerRange(*layers) if layers else None,
+    }
+    return Target(**fields | changes)
+
+
+def build_state(
+    name: str, layers: tuple[int, int] | None = None, held: int = 0, **changes: Any
+) -> TargetState:
+    target = build_target(name, layers, **changes)
+    return TargetState(target, float(target.slots), held)
+
+
+def build_ask(request: str, front: str = "host-0", **changes: Any) -> Ask:
+    fields: dict[str, Any] = {
+        "request": RequestId(request),
+        "attempt": 1,
+        "front": HostId(front),
+        "data_centre": HOBART,
+        "service": BOOKINGS.name,
+        "account": AccountId("family"),
+        "priority": Priority.NORMAL,
+        "weight": 1.0,
+        "cost": 1.0,
+        "remaining": 10.0,
+    }
+    return Ask(**fields | changes)
+
+
+def run_async(work: Coroutine[Any, Any, Any], seconds: float = 60.0) -> Any:
+    """Run a coroutine; the bound is there to end a test that hangs."""
+
+    async def bounded() -> Any:
+        return await asyncio.wait_for(work, seconds)
+
+    return asyncio.run(bounded())
+
+
+@asynccontextmanager
+async def run_deployment(**arguments: Any):
+    """Run a deployment with its bundle in force and a caller's session."""
+    deployment = Deployment(**arguments)
+    await deployment.start()
+    try:
+        await deployment.roll_out(deployment.build_bundle())
+        headers = {"Authorization": f"Bearer {deployment.caller_key}"}
+        async with aiohttp.ClientSession(headers=headers) as session:
+            yield deployment, session
+    finally:
+        await deployment.stop()
+
+
+async def wait_until(condition: Callable[[], bool], seconds: float = 20.0) -> None:
+    """Wait until something holds; fail if it does not come to hold."""
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/marigoldswitch/tests/test_errors.py
@@ -0,0 +1,45 @@
+"""Every error kind has a row, and the server sends what the row and the page say."""
+
+from pathlib import Path
+
+import orjson
+import pytest
+
+from marigoldswitch.callers import build_fault_response
+from marigoldswitch.core.errors import ERROR_TABLE, ErrorKind, Fault, Outcome
+from marigoldswitch.tools.pages import format_errors_page
+
+PAGE = Path(__file__).parents[2] / "docs" / "errors.md"
+
+
+@pytest.mark.parametrize("kind", ErrorKind)
+def test_every_kind_is_answered_as_its_row_says(kind):
+    row = ERROR_TABLE[kind]
+    response = build_fault_response(Fault(kind))
+    error = orjson.loads(response.body)["error"]
+    assert response.status == row.status
+    assert error["kind"] == kind.value
+    assert error["outcome"] == row.outcome.value
+    assert error["advice"] == row.advice.value
+    assert ("Retry-After" in response.headers) == (row.retry_after is not None)
+
+
+def test_page_says_what_the_table_says():
+    assert PAGE.read_text(encoding="utf-8") == format_errors_page()
+
+
+def test_retry_later_says_when():
+    for kind, row in ERROR_TABLE.items():
+        if row.advice.value != "stop":
+            assert row.retry_after is not None, kind
+
+
+def test_own_wait_replaces_the_default():
+    response = build_fault_response(Fault(ErrorKind.SATURATED, retry_after=7.2))
+    assert response.headers["Retry-After"] == "7"
+
+
+def test_outcome_decides_not_run():
+    for kind in ErrorKind:
+        expected = ERROR_TABLE[kind].outcome is Outcome.NOT_RUN
+        assert Fault(kind).not_run is expected
--- /dev/null
+++ b/marigoldswitch/tests/test_wire.py
@@ -0,0 +1,47 @@
+"""Messages come back as they were sent; garbage comes back as an error."""
+
+from hypothesis import given, strategies as st
+from result import Err, Ok
+
+from marigoldswitch.core import messages
+from marigoldswitch.core.errors import ErrorKind
+from marigoldswitch.tests.helpers import build_ask
+from marigoldswitch.wire import decode_message, encode_message
+
+SAMPLES = [
+    build_ask("r", avoid=("a", "b")),
+    messages.Deny("r", 1, ErrorKind.SATURATED, 1.5),
+    messages.Grant("r", 1, "p", "drafting", "host-0", ("a", "b")),
+    messages.Release(
+        "p",
+        "drafting",
+        "host-0",
+        1.0,
+        (messages.TargetReport("a", 0.5, load=messages.Load(1, 2)),),
+    ),
+    messages.Holdings(
+        "drafting",
+        "hobart",
+        "host-0",
+        (messages.HeldPermit("p", "r", ("a",)),),
+        (build_ask("q"),),
+    ),
+    messages.BundleContent(3, b"record", b"content"),
+]
+
+
+def test_messages_come_back_as_they_were():
+    for message in SAMPLES:
+        assert decode_message(encode_message(message)) == Ok(message)
+
+
+@given(st.binary(max_size=200))
+def test_garbage_is_an_error(data):
+    assert isinstance(decode_message(data), Err)
+
+
+@given(st.integers(0, len(SAMPLES) - 1), st.integers(0, 400), st.integers(0, 255))
+def test_damaged_messages_never_raise(index, place, value):
+    data = bytearray(encode_message(SAMPLES[index]))
+    data[place % len(data)] = value
+    decode_message(bytes(data))
