Set the targets of a dispatcher apart as a pool

Cause: queue and limits on one side, routing on the other are worked on side by side; both stood in one class. Change: core/pool.py counts and chooses; core/dispatcher.py queues and grants.

--- a/marigoldswitch/core/dispatcher.py
+++ b/marigoldswitch/core/dispatcher.py
@@ -5,7 +5,8 @@
 order of magnitude near saturation.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections import Counter
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from marigoldswitch.core.catalogue import Service, Target
@@ -20,8 +21,8 @@
     Queued,
     Release,
 )
-from marigoldswitch.core.routing import Route, choose_route
-from marigoldswitch.core.targets import TargetState
+from marigoldswitch.core.pool import TargetPool
+from marigoldswitch.core.routing import Route
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,9 +101,8 @@
     host: HostId
     service: Service
     data_centre: DataCentre
-    links: Mapping[tuple[DataCentre, DataCentre], float]
+    pool: TargetPool
     next_permit: Callable[[], PermitId]
-    states: dict[TargetId, TargetState] = field(default_factory=dict)
     waiting: dict[tuple[RequestId, int], _Waiting] = field(default_factory=dict)
     permits: dict[PermitId, _Permit] = field(default_factory=dict)
 
@@ -118,7 +118,7 @@
             case Cancel(request=request, attempt=attempt):
                 self.waiting.pop((request, attempt), None)
             case Release():
-                self._take_release(event)
+                self._take_release(event, now)
             case Holdings():
                 actions += self._take_holdings(event, now)
             case HostLost(host=host):
@@ -136,22 +136,18 @@
         self.waiting[key] = _Waiting(ask, now, now + ask.remaining)
         return [Send(ask.front, Queued(ask.request, ask.attempt))]
 
-    def _take_release(self, release: Release) -> None:
+    def _take_release(self, release: Release, now: float) -> None:
         permit = self.permits.pop(release.permit, None)
         if permit is not None:
-            self._count(permit.targets, -1)
+            self.pool.free(permit.targets)
         for report in release.reports:
-            state = self.states.get(report.target)
-            if state is None:
-                continue
-            state.load = report.load or state.load
-            state.leaving = state.leaving or report.leaving
+            self.pool.take_report(report, now)
 
     def _take_holdings(self, holdings: Holdings, now: float) -> list[Action]:
         for held in holdings.held:
             if held.permit not in self.permits:
                 self.permits[held.permit] = _Permit(holdings.front, held.targets, now)
-                self._count(held.targets, 1)
+                self.pool.hold(held.targets)
         actions: list[Action] = []
         for ask in holdings.waiting:
             if (ask.request, ask.attempt) not in self.waiting:
@@ -162,28 +158,15 @@
         for key in [k for k, item in self.waiting.items() if item.ask.front == host]:
             del self.waiting[key]
         for permit in [k for k, item in self.permits.items() if item.front == host]:
-            self._count(self.permits.pop(permit).targets, -1)
+            self.pool.free(self.permits.pop(permit).targets)
 
     def _change_targets(
         self, targets: Iterable[Target], leaving: frozenset[TargetId]
     ) -> None:
-        fresh: dict[TargetId, TargetState] = {}
-        for target in targets:
-            state = self.states.get(target.id)
-            if state is None:
-                state = TargetState(target, float(target.slots))
-                state.held = sum(
-                    target.id in permit.targets for permit in self.permits.values()
-                )
-            state.target = target
-            state.leaving = target.id in leaving
-            fresh[target.id] = state
-        self.states = fresh
-
-    def _count(self, targets: Iterable[TargetId], by: int) -> None:
-        for target in targets:
-            if target in self.states:
-                self.states[target].held += by
+        held = Counter(
+            target for permit in self.permits.values() for target in permit.targets
+        )
+        self.pool.replace_targets(targets, leaving, held)
 
     def _expire(self, now: float) -> list[Action]:
         actions: list[Action] = []
@@ -206,13 +189,7 @@
             key=lambda item: (item[1].ask.priority, item[1].arrived),
         )
         for key, item in ordered:
-            route = choose_route(
-                self.service,
-                self.states.values(),
-                item.ask.data_centre,
-                self.links,
-                item.ask.avoid,
-            )
+            route = self.pool.choose(item.ask, now)
             if route is None:
                 continue
             del self.waiting[key]
@@ -222,7 +199,7 @@
     def _grant(self, ask: Ask, route: Route, now: float) -> list[Action]:
         permit = self.next_permit()
         self.permits[permit] = _Permit(ask.front, route.targets, now)
-        self._count(route.targets, 1)
+        self.pool.hold(route.targets)
         grant = Grant(
             ask.request,
             ask.attempt,
@@ -234,6 +211,6 @@
         return [
             Send(ask.front, grant),
             Decision(
-                ask.request, "granted", route, len(self.states), len(self.waiting)
+                ask.request, "granted", route, len(self.pool.states), len(self.waiting)
             ),
         ]
--- a/marigoldswitch/dispatching.py
+++ b/marigoldswitch/dispatching.py
@@ -35,6 +35,7 @@
     TargetReport,
 )
 from marigoldswitch.core.ownership import choose_owner
+from marigoldswitch.core.pool import TargetPool
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.members import MemberView
 from marigoldswitch.peers import PeerNetwork
@@ -293,7 +294,7 @@
             self._own.host,
             service,
             self._own.data_centre,
-            self._bundle.link_seconds,
+            TargetPool(service, self._bundle.link_seconds),
             partial(self._name_permit, prefix),
         )
         self._feed(dispatcher, self._list_targets(service.name))
--- a/marigoldswitch/tests/test_dispatcher.py
+++ b/marigoldswitch/tests/test_dispatcher.py
@@ -18,12 +18,19 @@
     Holdings,
     Release,
 )
+from marigoldswitch.core.pool import TargetPool
 from marigoldswitch.tests.helpers import BOOKINGS, HOBART, build_ask, build_target
 
 
 def build_dispatcher(*names):
     numbers = itertools.count()
-    dispatcher = Dispatcher("host-0", BOOKINGS, HOBART, {}, lambda: f"p{next(numbers)}")
+    dispatcher = Dispatcher(
+        "host-0",
+        BOOKINGS,
+        HOBART,
+        TargetPool(BOOKINGS, {}),
+        lambda: f"p{next(numbers)}",
+    )
     targets = tuple(build_target(name) for name in names)
     dispatcher.handle(TargetsChanged(targets, frozenset()), 0.0)
     return dispatcher
