--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -15,6 +15,7 @@
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
+from marigoldswitch.gauges import Gauges
 from marigoldswitch.hosts import Host, HostParts, HostState, describe_status
 from marigoldswitch.members import Member, MemberView
 from marigoldswitch.metrics import Metrics
@@ -55,7 +56,7 @@
     parts = Parts(clock, own, dispatching, claims, plain, chains)
     metrics = Metrics()
     front = Front(parts, metrics, settings.requests.held)
-    follower.watch_bundle(lambda bundle: metrics.bundle.set({}, bundle.version))
+    metrics.add_source(Gauges(metrics, adoption, view, network, dispatching).read)
     callers = CallerInterface(
         clock,
         settings.requests,
--- a/marigoldswitch/fronts.py
+++ b/marigoldswitch/fronts.py
@@ -96,8 +96,11 @@
             self._first = False
             seconds = self._clock.monotonic() - self._began
             self._metrics.first_event.observe(self._labels, seconds)
-        if isinstance(event, Token):
-            self._metrics.tokens.inc(self._labels)
+        match event:
+            case Token():
+                self._metrics.tokens.inc(self._labels)
+            case Fault(kind=kind):
+                self._metrics.faults.inc({**self._labels, "kind": kind.value})
         await self._emit(event)
 
     def count_end(self, end: str) -> None:
--- /dev/null
+++ b/marigoldswitch/gauges.py
@@ -0,0 +1,47 @@
+"""Sets the gauges of a host when its metrics are read."""
+
+from collections import Counter
+
+from marigoldswitch.core.adoption import Adoption
+from marigoldswitch.dispatching import Dispatching
+from marigoldswitch.members import MemberView
+from marigoldswitch.metrics import Metrics
+from marigoldswitch.peers import PeerNetwork
+
+
+class Gauges:
+    """Reads the parts of a host into its metrics."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        adoption: Adoption,
+        view: MemberView,
+        network: PeerNetwork,
+        dispatching: Dispatching,
+    ) -> None:
+        self._metrics = metrics
+        self._adoption = adoption
+        self._view = view
+        self._network = network
+        self._dispatching = dispatching
+
+    def read(self) -> None:
+        """Set every gauge."""
+        self._metrics.bundle.set({}, self._adoption.version)
+        self._read_members()
+        for what, count in self._network.counts.items():
+            self._metrics.peer_messages.set({"what": what}, count)
+        self._read_permits()
+
+    def _read_members(self) -> None:
+        members = self._view.members.values()
+        by_data_centre = Counter(str(member.data_centre) for member in members)
+        for data_centre, count in by_data_centre.items():
+            self._metrics.members.set({"data_centre": data_centre}, count)
+
+    def _read_permits(self) -> None:
+        held = Counter(grant.service for grant in self._dispatching.held.values())
+        services = self._adoption.bundle.services if self._adoption.bundle else {}
+        for service in services:
+            self._metrics.permits.set({"service": str(service)}, held[service])
