--- a/marigoldswitch/core/dispatcher.py
+++ b/marigoldswitch/core/dispatcher.py
@@ -41,10 +41,12 @@
 from marigoldswitch.core.queueing import FairQueue, WaitingRequest
 from marigoldswitch.core.routing import Route
 
+QUIET_SECONDS = 0.05
+"""Time for which a new dispatcher grants nothing; all live fronts answer within it."""
 REBUILD_SECONDS = 0.4
-"""Longest time for which a new dispatcher waits for what fronts hold; many round trips,
-and with the time to notice the loss still under a second."""
-CHECK_SECONDS = 10.0
+"""Longest time for which a new dispatcher grants only the part of the fronts that have
+answered; with the time to notice the loss still under a second."""
+CHECK_SECONDS = 5.0
 """Age of a permit at which its front is asked whether it still holds it, and time
 between two such questions; a lost release costs a slot for at most so long."""
 TAIL_SECONDS = 0.25
@@ -66,6 +68,8 @@
     :param host: the host that it runs on.
     :param data_centre: where its pool is.
     :param next_permit: gives a new permit id.
+    :param refuses: whether it turns away what it will not serve in time; a front's own
+        dispatcher doesn't, since another dispatcher may serve it yet.
     """
 
     host: HostId
@@ -73,6 +77,7 @@
     data_centre: DataCentre
     pool: TargetPool
     next_permit: Callable[[], PermitId]
+    refuses: bool = True
     waiting: FairQueue = field(default_factory=FairQueue)
     out: Occupancy = field(init=False)
     estimates: WorkEstimates = field(init=False)
@@ -81,7 +86,7 @@
     _full: bool = False
     _unheard: frozenset[HostId] = frozenset()
     _fronts: int = 1
-    _rebuilt_at: float = 0.0
+    _rebuild_began: float = 0.0
     _tails_at: float = 0.0
     _checked_at: float = 0.0
     _targetless_since: float | None = None
@@ -96,6 +101,11 @@
         """Return the permits that are out."""
         return self.out.permits
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing waits and no permit is out."""
+        return not (len(self.out) or len(self.waiting) or len(self.parked))
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event and return what to do.
 
@@ -120,9 +130,9 @@
                 self.pool.replace_targets(targets, leaving, held)
                 self._measure()
             case Rebuild(fronts=fronts):
-                self._unheard = fronts - {self.host}
-                self._fronts = len(fronts | {self.host})
-                self._rebuilt_at = now + REBUILD_SECONDS
+                self._unheard = fronts
+                self._fronts = max(1, len(fronts))
+                self._rebuild_began = now
             case Close():
                 return self._close()
             case Tick():
@@ -143,9 +153,10 @@
         if self._holds_ask(ask):
             return [Send(ask.front, Queued(ask.request, ask.attempt))]
         self.estimates.note_cost(ask.cost)
-        refusal = self.admission.judge(ask, not self._unheard, self._full)
-        if refusal is not None:
-            return self._deny(refusal)
+        if self.refuses:
+            refusal = self.admission.judge(ask, not self._unheard, self._full)
+            if refusal is not None:
+                return self._deny(refusal)
         self._let_wait(ask, now)
         actions = self._grant_waiting(now)
         if self._holds_ask(ask):
@@ -216,6 +227,7 @@
                     held.targets,
                     granted=now,
                     checked=now,
+                    learned=True,
                 )
             )
         self._unheard -= {holdings.front}
@@ -269,14 +281,19 @@
             actions += self._deny(refusal)
         if now - self._tails_at >= TAIL_SECONDS:
             self._tails_at = now
-            for refusal in self.admission.list_hopeless(now, self._full):
-                actions += self._deny(refusal)
-            actions += self._refuse_targetless(now)
+            if self.refuses:
+                actions += self._refuse_hopeless(now)
         if now - self._checked_at >= CHECK_SECONDS / 4:
             self._checked_at = now
             actions += self._check_permits(now)
         return actions
 
+    def _refuse_hopeless(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for refusal in self.admission.list_hopeless(now, self._full):
+            actions += self._deny(refusal)
+        return actions + self._refuse_targetless(now)
+
     def _refuse_targetless(self, now: float) -> list[Action]:
         """Refuse what waits for a pool that has had no usable target for a while."""
         if self.admission.slots > 0.0 or not len(self.waiting):
@@ -356,11 +373,13 @@
         """
         if not self._is_rebuilding(now):
             return True
+        if now - self._rebuild_began < QUIET_SECONDS:
+            return False
         heard = 1.0 - len(self._unheard) / self._fronts
         return len(self.out) < int(heard * self.admission.slots)
 
     def _is_rebuilding(self, now: float) -> bool:
-        if self._unheard and now >= self._rebuilt_at:
+        if now - self._rebuild_began >= REBUILD_SECONDS:
             self._unheard = frozenset()
         return bool(self._unheard)
 
--- a/marigoldswitch/core/occupancy.py
+++ b/marigoldswitch/core/occupancy.py
@@ -21,7 +21,8 @@
     :param targets: the route, one slot on each.
     :param granted: when this dispatcher granted it or learned of it.
     :param checked: when its front was last asked whether it still holds it.
-    :param cost: estimated work; 0 where the permit was learned of from its front.
+    :param cost: estimated work; 0 where the permit is learned.
+    :param learned: granted by another dispatcher and learned of from its front.
     """
 
     id: PermitId
@@ -33,6 +34,7 @@
     checked: float
     cost: float = 0.0
     long: bool = False
+    learned: bool = False
 
 
 class Occupancy:
@@ -57,7 +59,8 @@
         if permit.id in self.permits:
             raise InvariantBroken(f"permit {permit.id} would be granted twice")
         self.permits[permit.id] = permit
-        self._by_ask[permit.request, permit.attempt] = permit.id
+        if not permit.learned:
+            self._by_ask[permit.request, permit.attempt] = permit.id
         self._by_front.setdefault(permit.front, {})[permit.id] = None
         self.cost += permit.cost
         self.long += permit.long
@@ -85,7 +88,7 @@
         return permit
 
     def find(self, request: RequestId, attempt: int) -> Permit | None:
-        """Return the permit of an ask, if it has one."""
+        """Return the permit granted here to an ask, if there is one."""
         name = self._by_ask.get((request, attempt))
         return self.permits[name] if name is not None else None
 
--- a/marigoldswitch/gauges.py
+++ b/marigoldswitch/gauges.py
@@ -33,6 +33,7 @@
         for what, count in self._network.counts.items():
             self._metrics.peer_messages.set({"what": what}, count)
         self._read_permits()
+        self._read_queues()
 
     def _read_members(self) -> None:
         members = self._view.members.values()
@@ -45,3 +46,15 @@
         services = self._adoption.bundle.services if self._adoption.bundle else {}
         for service in services:
             self._metrics.permits.set({"service": str(service)}, held[service])
+
+    def _read_queues(self) -> None:
+        waiting: Counter[str] = Counter()
+        usable: Counter[str] = Counter()
+        for key, dispatcher in self._dispatching.dispatchers.owned.items():
+            waiting[key.service] += len(dispatcher.waiting)
+            states = dispatcher.pool.states.values()
+            usable[key.service] += sum(not state.leaving for state in states)
+        services = self._adoption.bundle.services if self._adoption.bundle else {}
+        for service in services:
+            self._metrics.waiting.set({"service": str(service)}, waiting[service])
+            self._metrics.usable.set({"service": str(service)}, usable[service])
