Count tokens cheaply and set the observer apart

Cause: the profile of a stream of 2,000 tokens gave 23 us a token to the metrics library's labelled counter, 30 % of the router's share. Change: tokens are counted in a plain counter and added when metrics are read; the observer has a module of its own.

--- a/marigoldswitch/fronts.py
+++ b/marigoldswitch/fronts.py
@@ -9,12 +9,12 @@
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.ids import RequestId
 from marigoldswitch.core.ledger import InvariantBroken
-from marigoldswitch.core.ports import Clock
-from marigoldswitch.core.requests import Request, Token
+from marigoldswitch.core.requests import Request
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.model_runs import ModelRun
+from marigoldswitch.observers import Observer
 from marigoldswitch.plain_runs import PlainRun
-from marigoldswitch.runs import Emit, Event, Parts, Run
+from marigoldswitch.runs import Emit, Parts, Run
 
 logger = structlog.get_logger(__name__)
 
@@ -44,7 +44,7 @@
             await emit(Fault(ErrorKind.SATURATED, "the host holds too many requests"))
             return
         service = bundle.services[request.service]
-        observe = _Observer(self._parts.clock, self._metrics, request, emit)
+        observe = Observer(self._parts.clock, self._metrics, request, emit)
         run = RUNS[service.kind](self._parts, request, bundle, observe)
         task = asyncio.current_task()
         assert task is not None
@@ -76,33 +76,3 @@
             self._metrics.breaches.inc({})
             logger.error("promise_broken", request=run.request.id, what=str(error))
             await run.emit(Fault(ErrorKind.INTERNAL, "a promise was found broken"))
-
-
-class _Observer:
-    """Passes the events of one request on and counts them."""
-
-    def __init__(
-        self, clock: Clock, metrics: Metrics, request: Request, emit: Emit
-    ) -> None:
-        self._clock = clock
-        self._metrics = metrics
-        self._labels = {"service": str(request.service)}
-        self._emit = emit
-        self._began = clock.monotonic()
-        self._first = True
-
-    async def __call__(self, event: Event) -> None:
-        if self._first:
-            self._first = False
-            seconds = self._clock.monotonic() - self._began
-            self._metrics.first_event.observe(self._labels, seconds)
-        match event:
-            case Token():
-                self._metrics.tokens.inc(self._labels)
-            case Fault(kind=kind):
-                self._metrics.faults.inc({**self._labels, "kind": kind.value})
-        await self._emit(event)
-
-    def count_end(self, end: str) -> None:
-        """Count the request by how it ended."""
-        self._metrics.requests.inc({**self._labels, "end": end})
--- a/marigoldswitch/metrics.py
+++ b/marigoldswitch/metrics.py
@@ -4,6 +4,7 @@
 requests: their number stays in the hundreds at 18 services.
 """
 
+import collections
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -133,6 +134,7 @@
     def __init__(self) -> None:
         self._registry = aioprometheus.Registry()
         self._sources: list[Callable[[], None]] = []
+        self._new_tokens: collections.Counter[str] = collections.Counter()
         made: dict[str, Any] = {row.name: self._make(row) for row in ROWS}
         self.requests: Counter = made["requests_total"]
         self.faults: Counter = made["faults_total"]
@@ -151,13 +153,23 @@
         """Call ``source`` before each reading, to set what only then is needed."""
         self._sources.append(source)
 
+    def count_token(self, service: str) -> None:
+        """Count one token; cheap, since it is called for each of them."""
+        self._new_tokens[service] += 1
+
     async def show(self, http: web.Request) -> web.Response:
         """Answer ``/metrics``."""
         for source in self._sources:
             source()
+        self._add_tokens()
         content, headers = render(self._registry, http.headers.getall("Accept", []))
         return web.Response(body=content, headers=headers)
 
+    def _add_tokens(self) -> None:
+        for service, count in self._new_tokens.items():
+            self.tokens.add({"service": service}, count)
+        self._new_tokens.clear()
+
     def _make(self, row: MetricRow) -> Counter | Gauge | Histogram:
         name = PREFIX + row.name
         if row.kind is Histogram:
