Learn each target's limit from its latency and refusals

Cause: limits were the slots of the bundle, the same for every kind and for a target that has grown slow.

--- a/marigoldswitch/core/pool.py
+++ b/marigoldswitch/core/pool.py
@@ -38,7 +38,7 @@
             if state is None:
                 state = TargetState(target, float(target.slots))
                 state.held = held.get(target.id, 0)
-            state.target = target
+            state.use_target(target)
             state.leaving = target.id in leaving
             fresh[target.id] = state
         self.states = fresh
@@ -70,5 +70,6 @@
         state = self.states.get(report.target)
         if state is None:
             return
+        state.learn(report, now)
         state.load = report.load or state.load
         state.leaving = state.leaving or report.leaving
--- a/marigoldswitch/core/targets.py
+++ b/marigoldswitch/core/targets.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.messages import Load
+from marigoldswitch.core.limits import Limiter
+from marigoldswitch.core.messages import Load, TargetReport
 
 
 @dataclass(slots=True)
@@ -12,6 +13,7 @@
 
     :param limit: requests that it may hold at once.
     :param held: permits out for it.
+    :param limiter: learns the limit.
     """
 
     target: Target
@@ -19,8 +21,31 @@
     held: int = 0
     leaving: bool = False
     load: Load | None = None
+    limiter: Limiter | None = None
+
+    def __post_init__(self) -> None:
+        if self.limiter is None:
+            self.limiter = Limiter(self.limit)
 
     @property
     def has_room(self) -> bool:
         """Tell whether one more request may go to it."""
         return not self.leaving and self.held < int(self.limit)
+
+    def use_target(self, target: Target) -> None:
+        """Take the target as a new bundle has it."""
+        assert self.limiter is not None
+        self.target = target
+        self.limiter.set_slots(float(target.slots))
+        self.limit = self.limiter.limit
+
+    def learn(self, report: TargetReport, now: float) -> None:
+        """Let the limit follow how the target behaved."""
+        assert self.limiter is not None
+        if report.refused:
+            self.limiter.on_refusal(now)
+        elif report.failed:
+            self.limiter.on_failure(now)
+        else:
+            self.limiter.on_success(report.seconds, now, self.held + 1.0)
+        self.limit = self.limiter.limit
