Undo a cut of a limit that did not lower the latency

Cause: a target that is slower at any load was cut to its floor and stayed there; probes at half load halved the limit again and again although the unloaded latency was known. Change: a cut to half that leaves the latency as it was is taken back and the latency is the new one to compare with; probes halve only against what was known before.

--- a/marigoldswitch/core/limits.py
+++ b/marigoldswitch/core/limits.py
@@ -57,6 +57,17 @@
     ceiling: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoadedWindow:
+    """A window before the limit was lowered.
+
+    :param mean: mean latency, in seconds.
+    """
+
+    limit: float
+    mean: float
+
+
 class Limiter:
     """Learns the limit of one target."""
 
@@ -69,6 +80,7 @@
         self._skip = 0
         self._windows = 0
         self._loaded_mean = 0.0
+        self._before_cut: LoadedWindow | None = None
         self._sum = 0.0
         self._count = 0
         self._most_held = 0.0
@@ -143,17 +155,22 @@
 
     def _consider_probe(self, used_up: bool) -> None:
         patience = FIRST_PROBE_WINDOWS if self.baseline is None else PROBE_WINDOWS
-        if used_up and self._windows >= patience and self._learned >= 2.0:
+        if used_up and self._windows >= patience:
+            self._begin_probe()
+
+    def _begin_probe(self) -> None:
+        if self._learned * LOW_USE >= self.bounds.floor:
             self._probing = True
             self._skip = int(self._learned)
 
     def _end_probe(self, mean: float) -> None:
+        before = self._loaded_mean if self.baseline is None else self.baseline
         self._windows = 0
         self._learn_baseline(mean)
-        if mean <= RELIEF * self._loaded_mean:
+        if mean <= RELIEF * before:
             self.baseline = mean
-            self._windows = PROBE_WINDOWS - FIRST_PROBE_WINDOWS
             self._set(self._learned * LOW_USE)
+            self._begin_probe()
 
     def _learn_baseline(self, mean: float) -> None:
         if self.baseline is None:
@@ -165,10 +182,28 @@
             return
         gradient = TOLERANCE * self.baseline / mean
         if gradient < 1.0:
-            self._set(self._learned * max(LEAST_GRADIENT, gradient))
+            self._cut(mean, gradient)
         elif used_up:
+            self._before_cut = None
             self._set(self._learned + max(1.0, GROWTH * self._learned))
 
+    def _cut(self, mean: float, gradient: float) -> None:
+        """Lower the limit; undo it where that did not lower the latency.
+
+        Then the target itself has become slower, and fewer requests at once would only
+        leave it idle.
+        """
+        if self._before_cut is None:
+            self._before_cut = LoadedWindow(self._learned, mean)
+        before = self._before_cut
+        if self._learned > LOW_USE * before.limit:
+            self._set(self._learned * max(LEAST_GRADIENT, gradient))
+            return
+        self._before_cut = None
+        if mean > RELIEF * before.mean:
+            self.baseline = mean
+            self._set(before.limit)
+
     def _set(self, limit: float) -> None:
         bounds = self.bounds
         self._learned = max(bounds.floor, min(bounds.ceiling, limit))
--- a/marigoldswitch/tests/test_limits.py
+++ b/marigoldswitch/tests/test_limits.py
@@ -12,7 +12,7 @@
 from marigoldswitch.tests.helpers import build_state
 
 
-def play_load(limiter, capacity, answers, load=1.0, seed=1):
+def play_load(limiter, capacity, answers, load=1.0, seed=1, slowness=1.0):
     """Answer as a target whose latency grows once it holds more than its capacity.
 
     :returns: the median limit over the last half of the answers.
@@ -23,7 +23,8 @@
     for _ in range(answers):
         limits.append(limiter.limit)
         held = max(1, int(load * limiter.limit))
-        seconds = chance.lognormvariate(0.0, 0.5) * max(1.0, held / capacity)
+        own = slowness * chance.lognormvariate(0.0, 0.5)
+        seconds = own * max(1.0, held / capacity)
         now += seconds / held
         limiter.on_success(seconds, now, held)
     return statistics.median(limits[answers // 2 :])
@@ -51,6 +52,12 @@
     assert limits == {8.0}
 
 
+def test_target_that_is_slower_at_any_load_keeps_its_limit():
+    limiter = Limiter(8.0)
+    play_load(limiter, 8, 2000, load=0.3)
+    assert play_load(limiter, 8, 10_000, slowness=4.0) == 8.0
+
+
 def test_timeouts_cost_more_than_refusals():
     refusing, failing = Limiter(32.0), Limiter(32.0)
     for second in range(4):
