Share the quotas of client accounts over all hosts

Cause: quotas of the bundle were not enforced. Change: one keeper of each account's token bucket among the hosts, drawn from ahead of demand; hosts admit on a small debt that is settled, and on their even part while the keeper is silent. Admission never waits and never asks the table service. Conclusion: right over time, off by the burst and the hosts' credit at any moment.

--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -20,6 +20,7 @@
 from marigoldswitch.members import Member, MemberView
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peers import PeerNetwork
+from marigoldswitch.quotas import QuotaSharing
 from marigoldswitch.releases import Releases
 from marigoldswitch.runs import Parts
 from marigoldswitch.settings import Settings
@@ -49,7 +50,8 @@
     adoption = Adoption()
     releases = Releases(platform, platform)
     follower = Follower(releases, platform, adoption, settings.platform.poll)
-    dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout)
+    quotas = QuotaSharing(clock, network, view)
+    dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout, quotas)
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
     claims = Claims(platform, own.host, incarnation)
     plain, chains = PlainClient(session), ChainClient(session)
--- a/marigoldswitch/core/messages.py
+++ b/marigoldswitch/core/messages.py
@@ -156,6 +156,49 @@
     permits: tuple[PermitId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaDraw:
+    """What a host needs of one account's quota.
+
+    :param tokens: what it has left; below 0 it is a debt.
+    :param demand: requests a second that it sees, also those refused.
+    :param moved: it has drawn from another keeper before.
+    """
+
+    account: AccountId
+    tokens: float
+    demand: float
+    moved: bool
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaDraws:
+    """A host asks the keeper of some accounts for tokens."""
+
+    front: HostId
+    draws: tuple[QuotaDraw, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLease:
+    """Tokens of one account for a host.
+
+    :param tokens: below 0 where tokens of an idle host went back.
+    :param rate: tokens a second that the host may expect.
+    """
+
+    account: AccountId
+    tokens: float
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLeases:
+    """A keeper's reply to :class:`QuotaDraws`."""
+
+    leases: tuple[QuotaLease, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Resync:
     """A new dispatcher asks a front what it holds and what it waits for."""
@@ -245,6 +288,8 @@
     | Release
     | PermitCheck
     | PermitsUnknown
+    | QuotaDraws
+    | QuotaLeases
     | Resync
     | Holdings
     | HandOver
--- a/marigoldswitch/core/ownership.py
+++ b/marigoldswitch/core/ownership.py
@@ -12,6 +12,7 @@
 
 from marigoldswitch.core.catalogue import Bundle, Service, ServiceKind, Target
 from marigoldswitch.core.ids import (
+    AccountId,
     DataCentre,
     HostId,
     RequestId,
@@ -47,6 +48,16 @@
     return max(hosts, key=lambda host: (_hash(f"{key}/{host}"), host), default=None)
 
 
+def choose_keeper(account: AccountId, hosts: Iterable[HostId]) -> HostId | None:
+    """Return the host that keeps the quota of a client account.
+
+    :param hosts: live hosts that share the quota.
+    """
+    return max(
+        hosts, key=lambda host: (_hash(f"quota/{account}/{host}"), host), default=None
+    )
+
+
 def get_link(links: Links, one: DataCentre, other: DataCentre) -> float:
     """Return the one-way seconds between two data centres; far where not named."""
     return 0.0 if one == other else links.get((one, other), float("inf"))
--- a/marigoldswitch/dispatching.py
+++ b/marigoldswitch/dispatching.py
@@ -35,6 +35,7 @@
 from marigoldswitch.members import MemberView
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.pending import PendingAsk, PendingAsks
+from marigoldswitch.quotas import QuotaSharing
 
 logger = structlog.get_logger(__name__)
 
@@ -47,7 +48,11 @@
 
 
 class Dispatching:
-    """Runs the dispatchers of this host and acquires permits for its front."""
+    """Runs the dispatchers of this host and acquires permits for its front.
+
+    :param ask_timeout: seconds without a word after which a dispatcher is silent.
+    :param quotas: charges client accounts; without it, nothing is charged.
+    """
 
     def __init__(
         self,
@@ -55,10 +60,12 @@
         network: PeerNetwork,
         view: MemberView,
         ask_timeout: float,
+        quotas: QuotaSharing | None = None,
     ) -> None:
         self.held: dict[PermitId, Grant] = {}
         self._counted: dict[PermitId, set[HostId]] = {}
         """Dispatchers that count a permit beside the one that granted it."""
+        self._quotas = quotas
         self._clock = clock
         self._network = network
         self._view = view
@@ -100,10 +107,14 @@
         for host in self._watch.list_silent(self._clock.monotonic()):
             self._replace_silent(host)
         self._pending.ask_again()
+        if self._quotas is not None:
+            self._quotas.tick()
 
     def use_bundle(self, bundle: Bundle) -> None:
         """Take the services and targets of a bundle."""
         self._bundle = bundle
+        if self._quotas is not None:
+            self._quotas.use_bundle(bundle)
         self._refresh()
 
     def use_leaving(self, leaving: frozenset[TargetId]) -> None:
@@ -124,7 +135,14 @@
         self._refresh()
 
     async def acquire(self, ask: Ask) -> Result[Grant, Fault]:
-        """Get a permit, from a dispatcher or, where none answers, from this host."""
+        """Get a permit, from a dispatcher or, where none answers, from this host.
+
+        The first attempt of a request is charged to the quota of its account.
+        """
+        if self._quotas is not None and ask.attempt == 1:
+            fault = self._quotas.admit(ask.account)
+            if fault is not None:
+                return Err(fault)
         topology = self._topology
         if topology is None:
             return Err(Fault(ErrorKind.NO_BUNDLE))
