Find live hosts by SWIM instead of by the host list

Cause: the view was the host list alone, which lags and can be out. Change: membership core (probes, indirect probes, suspicion, refutation, bounded piggybacking, tables over streams), UDP datagrams with HMAC, leaving marks of targets by source; wired into the daemon, which now advertises its real ports.

--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -1,6 +1,7 @@
 """Composition root: the one place where the parts of a host are wired."""
 
 import secrets
+import time
 
 import aiohttp
 
@@ -11,10 +12,12 @@
 from marigoldswitch.clocks import SystemClock
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.ids import DataCentre, HostId, Incarnation
+from marigoldswitch.core.leaving import LeavingMarks
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
+from marigoldswitch.gossip import Gossip
 from marigoldswitch.hosts import Host, HostParts, HostState, describe_status
 from marigoldswitch.members import Member, MemberView
 from marigoldswitch.metrics import Metrics
@@ -45,6 +48,8 @@
     )
     view = MemberView(own)
     network = PeerNetwork(own.host, settings.peers.secrets, view.locate)
+    marks = LeavingMarks(time.time() - clock.monotonic())
+    gossip = Gossip(clock, view, network, settings.peers, marks)
     adoption = Adoption()
     releases = Releases(platform, platform)
     follower = Follower(releases, platform, adoption, settings.platform.poll)
@@ -76,6 +81,7 @@
         adoption,
         view,
         network,
+        gossip,
         follower,
         dispatching,
         front,
--- /dev/null
+++ b/marigoldswitch/core/membership.py
@@ -0,0 +1,473 @@
+"""Which hosts are live, by SWIM: probes, indirect probes, suspicion, refutation.
+
+Load it answers: every host must learn of a lost one within seconds, at any number of
+hosts and for a fixed cost each. Heartbeats from all to all would cost a host at 400
+hosts hundreds of datagrams a second; the host list lags and can be out.
+
+Deterministic: an event and an instant in, actions out; the generator is passed in.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import xxhash
+
+from marigoldswitch.core.broadcasts import Broadcasts
+from marigoldswitch.core.datagrams import (
+    MAX_PAYLOAD_BYTES,
+    Ack,
+    Datagram,
+    Delta,
+    MemberRecord,
+    Ping,
+    PingRequest,
+    Push,
+    Sender,
+    Status,
+    TargetMark,
+    measure_delta,
+)
+from marigoldswitch.core.ids import HostId, Incarnation
+from marigoldswitch.core.member_events import (
+    Action,
+    Changed,
+    Event,
+    Heard,
+    Introduce,
+    Introduced,
+    Leave,
+    Listed,
+    MarksHeard,
+    NameTaken,
+    OwnBundle,
+    Seeds,
+    SendDatagram,
+    Spread,
+    Tick,
+)
+from marigoldswitch.core.probes import ProbeOrder, Probes, Relay
+from marigoldswitch.core.suspicions import Suspicion
+
+HELPERS = 3
+"""Hosts asked for an indirect probe; with 30 % loss one in two of them gets through."""
+PUSH_PEERS = 3
+PUSH_REMOTE_SHARE = 0.25
+"""Share of urgent pushes that one goes to another data centre as well."""
+ACK_SHARE = 0.4
+"""Part of a period after which a probe without an answer becomes indirect."""
+LOST_EVERY = 4
+"""Every so many periods a lost host is tried, so that a healed cut is noticed."""
+FORGET_SECONDS = 3600.0
+JOINING_PERIODS = 20.0
+"""Periods after the start in which an older process of our name is overtaken."""
+SYNC_SECONDS_PER_HOST = 0.1
+"""Whole tables are exchanged at most once in this time a live host: a table grows with
+the hosts, so its cost a second stays the same."""
+LEAST_SYNC_SECONDS = 1.0
+INTRODUCTIONS = 3
+"""Hosts of the host list that are not known yet and are addressed at one look."""
+HEADER_BYTES = 160
+"""Room for a datagram's own fields."""
+
+
+@dataclass(slots=True)
+class Membership:
+    """The table of hosts and the probes that keep it right.
+
+    :param period: seconds between two probes of this host.
+    :param started: instant of the start, in monotonic seconds.
+    """
+
+    own: MemberRecord
+    random: Random
+    period: float
+    started: float
+    table: dict[HostId, MemberRecord] = field(default_factory=dict)
+    counts: Counter[str] = field(default_factory=Counter)
+    _changed_at: dict[HostId, float] = field(default_factory=dict)
+    _suspicions: dict[HostId, Suspicion] = field(default_factory=dict)
+    _broadcasts: Broadcasts = field(default_factory=Broadcasts)
+    _probes: Probes = field(default_factory=Probes)
+    _order: ProbeOrder = field(default_factory=ProbeOrder)
+    _seeds: tuple[str, ...] = ()
+    _synced: float = float("-inf")
+    _last_tick: float = 0.0
+    _next_probe: float = 0.0
+    _periods: int = 0
+    _digest: int | None = None
+
+    def __post_init__(self) -> None:
+        self._last_tick = self.started
+        self._next_probe = self.started + self.random.random() * self.period
+        self._probes.number = self.random.getrandbits(31)
+        self._broadcasts.add(self.own)
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event and return what to do.
+
+        :param now: monotonic seconds.
+        """
+        match event:
+            case Tick():
+                return self._pass_time(now)
+            case Heard(datagram=datagram, address=address):
+                return self._hear(datagram, address, now)
+            case Seeds(addresses=addresses):
+                self._seeds = addresses
+                return self._ping_seeds(now)
+            case Listed(hosts=hosts):
+                return self._meet_listed(hosts)
+            case Introduced(members=members):
+                return self._take_records(members, now)
+            case OwnBundle(version=version):
+                return self._change_own(now, bundle=version)
+            case Leave(gone=gone):
+                status = Status.LEFT if gone else Status.ALIVE
+                return self._change_own(now, leaving=True, status=status)
+            case Spread(marks=marks):
+                return self._push_urgent(marks)
+
+    def list_live(self) -> list[MemberRecord]:
+        """Return the other hosts that count as live."""
+        return [item for item in self.table.values() if item.is_live]
+
+    def export(self) -> tuple[MemberRecord, ...]:
+        """Return the whole table with this host first."""
+        return (self.own, *self.table.values())
+
+    @property
+    def digest(self) -> int:
+        """Return a digest of the live hosts, the same for equal tables."""
+        if self._digest is None:
+            self._digest = 0
+            for item in (self.own, *self.list_live()):
+                name = f"{item.host}/{item.run}/{item.incarnation}"
+                self._digest ^= xxhash.xxh3_64_intdigest(name.encode())
+        return self._digest
+
+    # Time.
+
+    def _pass_time(self, now: float) -> list[Action]:
+        late = now - self._last_tick - self.period
+        self._last_tick = now
+        if late > 0.0:
+            self._excuse_pause(late + self.period)
+        actions = self._follow_probes(now)
+        actions += self._bury_suspects(now)
+        if now >= self._next_probe:
+            self._next_probe = max(self._next_probe + self.period, now)
+            self._periods += 1
+            actions += self._start_period(now)
+        return actions
+
+    def _excuse_pause(self, seconds: float) -> None:
+        """Hold nobody's silence against it while this process itself was paused."""
+        self.counts["pauses"] += 1
+        self._probes.clear()
+        for suspicion in self._suspicions.values():
+            suspicion.began += seconds
+
+    def _start_period(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        probed = [host for host, item in self._suspicions.items() if item.probed]
+        target = self._order.choose(self.own, self.list_live(), self.random)
+        if target is not None and target not in probed:
+            actions += self._probe(target, now)
+        for host in probed:
+            actions.append(self._ping(self.table[host], self._probes.take_number()))
+        if self._periods % LOST_EVERY == 0:
+            actions += self._try_lost(now)
+        return actions
+
+    def _probe(self, host: HostId, now: float) -> list[Action]:
+        number = self._probes.begin(host, now)
+        return [self._ping(self.table[host], number)]
+
+    def _try_lost(self, now: float) -> list[Action]:
+        self._forget(now)
+        lost = [item for item in self.table.values() if item.status is Status.DEAD]
+        actions: list[Action] = []
+        if lost:
+            record = self.random.choice(lost)
+            actions.append(self._ping(record, self._probes.take_number()))
+        return actions + self._ping_seeds(now)
+
+    def _forget(self, now: float) -> None:
+        for host, changed in list(self._changed_at.items()):
+            if now - changed > FORGET_SECONDS and not self.table[host].is_live:
+                del self.table[host], self._changed_at[host]
+
+    def _ping_seeds(self, now: float) -> list[Action]:
+        known = {item.gossip for item in self.list_live()} | {self.own.gossip}
+        number = self._probes.take_number()
+        actions: list[Action] = []
+        for address in self._seeds:
+            if address not in known:
+                ping = Ping(self._sender(), HostId(""), number, self.digest)
+                ping = replace(ping, deltas=(self.own,))
+                actions.append(SendDatagram(HostId(""), address, ping))
+        return actions
+
+    def _follow_probes(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for probe in self._probes.list_silent(now - ACK_SHARE * self.period):
+            actions += self._probe_indirectly(probe.host, probe.number)
+        for probe in self._probes.take_failed(now - self.period):
+            record = self.table.get(probe.host)
+            if record is not None and record.is_live:
+                actions += self._suspect(record, now)
+        return actions
+
+    def _probe_indirectly(self, host: HostId, number: int) -> list[Action]:
+        record = self.table.get(host)
+        if record is None:
+            return []
+        others = [item for item in self.list_live() if item.host != host]
+        helpers = self.random.sample(others, min(HELPERS, len(others)))
+        return [
+            self._send(
+                helper,
+                PingRequest(self._sender(), helper.host, number, host, record.gossip),
+            )
+            for helper in helpers
+        ]
+
+    def _suspect(self, record: MemberRecord, now: float) -> list[Action]:
+        self.counts["suspected"] += 1
+        known = self._suspicions.get(record.host)
+        if known is not None:
+            known.probed = True
+            if self.own.host in known.confirmers:
+                return []
+        suspect = replace(record, status=Status.SUSPECT, suspected_by=self.own.host)
+        actions = self._take_record(suspect, now)
+        self._suspicions[record.host].probed = True
+        return actions
+
+    def _bury_suspects(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        hosts = len(self.list_live()) + 1 if self._suspicions else 0
+        for host, suspicion in list(self._suspicions.items()):
+            if now >= suspicion.find_deadline(self.period, hosts):
+                self.counts["found_dead"] += 1
+                dead = replace(self.table[host], status=Status.DEAD)
+                actions += self._take_record(dead, now)
+        return actions
+
+    # Datagrams.
+
+    def _hear(self, datagram: Datagram, address: str, now: float) -> list[Action]:
+        sender = datagram.sender
+        if sender.host == self.own.host and sender.run != self.own.run:
+            self.counts["duplicate_name"] += 1
+            return []
+        if datagram.to not in {self.own.host, ""}:
+            self.counts["wrong_address"] += 1
+            return []
+        known = self.table.get(sender.host)
+        stale = (
+            known is not None
+            and known.run != sender.run
+            and known.incarnation > sender.incarnation
+        )
+        if stale:
+            self.counts["duplicate_name"] += 1
+            deltas: tuple[Delta, ...] = ()
+        else:
+            deltas = datagram.deltas
+        actions = self._take_deltas(deltas, now)
+        match datagram:
+            case Ping(number=number):
+                actions.append(self._answer(datagram, number, address))
+            case PingRequest():
+                actions += self._help(datagram, address, now)
+            case Ack():
+                actions += self._take_ack(datagram, now)
+            case Push():
+                pass
+        return actions
+
+    def _take_deltas(self, deltas: Iterable[Delta], now: float) -> list[Action]:
+        records = [item for item in deltas if isinstance(item, MemberRecord)]
+        marks = tuple(item for item in deltas if isinstance(item, TargetMark))
+        actions = self._take_records(records, now)
+        if marks:
+            actions.append(MarksHeard(marks))
+        return actions
+
+    def _answer(self, ping: Ping, number: int, address: str) -> SendDatagram:
+        host = ping.sender.host
+        ack = Ack(self._sender(), host, number, self.own.host, self.digest)
+        first: tuple[Delta, ...] = () if host in self.table else (self.own,)
+        known = self.table.get(host)
+        if known is not None and (not known.is_live or known.run != ping.sender.run):
+            first = (known,)
+        return SendDatagram(host, address, self._fill(ack, first))
+
+    def _help(self, request: PingRequest, address: str, now: float) -> list[Action]:
+        relay = Relay(request.sender.host, address, request.number)
+        number = self._probes.relay(relay, now)
+        ping = Ping(self._sender(), request.target, number, self.digest)
+        return [SendDatagram(request.target, request.address, self._fill(ping))]
+
+    def _take_ack(self, ack: Ack, now: float) -> list[Action]:
+        relay = self._probes.take_relay(ack.number)
+        if relay is not None:
+            passed = Ack(self._sender(), relay.host, relay.number, ack.about, 0)
+            return [SendDatagram(relay.host, relay.address, self._fill(passed))]
+        self._probes.answer(ack.number)
+        if ack.about != ack.sender.host or ack.digest == self.digest:
+            return []
+        return self._sync(ack.sender.host, now)
+
+    def _sync(self, host: HostId, now: float) -> list[Action]:
+        """Exchange whole tables where the digests differ, but not too often."""
+        known = self.table.get(host)
+        wait = SYNC_SECONDS_PER_HOST * (len(self.table) + 1)
+        if known is None or now - self._synced < max(LEAST_SYNC_SECONDS, wait):
+            return []
+        self._synced = now
+        self.counts["syncs"] += 1
+        return [Introduce(host, wants_reply=True)]
+
+    def _meet_listed(self, hosts: tuple[HostId, ...]) -> list[Action]:
+        live = {item.host for item in self.list_live()} | {self.own.host}
+        missing = [
+            host
+            for host in hosts
+            if host not in live
+            and (host not in self.table or self.table[host].status is Status.DEAD)
+        ]
+        chosen = self.random.sample(missing, min(INTRODUCTIONS, len(missing)))
+        return [Introduce(host, wants_reply=True) for host in chosen]
+
+    # The table.
+
+    def _take_records(
+        self, records: Iterable[MemberRecord], now: float
+    ) -> list[Action]:
+        actions: list[Action] = []
+        for record in records:
+            actions += self._take_record(record, now)
+        return actions
+
+    def _take_record(self, record: MemberRecord, now: float) -> list[Action]:
+        if record.host == self.own.host:
+            return self._defend(record, now)
+        known = self.table.get(record.host)
+        if known is None:
+            return self._store(record, known, now) if record.is_live else []
+        if known.run != record.run:
+            if record.incarnation > known.incarnation:
+                return self._store(record, known, now)
+            self.counts["old_run"] += 1
+            return []
+        if record.overrides(known):
+            return self._store(record, known, now)
+        if record.status is Status.SUSPECT and (
+            record.incarnation == known.incarnation and known.status is Status.SUSPECT
+        ):
+            return self._confirm(record)
+        return []
+
+    def _store(
+        self, record: MemberRecord, known: MemberRecord | None, now: float
+    ) -> list[Action]:
+        self.table[record.host] = record
+        self._changed_at[record.host] = now
+        self._digest = None
+        if record.status is Status.SUSPECT:
+            suspicion = self._suspicions.setdefault(record.host, Suspicion(now))
+            suspicion.confirmers.add(record.suspected_by)
+        else:
+            self._suspicions.pop(record.host, None)
+        actions: list[Action] = [Changed(record)]
+        if _is_urgent(record, known):
+            return actions + self._push_urgent((record,))
+        self._broadcasts.add(record)
+        return actions
+
+    def _confirm(self, record: MemberRecord) -> list[Action]:
+        suspicion = self._suspicions[record.host]
+        if record.suspected_by not in suspicion.confirmers:
+            suspicion.confirmers.add(record.suspected_by)
+            self._broadcasts.add(record)
+        return []
+
+    def _defend(self, record: MemberRecord, now: float) -> list[Action]:
+        """Refute what others say of this host where it is wrong."""
+        if record.incarnation < self.own.incarnation:
+            return []
+        same_run = record.run == self.own.run
+        joining = now - self.started < JOINING_PERIODS * self.period
+        if not same_run and not joining:
+            self.counts["duplicate_name"] += 1
+            return [NameTaken(record)]
+        if same_run and (
+            _is_own_word(record, self.own) or self.own.status is Status.LEFT
+        ):
+            return []
+        self.counts["refuted"] += 1
+        self.own = replace(self.own, incarnation=record.incarnation)
+        return self._change_own(now)
+
+    def _change_own(self, now: float, **changes: object) -> list[Action]:
+        incarnation = Incarnation(self.own.incarnation + 1)
+        self.own = replace(
+            self.own,
+            incarnation=incarnation,
+            **changes,  # type: ignore[arg-type]
+        )
+        self._digest = None
+        return [Changed(self.own), *self._push_urgent((self.own,))]
+
+    # Sending.
+
+    def _sender(self) -> Sender:
+        return Sender(self.own.host, self.own.run, self.own.incarnation)
+
+    def _ping(self, record: MemberRecord, number: int) -> SendDatagram:
+        first: tuple[Delta, ...] = ()
+        if record.status is not Status.ALIVE:
+            first = (record,)
+        ping = Ping(self._sender(), record.host, number, self.digest)
+        return self._send(record, ping, first)
+
+    def _send(
+        self, record: MemberRecord, datagram: Datagram, first: tuple[Delta, ...] = ()
+    ) -> SendDatagram:
+        return SendDatagram(record.host, record.gossip, self._fill(datagram, first))
+
+    def _fill(self, datagram: Datagram, first: tuple[Delta, ...] = ()) -> Datagram:
+        """Put the changes that wait into a datagram, as far as there is room."""
+        room = MAX_PAYLOAD_BYTES - HEADER_BYTES
+        room -= sum(measure_delta(item) for item in first)
+        hosts = len(self.list_live()) + 1
+        return replace(datagram, deltas=first + self._broadcasts.take(room, hosts))
+
+    def _push_urgent(self, deltas: tuple[Delta, ...]) -> list[Action]:
+        """Pass changes on at once to a few hosts, and to the rest with the probes."""
+        for delta in deltas:
+            self._broadcasts.add(delta)
+        near, far = self._order.split(self.own, self.list_live())
+        chosen = self.random.sample(near, min(PUSH_PEERS, len(near)))
+        if far and (not near or self.random.random() < PUSH_REMOTE_SHARE):
+            chosen.append(self.random.choice(far))
+        return [
+            self._send(record, Push(self._sender(), record.host)) for record in chosen
+        ]
+
+
+def _is_urgent(record: MemberRecord, known: MemberRecord | None) -> bool:
+    """Tell whether a change must reach all hosts within a second or two."""
+    if known is None or record.status in {Status.DEAD, Status.LEFT}:
+        return True
+    return record.leaving != known.leaving or record.bundle != known.bundle
+
+
+def _is_own_word(record: MemberRecord, own: MemberRecord) -> bool:
+    """Tell whether a record of this host says just what this host itself has said."""
+    alive = record.status is Status.ALIVE
+    return record.incarnation == own.incarnation and alive
--- a/marigoldswitch/core/messages.py
+++ b/marigoldswitch/core/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from marigoldswitch.core.catalogue import Priority
+from marigoldswitch.core.datagrams import MemberRecord, TargetMark
 from marigoldswitch.core.errors import ErrorKind
 from marigoldswitch.core.ids import (
     AccountId,
@@ -205,6 +206,20 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Introduction:
+    """A host's whole table of hosts and its marks of leaving targets.
+
+    :param to: the host that is meant; another one at its address drops it.
+    :param wants_reply: the receiver sends its own.
+    """
+
+    to: HostId
+    members: tuple[MemberRecord, ...]
+    marks: tuple[TargetMark, ...]
+    wants_reply: bool
+
+
 Message = (
     Ask
     | Queued
@@ -219,4 +234,5 @@
     | ClaimReply
     | FetchBundle
     | BundleContent
+    | Introduction
 )
--- a/marigoldswitch/dispatching.py
+++ b/marigoldswitch/dispatching.py
@@ -78,6 +78,7 @@
         self._pending: dict[tuple[RequestId, int], _Pending] = {}
         self._numbers = itertools.count(1)
         self._members: set[HostId] = set(view.members)
+        self._leaving_listeners: list[Callable[[TargetId], None]] = []
         view.watch(self._follow_members)
         self._register()
 
@@ -115,6 +116,10 @@
             self._leaving = leaving
             self._refresh_targets()
 
+    def watch_leaving(self, listener: Callable[[TargetId], None]) -> None:
+        """Call ``listener`` with each target that answers that it is leaving."""
+        self._leaving_listeners.append(listener)
+
     async def acquire(self, ask: Ask) -> Result[Grant, Fault]:
         """Get a permit, from the dispatcher or, where none answers, from this host."""
         deadline = self._clock.monotonic() + ask.remaining
@@ -139,6 +144,10 @@
         self, grant: Grant, seconds: float, reports: tuple[TargetReport, ...]
     ) -> None:
         """Give a permit back."""
+        for report in reports:
+            if report.leaving:
+                for listener in self._leaving_listeners:
+                    listener(report.target)
         if self.held.pop(grant.permit, None) is None:
             return
         message = Release(grant.permit, grant.service, self._own.host, seconds, reports)
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -1,8 +1,11 @@
 """One running host: its listeners and its work, from start to planned stop."""
 
 import asyncio
+import secrets
+import time
 from collections.abc import Coroutine, Mapping
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import aiohttp
@@ -13,17 +16,21 @@
 from marigoldswitch.callers import CallerInterface
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.catalogue import Bundle
-from marigoldswitch.core.ids import HostId, TargetId
-from marigoldswitch.core.ports import HostEntry, HostRole
+from marigoldswitch.core.datagrams import MemberRecord
+from marigoldswitch.core.ids import DataCentre, HostId, Incarnation
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
-from marigoldswitch.members import Member, MemberView
+from marigoldswitch.gossip import Gossip
+from marigoldswitch.members import MemberView
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.settings import Settings
 
 logger = structlog.get_logger(__name__)
 
+RUN_BITS = 32
+NANOSECONDS_A_MILLISECOND = 1_000_000
+
 
 @dataclass(slots=True)
 class HostState:
@@ -47,6 +54,7 @@
     adoption: Adoption
     view: MemberView
     network: PeerNetwork
+    gossip: Gossip
     follower: Follower
     dispatching: Dispatching
     front: Front
@@ -69,6 +77,8 @@
         listen = parts.settings.listen
         self._connect_parts()
         self.ports["peers"] = await parts.network.start(listen.address, listen.peers)
+        self.ports["gossip"] = await parts.gossip.start(listen.address, listen.gossip)
+        parts.gossip.join(self._build_record(), Random())
         callers = parts.callers.build_application()
         self.ports["callers"] = await self._listen(callers, listen.callers)
         administration = parts.administration.build_application()
@@ -78,6 +88,7 @@
         await parts.follower.look()
         self._spawn(parts.follower.run())
         self._spawn(parts.dispatching.run())
+        self._spawn(parts.gossip.run())
         parts.state.ready = True
         logger.info("host_started", host=parts.settings.host, ports=self.ports)
 
@@ -99,6 +110,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for runner in self._runners:
             await runner.cleanup()
+        self.parts.gossip.stop()
         await self.parts.network.stop()
         await self.parts.session.close()
         logger.info("host_stopped", host=self.parts.settings.host)
@@ -110,27 +122,26 @@
     def _connect_parts(self) -> None:
         parts = self.parts
         parts.follower.watch_bundle(self._use_bundle)
-        parts.follower.watch_hosts(self._use_hosts)
+        parts.follower.watch_hosts(parts.gossip.use_host_list)
+        parts.gossip.watch_leaving(parts.dispatching.use_leaving)
+        parts.dispatching.watch_leaving(parts.gossip.note_leaving)
 
     def _use_bundle(self, bundle: Bundle) -> None:
         self.parts.dispatching.use_bundle(bundle)
-
-    def _use_hosts(self, hosts: list[HostEntry]) -> None:
-        parts = self.parts
-        leaving = frozenset(
-            TargetId(item.id)
-            for item in hosts
-            if item.role is HostRole.TARGET and item.leaving
+        self.parts.gossip.use_bundle(bundle.version)
+
+    def _build_record(self) -> MemberRecord:
+        """Return this host's own record with the ports that it really has."""
+        settings = self.parts.settings
+        address = settings.listen.advertise or settings.listen.address
+        return MemberRecord(
+            HostId(settings.host),
+            DataCentre(settings.data_centre),
+            f"{address}:{self.ports['peers']}",
+            f"{address}:{self.ports['gossip']}",
+            secrets.randbits(RUN_BITS),
+            Incarnation(time.time_ns() // NANOSECONDS_A_MILLISECOND),
         )
-        parts.dispatching.use_leaving(leaving)
-        members = {
-            HostId(item.id): Member(
-                HostId(item.id), item.data_centre, item.address, item.leaving
-            )
-            for item in hosts
-            if item.role is HostRole.ENTRY
-        }
-        parts.view.replace(members)
 
     async def _listen(self, application: web.Application, port: int) -> int:
         runner = web.AppRunner(
--- a/marigoldswitch/settings.py
+++ b/marigoldswitch/settings.py
@@ -21,6 +21,11 @@
     """Where the daemon listens; port 0 takes one from the kernel."""
 
     address: str = Field("127.0.0.1", description="IP number to listen on.")
+    advertise: str = Field(
+        "",
+        description="IP number that other hosts reach this one by, where it is not "
+        "``listen.address``.",
+    )
     callers: Port = Field(8400, description="HTTP port for callers.")
     peers: Port = Field(8401, description="TCP port for streams from other hosts.")
     gossip: Port = Field(8402, description="UDP port for membership.")
@@ -56,6 +61,11 @@
         description="Shared keys that authenticate messages between hosts; the first "
         "signs, all are accepted, so that keys can be changed one by one.",
     )
+    probe_period: Seconds = Field(
+        0.5,
+        description="Seconds between two probes of other hosts; a lost host is found "
+        "in about six periods. The same on all hosts.",
+    )
     ask_timeout: Seconds = Field(
         0.5,
         description="Seconds without a word from the dispatcher after which a front "
--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -1,5 +1,6 @@
 """A whole small deployment on loopback, in one process and one loop."""
 
+import asyncio
 import hashlib
 import secrets
 from typing import Any
@@ -62,6 +63,16 @@
             await self.start_host(f"host-{number}", data_centre)
         for host in self.hosts.values():
             await host.parts.follower.look()
+        await self.wait_for_members()
+
+    async def wait_for_members(self, seconds: float = 10.0) -> None:
+        """Wait until all hosts see each other as live."""
+        async with asyncio.timeout(seconds):
+            while any(
+                host.parts.view.members.keys() != self.hosts.keys()
+                for host in self.hosts.values()
+            ):
+                await asyncio.sleep(0.005)
 
     async def start_host(self, name: str, data_centre: str) -> Host:
         """Start one host and put it on the host list."""
