--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -28,6 +28,10 @@
 
 logger = structlog.get_logger(__name__)
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+STOP_SECONDS = 2.0
+"""Seconds that a stop without a drain leaves to what is in flight."""
 RUN_BITS = 32
 NANOSECONDS_A_MILLISECOND = 1_000_000
 
@@ -68,6 +72,9 @@
     def __init__(self, parts: HostParts) -> None:
         self.parts = parts
         self.ports: dict[str, int] = {}
+        self._busy = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -80,6 +87,8 @@
         self.ports["gossip"] = await parts.gossip.start(listen.address, listen.gossip)
         parts.gossip.join(self._build_record(), Random())
         callers = parts.callers.build_application()
+        callers.middlewares.insert(0, self._count_busy)
+        callers.on_response_prepare.append(self._close_when_draining)
         self.ports["callers"] = await self._listen(callers, listen.callers)
         administration = parts.administration.build_application()
         self.ports["administration"] = await self._listen(
@@ -95,26 +104,60 @@
     async def drain(self) -> None:
         """Stop as planned: no request in flight is cut off."""
         parts = self.parts
-        parts.state.ready = False
+        drain = parts.settings.drain
         logger.info("host_draining", host=parts.settings.host)
-        await asyncio.sleep(parts.settings.drain.balancer_lag)
+        parts.state.ready = False
+        parts.gossip.leave()
+        hand_over = getattr(parts.dispatching, "hand_over", None)
+        if hand_over is not None:
+            hand_over()
+        await asyncio.sleep(drain.balancer_lag)
         parts.state.accepting = False
-        held = list(parts.front.held.values())
-        if held:
-            await asyncio.wait(held, timeout=parts.settings.drain.longest)
+        try:
+            async with asyncio.timeout(drain.longest):
+                await self._idle.wait()
+        except TimeoutError:
+            logger.warning(
+                "drain_cut_short",
+                host=parts.settings.host,
+                held=len(parts.front.held),
+                setting="drain.longest",
+            )
 
     async def stop(self) -> None:
-        """Close everything at once."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        """Close everything; what is still in flight has a moment to end."""
         for runner in self._runners:
             await runner.cleanup()
+        await self._end_tasks()
+        self.parts.gossip.leave(gone=True)
         self.parts.gossip.stop()
         await self.parts.network.stop()
         await self.parts.session.close()
         logger.info("host_stopped", host=self.parts.settings.host)
 
+    async def kill(self) -> None:
+        """Vanish as a killed process does: nothing is said, nothing is ended.
+
+        It is there for tests and randomised runs with several hosts in one process.
+        """
+        self.parts.gossip.stop()
+        await self.parts.network.stop()
+        await self.parts.session.close()
+        for runner in self._runners:
+            for connection in runner.server.connections if runner.server else ():
+                if connection.transport is not None:
+                    connection.transport.abort()
+        for request in list(self.parts.front.held.values()):
+            request.cancel()
+        await self._end_tasks()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _end_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     def show_status(self) -> Mapping[str, Any]:
         """Return what an operator sees of this host."""
         return describe_status(self.parts)
@@ -143,10 +186,32 @@
             Incarnation(time.time_ns() // NANOSECONDS_A_MILLISECOND),
         )
 
+    @web.middleware
+    async def _count_busy(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Count the requests under way, also those that the front does not hold yet."""
+        self._busy += 1
+        self._idle.clear()
+        try:
+            return await handler(request)
+        finally:
+            self._busy -= 1
+            if self._busy == 0:
+                self._idle.set()
+
+    async def _close_when_draining(
+        self, http: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Let callers open their next connection elsewhere."""
+        if not self.parts.state.ready:
+            response.force_close()
+
     async def _listen(self, application: web.Application, port: int) -> int:
         runner = web.AppRunner(
             application,
             access_log=None,
+            shutdown_timeout=STOP_SECONDS,
             max_line_size=self.parts.settings.requests.header_bytes,
             max_field_size=self.parts.settings.requests.header_bytes,
         )
--- a/marigoldswitch/tools/membership_bench.py
+++ b/marigoldswitch/tools/membership_bench.py
@@ -57,6 +57,7 @@
     now: float = 0.0
     hosts: dict[HostId, Membership] = field(default_factory=dict)
     down: set[HostId] = field(default_factory=set)
+    cut: set[tuple[HostId, HostId]] = field(default_factory=set)
     sent: int = 0
     remote: int = 0
     changes: list[tuple[float, HostId, MemberRecord]] = field(default_factory=list)
@@ -104,7 +105,7 @@
             match action:
                 case SendDatagram():
                     self._send(name, action)
-                case Introduce(host=host):
+                case Introduce(host=host) if (name, host) not in self.cut:
                     table = self.hosts[name].export()
                     self.sent += len(table) * 110
                     self.plan(self.now + DELAY, host, Introduced(table))
@@ -118,6 +119,8 @@
         centre = self.hosts[name].own.data_centre
         if self.hosts[receiver].own.data_centre != centre:
             self.remote += len(payload) + OVERHEAD_BYTES
+        if (name, receiver) in self.cut:
+            return
         if self.random.random() >= self.loss:
             sealed = seal(SECRET, payload) + name.encode() + b"\0" + payload
             self.plan(self.now + DELAY, receiver, sealed)
