Round waits up before they become a Retry-After

Cause: a wait of 0.4 s would be told as 0, a caller that follows it comes back too early. Conclusion: the header is never shorter than the estimate.

--- a/marigoldswitch/dispatching.py
+++ b/marigoldswitch/dispatching.py
@@ -1,6 +1,7 @@
 """Permits: how the front of this host gets them and gives them back."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -153,7 +154,8 @@
             case Grant() as grant:
                 return Ok(grant)
             case Deny(kind=kind, retry_after=retry_after):
-                return Err(Fault(kind, "refused by the dispatcher", retry_after))
+                seconds = float(math.ceil(retry_after))
+                return Err(Fault(kind, "refused by the dispatcher", seconds))
 
     def release(
         self, grant: Grant, seconds: float, reports: tuple[TargetReport, ...]
