Show queue waits and usable targets of the dispatchers

Change: the gauges are read from the dispatchers that the host owns. Measured: the test reads them from a running host: six drafting targets, one desk.

--- a/marigoldswitch/gauges.py
+++ b/marigoldswitch/gauges.py
@@ -33,6 +33,7 @@
         for what, count in self._network.counts.items():
             self._metrics.peer_messages.set({"what": what}, count)
         self._read_permits()
+        self._read_dispatchers()
         self._read_queues()
 
     def _read_members(self) -> None:
@@ -58,3 +59,17 @@
         for service in services:
             self._metrics.waiting.set({"service": str(service)}, waiting[service])
             self._metrics.usable.set({"service": str(service)}, usable[service])
+
+    def _read_dispatchers(self) -> None:
+        waiting: Counter[str] = Counter()
+        usable: Counter[str] = Counter()
+        services = self._adoption.bundle.services if self._adoption.bundle else {}
+        for dispatcher in self._dispatching.dispatchers.owned.values():
+            name = str(dispatcher.service.name)
+            waiting[name] += len(dispatcher.waiting) + len(dispatcher.parked)
+            usable[name] += sum(
+                not state.leaving for state in dispatcher.pool.states.values()
+            )
+        for service in services:
+            self._metrics.waiting.set({"service": str(service)}, waiting[str(service)])
+            self._metrics.usable.set({"service": str(service)}, usable[str(service)])
--- a/marigoldswitch/tests/test_metrics.py
+++ b/marigoldswitch/tests/test_metrics.py
@@ -40,9 +40,21 @@
             body = {"input": {"prompt": "x"}, "max_tokens": 2}
             await (await session.post(address + LETTERS_PATH, json=body)).read()
             async with session.get(address + "/metrics") as response:
-                return await response.text()
-
-    text = run_async(play())
+                text = await response.text()
+            owned = [
+                key.service
+                for key in deployment.hosts[
+                    "host-0"
+                ].parts.dispatching.dispatchers.owned
+            ]
+        return text, owned
+
+    text, owned = run_async(play())
+    for service, count in (("drafting", 6), ("bookings", 1)):
+        expected = count if service in owned else 0
+        name = f'{PREFIX}targets_usable{{service="{service}"}}'
+        assert f"{name} {expected}" in text
+        assert f'{PREFIX}queue_waiting{{service="{service}"}} 0' in text
     assert 'marigoldswitch_members{data_centre="hobart"} 2' in text
     assert 'marigoldswitch_permits_held{service="drafting"} 0' in text
     assert list_names(text) <= NAMES | {name + "_sum" for name in NAMES} | {
