Round Retry-After up

Cause: 7.2 s was sent as 7, so a caller that obeyed came back too early and was refused again. The test that wanted 7 was wrong; it now wants 8, as strictly.

--- a/marigoldswitch/callers.py
+++ b/marigoldswitch/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import hmac
+import math
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -68,7 +69,7 @@
     """Return the HTTP response to a fault."""
     headers = {}
     if fault.wait is not None:
-        headers["Retry-After"] = str(max(0, round(fault.wait)))
+        headers["Retry-After"] = str(max(0, math.ceil(fault.wait)))
     return web.Response(
         status=fault.row.status,
         body=orjson.dumps(format_fault(fault)),
--- a/marigoldswitch/tests/test_errors.py
+++ b/marigoldswitch/tests/test_errors.py
@@ -36,7 +36,7 @@
 
 def test_own_wait_replaces_the_default():
     response = build_fault_response(Fault(ErrorKind.SATURATED, retry_after=7.2))
-    assert response.headers["Retry-After"] == "7"
+    assert response.headers["Retry-After"] == "8"
 
 
 def test_outcome_decides_not_run():
