--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -25,6 +25,7 @@
 from marigoldswitch.engine_orders import EngineOrdersClient
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
+from marigoldswitch.gauges import Gauges
 from marigoldswitch.hosts import Host, HostParts, HostState, describe_status
 from marigoldswitch.inquiries import Inquiries, Subject, Teller
 from marigoldswitch.members import Member, MemberView
@@ -79,7 +80,7 @@
     parts = Parts(clock, own, dispatching, claims, plain, chains)
     metrics = Metrics()
     front = Front(parts, metrics, settings.requests.held)
-    follower.watch_bundle(lambda bundle: metrics.bundle.set({}, bundle.version))
+    metrics.add_source(Gauges(metrics, adoption, view, network, dispatching).read)
     callers = CallerInterface(
         clock,
         settings.requests,
