Keep and send bundles as packed canonical JSON

Cause: at 420 accounts and 600 targets a bundle was 142 kB of YAML whose check took 569 ms (lead's measurement) on every host's loop. Change: the tool turns YAML into canonical JSON, whose digest is signed; store and hosts exchange it compressed, with the unpacked size bound; a host checks it in parts with a turn of the loop between them.

--- a/marigoldswitch/bundles.py
+++ b/marigoldswitch/bundles.py
@@ -1,8 +1,9 @@
 """Reading bundles: YAML, checked whole, into the data of the decisions."""
 
-import hashlib
+from dataclasses import dataclass
 from typing import Any, cast
 
+import orjson
 from pydantic import TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
@@ -21,9 +22,12 @@
     ServiceName,
     TargetId,
 )
-from marigoldswitch.documents import read_document
+from marigoldswitch.documents import MOST_BYTES, read_document
+from marigoldswitch.packing import digest_content, format_canonical
 from marigoldswitch.settings import describe_faults
 
+CANONICAL_SOURCE = "bundle"
+NO_VERSION = BundleVersion(0)
 MOST_FAULTS = 200
 """Faults named at once; a document with more is no bundle."""
 _SECTIONS: dict[str, TypeAdapter[Any]] = {
@@ -32,25 +36,64 @@
 }
 
 
-def digest_content(content: bytes) -> Digest:
-    """Return the SHA-256 of some content, in hexadecimal."""
-    return Digest(hashlib.sha256(content).hexdigest())
+@dataclass(frozen=True, slots=True)
+class CheckedBundle:
+    """A bundle that a file holds.
+
+    :param content: the canonical form that is signed and kept.
+    """
+
+    bundle: catalogue.Bundle
+    content: bytes
 
 
 def parse_bundle(
     content: bytes, version: BundleVersion, source: str = "bundle"
 ) -> Result[catalogue.Bundle, list[str]]:
-    """Check a bundle as a whole.
+    """Check a bundle in YAML as a whole.
 
     :returns: the bundle, or one line for each fault, ``file: path: reason``.
     """
+    return read_bundle(content, source, version).map(lambda item: item.bundle)
+
+
+def read_bundle(
+    content: bytes, source: str, version: BundleVersion = NO_VERSION
+) -> Result[CheckedBundle, list[str]]:
+    """Check a bundle in YAML as a whole and return it with its canonical form."""
     document = read_document(content, source)
     if isinstance(document, Err):
         return Err(document.err_value)
     checked = check_document(document.ok_value, source)
     if isinstance(checked, Err):
         return Err(checked.err_value)
-    return Ok(_build_bundle(checked.ok_value, version, digest_content(content)))
+    canonical = format_canonical(document.ok_value)
+    bundle = build_bundle(checked.ok_value, version, digest_content(canonical))
+    return Ok(CheckedBundle(bundle, canonical))
+
+
+def parse_canonical(
+    content: bytes, version: BundleVersion
+) -> Result[catalogue.Bundle, list[str]]:
+    """Check a bundle in its canonical form as a whole."""
+    document = load_canonical(content)
+    if isinstance(document, Err):
+        return Err(document.err_value)
+    checked = check_document(document.ok_value, CANONICAL_SOURCE)
+    return checked.map(
+        lambda part: build_bundle(part, version, digest_content(content))
+    )
+
+
+def load_canonical(content: bytes) -> Result[Any, list[str]]:
+    """Return the document whose canonical form some bytes are."""
+    try:
+        document = orjson.loads(content)
+        if len(content) <= MOST_BYTES and format_canonical(document) == content:
+            return Ok(document)
+    except (orjson.JSONDecodeError, TypeError):
+        pass
+    return Err([f"{CANONICAL_SOURCE}: it is not in canonical form"])
 
 
 def check_document(document: Any, source: str) -> Result[BundlePart, list[str]]:
@@ -117,9 +160,10 @@
     )
 
 
-def _build_bundle(
+def build_bundle(
     part: BundlePart, version: BundleVersion, digest: Digest
 ) -> catalogue.Bundle:
+    """Return the data of the decisions from a bundle that was checked."""
     links: dict[tuple[DataCentre, DataCentre], float] = {}
     for link in part.links:
         one, other = (DataCentre(name) for name in link.between)
--- a/marigoldswitch/followers.py
+++ b/marigoldswitch/followers.py
@@ -7,13 +7,20 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import structlog
-from result import Err, Ok
+from result import Err, Ok, Result
 
-from marigoldswitch.bundles import digest_content, parse_bundle
+from marigoldswitch.bundle_parts import BundlePart
+from marigoldswitch.bundles import (
+    CANONICAL_SOURCE,
+    build_bundle,
+    check_document,
+    load_canonical,
+)
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.catalogue import Bundle
 from marigoldswitch.core.ids import HostId, ServiceName
@@ -23,6 +30,7 @@
 from marigoldswitch.core.ports import HostEntry, HostList
 from marigoldswitch.drains import Drains
 from marigoldswitch.members import MemberView
+from marigoldswitch.packing import unpack_content
 from marigoldswitch.records import (
     AcceptedRecord,
     decode_record,
@@ -44,12 +52,16 @@
 """Rounds between two blind questions of a host that the platform does not answer."""
 
 
+MOST_OFFERS = 4
+"""Bundles from peers that wait to be verified; the oldest goes first."""
+
+
 @dataclass(frozen=True, slots=True)
 class InForce:
     """The bundle in force as this host passes it on."""
 
     record: AcceptedRecord
-    content: bytes
+    packed: bytes
 
 
 class Follower:
@@ -85,6 +97,8 @@
         self._settings = settings
         self._chance = chance or random.Random()
         self._in_force: InForce | None = None
+        self._offers: deque[InForce] = deque(maxlen=MOST_OFFERS)
+        self._offered = asyncio.Event()
         self._reached = False
         self._round = 0
         self._bundle_listeners: list[Callable[[Bundle], None]] = []
@@ -161,12 +175,12 @@
         """Send a peer the bundle in force, if it is newer than the peer's."""
         if self._in_force is None or self.adoption.version <= message.above:
             return
-        record, content = self._in_force.record, self._in_force.content
-        answer = BundleContent(record.version, encode_record(record), content)
+        record, packed = self._in_force.record, self._in_force.packed
+        answer = BundleContent(record.version, encode_record(record), packed)
         self._send(sender, answer)
 
     def take_bundle(self, sender: HostId, message: BundleContent) -> None:
-        """Adopt what a peer sent, if it is newer and its signatures are right."""
+        """Keep what a peer sent, if it is newer, until it is verified."""
         if message.version <= self.adoption.version:
             return
         try:
@@ -174,27 +188,58 @@
         except ValueError as error:
             self._refuse("bundle_record_wrong", sender=sender, why=str(error))
             return
-        self.adopt(record, message.content)
+        self._offers.append(InForce(record, message.content))
+        self._offered.set()
+
+    async def run_offers(self) -> None:
+        """Adopt what peers send until cancelled."""
+        while True:
+            await self._offered.wait()
+            await self.take_offers()
+
+    async def take_offers(self) -> None:
+        """Adopt what peers have sent."""
+        while self._offers:
+            offer = self._offers.popleft()
+            await self.adopt(offer.record, offer.packed)
+        self._offered.clear()
 
-    def adopt(self, record: AcceptedRecord, content: bytes) -> bool:
-        """Verify a bundle and put it in force if it is newer."""
+    async def adopt(self, record: AcceptedRecord, packed: bytes) -> bool:
+        """Verify a bundle and put it in force if it is newer.
+
+        The loop gets a turn between the parts, each a few milliseconds at the size to
+        design for, so that streams don't stall; it is put in force in one go.
+        """
+        version = record.version
+        if version <= self.adoption.version:
+            return False
         fault = find_record_fault(record, self._operators)
         if fault is not None:
-            version = record.version
+            setting = "operators"
             self._refuse(
-                "bundle_not_signed", version=version, why=fault, setting="operators"
+                "bundle_not_signed", version=version, why=fault, setting=setting
             )
             return False
-        if digest_content(content) != record.digest:
-            self._refuse("bundle_digest_wrong", version=record.version)
+        content = unpack_content(packed, record.digest)
+        if isinstance(content, Err):
+            self._refuse("bundle_content_wrong", version=version, why=content.err_value)
             return False
-        match parse_bundle(content, record.version):
-            case Err(lines):
-                self._refuse("bundle_refused", version=record.version, faults=lines)
-                return False
-            case Ok(bundle):
-                pass
-        return self._put_in_force(bundle, InForce(record, content))
+        checked = await self._check(content.ok_value)
+        if isinstance(checked, Err):
+            self._refuse("bundle_refused", version=version, faults=checked.err_value)
+            return False
+        await asyncio.sleep(0)
+        bundle = build_bundle(checked.ok_value, version, record.digest)
+        await asyncio.sleep(0)
+        return self._put_in_force(bundle, InForce(record, packed))
+
+    async def _check(self, content: bytes) -> Result[BundlePart, list[str]]:
+        await asyncio.sleep(0)
+        document = load_canonical(content)
+        if isinstance(document, Err):
+            return Err(document.err_value)
+        await asyncio.sleep(0)
+        return check_document(document.ok_value, CANONICAL_SOURCE)
 
     def _put_in_force(self, bundle: Bundle, in_force: InForce) -> bool:
         try:
@@ -224,5 +269,5 @@
         content = await self._releases.fetch(record.digest)
         if isinstance(content, Err) or content.ok_value is None:
             return False
-        self.adopt(record, content.ok_value)
+        await self.adopt(record, content.ok_value)
         return True
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -83,6 +83,7 @@
         await parts.follower.look()
         self._spawn(parts.follower.run())
         self._spawn(parts.follower.run_questions())
+        self._spawn(parts.follower.run_offers())
         self._spawn(parts.orderer.run(lambda: parts.follower.polls_often))
         self._spawn(parts.dispatching.run())
         parts.state.ready = True
--- a/marigoldswitch/releases.py
+++ b/marigoldswitch/releases.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from marigoldswitch.bundles import digest_content, parse_bundle
+from marigoldswitch.bundles import parse_canonical
 from marigoldswitch.core.adoption import ACCEPTED_KEY, BUNDLE_TABLE
 from marigoldswitch.core.ids import BundleVersion, Digest
 from marigoldswitch.core.ports import (
@@ -16,6 +16,7 @@
     TableService,
 )
 from marigoldswitch.core.upgrades import find_upgrade_faults
+from marigoldswitch.packing import digest_content, pack_content, unpack_content
 from marigoldswitch.records import (
     DRAFT_TABLE,
     HISTORY_TABLE,
@@ -113,22 +114,26 @@
     async def submit(
         self, content: bytes, endorsement: Endorsement, why: str = ""
     ) -> Result[Draft, Refusal]:
-        """Check a bundle and keep it as a draft."""
-        match parse_bundle(content, BundleVersion(0)):
+        """Check a bundle and keep it as a draft.
+
+        :param content: its canonical form.
+        """
+        match parse_canonical(content, BundleVersion(0)):
             case Err(lines):
                 return Err(Refusal(ReleaseFault.INVALID, tuple(lines)))
         digest = digest_content(content)
         fault = self._find_fault(digest, endorsement)
         if fault is not None:
             return Err(fault)
-        stored = await self._objects.put(f"bundle/{digest}", content)
+        stored = await self._objects.put(f"bundle/{digest}", pack_content(content))
         if isinstance(stored, Err):
             return Err(_blame_platform(stored.err_value))
         found = await self._find(digest)
         if isinstance(found, Err):
             return Err(found.err_value)
         kept = found.ok_value
-        if kept is not None and self._still_counts(kept.draft):
+        renewable = kept is None or kept.draft.accepted
+        if kept is not None and not renewable and self._still_counts(kept.draft):
             return _answer_repeat(kept.draft, endorsement)
         draft = Draft(digest, (endorsement,), why=why)
         return await self._write(draft, expect=kept.version if kept else 0)
@@ -181,9 +186,16 @@
         return await self._read_record(BUNDLE_TABLE, ACCEPTED_KEY)
 
     async def fetch(self, digest: Digest) -> Result[bytes | None, StoreFault]:
-        """Return a bundle's content."""
+        """Return a bundle's content, packed."""
         return await self._objects.get(f"bundle/{digest}")
 
+    async def fetch_content(self, digest: Digest) -> Result[bytes | None, StoreFault]:
+        """Return a bundle's canonical form; a damaged object counts as missing."""
+        packed = await self.fetch(digest)
+        if isinstance(packed, Err) or packed.ok_value is None:
+            return packed
+        return Ok(unpack_content(packed.ok_value, digest).ok())
+
     async def list_history(
         self, count: int
     ) -> Result[list[AcceptedRecord], StoreFault]:
@@ -232,10 +244,10 @@
             return None
         bundles = []
         for item in (old, record):
-            content = await self.fetch(item.digest)
+            content = await self.fetch_content(item.digest)
             if isinstance(content, Err) or content.ok_value is None:
                 return _blame_platform(StoreFault.UNAVAILABLE)
-            bundles.append(parse_bundle(content.ok_value, item.version))
+            bundles.append(parse_canonical(content.ok_value, item.version))
         match bundles:
             case [Ok(before), Ok(after)]:
                 faults = find_upgrade_faults(before, after)
--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -7,6 +7,7 @@
 import aiohttp
 from aiohttp import web
 
+from marigoldswitch.bundles import read_bundle
 from marigoldswitch.compose import compose_host
 from marigoldswitch.documents import write_document
 from marigoldswitch.hosts import Host
@@ -85,13 +86,14 @@
     async def roll_out(self, content: bytes, seen: int = 0) -> dict[str, Any]:
         """Submit, review, sign off and accept a bundle as operators do."""
         address = self.get_address(next(iter(self.hosts)), "administration")
+        canonical = read_bundle(content, "bundle").unwrap().content
         async with aiohttp.ClientSession() as session:
             ana, ben = (
                 AdminClient(session, address, key, self.signers[name])
                 for name, key in self.operator_keys.items()
             )
             why = "roll out"
-            draft = (await ana.submit(content, why)).unwrap()
+            draft = (await ana.submit(canonical, why)).unwrap()
             (await ana.review(draft["digest"], why)).unwrap()
             (await ben.sign_off(draft["digest"], why)).unwrap()
             accepted = (await ben.accept(draft["digest"], seen, why)).unwrap()
--- a/marigoldswitch/tools/control.py
+++ b/marigoldswitch/tools/control.py
@@ -12,12 +12,12 @@
 from pathlib import Path
 
 import defopt
+import orjson
 from result import Err, Ok, Result
 
-from marigoldswitch.bundles import parse_bundle
-from marigoldswitch.core.ids import BundleVersion
+from marigoldswitch.bundles import CheckedBundle, read_bundle
 from marigoldswitch.core.upgrades import find_upgrade_faults
-from marigoldswitch.documents import read_document
+from marigoldswitch.documents import write_document
 from marigoldswitch.signatures import (
     format_private_key,
     format_public_key,
@@ -35,17 +35,14 @@
 
     :param bundle: YAML file.
     """
-    content = read_file(bundle)
-    if isinstance(content, Err):
-        return complain(content.err_value, Exit.MISTAKE)
-    match parse_bundle(content.ok_value, BundleVersion(0), str(bundle)):
-        case Err(lines):
-            return complain("\n".join(lines), Exit.REFUSED)
-        case Ok(parsed):
-            print(
-                f"{bundle}: fine: {len(parsed.services)} services, "
-                f"{len(parsed.targets)} targets, {len(parsed.accounts)} client accounts"
-            )
+    read = _read_bundle(bundle)
+    if isinstance(read, Err):
+        return read.err_value
+    parsed = read.ok_value.bundle
+    print(
+        f"{bundle}: fine: {len(parsed.services)} services, "
+        f"{len(parsed.targets)} targets, {len(parsed.accounts)} client accounts"
+    )
     return Exit.DONE
 
 
@@ -56,35 +53,23 @@
     :param against: digest or YAML file to compare with; the version in force by
         default.
     """
-    new = read_file(bundle)
+    new = _read_bundle(bundle)
     if isinstance(new, Err):
-        return complain(new.err_value, Exit.MISTAKE)
+        return new.err_value
     old = _read_base(against)
     if isinstance(old, Err):
         return old.err_value
-    documents = []
-    for source, content in (("base", old.ok_value), (str(bundle), new.ok_value)):
-        document = read_document(content, source)
-        if isinstance(document, Err):
-            return complain("\n".join(document.err_value), Exit.REFUSED)
-        documents.append(document.ok_value)
-    lines = list(list_differences(*documents))
-    print("\n".join(lines) or "no difference")
-    match (
-        parse_bundle(old.ok_value, BundleVersion(0)),
-        parse_bundle(new.ok_value, BundleVersion(0), str(bundle)),
-    ):
-        case Ok(before), Ok(after):
-            faults = find_upgrade_faults(before, after)
-            if faults:
-                return complain("\n".join(faults), Exit.REFUSED)
-        case _, Err(faults):
-            return complain("\n".join(faults), Exit.REFUSED)
-    return Exit.DONE
+    if old.ok_value is None:
+        print("no bundle has been accepted yet")
+        return Exit.DONE
+    documents = [orjson.loads(item.content) for item in (old.ok_value, new.ok_value)]
+    print("\n".join(list_differences(*documents)) or "no difference")
+    faults = find_upgrade_faults(old.ok_value.bundle, new.ok_value.bundle)
+    return complain("\n".join(faults), Exit.REFUSED) if faults else Exit.DONE
 
 
 def show(digest: str) -> int:
-    """Print the content of a bundle, to review it or to go back to it.
+    """Print a bundle as YAML, to review it; its comments are with its author.
 
     :param digest: digest of the bundle.
     """
@@ -92,7 +77,7 @@
         case Err(status):
             return status
         case Ok(answer):
-            print(answer["content"], end="")
+            print(write_document(orjson.loads(answer["content"])).decode(), end="")
     return Exit.DONE
 
 
@@ -103,11 +88,11 @@
     :param why: reason of the change, for the log and the history.
     :param json: print the answer as JSON.
     """
-    content = read_file(bundle)
-    if isinstance(content, Err):
-        return complain(content.err_value, Exit.MISTAKE)
-    data = content.ok_value
-    return call(lambda client: client.submit(data, why), formats.format_fields, json)
+    read = _read_bundle(bundle)
+    if isinstance(read, Err):
+        return read.err_value
+    content = read.ok_value.content
+    return call(lambda client: client.submit(content, why), formats.format_fields, json)
 
 
 def review(digest: str, *, why: str, json: bool = False) -> int:
@@ -257,11 +242,23 @@
     )
 
 
-def _read_base(against: str) -> Result[bytes, Exit]:
-    """Return the content that a bundle is compared with."""
+def _read_bundle(path: Path) -> Result[CheckedBundle, Exit]:
+    """Read and check a file; print its faults."""
+    content = read_file(path)
+    if isinstance(content, Err):
+        return Err(complain(content.err_value, Exit.MISTAKE))
+    return _check_content(content.ok_value, str(path))
+
+
+def _check_content(content: bytes, source: str) -> Result[CheckedBundle, Exit]:
+    checked = read_bundle(content, source)
+    return checked.map_err(lambda lines: complain("\n".join(lines), Exit.REFUSED))
+
+
+def _read_base(against: str) -> Result[CheckedBundle | None, Exit]:
+    """Return what a bundle is compared with; ``None`` where nothing is in force."""
     if against and Path(against).exists():
-        content = read_file(Path(against))
-        return content.map_err(lambda line: complain(line, Exit.MISTAKE))
+        return _read_bundle(Path(against)).map(lambda item: item)
     digest = against
     if not digest:
         newest = ask(lambda client: client.list_history(1))
@@ -269,10 +266,13 @@
             return Err(newest.err_value)
         versions = newest.ok_value["versions"]
         if not versions:
-            return Ok(b"{}")
+            return Ok(None)
         digest = versions[0]["digest"]
     found = ask(lambda client: client.show_content(digest))
-    return found.map(lambda answer: str(answer["content"]).encode())
+    if isinstance(found, Err):
+        return Err(found.err_value)
+    content = str(found.ok_value["content"]).encode()
+    return _check_content(content, digest).map(lambda item: item)
 
 
 def main() -> None:
