Speak TLS from settings, close slow connections, bear junk from the platform

Cause: no TLS; a connection that sends nothing was held for ever; every request compared its key with all accounts' keys; an answer of the platform of another shape raised KeyError and ended the follower (found by the fuzz test of its answers). Change: contexts reloaded when their files change, made whole before use; one guard timer a connection; accounts indexed by key digest; platform answers bounded and parsed inside the call.

--- a/marigoldswitch/bundles.py
+++ b/marigoldswitch/bundles.py
@@ -164,6 +164,10 @@
     part: BundlePart, version: BundleVersion, digest: Digest
 ) -> catalogue.Bundle:
     """Return the data of the decisions from a bundle that was checked."""
+    accounts = {
+        AccountId(name): _build_account(name, item)
+        for name, item in part.accounts.items()
+    }
     links: dict[tuple[DataCentre, DataCentre], float] = {}
     for link in part.links:
         one, other = (DataCentre(name) for name in link.between)
@@ -186,15 +190,17 @@
             ServiceName(name): catalogue.Service(name=ServiceName(name), **vars(item))
             for name, item in part.services.items()
         },
-        accounts={
-            AccountId(name): _build_account(name, item)
-            for name, item in part.accounts.items()
-        },
+        accounts=accounts,
         targets={
             TargetId(name): _build_target(name, item)
             for name, item in part.targets.items()
         },
         link_seconds=links,
+        accounts_by_key={
+            digest: account
+            for account in accounts.values()
+            for digest in account.key_digests
+        },
         regions={
             DataCentre(data_centre): Region(region)
             for region, data_centres in part.regions.items()
--- a/marigoldswitch/callers.py
+++ b/marigoldswitch/callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import hashlib
-import hmac
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -243,11 +242,9 @@
         if scheme.lower() != "bearer" or not key:
             return Err(Fault(ErrorKind.UNAUTHENTICATED, "no bearer key"))
         digest = hashlib.sha256(key.strip().encode("utf-8", "replace")).hexdigest()
-        found: Account | None = None
-        for account in bundle.accounts.values():
-            for known in account.key_digests:
-                if hmac.compare_digest(known, digest):
-                    found = account
+        # What the look-up's time may tell is how far the SHA-256 of a guess agrees with
+        # a stored digest; nobody can choose a key for the digest that it shall have.
+        found = bundle.accounts_by_key.get(Digest(digest))
         if found is None:
             return Err(Fault(ErrorKind.UNAUTHENTICATED))
         return Ok(found)
--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -37,6 +37,7 @@
 from marigoldswitch.runs import Parts
 from marigoldswitch.settings import Settings
 from marigoldswitch.stores import PlatformClient
+from marigoldswitch.tls import build_tls
 from marigoldswitch.trails import TRAIL
 
 INCARNATION_BITS = 48
@@ -55,8 +56,13 @@
         f"{settings.listen.address}:{settings.listen.peers}",
     )
     session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    tls = build_tls(settings).unwrap()
     platform = PlatformClient(
-        session, settings.host, settings.platform.address, settings.platform.timeout
+        session,
+        settings.host,
+        settings.platform.address,
+        settings.platform.timeout,
+        tls.platform,
     )
     view = MemberView(own)
     network = PeerNetwork(own.host, settings.peers.secrets, view.locate)
@@ -136,5 +142,6 @@
         administration,
         drains,
         orderer,
+        tls,
     )
     return Host(host_parts)
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -19,11 +19,13 @@
 from marigoldswitch.drains import Drains
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
+from marigoldswitch.listeners import GuardedSite, build_guard
 from marigoldswitch.members import Member, MemberView
 from marigoldswitch.orderers import Orderer, describe_lease
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.settings import Settings
 from marigoldswitch.statuses import describe_dispatchers, describe_members
+from marigoldswitch.tls import ServerContext, Tls
 
 logger = structlog.get_logger(__name__)
 
@@ -57,6 +59,7 @@
     administration: Administration
     drains: Drains
     orderer: Orderer
+    tls: Tls
 
 
 class Host:
@@ -75,13 +78,16 @@
         self._connect_parts()
         self.ports["peers"] = await parts.network.start(listen.address, listen.peers)
         callers = parts.callers.build_application()
-        self.ports["callers"] = await self._listen(callers, listen.callers)
+        self.ports["callers"] = await self._listen(
+            callers, listen.callers, parts.tls.callers
+        )
         administration = parts.administration.build_application()
         self.ports["administration"] = await self._listen(
-            administration, listen.administration
+            administration, listen.administration, parts.tls.administration
         )
         await parts.follower.look()
         self._spawn(parts.follower.run())
+        self._spawn(parts.tls.run(parts.settings.tls.reload))
         self._spawn(parts.follower.run_questions())
         self._spawn(parts.follower.run_offers())
         self._spawn(parts.orderer.run(lambda: parts.follower.polls_often))
@@ -140,7 +146,11 @@
         }
         parts.view.replace(members)
 
-    async def _listen(self, application: web.Application, port: int) -> int:
+    async def _listen(
+        self, application: web.Application, port: int, tls: ServerContext | None
+    ) -> int:
+        guard = build_guard(self.parts.settings.requests)
+        application.middlewares.append(guard.build_middleware())
         runner = web.AppRunner(
             application,
             access_log=None,
@@ -149,7 +159,9 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, self.parts.settings.listen.address, port)
+        address = self.parts.settings.listen.address
+        site = GuardedSite(runner, address, port, guard)
+        site.use_tls(tls)
         await site.start()
         return int(runner.addresses[0][1])
 
--- a/marigoldswitch/settings.py
+++ b/marigoldswitch/settings.py
@@ -95,6 +95,14 @@
     header_bytes: int = Field(
         8190, gt=0, description="Largest header line of a request, in bytes."
     )
+    head_seconds: Seconds = Field(
+        20.0,
+        description="Longest wait on a connection for a request's head, the first or "
+        "the next; longer than a balancer keeps idle connections costs sockets only.",
+    )
+    body_seconds: Seconds = Field(
+        20.0, description="Longest wait for a request's body once its head is there."
+    )
     deadline: Seconds = Field(
         60.0, description="Deadline of a request that names none, in seconds."
     )
