--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -1,6 +1,7 @@
 """Composition root: the one place where the parts of a host are wired."""
 
 import secrets
+import time
 from collections.abc import Callable
 
 import aiohttp
@@ -12,6 +13,7 @@
 from marigoldswitch.clocks import SystemClock
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.ids import DataCentre, HostId, Incarnation, Region
+from marigoldswitch.core.leaving import LeavingMarks
 from marigoldswitch.core.messages import (
     BundleContent,
     FetchBundle,
@@ -26,6 +28,7 @@
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
 from marigoldswitch.gauges import Gauges
+from marigoldswitch.gossip import Gossip
 from marigoldswitch.hosts import Host, HostParts, HostState, describe_status
 from marigoldswitch.inquiries import Inquiries, Subject, Teller
 from marigoldswitch.members import Member, MemberView
@@ -66,6 +69,8 @@
     )
     view = MemberView(own)
     network = PeerNetwork(own.host, settings.peers.secrets, view.locate)
+    marks = LeavingMarks(time.time() - clock.monotonic())
+    gossip = Gossip(clock, view, network, settings.peers, marks)
     adoption = Adoption()
     releases = Releases(platform, platform, settings.operators)
     drains = Drains(platform)
@@ -135,6 +140,7 @@
         adoption,
         view,
         network,
+        gossip,
         follower,
         dispatching,
         front,
--- a/marigoldswitch/gauges.py
+++ b/marigoldswitch/gauges.py
@@ -33,6 +33,8 @@
         for what, count in self._network.counts.items():
             self._metrics.peer_messages.set({"what": what}, count)
         self._read_permits()
+        self._read_dispatchers()
+        self._read_queues()
 
     def _read_members(self) -> None:
         members = self._view.members.values()
@@ -45,3 +47,29 @@
         services = self._adoption.bundle.services if self._adoption.bundle else {}
         for service in services:
             self._metrics.permits.set({"service": str(service)}, held[service])
+
+    def _read_queues(self) -> None:
+        waiting: Counter[str] = Counter()
+        usable: Counter[str] = Counter()
+        for key, dispatcher in self._dispatching.dispatchers.owned.items():
+            waiting[key.service] += len(dispatcher.waiting)
+            states = dispatcher.pool.states.values()
+            usable[key.service] += sum(not state.leaving for state in states)
+        services = self._adoption.bundle.services if self._adoption.bundle else {}
+        for service in services:
+            self._metrics.waiting.set({"service": str(service)}, waiting[service])
+            self._metrics.usable.set({"service": str(service)}, usable[service])
+
+    def _read_dispatchers(self) -> None:
+        waiting: Counter[str] = Counter()
+        usable: Counter[str] = Counter()
+        services = self._adoption.bundle.services if self._adoption.bundle else {}
+        for dispatcher in self._dispatching.dispatchers.owned.values():
+            name = str(dispatcher.service.name)
+            waiting[name] += len(dispatcher.waiting) + len(dispatcher.parked)
+            usable[name] += sum(
+                not state.leaving for state in dispatcher.pool.states.values()
+            )
+        for service in services:
+            self._metrics.waiting.set({"service": str(service)}, waiting[str(service)])
+            self._metrics.usable.set({"service": str(service)}, usable[str(service)])
--- a/marigoldswitch/tests/test_releases.py
+++ b/marigoldswitch/tests/test_releases.py
@@ -215,8 +215,15 @@
                     play(self.followers[host].take_offers())
 
 
+class FixedView(MemberView):
+    """A view that a test sets."""
+
+    def show(self, members):
+        self._members = members
+
+
 def build_follower(name, platform, net):
-    view = MemberView(Member(HostId(name), DataCentre("hobart"), ""))
+    view = FixedView(Member(HostId(name), DataCentre("hobart"), ""))
     follower = Follower(
         build_releases(platform),
         platform,
@@ -239,7 +246,7 @@
         for name, item in net.followers.items()
     }
     for follower in net.followers.values():
-        follower._view.replace(members)
+        follower._view.show(members)
 
 
 def test_replaced_host_gets_the_highest_its_peers_know_while_the_platform_is_out():
