Feed the platform's drains into the leaving marks

Cause: drains were mixed into the host list, a second source of leaving targets whose marks end 600 s into an outage of the platform. Conclusion: one set of leaving targets, also when the platform is out.

--- a/marigoldswitch/core/leaving.py
+++ b/marigoldswitch/core/leaving.py
@@ -42,6 +42,7 @@
     offset: float
     _held: dict[tuple[TargetId, MarkSource], _Held] = field(default_factory=dict)
     _listed: frozenset[TargetId] = frozenset()
+    _drained: frozenset[TargetId] = frozenset()
 
     def list_leaving(self, now: float) -> frozenset[TargetId]:
         """Return the targets that may get no new work."""
@@ -100,6 +101,24 @@
             fresh.append(self._set(target, MarkSource.ANSWER, False, now))
         return fresh
 
+    def take_drains(self, drained: frozenset[TargetId], now: float) -> list[TargetMark]:
+        """Follow the drains that the platform keeps; each change is passed on once.
+
+        :param drained: all targets that operators or engine orders have drained.
+        """
+        fresh = []
+        for target in drained:
+            held = self._held.get((target, MarkSource.ORDER))
+            half = HOLDS_SECONDS[MarkSource.ORDER] / 2
+            if held is None or not held.mark.leaving or held.until - now < half:
+                fresh += self.take_order(target, True, now)
+        for target in self._drained - drained:
+            held = self._held.get((target, MarkSource.ORDER))
+            if held is not None and held.mark.leaving:
+                fresh += self.take_order(target, False, now)
+        self._drained = drained
+        return fresh
+
     def merge(self, marks: Iterable[TargetMark], now: float) -> list[TargetMark]:
         """Take marks from another host; return those that were new here."""
         fresh = []
--- a/marigoldswitch/followers.py
+++ b/marigoldswitch/followers.py
@@ -23,7 +23,7 @@
 )
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.catalogue import Bundle
-from marigoldswitch.core.ids import HostId, ServiceName
+from marigoldswitch.core.ids import HostId, ServiceName, TargetId
 from marigoldswitch.core.ledger import InvariantBroken
 from marigoldswitch.core.messages import BundleContent, FetchBundle, Message
 from marigoldswitch.core.ownership import choose_owner
@@ -103,6 +103,7 @@
         self._round = 0
         self._bundle_listeners: list[Callable[[Bundle], None]] = []
         self._host_listeners: list[Callable[[list[HostEntry]], None]] = []
+        self._drain_listeners: list[Callable[[frozenset[TargetId]], None]] = []
 
     def watch_bundle(self, listener: Callable[[Bundle], None]) -> None:
         """Call ``listener`` with each bundle put in force."""
@@ -112,6 +113,10 @@
         """Call ``listener`` with each host list read."""
         self._host_listeners.append(listener)
 
+    def watch_drains(self, listener: Callable[[frozenset[TargetId]], None]) -> None:
+        """Call ``listener`` with the drained targets, each time they are read."""
+        self._drain_listeners.append(listener)
+
     @property
     def polls_often(self) -> bool:
         """Tell whether this host polls for its data centre."""
@@ -136,14 +141,14 @@
     async def look(self) -> None:
         """Look at the platform once."""
         self._reached = await self._look_at_bundle()
-        await self._drains.look()
+        if await self._drains.look():
+            for drain_listener in self._drain_listeners:
+                drain_listener(frozenset(self._drains.marked))
         hosts = await self._host_list.fetch()
         if isinstance(hosts, Ok) and hosts.ok_value:
             self.hosts = hosts.ok_value
-        if self.hosts:
-            seen = self._drains.mark(self.hosts)
             for listener in self._host_listeners:
-                listener(seen)
+                listener(self.hosts)
 
     def ask_peers(self) -> None:
         """Ask peers that have a newer bundle; blindly where the platform is out."""
--- a/marigoldswitch/gossip.py
+++ b/marigoldswitch/gossip.py
@@ -135,6 +135,10 @@
         """Note that a target has answered that it is leaving."""
         self._spread(self._marks.take_answer(target, self._clock.monotonic()))
 
+    def use_drains(self, drained: frozenset[TargetId]) -> None:
+        """Follow the drains that the platform keeps."""
+        self._spread(self._marks.take_drains(drained, self._clock.monotonic()))
+
     def drain_target(self, target: TargetId, leaving: bool = True) -> None:
         """Let a target get no new work anywhere, or take that back."""
         logger.info("target_drain", target=target, leaving=leaving)
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -180,6 +180,7 @@
         parts = self.parts
         parts.follower.watch_bundle(self._use_bundle)
         parts.follower.watch_hosts(parts.gossip.use_host_list)
+        parts.follower.watch_drains(parts.gossip.use_drains)
         parts.gossip.watch_leaving(parts.dispatching.use_leaving)
         parts.dispatching.watch_leaving(parts.gossip.note_leaving)
 
--- a/marigoldswitch/tests/test_placement.py
+++ b/marigoldswitch/tests/test_placement.py
@@ -26,6 +26,7 @@
     decode_lease,
     encode_lease,
 )
+from marigoldswitch.core.leaving import LeavingMarks
 from marigoldswitch.core.placement import (
     DrainMark,
     EndDraining,
@@ -439,3 +440,18 @@
     )
 TestTwoHolders = TwoHolders.TestCase
 TestTwoHoldersIgnored = TwoHoldersIgnored.TestCase
+
+
+def test_drains_become_marks_once_and_are_taken_back():
+    marks, other = LeavingMarks(0.0), LeavingMarks(0.0)
+    first = marks.take_drains(frozenset({"e0"}), 1.0)
+    assert [(mark.target, mark.leaving) for mark in first] == [("e0", True)]
+    other.merge(first, 1.0)
+    assert marks.take_drains(frozenset({"e0"}), 2.0) == []
+    assert other.take_drains(frozenset({"e0"}), 2.0) == [], "heard of by gossip"
+    assert marks.list_leaving(7200.0) == {"e0"}, "it outlasts an outage"
+    back = marks.take_drains(frozenset(), 7201.0)
+    assert [mark.leaving for mark in back] == [False]
+    other.merge(back, 7201.0)
+    assert not other.list_leaving(7201.0)
+    assert other.take_drains(frozenset(), 7202.0) == []
