--- a/marigoldswitch/core/delivery.py
+++ b/marigoldswitch/core/delivery.py
@@ -22,6 +22,7 @@
     """An attempt that brought no answer.
 
     :param advice: what the target said to do next, if it said anything.
+    :param retry_after: seconds that the target asked to wait, if it did.
     """
 
     delivery: Delivery
@@ -29,3 +30,4 @@
     advice: Advice | None = None
     leaving: bool = False
     load: Load | None = None
+    retry_after: float | None = None
