--- a/marigoldswitch/core/messages.py
+++ b/marigoldswitch/core/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from marigoldswitch.core.catalogue import Priority
+from marigoldswitch.core.datagrams import MemberRecord, TargetMark
 from marigoldswitch.core.errors import ErrorKind
 from marigoldswitch.core.ids import (
     AccountId,
@@ -156,6 +157,49 @@
     permits: tuple[PermitId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaDraw:
+    """What a host needs of one account's quota.
+
+    :param tokens: what it has left; below 0 it is a debt.
+    :param demand: requests a second that it sees, also those refused.
+    :param moved: it has drawn from another keeper before.
+    """
+
+    account: AccountId
+    tokens: float
+    demand: float
+    moved: bool
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaDraws:
+    """A host asks the keeper of some accounts for tokens."""
+
+    front: HostId
+    draws: tuple[QuotaDraw, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLease:
+    """Tokens of one account for a host.
+
+    :param tokens: below 0 where tokens of an idle host went back.
+    :param rate: tokens a second that the host may expect.
+    """
+
+    account: AccountId
+    tokens: float
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLeases:
+    """A keeper's reply to :class:`QuotaDraws`."""
+
+    leases: tuple[QuotaLease, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Resync:
     """A new dispatcher asks a front what it holds and what it waits for."""
@@ -236,6 +280,20 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Introduction:
+    """A host's whole table of hosts and its marks of leaving targets.
+
+    :param to: the host that is meant; another one at its address drops it.
+    :param wants_reply: the receiver sends its own.
+    """
+
+    to: HostId
+    members: tuple[MemberRecord, ...]
+    marks: tuple[TargetMark, ...]
+    wants_reply: bool
+
+
 Message = (
     Ask
     | Queued
@@ -245,6 +303,8 @@
     | Release
     | PermitCheck
     | PermitsUnknown
+    | QuotaDraws
+    | QuotaLeases
     | Resync
     | Holdings
     | HandOver
@@ -252,4 +312,5 @@
     | ClaimReply
     | FetchBundle
     | BundleContent
+    | Introduction
 )
--- a/marigoldswitch/core/outliers.py
+++ b/marigoldswitch/core/outliers.py
@@ -12,8 +12,8 @@
 from marigoldswitch.core.ids import TargetId
 
 BLAME_LIMIT = 3.0
-"""Failures in a row that eject: one may be the request's own fault, and a request has at
-most three attempts, each on another target."""
+"""Failures in a row that eject: one may be the request's own fault, and a request has
+at most three attempts, each on another target."""
 REFUSAL_BLAME = 0.3
 """A refusal says that the target lives; ten in a row say that it does no work."""
 FIRST_SECONDS = 5.0
--- a/marigoldswitch/core/pool.py
+++ b/marigoldswitch/core/pool.py
@@ -1,6 +1,6 @@
 """The targets that one dispatcher grants permits for."""
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from marigoldswitch.core.affinity import LOAD_BOUND, SAVING, Affinity
@@ -18,11 +18,11 @@
 """How much slower a full target is taken to run than an idle one, as a share: engines
 batch, so that a full one is slower but not by as much as it holds."""
 FOREIGN_SLACK = 1.0
-"""Requests by which a target's own report may exceed our count before the rest counts as
-another's: reports lag by about one answer."""
+"""Requests by which a target's own report may exceed our count before the rest counts
+as another's: reports lag by about one answer."""
 KEPT_SHARE = 0.1
-"""Cost of a stage that a broken chain can keep, over that of another: what it has cached
-need not be computed again, which is most of a recovery."""
+"""Cost of a stage that a broken chain can keep, over that of another: what it has
+cached need not be computed again, which is most of a recovery."""
 PROBE_SHARE = 1e-6
 """Share of its limit that a probed target may use: it comes to one request."""
 REFRESH_SECONDS = 0.25
@@ -49,6 +49,7 @@
     _ranking: Ranking = field(default_factory=Ranking)
     _unlisted: dict[TargetId, float | None] = field(default_factory=dict)
     """Targets that the host list does not name, and since when."""
+    _changed: set[TargetId] = field(default_factory=set)
     _held: int = 0
     _refreshed: float = float("-inf")
     _forgot: float = 0.0
@@ -93,7 +94,7 @@
         for name in known - set(states):
             self._ranking.remove(name)
             self.affinity.forget(name)
-        self._rank_all()
+        self._renew_shares(self.states)
 
     def _start_slowly(self, known: set[TargetId]) -> None:
         fresh = set(self.states) - known
@@ -107,6 +108,7 @@
         """Return the best route with room for a request, if there is one."""
         if now - self._refreshed >= REFRESH_SECONDS:
             self.refresh(now)
+        self._rank_changed()
         shares = self._list_favoured(ask, now)
         names = {*self._ranking.list_best(ask.avoid), *shares}
         route = choose_route(
@@ -148,7 +150,7 @@
             if state is not None:
                 state.held += 1
                 self._held += 1
-                self._rank(state)
+                self._changed.add(target)
 
     def free(self, targets: Iterable[TargetId]) -> None:
         """Count one permit fewer out on each target."""
@@ -157,7 +159,7 @@
             if state is not None:
                 state.held -= 1
                 self._held -= 1
-                self._rank(state)
+                self._changed.add(target)
 
     # What is learned.
 
@@ -166,7 +168,7 @@
     ) -> None:
         """Learn from a run that ended well how fast its targets are."""
         self.rates.note_run(targets, seconds, cost, now)
-        self._rank_some(targets)
+        self._changed.update(targets)
 
     def take_reports(self, reports: Sequence[TargetReport], now: float) -> None:
         """Learn from how the targets of one request behaved.
@@ -182,7 +184,7 @@
             state.leaving = state.leaving or report.leaving
             self._take_load(state, report)
             self._judge(state, report, 1.0 / max(1, failed), now)
-            self._rank(state)
+            self._changed.add(report.target)
 
     def take_report(self, report: TargetReport, now: float) -> None:
         """Learn from how a target behaved."""
@@ -207,8 +209,10 @@
             if self.outliers.note_failure(name, blame, now):
                 self.ramps.stop({name})
                 self.affinity.forget(name)
+                state.share = self._get_share(name)
         elif self.outliers.note_success(name, now):
             self.ramps.begin({name}, len(self.states))
+            state.share = self._get_share(name)
 
     # Time.
 
@@ -220,8 +224,8 @@
         if now - self._forgot >= FORGET_SECONDS:
             self._forgot = now
             self.rates.forget_idle(now)
-            changed = set(self.states)
-        self._rank_some(sorted(changed))
+            self._changed.update(self.states)
+        self._renew_shares(changed)
 
     def _follow_unlisted(self, now: float) -> set[TargetId]:
         for name, since in self._unlisted.items():
@@ -241,18 +245,20 @@
 
     # Ranks.
 
-    def _rank_all(self) -> None:
-        self._rank_some(self.states)
-
-    def _rank_some(self, names: Collection[TargetId]) -> None:
+    def _renew_shares(self, names: Iterable[TargetId]) -> None:
         for name in names:
             if name in self.states:
-                self._rank(self.states[name])
+                self.states[name].share = self._get_share(name)
+                self._changed.add(name)
 
-    def _rank(self, state: TargetState) -> None:
-        state.share = self._get_share(state.target.id)
-        cost = self._weigh(state) if state.has_room else None
-        self._ranking.put(state.target, cost)
+    def _rank_changed(self) -> None:
+        """Weigh what has changed since the last choice."""
+        for name in self._changed:
+            state = self.states.get(name)
+            if state is not None:
+                cost = self._weigh(state) if state.has_room else None
+                self._ranking.put(state.target, cost)
+        self._changed.clear()
 
     def _get_share(self, name: TargetId) -> float:
         """Return the share of its limit that a target may use; 0 for none."""
--- a/marigoldswitch/core/retries.py
+++ b/marigoldswitch/core/retries.py
@@ -1,9 +1,10 @@
 """Whether and when a request that missed is tried again: one layer, one shared budget.
 
-Load it answers: targets that fail or refuse. Retries without a shared bound grow exactly
-when targets are weakest; a count for each request still triples the load of a service
-that is down. The budget is a share of what has lately succeeded, so that retries are
-plentiful while failures are rare and vanish when failures are common. Source: the paper
+Load it answers: targets that fail or refuse. Retries without a shared bound grow
+exactly when targets are weakest; a count for each request still triples the load of a
+service that is down. The budget is a share of what has lately succeeded, so that
+retries are plentiful while failures are rare and vanish when failures are common.
+Source: the paper
 "Backpressure Is a Contract Every Caller Must Honor" (docs/design/retries.md).
 """
 
@@ -26,7 +27,8 @@
 """Upper end of the first pause, in seconds; a few times a link's latency."""
 LONGEST_BACK_OFF = 1.0
 LONGEST_HINT = 2.0
-"""A target's ``Retry-After`` up to this is waited out here; a longer one is passed on."""
+"""A target's ``Retry-After`` up to this is waited out here; a longer one is passed
+on."""
 SATURATED_SHARE = 0.5
 """Share of refused attempts from which the pool and not one target is the matter."""
 FEWEST_ATTEMPTS = 10
@@ -136,8 +138,8 @@
 
     def spend(self, now: float) -> bool:
         """Take one retry out of the budget; tell whether there was one."""
-        allowed = (
-            self.floor * self.retries.window + self.share * self.successes.read(now)
+        allowed = self.floor * self.retries.window + self.share * self.successes.read(
+            now
         )
         spent = self.retries.read(now)
         if spent + 1 > allowed:
--- a/marigoldswitch/core/shifting.py
+++ b/marigoldswitch/core/shifting.py
@@ -1,9 +1,9 @@
 """How fast load moves to targets that are new or have recovered.
 
-Load it answers: a target that comes back cold. With its full limit at once it gets every
-waiting request of the pool in one moment, with empty caches and untouched weights; it
-grows slow or falls over, the load moves back, and so on. The share of its limit that it
-may use grows by a fixed step a second instead.
+Load it answers: a target that comes back cold. With its full limit at once it gets
+every waiting request of the pool in one moment, with empty caches and untouched
+weights; it grows slow or falls over, the load moves back, and so on. The share of its
+limit that it may use grows by a fixed step a second instead.
 """
 
 from marigoldswitch.core.ids import TargetId
@@ -14,8 +14,8 @@
 """Share by which this grows a second: full after 8 s, about the time in which engines
 load kernels and fill caches, and longer than a load report lags."""
 LEAST_WARM = 0.5
-"""Least share of the pool that must be warm for a slow start: when most targets are new,
-as after a restart of all, nothing else could take the load."""
+"""Least share of the pool that must be warm for a slow start: when most targets are
+new, as after a restart of all, nothing else could take the load."""
 
 
 class Ramps:
--- a/marigoldswitch/peers.py
+++ b/marigoldswitch/peers.py
@@ -6,6 +6,7 @@
 import hmac
 from collections import Counter
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 import structlog
 from result import Err, Ok
@@ -21,6 +22,9 @@
 NAME_BYTES = 1
 QUEUE_LENGTH = 10_000
 CONNECT_SECONDS = 0.5
+RECONNECT_SECONDS = 0.1
+"""Pause after a failed connection; messages that come in it are dropped, not kept for a
+host that may be back much later."""
 
 Handler = Callable[[HostId, Message], None]
 
@@ -35,6 +39,12 @@
     return any(hmac.compare_digest(seal(secret, payload), code) for secret in secrets)
 
 
+@dataclass(frozen=True, slots=True)
+class _Connection:
+    address: str
+    writer: asyncio.StreamWriter
+
+
 class PeerNetwork:
     """Sends messages to other hosts and takes theirs.
 
@@ -60,6 +70,7 @@
         self._queues: dict[HostId, asyncio.Queue[Message]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._stopped = False
 
     def register(self, kind: type[Message], handler: Handler) -> None:
         """Name who takes messages of a kind; each kind has one handler."""
@@ -68,6 +79,8 @@
 
     def send(self, host: HostId, message: Message) -> None:
         """Queue one message; it may be lost."""
+        if self._stopped:
+            return
         if host == self.host:
             asyncio.get_running_loop().call_soon(self._deliver, host, message)
             return
@@ -86,7 +99,8 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     async def stop(self) -> None:
-        """Close all connections."""
+        """Close all connections; nothing is sent from now on."""
+        self._stopped = True
         if self._server is not None:
             self._server.close()
         for task in list(self._tasks):
@@ -106,43 +120,61 @@
         handler(sender, message)
 
     async def _write(self, host: HostId, queue: asyncio.Queue[Message]) -> None:
-        writer: asyncio.StreamWriter | None = None
+        connection: _Connection | None = None
         try:
             while True:
                 message = await queue.get()
-                writer = await self._send_once(host, writer, message)
+                connection = await self._send_once(host, connection, message)
+                if connection is None:
+                    await self._drop_queued(queue)
         finally:
-            if writer is not None:
-                writer.close()
+            if connection is not None:
+                connection.writer.close()
+
+    async def _drop_queued(self, queue: asyncio.Queue[Message]) -> None:
+        """Drop what waits for a host that cannot be reached, and wait a little."""
+        self.counts["dropped"] += 1 + queue.qsize()
+        while not queue.empty():
+            queue.get_nowait()
+        await asyncio.sleep(RECONNECT_SECONDS)
 
     async def _send_once(
-        self, host: HostId, writer: asyncio.StreamWriter | None, message: Message
-    ) -> asyncio.StreamWriter | None:
-        """Write one message, over a new connection where the old one is gone."""
+        self, host: HostId, connection: "_Connection | None", message: Message
+    ) -> "_Connection | None":
+        """Write one message, over a new connection where the old one is gone.
+
+        :return: the connection to use next, or ``None`` where the host is out of reach.
+        """
         for _ in range(2):
             if host in self.cut:
                 break
             try:
-                if writer is None or writer.is_closing():
-                    writer = await self._connect(host)
-                writer.write(self._frame(message))
-                await writer.drain()
+                if connection is None or self._is_old(host, connection):
+                    connection = await self._connect(host, connection)
+                connection.writer.write(self._frame(message))
+                await connection.writer.drain()
             except (TimeoutError, OSError):
-                writer = None
+                connection = None
                 continue
             self.counts["sent"] += 1
-            return writer
-        self.counts["dropped"] += 1
-        return writer
+            return connection
+        return None
+
+    def _is_old(self, host: HostId, connection: "_Connection") -> bool:
+        """Tell whether a connection is closed, or the host has moved."""
+        moved = self._locate(host) not in {connection.address, None}
+        return moved or connection.writer.is_closing()
 
-    async def _connect(self, host: HostId) -> asyncio.StreamWriter:
+    async def _connect(self, host: HostId, old: "_Connection | None") -> "_Connection":
+        if old is not None:
+            old.writer.close()
         address = self._locate(host)
         if address is None:
             raise ConnectionError(f"no address of {host}")
         name, _, port = address.rpartition(":")
         opening = asyncio.open_connection(name, int(port))
         _, writer = await asyncio.wait_for(opening, CONNECT_SECONDS)
-        return writer
+        return _Connection(address, writer)
 
     def _frame(self, message: Message) -> bytes:
         name = self.host.encode()
--- a/marigoldswitch/tools/bench/__main__.py
+++ b/marigoldswitch/tools/bench/__main__.py
@@ -2,14 +2,13 @@
 
 import sys
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import asdict
 from enum import Enum
 from pathlib import Path
 
 import defopt
 
 from marigoldswitch.tools.bench.baselines import BASELINES
-from marigoldswitch.tools.bench.figures import Figures, run_play
+from marigoldswitch.tools.bench.figures import run_play
 from marigoldswitch.tools.bench.output import Row, draw_rows, print_rows, write_rows
 from marigoldswitch.tools.bench.plays import Play, find_plays
 from marigoldswitch.tools.bench.router import Router
@@ -51,9 +50,7 @@
 
 def _choose_plays(words: str) -> list[Play]:
     chosen = [word.strip() for word in words.split(",") if word.strip()]
-    return find_plays(
-        lambda name: not chosen or any(word in name for word in chosen)
-    )
+    return find_plays(lambda name: not chosen or any(word in name for word in chosen))
 
 
 def _measure_decisions(
--- a/marigoldswitch/tools/bench/figures.py
+++ b/marigoldswitch/tools/bench/figures.py
@@ -172,9 +172,7 @@
     }
 
 
-def _reckon_jain(
-    play: Play, jobs: list[Job], done: list[Job], bound: float
-) -> float:
+def _reckon_jain(play: Play, jobs: list[Job], done: list[Job], bound: float) -> float:
     names = sorted({job.account for job in jobs})
     demands = [
         sum(job.work for job in jobs if job.account == n and job.arrived >= play.warm)
