--- a/marigoldswitch/backends.py
+++ b/marigoldswitch/backends.py
@@ -19,6 +19,7 @@
 from marigoldswitch.core.requests import Answer, Request
 
 REFUSED_STATUS = 503
+LONGEST_RETRY_AFTER = 3600.0
 FOREVER = aiohttp.ClientTimeout(total=None, connect=1.0)
 
 
@@ -81,8 +82,18 @@
     return Load(int(load.get("running", 0)), int(load.get("waiting", 0)))
 
 
-def parse_miss(status: int, content: bytes) -> Miss:
-    """Return what a target's error says of the request."""
+def parse_seconds(text: str | None) -> float | None:
+    """Return a ``Retry-After`` in seconds; dates and nonsense count as none."""
+    if text is None or not text.isascii() or not text.isdigit():
+        return None
+    return min(float(text), LONGEST_RETRY_AFTER)
+
+
+def parse_miss(status: int, content: bytes, retry_after: str | None = None) -> Miss:
+    """Return what a target's error says of the request.
+
+    :param retry_after: its ``Retry-After`` header.
+    """
     try:
         body = orjson.loads(content)
     except orjson.JSONDecodeError:
@@ -98,10 +109,15 @@
             Advice(advice) if advice in known else None,
             body.get("leaving") is True,
             parse_load(body),
+            parse_seconds(retry_after),
         )
     return Miss(Delivery.MAY_HAVE_RUN, f"answered {status}")
 
 
+def _read_miss(response: aiohttp.ClientResponse, content: bytes) -> Miss:
+    return parse_miss(response.status, content, response.headers.get("Retry-After"))
+
+
 class PlainClient:
     """Calls targets of plain services."""
 
@@ -127,7 +143,7 @@
         except (TimeoutError, aiohttp.ClientError) as error:
             return Err(Miss(Delivery.MAY_HAVE_RUN, type(error).__name__))
         if response.status != 200:
-            return Err(parse_miss(response.status, content))
+            return Err(_read_miss(response, content))
         try:
             answer = orjson.loads(content)
             return Ok((Answer(answer["answer"]), parse_load(answer)))
@@ -158,7 +174,7 @@
                 timeout=FOREVER,
             ) as response:
                 if response.status != 200:
-                    yield Err(parse_miss(response.status, await response.read()))
+                    yield Err(_read_miss(response, await response.read()))
                     return
                 started = await self._start(first, description)
                 if started is not None:
@@ -198,7 +214,7 @@
             ) as response:
                 content = await response.read()
                 if response.status != 200:
-                    return parse_miss(response.status, content)
+                    return _read_miss(response, content)
                 return None
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Miss(Delivery.NOT_DELIVERED, "no connection to the first stage")
--- a/marigoldswitch/core/retries.py
+++ b/marigoldswitch/core/retries.py
@@ -14,6 +14,7 @@
 
 from marigoldswitch.core.delivery import Delivery, Miss
 from marigoldswitch.core.errors import Advice
+from marigoldswitch.core.ids import ServiceName
 
 MOST_ATTEMPTS = 3
 """Attempts of one request; more adds load without finding other targets."""
@@ -209,3 +210,20 @@
         """Return a pause with full jitter."""
         bound = FIRST_BACK_OFF * 2.0 ** (attempt - 1)
         return self.source.uniform(0.0, min(LONGEST_BACK_OFF, bound))
+
+
+class HostRetries:
+    """The retry decisions of one host, by service.
+
+    :param source: random numbers for the jitter.
+    """
+
+    def __init__(self, source: random.Random) -> None:
+        self._source = source
+        self._services: dict[ServiceName, ServiceRetries] = {}
+
+    def get(self, service: ServiceName) -> ServiceRetries:
+        """Return what all requests of a service share."""
+        if service not in self._services:
+            self._services[service] = ServiceRetries(self._source)
+        return self._services[service]
--- a/marigoldswitch/core/shifting.py
+++ b/marigoldswitch/core/shifting.py
@@ -23,6 +23,8 @@
 
     def __init__(self) -> None:
         self._shares: dict[TargetId, float] = {}
+        self._fresh: set[TargetId] = set()
+        """Targets that have begun since the last look."""
         self._looked: float | None = None
 
     @property
@@ -44,6 +46,7 @@
             return
         for name in sorted(names):
             self._shares[name] = FIRST_SHARE
+            self._fresh.add(name)
 
     def stop(self, names: set[TargetId]) -> None:
         """Forget targets."""
@@ -56,9 +59,11 @@
         self._looked = now
         changed = list(self._shares)
         for name in changed:
-            share = self._shares[name] + STEP * passed
+            share = self._shares[name]
+            share += 0.0 if name in self._fresh else STEP * passed
             if share >= 1.0:
                 del self._shares[name]
             else:
                 self._shares[name] = share
+        self._fresh.clear()
         return changed
--- a/marigoldswitch/runs.py
+++ b/marigoldswitch/runs.py
@@ -1,8 +1,11 @@
 """What all kinds of runs share: one request, its permits, its retries, its end."""
 
+import asyncio
+import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+import structlog
 from result import Err, Ok, Result
 
 from marigoldswitch.backends import ChainClient, PlainClient
@@ -15,10 +18,12 @@
 from marigoldswitch.core.messages import Ask, Grant, TargetReport
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.requests import Answer, End, Request, Token
-from marigoldswitch.core.retries import is_not_run, may_retry
+from marigoldswitch.core.retries import GiveUp, HostRetries, Missed, Retry, is_not_run
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.members import Member
 
+logger = structlog.get_logger(__name__)
+
 Event = Token | Answer | End | Fault
 Emit = Callable[[Event], Awaitable[None]]
 """Takes the events of one answer; it waits while the caller reads slowly."""
@@ -34,6 +39,7 @@
     claims: Claims
     plain: PlainClient
     chains: ChainClient
+    retries: HostRetries = field(default_factory=lambda: HostRetries(random.Random()))
 
 
 class Run:
@@ -54,6 +60,8 @@
         self.life = Lifecycle(request.id, request.idempotent)
         self.attempt = 0
         self.avoid: tuple[TargetId, ...] = ()
+        self.pause = 0.0
+        """Seconds to wait before the next attempt."""
 
     async def drive(self) -> None:
         """Run the request to its one end and emit the whole answer."""
@@ -70,6 +78,8 @@
 
     async def acquire(self) -> Result[Grant, Fault]:
         """Get a permit for the next attempt."""
+        if self.pause > 0.0:
+            await asyncio.sleep(self.pause)
         self.attempt += 1
         self.life.advance("queue")
         grant = await self.parts.dispatching.acquire(self._build_ask())
@@ -84,6 +94,9 @@
 
     def release(self, grant: Grant, seconds: float, *reports: TargetReport) -> None:
         """Give a permit back with what was seen of the targets."""
+        if reports and not any(item.refused or item.failed for item in reports):
+            now = self.parts.clock.monotonic()
+            self.parts.retries.get(self.service.name).note_success(now)
         self.parts.dispatching.release(grant, seconds, reports)
 
     def judge(self, miss: Miss) -> Fault | None:
@@ -91,14 +104,35 @@
         trusts = self.service.trusts_not_run
         if is_not_run(miss, trusts):
             self.life.retract_delivery()
-        if may_retry(miss, self.request.idempotent, trusts, self.attempt):
+        choice = self._choose_retry(miss)
+        if isinstance(choice, Retry):
+            self.pause = choice.pause
             return None
         if not self.life.deliveries:
-            return _describe_unrun(miss)
+            return _describe_unrun(miss, choice)
         if self.left <= 0.0:
             return Fault(ErrorKind.DEADLINE_EXCEEDED, miss.detail)
         return Fault(ErrorKind.TARGET_LOST, miss.detail)
 
+    def _choose_retry(self, miss: Miss) -> Retry | GiveUp:
+        missed = Missed(
+            miss,
+            self.request.idempotent,
+            self.service.trusts_not_run,
+            self.attempt,
+            self.left,
+        )
+        now = self.parts.clock.monotonic()
+        choice = self.parts.retries.get(self.service.name).decide(missed, now)
+        logger.info(
+            "retry_decision",
+            request=self.request.id,
+            attempt=self.attempt,
+            missed=miss.detail,
+            decision="retry" if isinstance(choice, Retry) else choice.reason,
+        )
+        return choice
+
     async def end_with(self, fault: Fault) -> None:
         """End the request without its whole answer."""
         await self.emit(self.life.end_with(fault))
@@ -127,9 +161,11 @@
     return TargetReport(target.id, -1.0, refused, not refused, miss.leaving, miss.load)
 
 
-def _describe_unrun(miss: Miss) -> Fault:
-    if miss.delivery is Delivery.NOT_DELIVERED:
-        return Fault(ErrorKind.NOT_DELIVERED, miss.detail)
+def _describe_unrun(miss: Miss, choice: GiveUp) -> Fault:
+    detail = f"{miss.detail}; no retry: {choice.reason}"
     if miss.advice is Advice.STOP:
-        return Fault(ErrorKind.TARGET_STOP, miss.detail)
-    return Fault(ErrorKind.TARGET_REFUSED, miss.detail)
+        return Fault(ErrorKind.TARGET_STOP, detail)
+    kind = ErrorKind.TARGET_REFUSED
+    if miss.delivery is Delivery.NOT_DELIVERED:
+        kind = ErrorKind.NOT_DELIVERED
+    return Fault(kind, detail, choice.retry_after)
--- a/marigoldswitch/standins/engine.py
+++ b/marigoldswitch/standins/engine.py
@@ -15,6 +15,8 @@
 import orjson
 from aiohttp import web
 
+from marigoldswitch.standins.service import format_retry_after
+
 WORDS = (
     "bisque", "doll", "mended", "with", "care", "the", "left", "arm", "was", "reset",
     "and", "new", "glass", "eyes", "were", "fitted", "before", "a", "gentle", "clean",
@@ -36,6 +38,8 @@
     refuse: bool = False
     die_at: int | None = None
     leaving: bool = False
+    advice: str = "retry_elsewhere"
+    retry_after: int | None = None
 
 
 @dataclass(slots=True)
@@ -202,10 +206,14 @@
         return web.json_response({})
 
     def _refuse(self) -> web.Response:
-        advice = "retry_elsewhere"
         return web.json_response(
-            {"not_run": True, "advice": advice, "leaving": self.faults.leaving},
+            {
+                "not_run": True,
+                "advice": self.faults.advice,
+                "leaving": self.faults.leaving,
+            },
             status=503,
+            headers=format_retry_after(self.faults.retry_after),
         )
 
     def _hold(self, order: dict[str, Any], index: int) -> StreamState:
--- a/marigoldswitch/standins/service.py
+++ b/marigoldswitch/standins/service.py
@@ -25,6 +25,13 @@
     refuse: bool = False
     lose_answers: int = 0
     leaving: bool = False
+    advice: str = "retry_elsewhere"
+    retry_after: int | None = None
+
+
+def format_retry_after(seconds: int | None) -> dict[str, str]:
+    """Return the header that asks callers to wait."""
+    return {} if seconds is None else {"Retry-After": str(seconds)}
 
 
 class PlainService:
@@ -60,10 +67,11 @@
             return web.json_response(
                 {
                     "not_run": True,
-                    "advice": "retry_elsewhere",
+                    "advice": self.faults.advice,
                     "leaving": self.faults.leaving,
                 },
                 status=503,
+                headers=format_retry_after(self.faults.retry_after),
             )
         self.running += 1
         try:
