--- a/marigoldswitch/core/pool.py
+++ b/marigoldswitch/core/pool.py
@@ -211,7 +211,7 @@
                 self.affinity.forget(name)
                 state.share = self._get_share(name)
         elif self.outliers.note_success(name, now):
-            self.ramps.begin({name}, len(self.states))
+            self.ramps.begin({name}, len(self.states), now)
             state.share = self._get_share(name)
 
     # Time.
