--- a/marigoldswitch/core/occupancy.py
+++ b/marigoldswitch/core/occupancy.py
@@ -109,7 +109,7 @@
         for state in self._pool.states.values():
             span = state.target.layers
             part = (span.end - span.first) / layers if span and layers else 1.0
-            slots += 0.0 if state.leaving else part * int(state.limit)
+            slots += part * state.room
         return slots
 
     def allows_long(self, slots: float) -> bool:
--- a/marigoldswitch/core/targets.py
+++ b/marigoldswitch/core/targets.py
@@ -14,6 +14,8 @@
     :param limit: requests that it may hold at once.
     :param held: permits out for it.
     :param limiter: learns the limit.
+    :param share: share of the limit that it may use now; 0 where it is left out.
+    :param foreign: requests that it holds beside ours, by its own last report.
     """
 
     target: Target
@@ -22,15 +24,24 @@
     leaving: bool = False
     load: Load | None = None
     limiter: Limiter | None = None
+    share: float = 1.0
+    foreign: float = 0.0
 
     def __post_init__(self) -> None:
         if self.limiter is None:
             self.limiter = Limiter(self.limit)
 
+    @property
+    def room(self) -> int:
+        """Return the requests that it may hold now."""
+        if self.leaving or self.share <= 0.0:
+            return 0
+        return max(1, int(self.limit * self.share))
+
     @property
     def has_room(self) -> bool:
         """Tell whether one more request may go to it."""
-        return not self.leaving and self.held < int(self.limit)
+        return self.held < self.room
 
     def use_target(self, target: Target) -> None:
         """Take the target as a new bundle has it."""
