Claims: protocol as steps without input or output, group commit, owner questions

A lost reply was settled by one read-back only, a forfeited claim was deleted at a guessed version, a cancelled run left its claim held, and a claim of another host always ended in an unknown outcome.

--- a/marigoldswitch/callers.py
+++ b/marigoldswitch/callers.py
@@ -27,7 +27,7 @@
 )
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.requests import Answer, End, Request, Token
-from marigoldswitch.fronts import Front
+from marigoldswitch.fronts import CallerGone, Front
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.runs import Event
 from marigoldswitch.settings import RequestSettings
@@ -184,7 +184,7 @@
 
         try:
             await self._run_task(self._front.run(request, bundle, emit))
-        except ConnectionError:
+        except CallerGone:
             logger.info("caller_gone", request=request.id)
             return response
         if refusal:
@@ -220,11 +220,11 @@
         if isinstance(account, Err):
             return build_fault_response(account.err_value)
         key = IdempotencyKey(http.match_info["key"])
-        match await self._claims.look_up(account.ok_value.id, key):
+        match await self._claims.fetch(account.ok_value.id, key):
             case Err(fault):
                 return build_fault_response(fault)
-            case Ok(stored):
-                body = b'{"answer":' + stored.answer + b"}"
+            case Ok(answer):
+                body = b'{"answer":' + answer + b"}"
                 return web.Response(body=body, content_type="application/json")
 
     async def _show_live(self, http: web.Request) -> web.Response:
--- a/marigoldswitch/claiming.py
+++ b/marigoldswitch/claiming.py
@@ -1,119 +1,401 @@
-"""Claims of this host in the table service."""
+"""Claims of this host: carries out the steps of the claim protocol."""
 
+import asyncio
+import hashlib
 import secrets
-from dataclasses import dataclass
+from collections.abc import Callable, Coroutine, Generator, Iterable
+from typing import Any, Generic, TypeVar
 
 import structlog
 from result import Err, Ok, Result
 
+from marigoldswitch.core.claim_protocol import (
+    FIRST_PAUSE,
+    LONGEST_PAUSE,
+    Effect,
+    Ended,
+    Free,
+    Held,
+    Met,
+    Question,
+    Read,
+    Told,
+    Wait,
+    Write,
+    finish_claim,
+    follow_claim,
+    judge_claim,
+    take_claim,
+)
 from marigoldswitch.core.claims import (
     CLAIM_TABLE,
     Claim,
     ClaimState,
+    OwnerState,
     build_claim_key,
     decode_claim,
-    encode_claim,
 )
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.ids import AccountId, HostId, IdempotencyKey, Incarnation
-from marigoldswitch.core.ports import Put, StoreFault, TableService
+from marigoldswitch.core.messages import ClaimQuestion, ClaimReply, Message
+from marigoldswitch.core.own_claims import OwnClaims
+from marigoldswitch.core.ports import Clock, ObjectStore, Put, StoreFault, TableService
 from marigoldswitch.core.requests import Request
+from marigoldswitch.group_commit import GroupCommit
+from marigoldswitch.peers import PeerNetwork
+from marigoldswitch.settings import ClaimSettings
 
 logger = structlog.get_logger(__name__)
 
+ASK_SECONDS = 0.5
+"""Seconds to wait for an owner's reply before asking again."""
+LARGEST_REPLY = 64 * 1024
+"""Bytes of the largest answer that goes to another host with a reply."""
 
-@dataclass(frozen=True, slots=True)
-class Held:
-    """This host may send the request, once."""
-
-    row: str
-    claim: Claim
-
-
-@dataclass(frozen=True, slots=True)
-class StoredAnswer:
-    """The request ran before; this is its answer."""
-
-    answer: bytes
+T = TypeVar("T")
 
 
 class Claims:
-    """Takes and finishes claims."""
+    """Takes, follows and finishes the claims of one host.
+
+    :param incarnation: tells this start of the host from every other one.
+    """
 
     def __init__(
-        self, table: TableService, host: HostId, incarnation: Incarnation
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        network: PeerNetwork,
+        clock: Clock,
+        settings: ClaimSettings,
+        incarnation: Incarnation,
     ) -> None:
+        self.own = OwnClaims()
+        self.commits = GroupCommit(table, clock, settings.interval, settings.batch)
+        self.late_answer = settings.late_answer
+        self.kept_bytes = 0
+        """Bytes of answers that the platform does not have yet."""
         self._table = table
-        self._host = host
+        self._objects = objects
+        self._network = network
+        self._clock = clock
+        self._settings = settings
         self._incarnation = incarnation
+        self._waiting: dict[str, list[asyncio.Future[Told]]] = {}
+        self._finishing: set[asyncio.Task[None]] = set()
+        handlers: dict[type[Message], Callable[..., None]] = {
+            ClaimQuestion: self._reply,
+            ClaimReply: self._hear,
+        }
+        for kind, handler in handlers.items():
+            network.register(kind, handler)
 
     async def take(
+        self, request: Request, key: IdempotencyKey, free: Free | None, seconds: float
+    ) -> Held | Met | Ended | Fault:
+        """Claim a request, or learn what came of it before.
+
+        :param free: a claim that may be taken over.
+        :param seconds: longest wait.
+        """
+        if self.commits.is_out():
+            return Fault(ErrorKind.CLAIMS_UNAVAILABLE, "the table service is out")
+        if self.kept_bytes > self._settings.kept_bytes:
+            logger.warning("answers_kept_in_memory", setting="claims.kept_bytes")
+            return Fault(ErrorKind.CLAIMS_UNAVAILABLE, "too many answers not stored")
+        row = build_claim_key(request.account, key)
+        claim = self._build_claim(request)
+        steps = _Steps(take_claim(self.own, row, claim, free))
+        taken: Held | Met | Ended | Fault | None = None
+        try:
+            async with asyncio.timeout(seconds):
+                taken = await self._carry_out(steps, request.account, key)
+                return taken
+        except TimeoutError:
+            return Fault(ErrorKind.DEADLINE_IN_QUEUE, "while the claim was written")
+        finally:
+            if not isinstance(taken, Held) and steps.may_land:
+                self._spawn(self._write_end(row, claim.forfeit(), None))
+
+    async def follow(
+        self, request: Request, key: IdempotencyKey, met: Met
+    ) -> Free | Ended | Fault:
+        """Wait for the end of a claim of another submission."""
+        steps = follow_claim(
+            met,
+            self._build_claim(request),
+            self._clock.monotonic,
+            request.deadline,
+            self._settings.owner_patience,
+        )
+        return await self._carry_out(_Steps(steps), request.account, key)
+
+    async def look(
         self, request: Request, key: IdempotencyKey
-    ) -> Result[Held | StoredAnswer, Fault]:
-        """Claim a request, or learn how it ended before."""
+    ) -> Met | Ended | Fault | None:
+        """Return what came of a key before, where that can be learned."""
         row = build_claim_key(request.account, key)
-        claim = Claim(
-            self._host,
-            self._incarnation,
-            secrets.token_hex(8),
-            request.body_digest,
-            ClaimState.HELD,
+        if self.commits.is_out():
+            return None
+        found = await self._table.read(CLAIM_TABLE, row)
+        if isinstance(found, Err) or found.ok_value is None:
+            return None
+        claim = decode_claim(found.ok_value.value)
+        if self.own.is_forfeited(claim.nonce):
+            return None
+        end = judge_claim(
+            row, claim, found.ok_value.version, self._build_claim(request)
         )
-        put = Put(CLAIM_TABLE, row, encode_claim(claim), expect=0)
-        written = await self._table.transact([put])
-        match written:
-            case Ok():
-                return Ok(Held(row, claim))
-            case Err(StoreFault.UNAVAILABLE):
-                return Err(Fault(ErrorKind.CLAIMS_UNAVAILABLE, "table service is out"))
-        return await self._settle(Held(row, claim))
-
-    async def finish(self, held: Held, answer: bytes) -> bool:
-        """Store the answer of a claimed request; tell whether it is kept."""
-        return await self._rewrite(held, held.claim.finish(answer, stored=False))
-
-    async def give_up(self, held: Held) -> bool:
-        """Record that the outcome of a claimed request is unknown."""
-        return await self._rewrite(held, held.claim.give_up())
-
-    async def forfeit(self, held: Held) -> bool:
-        """Delete the claim of a request that was never sent."""
-        put = Put(CLAIM_TABLE, held.row, None, expect=1)
-        return isinstance(await self._table.transact([put]), Ok)
-
-    async def look_up(
+        return None if isinstance(end, Free) else end
+
+    def find_own(self, request: Request, key: IdempotencyKey) -> Met | Fault | None:
+        """Return the claim that this host already holds for the same request."""
+        row = build_claim_key(request.account, key)
+        found = self.own.find(row)
+        if found is None:
+            return None
+        if found.digest != request.body_digest:
+            return Fault(ErrorKind.KEY_REUSED)
+        return Met(row, self._build_claim(request, found.nonce), 0)
+
+    def end(self, held: Held, answer: bytes) -> None:
+        """Keep an answer and store it, however long the platform takes."""
+        self.own.end(held.claim.nonce, answer)
+        self.kept_bytes += len(answer)
+        self._spawn(self._store_answer(held, answer))
+
+    def give_up(self, held: Held) -> None:
+        """Record that a request was sent and its outcome is not known."""
+        self.own.forget(held.claim.nonce)
+        self._spawn(self._write_end(held.row, held.claim.give_up(), held.version))
+
+    def forfeit(self, held: Held) -> None:
+        """Give up a claim that was never sent."""
+        self.own.forfeit(held.claim.nonce)
+        self._spawn(self._write_end(held.row, held.claim.forfeit(), held.version))
+
+    async def read_answer(self, ended: Ended) -> Result[bytes, Fault]:
+        """Return the answer that an ended claim names."""
+        claim = ended.claim
+        if not claim.stored:
+            return Ok(claim.answer)
+        match await self._objects.get(claim.answer.decode()):
+            case Err():
+                return Err(Fault(ErrorKind.ANSWER_UNAVAILABLE, "it ran before"))
+            case Ok(content) if content is not None:
+                return Ok(content)
+        return Err(Fault(ErrorKind.ANSWER_LOST))
+
+    async def fetch(
         self, account: AccountId, key: IdempotencyKey
-    ) -> Result[StoredAnswer, Fault]:
-        """Return the stored answer of a finished request."""
+    ) -> Result[bytes, Fault]:
+        """Return the stored answer of a finished request of a client account."""
         row = await self._table.read(CLAIM_TABLE, build_claim_key(account, key))
+        own = self.own.find(build_claim_key(account, key))
+        if own is not None and own.answer:
+            return Ok(own.answer)
         if isinstance(row, Err):
-            return Err(Fault(ErrorKind.CLAIMS_UNAVAILABLE, "table service is out"))
+            return Err(Fault(ErrorKind.ANSWER_UNAVAILABLE, "table service is out"))
         if row.ok_value is None:
             return Err(Fault(ErrorKind.NO_ANSWER))
-        return _read_end(decode_claim(row.ok_value.value))
-
-    async def _settle(self, held: Held) -> Result[Held | StoredAnswer, Fault]:
-        read = await self._table.read(CLAIM_TABLE, held.row)
-        if isinstance(read, Err) or read.ok_value is None:
-            return Err(Fault(ErrorKind.CLAIMS_UNAVAILABLE, "claim cannot be settled"))
-        found = decode_claim(read.ok_value.value)
-        if found.nonce == held.claim.nonce:
-            return Ok(held)
-        if found.body_digest != held.claim.body_digest:
-            return Err(Fault(ErrorKind.KEY_REUSED))
-        return _read_end(found).map(lambda item: item)
-
-    async def _rewrite(self, held: Held, claim: Claim) -> bool:
-        put = Put(CLAIM_TABLE, held.row, encode_claim(claim), expect=1)
-        written = await self._table.transact([put])
-        if isinstance(written, Err):
-            logger.warning("claim_not_finished", fault=written.err_value.value)
-        return isinstance(written, Ok)
-
-
-def _read_end(claim: Claim) -> Result[StoredAnswer, Fault]:
-    match claim.state:
-        case ClaimState.DONE:
-            return Ok(StoredAnswer(claim.answer))
-        case ClaimState.HELD | ClaimState.UNKNOWN:
-            return Err(Fault(ErrorKind.OUTCOME_UNKNOWN, "claimed before, no answer"))
+        claim = decode_claim(row.ok_value.value)
+        match claim.state:
+            case ClaimState.DONE:
+                return await self.read_answer(Ended(claim))
+            case ClaimState.FORFEITED:
+                return Err(Fault(ErrorKind.NO_ANSWER))
+            case ClaimState.UNKNOWN:
+                return Err(Fault(ErrorKind.OUTCOME_UNKNOWN, "no answer came"))
+            case ClaimState.HELD:
+                return await self._fetch_from_owner(claim, account, key)
+
+    async def flush(self, seconds: float) -> bool:
+        """Wait until all ends are written; tell whether they are."""
+        tasks = set(self._finishing)
+        if tasks:
+            await asyncio.wait(tasks, timeout=seconds)
+        return all(task.done() for task in tasks)
+
+    async def stop(self) -> None:
+        """Break off what is under way."""
+        tasks = set(self._finishing)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.commits.stop()
+
+    async def sweep(self, accounts: Iterable[AccountId]) -> int:
+        """Delete the expired claims of some client accounts; return how many."""
+        deleted = 0
+        for account in accounts:
+            prefix = build_claim_key(account, IdempotencyKey(""))
+            rows = await self._table.scan(CLAIM_TABLE, prefix)
+            if isinstance(rows, Err):
+                continue
+            for key, row in rows.ok_value.items():
+                claim = decode_claim(row.value)
+                if claim.is_expired(self._clock.wall(), self._settings.keep):
+                    put = Put(CLAIM_TABLE, key, None, row.version)
+                    deleted += await self.commits.write(put) is None
+        return deleted
+
+    async def run(
+        self,
+        accounts: Callable[[], Iterable[AccountId]],
+        is_sweeper: Callable[[], bool],
+    ) -> None:
+        """Delete expired claims now and then until cancelled."""
+        while True:
+            await asyncio.sleep(self._settings.sweep)
+            if is_sweeper():
+                deleted = await self.sweep(accounts())
+                logger.info("claims_swept", deleted=deleted)
+
+    def _build_claim(self, request: Request, nonce: str = "") -> Claim:
+        return Claim(
+            self._network.host,
+            self._incarnation,
+            nonce or secrets.token_hex(8),
+            request.body_digest,
+            ClaimState.HELD,
+            taken=self._clock.wall(),
+        )
+
+    async def _carry_out(
+        self, steps: "_Steps[T]", account: AccountId, key: IdempotencyKey
+    ) -> T:
+        try:
+            effect = steps.resume()
+            while not steps.over:
+                effect = steps.resume(await self._perform(effect, account, key))
+            return steps.result
+        finally:
+            steps.close()
+
+    async def _perform(
+        self, effect: Effect | None, account: AccountId, key: IdempotencyKey
+    ) -> Any:
+        match effect:
+            case Write(put=put):
+                return await self.commits.write(put)
+            case Read(row=row):
+                read = await self._table.read(CLAIM_TABLE, row)
+                return read.ok_value if isinstance(read, Ok) else read.err_value
+            case Wait(seconds=seconds):
+                await asyncio.sleep(seconds)
+                return None
+            case Question(owner=owner, nonce=nonce):
+                return await self._ask(owner, nonce, account, key)
+            case None:
+                return None
+
+    async def _ask(
+        self, owner: HostId, nonce: str, account: AccountId, key: IdempotencyKey
+    ) -> Told | None:
+        if owner == self._network.host:
+            return Told(*self.own.tell(nonce))
+        reply: asyncio.Future[Told] = asyncio.get_running_loop().create_future()
+        self._waiting.setdefault(nonce, []).append(reply)
+        question = ClaimQuestion(account, key, nonce, self._network.host)
+        self._network.send(owner, question)
+        try:
+            return await asyncio.wait_for(reply, ASK_SECONDS)
+        except TimeoutError:
+            return None
+        finally:
+            self._waiting[nonce].remove(reply)
+            if not self._waiting[nonce]:
+                del self._waiting[nonce]
+
+    def _reply(self, sender: HostId, question: ClaimQuestion) -> None:
+        state, answer = self.own.tell(question.nonce)
+        if len(answer) > LARGEST_REPLY:
+            answer = b""
+        reply = ClaimReply(question.nonce, state.value, answer)
+        self._network.send(question.asker, reply)
+
+    def _hear(self, sender: HostId, reply: ClaimReply) -> None:
+        told = Told(OwnerState(reply.state), reply.answer)
+        for waiting in self._waiting.get(reply.nonce, []):
+            if not waiting.done():
+                waiting.set_result(told)
+
+    async def _fetch_from_owner(
+        self, claim: Claim, account: AccountId, key: IdempotencyKey
+    ) -> Result[bytes, Fault]:
+        match await self._ask(claim.owner, claim.nonce, account, key):
+            case Told(state=OwnerState.ENDED, answer=answer) if answer:
+                return Ok(answer)
+            case Told(state=OwnerState.RUNNING | OwnerState.ENDED):
+                return Err(Fault(ErrorKind.ANSWER_UNAVAILABLE, "not finished yet"))
+            case Told(state=OwnerState.FORFEITED):
+                return Err(Fault(ErrorKind.NO_ANSWER))
+        return Err(Fault(ErrorKind.OUTCOME_UNKNOWN, "its owner says nothing"))
+
+    async def _store_answer(self, held: Held, answer: bytes) -> None:
+        """Store an answer, then mark its claim done."""
+        try:
+            ended = held.claim.finish(answer, stored=False)
+            if len(answer) > self._settings.inline_bytes:
+                name = f"answers/{hashlib.sha256(answer).hexdigest()}"
+                await self._store_object(name, answer)
+                ended = held.claim.finish(name.encode(), stored=True)
+            await self._write_end(held.row, ended, held.version)
+        finally:
+            self.kept_bytes -= len(answer)
+            self.own.forget(held.claim.nonce)
+
+    async def _store_object(self, name: str, content: bytes) -> None:
+        pause = FIRST_PAUSE
+        while isinstance(await self._objects.put(name, content), Err):
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, LONGEST_PAUSE)
+
+    async def _write_end(self, row: str, ended: Claim, version: int | None) -> None:
+        steps = _Steps(finish_claim(row, ended, version))
+        account, key = AccountId(""), IdempotencyKey("")
+        stands = await self._carry_out(steps, account, key)
+        if not stands and ended.state is not ClaimState.FORFEITED:
+            logger.error("claim_end_lost", nonce=ended.nonce, state=ended.state.value)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._finishing.add(task)
+        task.add_done_callback(self._finishing.discard)
+
+
+class _Steps(Generic[T]):
+    """One generator of the claim protocol on its way.
+
+    :ivar may_land: whether a write whose reply was lost may still take effect.
+    """
+
+    def __init__(self, steps: Generator[Effect, Any, T]) -> None:
+        self.over = False
+        self.may_land = False
+        self._steps = steps
+        self._pending: Effect | None = None
+
+    @property
+    def result(self) -> T:
+        """Return what the generator returned."""
+        assert self.over
+        return self._result
+
+    def resume(self, reply: Any = None) -> Effect | None:
+        """Hand in what came of the last effect; return the next one."""
+        if isinstance(self._pending, Write) and reply is StoreFault.UNKNOWN:
+            self.may_land = True
+        try:
+            self._pending = self._steps.send(reply)
+        except StopIteration as stop:
+            self.over = True
+            self._pending = None
+            self._result: T = stop.value
+        return self._pending
+
+    def close(self) -> None:
+        """Break off, if it is not over."""
+        if isinstance(self._pending, Write):
+            self.may_land = True
+        self._steps.close()
--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -50,7 +50,7 @@
     follower = Follower(releases, platform, adoption, settings.platform.poll)
     dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout)
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
-    claims = Claims(platform, own.host, incarnation)
+    claims = Claims(platform, platform, network, clock, settings.claims, incarnation)
     plain, chains = PlainClient(session), ChainClient(session)
     parts = Parts(clock, own, dispatching, claims, plain, chains)
     metrics = Metrics()
@@ -81,5 +81,6 @@
         front,
         callers,
         administration,
+        claims,
     )
     return Host(host_parts)
--- a/marigoldswitch/core/claims.py
+++ b/marigoldswitch/core/claims.py
@@ -28,6 +28,12 @@
     DONE = "done"
     UNKNOWN = "unknown"
     """It may have run, and no answer will come."""
+    FORFEITED = "forfeited"
+    """It was never sent and never will be under this claim: anyone may take it over.
+
+    A forfeited row stays until it expires: were it deleted, row versions would begin
+    anew, and a write that is late could meet a version that it was not meant for.
+    """
 
 
 class OwnerState(Enum):
@@ -37,8 +43,9 @@
     FORFEITED = "forfeited"
     """It was never sent and never will be under this claim."""
     ENDED = "ended"
-    """The row holds the end."""
+    """It ran; the answer comes with the reply or is in the row."""
     UNKNOWN = "unknown"
+    """The owner knows nothing of it, for example because it has restarted."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +56,7 @@
     :param body_digest: SHA-256 of the request's canonical body.
     :param answer: canonical JSON of the answer, or the key of the object holding it.
     :param stored: whether ``answer`` is the key of an object.
+    :param taken: wall-clock seconds at which it was taken, for its expiry.
     """
 
     owner: HostId
@@ -58,6 +66,7 @@
     state: ClaimState
     answer: bytes = b""
     stored: bool = False
+    taken: float = 0.0
 
     def finish(self, answer: bytes, stored: bool) -> "Claim":
         """Return the claim marked done with its answer."""
@@ -67,6 +76,18 @@
         """Return the claim marked as of unknown outcome."""
         return replace(self, state=ClaimState.UNKNOWN)
 
+    def forfeit(self) -> "Claim":
+        """Return the claim marked as never sent."""
+        return replace(self, state=ClaimState.FORFEITED)
+
+    def is_expired(self, now: float, keep: float) -> bool:
+        """Tell whether the claim is older than claims are kept.
+
+        :param now: wall-clock seconds.
+        :param keep: seconds; longer than the longest deadline and its late answer.
+        """
+        return now - self.taken > keep
+
 
 def build_claim_key(account: AccountId, key: IdempotencyKey) -> str:
     """Return the key of the claim's row; no two pairs share one."""
@@ -84,6 +105,7 @@
             claim.state.value,
             claim.answer,
             claim.stored,
+            claim.taken,
         ]
     )
 
@@ -93,5 +115,9 @@
 
     :raises ValueError: if the value is no claim.
     """
-    owner, incarnation, nonce, digest, state, answer, stored = msgpack.unpackb(value)
-    return Claim(owner, incarnation, nonce, digest, ClaimState(state), answer, stored)
+    owner, incarnation, nonce, digest, state, answer, stored, taken = msgpack.unpackb(
+        value
+    )
+    return Claim(
+        owner, incarnation, nonce, digest, ClaimState(state), answer, stored, taken
+    )
--- a/marigoldswitch/core/messages.py
+++ b/marigoldswitch/core/messages.py
@@ -179,10 +179,12 @@
     """The owner's answer.
 
     :param state: value of :class:`marigoldswitch.core.claims.OwnerState`.
+    :param answer: canonical JSON of a small answer that the row may not hold yet.
     """
 
     nonce: str
     state: str
+    answer: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/marigoldswitch/fronts.py
+++ b/marigoldswitch/fronts.py
@@ -10,7 +10,7 @@
 from marigoldswitch.core.ids import RequestId
 from marigoldswitch.core.ledger import InvariantBroken
 from marigoldswitch.core.ports import Clock
-from marigoldswitch.core.requests import Request, Token
+from marigoldswitch.core.requests import End, Request, Token
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.model_runs import ModelRun
 from marigoldswitch.plain_runs import PlainRun
@@ -24,6 +24,10 @@
 }
 
 
+class CallerGone(Exception):
+    """The caller no longer takes its answer."""
+
+
 class Front:
     """Runs requests; each emits exactly one ``End`` or ``Fault``, as its last event.
 
@@ -32,14 +36,19 @@
 
     def __init__(self, parts: Parts, metrics: Metrics, most_held: int) -> None:
         self.held: dict[RequestId, asyncio.Task[None]] = {}
+        """Requests on their way, and what outlives its caller, such as a booking."""
         self.breaches = 0
         """Promises found broken since the start; must stay 0."""
+        self._cancelled: set[RequestId] = set()
         self._parts = parts
         self._metrics = metrics
         self._most_held = most_held
 
     async def run(self, request: Request, bundle: Bundle, emit: Emit) -> None:
-        """Run a request to its end; cancelling the task cancels the request."""
+        """Run a request to its end; cancelling the task cancels the request.
+
+        :raises CallerGone: if the caller went away.
+        """
         if len(self.held) >= self._most_held:
             await emit(Fault(ErrorKind.SATURATED, "the host holds too many requests"))
             return
@@ -48,57 +57,127 @@
         run = RUNS[service.kind](self._parts, request, bundle, observe)
         task = asyncio.current_task()
         assert task is not None
-        self.held[request.id] = task
-        self._metrics.held.set({}, len(self.held))
+        self._hold(request.id, task)
         try:
-            await self._drive(run)
+            await self._drive(run, observe)
         finally:
-            del self.held[request.id]
-            self._metrics.held.set({}, len(self.held))
+            self._cancelled.discard(request.id)
+            self._drop(request.id, task)
+            if run.remainder is not None and not run.remainder.done():
+                self._hold(request.id, run.remainder)
             observe.count_end(run.life.stage.value)
 
     def cancel(self, request: RequestId) -> bool:
         """Cancel a request that is held here; tell whether it was."""
         task = self.held.get(request)
-        return task is not None and task.cancel()
+        if task is None or not task.cancel():
+            return False
+        self._cancelled.add(request)
+        return True
+
+    async def wait_idle(self, seconds: float) -> bool:
+        """Wait until nothing is held; tell whether that came to be."""
+        try:
+            async with asyncio.timeout(seconds):
+                while self.held:
+                    await asyncio.wait(list(self.held.values()))
+                    await asyncio.sleep(0)
+        except TimeoutError:
+            return False
+        return True
+
+    async def stop(self) -> None:
+        """Break off what is held."""
+        tasks = list(self.held.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _hold(self, request: RequestId, task: "asyncio.Task[None]") -> None:
+        self.held[request] = task
+        self._metrics.held.set({}, len(self.held))
+        task.add_done_callback(lambda done: self._drop(request, done))
 
-    async def _drive(self, run: Run) -> None:
+    def _drop(self, request: RequestId, task: "asyncio.Task[None]") -> None:
+        if self.held.get(request) is task:
+            del self.held[request]
+            self._metrics.held.set({}, len(self.held))
+
+    async def _drive(self, run: Run, observe: "_Observer") -> None:
+        """Run a request so that it has one end, whatever happens."""
         try:
             await run.drive()
-        except asyncio.CancelledError:
-            if not run.life.ended:
-                ran = run.life.deliveries > 0
-                kind = ErrorKind.CANCELLED if ran else ErrorKind.CANCELLED_IN_QUEUE
-                run.life.end_with(Fault(kind))
-            raise
+        except (asyncio.CancelledError, CallerGone) as error:
+            await self._end_cancelled(run, observe, error)
         except InvariantBroken as error:
             self.breaches += 1
             self._metrics.breaches.inc({})
             logger.error("promise_broken", request=run.request.id, what=str(error))
-            await run.emit(Fault(ErrorKind.INTERNAL, "a promise was found broken"))
+            await self._end_internal(run, observe, "a promise was found broken")
+        except Exception:
+            self._metrics.internal.inc({})
+            logger.exception("internal_fault", request=run.request.id)
+            await self._end_internal(run, observe, "")
+
+    async def _end_cancelled(
+        self, run: Run, observe: "_Observer", error: BaseException
+    ) -> None:
+        """End a request that its caller no longer wants.
+
+        The caller that asked for it is told; one that has gone away is not.
+        """
+        run.abandon()
+        if not run.life.ended:
+            ran = run.life.deliveries > 0
+            kind = ErrorKind.CANCELLED if ran else ErrorKind.CANCELLED_IN_QUEUE
+            run.life.end_with(Fault(kind))
+        asked = run.request.id in self._cancelled
+        if not asked or isinstance(error, CallerGone) or run.life.fault is None:
+            raise error
+        task = asyncio.current_task()
+        assert task is not None
+        task.uncancel()
+        await observe(run.life.fault)
+
+    async def _end_internal(self, run: Run, observe: "_Observer", detail: str) -> None:
+        run.abandon()
+        if observe.ended:
+            return
+        fault = Fault(ErrorKind.INTERNAL, detail)
+        if not run.life.ended:
+            run.life.end_with(fault)
+        await observe(fault)
 
 
 class _Observer:
-    """Passes the events of one request on and counts them."""
+    """Passes the events of one request on, counts them and sees to the one end."""
 
     def __init__(
         self, clock: Clock, metrics: Metrics, request: Request, emit: Emit
     ) -> None:
+        self.ended = False
         self._clock = clock
         self._metrics = metrics
+        self._request = request
         self._labels = {"service": str(request.service)}
         self._emit = emit
         self._began = clock.monotonic()
         self._first = True
 
     async def __call__(self, event: Event) -> None:
+        if self.ended:
+            raise InvariantBroken(f"request {self._request.id} would end twice")
+        self.ended = isinstance(event, End | Fault)
         if self._first:
             self._first = False
             seconds = self._clock.monotonic() - self._began
             self._metrics.first_event.observe(self._labels, seconds)
         if isinstance(event, Token):
             self._metrics.tokens.inc(self._labels)
-        await self._emit(event)
+        try:
+            await self._emit(event)
+        except (ConnectionError, TimeoutError) as error:
+            raise CallerGone from error
 
     def count_end(self, end: str) -> None:
         """Count the request by how it ended."""
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -11,9 +11,10 @@
 
 from marigoldswitch.administration import Administration
 from marigoldswitch.callers import CallerInterface
+from marigoldswitch.claiming import Claims
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.catalogue import Bundle
-from marigoldswitch.core.ids import HostId, TargetId
+from marigoldswitch.core.ids import AccountId, HostId, TargetId
 from marigoldswitch.core.ports import HostEntry, HostRole
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.followers import Follower
@@ -52,6 +53,7 @@
     front: Front
     callers: CallerInterface
     administration: Administration
+    claims: Claims
 
 
 class Host:
@@ -78,6 +80,7 @@
         await parts.follower.look()
         self._spawn(parts.follower.run())
         self._spawn(parts.dispatching.run())
+        self._spawn(parts.claims.run(self._list_accounts, self._is_first_host))
         parts.state.ready = True
         logger.info("host_started", host=parts.settings.host, ports=self.ports)
 
@@ -88,15 +91,16 @@
         logger.info("host_draining", host=parts.settings.host)
         await asyncio.sleep(parts.settings.drain.balancer_lag)
         parts.state.accepting = False
-        held = list(parts.front.held.values())
-        if held:
-            await asyncio.wait(held, timeout=parts.settings.drain.longest)
+        await parts.front.wait_idle(parts.settings.drain.longest)
+        await parts.claims.flush(parts.settings.drain.longest)
 
     async def stop(self) -> None:
         """Close everything at once."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.parts.front.stop()
+        await self.parts.claims.stop()
         for runner in self._runners:
             await runner.cleanup()
         await self.parts.network.stop()
@@ -112,6 +116,14 @@
         parts.follower.watch_bundle(self._use_bundle)
         parts.follower.watch_hosts(self._use_hosts)
 
+    def _list_accounts(self) -> list[AccountId]:
+        bundle = self.parts.adoption.bundle
+        return list(bundle.accounts) if bundle else []
+
+    def _is_first_host(self) -> bool:
+        """Tell whether this host does what one host is enough for."""
+        return min(self.parts.view.members) == self.parts.settings.host
+
     def _use_bundle(self, bundle: Bundle) -> None:
         self.parts.dispatching.use_bundle(bundle)
 
--- a/marigoldswitch/metrics.py
+++ b/marigoldswitch/metrics.py
@@ -38,6 +38,11 @@
             "Promises found broken inside the program; must stay 0.",
             registry=registry,
         )
+        self.internal = Counter(
+            "marigoldswitch_internal_faults_total",
+            "Requests that ended because of a fault of the router's own.",
+            registry=registry,
+        )
         self.bundle = Gauge(
             "marigoldswitch_bundle_version",
             "Version of the bundle in force on this host.",
--- a/marigoldswitch/runs.py
+++ b/marigoldswitch/runs.py
@@ -1,7 +1,9 @@
 """What all kinds of runs share: one request, its permits, its retries, its end."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -54,6 +56,11 @@
         self.life = Lifecycle(request.id, request.idempotent)
         self.attempt = 0
         self.avoid: tuple[TargetId, ...] = ()
+        """Targets that have failed or refused this request."""
+        self.keep: tuple[TargetId, ...] = ()
+        """Targets of a broken chain that survive."""
+        self.remainder: asyncio.Task[Any] | None = None
+        """Work that goes on after the request's end, such as awaiting a late answer."""
 
     async def drive(self) -> None:
         """Run the request to its one end and emit the whole answer."""
@@ -75,7 +82,6 @@
         grant = await self.parts.dispatching.acquire(self._build_ask())
         if isinstance(grant, Ok):
             self.life.advance("permit")
-            self.avoid += grant.ok_value.targets
             return grant
         if self.life.deliveries and grant.err_value.not_run:
             detail = f"lost, then {grant.err_value.kind.value}"
@@ -103,6 +109,9 @@
         """End the request without its whole answer."""
         await self.emit(self.life.end_with(fault))
 
+    def abandon(self) -> None:
+        """Settle what the request holds when it is broken off from outside."""
+
     def _build_ask(self) -> Ask:
         request = self.request
         return Ask(
@@ -118,6 +127,7 @@
             remaining=self.left,
             prefix=request.prefix,
             avoid=self.avoid,
+            keep=self.keep,
         )
 
 
--- a/marigoldswitch/settings.py
+++ b/marigoldswitch/settings.py
@@ -86,6 +86,50 @@
     )
 
 
+class ClaimSettings(Section):
+    """Claims of non-idempotent requests in the table service."""
+
+    interval: Seconds = Field(
+        0.02,
+        description="Least seconds between the starts of two group commits of a host; "
+        "50 writes a second a host keep 8 hosts within the several hundred that the "
+        "platform takes.",
+    )
+    batch: int = Field(64, gt=0, description="Most claims written in one group commit.")
+    owner_patience: Seconds = Field(
+        3.0,
+        description="Seconds without a word from the owner of a claim after which the "
+        "outcome is said to be unknown; longer than a pause of the interpreter and the "
+        "detection of a failed host.",
+    )
+    late_answer: float = Field(
+        30.0,
+        ge=0,
+        description="Seconds past a caller's deadline for which a target's answer to a "
+        "non-idempotent request is still awaited, so that a resend can have it.",
+    )
+    inline_bytes: int = Field(
+        16 * 1024,
+        ge=0,
+        description="Largest answer kept in the claim's row, in bytes; a larger one "
+        "goes to the object store.",
+    )
+    kept_bytes: int = Field(
+        32 * 1024 * 1024,
+        gt=0,
+        description="Most bytes of answers that wait in memory for the platform; above "
+        "it non-idempotent requests are refused unsent.",
+    )
+    keep: Seconds = Field(
+        86400.0,
+        description="Seconds for which a key and its answer are kept; a key used again "
+        "later is a new request. Far longer than the longest deadline.",
+    )
+    sweep: Seconds = Field(
+        600.0, description="Seconds between two searches for expired claims."
+    )
+
+
 class DrainSettings(Section):
     """The planned stop of a host."""
 
@@ -136,6 +180,7 @@
     platform: PlatformSettings
     peers: PeerSettings
     requests: RequestSettings = Field(default_factory=RequestSettings)
+    claims: ClaimSettings = Field(default_factory=ClaimSettings)
     drain: DrainSettings = Field(default_factory=DrainSettings)
     operators: dict[str, OperatorSettings] = Field(
         default_factory=dict,
