--- a/marigoldswitch/tests/test_claim_protocol.py
+++ b/marigoldswitch/tests/test_claim_protocol.py
@@ -89,6 +89,7 @@
 
 NUMBERS = st.integers(0, 11)
 HOW = st.sampled_from(["done"] * 5 + ["lost", "late", "out"])
+HOWS = st.lists(HOW, min_size=1, max_size=10)
 
 
 def pick(number, items):
@@ -140,7 +141,7 @@
         self.all.append(submission)
         self.take(submission)
         if name not in self.paused:
-            self.move(submission, "done", times)
+            self.move(submission, ["done"] * times)
 
     @rule(name=st.sampled_from(HOSTS))
     def pause_or_wake(self, name):
@@ -213,12 +214,12 @@
         raise AssertionError(holder.effect)
 
     @precondition(lambda self: self.list_moving())
-    @rule(number=NUMBERS, how=HOW, times=st.integers(1, 12))
-    def step(self, number, how, times):
-        self.move(pick(number, self.list_moving()), how, times)
+    @rule(number=NUMBERS, hows=HOWS)
+    def step(self, number, hows):
+        self.move(pick(number, self.list_moving()), hows)
 
-    def move(self, submission, how, times):
-        for _ in range(times):
+    def move(self, submission, hows):
+        for how in hows:
             if submission.effect is None or submission.over:
                 break
             reply, put = self.perform(submission, how)
@@ -294,10 +295,10 @@
         self.finish(host, held, claim.forfeit(), version=None)
 
     @precondition(lambda self: self.finishers)
-    @rule(number=NUMBERS, how=HOW, times=st.integers(1, 6))
-    def step_finisher(self, number, how, times):
+    @rule(number=NUMBERS, hows=HOWS)
+    def step_finisher(self, number, hows):
         finisher = pick(number, self.finishers)
-        for _ in range(times):
+        for how in hows:
             reply, put = self.perform(finisher, how)
             if put is not None:
                 self.late.append(put)
@@ -456,3 +457,34 @@
     play(take_claim(own, ROW, claim_of("a", "n")), table, own)
     taken = play(take_claim(own, ROW, claim_of("b", "m", "other")), table, own)
     assert taken.kind is ErrorKind.KEY_REUSED
+
+
+def test_sent_under_a_held_claim_only_and_once():
+    own = OwnClaims()
+    own.begin(ROW, claim_of("a", "n"))
+    with pytest.raises(InvariantBroken):
+        own.send("n")
+    own.hold("n")
+    own.send("n")
+    for forbidden in (own.send, own.forfeit, own.hold):
+        with pytest.raises(InvariantBroken):
+            forbidden("n")
+
+
+@pytest.mark.parametrize("version", [None, 1])
+def test_end_of_a_claim_never_replaces_one_that_took_over(version):
+    table, own = FakeTable(), OwnClaims()
+    table.rows[ROW] = Row(encode_claim(claim_of("b", "m")), 2)
+    ended = claim_of("a", "n").forfeit()
+    assert not play(finish_claim(ROW, ended, version), table, own)
+    assert decode_claim(table.rows[ROW].value).nonce == "m"
+
+
+def test_end_is_written_however_often_the_platform_fails():
+    table, own = FakeTable(), OwnClaims()
+    play(take_claim(own, ROW, claim_of("a", "n")), table, own)
+    ended = claim_of("a", "n").finish(b"1", stored=False)
+    faults = ["out", "late", "out", "late", "lost"]
+    assert play(finish_claim(ROW, ended, 1), table, own, faults=faults)
+    assert decode_claim(table.rows[ROW].value).state is ClaimState.DONE
+    assert table.rows[ROW].version == 2
