--- a/marigoldswitch/callers.py
+++ b/marigoldswitch/callers.py
@@ -27,8 +27,9 @@
 )
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.requests import Answer, End, Request, Token
-from marigoldswitch.fronts import CallerGone, Front
+from marigoldswitch.fronts import Front
 from marigoldswitch.metrics import Metrics
+from marigoldswitch.observers import CallerGone
 from marigoldswitch.runs import Event
 from marigoldswitch.settings import RequestSettings
 
--- a/marigoldswitch/claiming.py
+++ b/marigoldswitch/claiming.py
@@ -81,6 +81,7 @@
         self._clock = clock
         self._settings = settings
         self._incarnation = incarnation
+        self._stopped = False
         self._waiting: dict[str, list[asyncio.Future[Told]]] = {}
         self._finishing: set[asyncio.Task[None]] = set()
         handlers: dict[type[Message], Callable[..., None]] = {
@@ -209,15 +210,14 @@
             case ClaimState.HELD:
                 return await self._fetch_from_owner(claim, account, key)
 
-    async def flush(self, seconds: float) -> bool:
-        """Wait until all ends are written; tell whether they are."""
-        tasks = set(self._finishing)
-        if tasks:
-            await asyncio.wait(tasks, timeout=seconds)
-        return all(task.done() for task in tasks)
+    async def flush(self) -> None:
+        """Wait until all ends are written."""
+        while self._finishing:
+            await asyncio.wait(set(self._finishing))
 
     async def stop(self) -> None:
-        """Break off what is under way."""
+        """Break off what is under way; nothing is written any more."""
+        self._stopped = True
         tasks = set(self._finishing)
         for task in tasks:
             task.cancel()
@@ -359,6 +359,9 @@
             logger.error("claim_end_lost", nonce=ended.nonce, state=ended.state.value)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        if self._stopped:
+            work.close()
+            return
         task = asyncio.create_task(work)
         self._finishing.add(task)
         task.add_done_callback(self._finishing.discard)
--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -1,6 +1,7 @@
 """Composition root: the one place where the parts of a host are wired."""
 
 import secrets
+import time
 
 import aiohttp
 
@@ -11,14 +12,18 @@
 from marigoldswitch.clocks import SystemClock
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.ids import DataCentre, HostId, Incarnation
+from marigoldswitch.core.leaving import LeavingMarks
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
+from marigoldswitch.gauges import Gauges
+from marigoldswitch.gossip import Gossip
 from marigoldswitch.hosts import Host, HostParts, HostState, describe_status
 from marigoldswitch.members import Member, MemberView
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peers import PeerNetwork
+from marigoldswitch.quotas import QuotaSharing
 from marigoldswitch.releases import Releases
 from marigoldswitch.runs import Parts
 from marigoldswitch.settings import Settings
@@ -45,17 +50,20 @@
     )
     view = MemberView(own)
     network = PeerNetwork(own.host, settings.peers.secrets, view.locate)
+    marks = LeavingMarks(time.time() - clock.monotonic())
+    gossip = Gossip(clock, view, network, settings.peers, marks)
     adoption = Adoption()
     releases = Releases(platform, platform)
     follower = Follower(releases, platform, adoption, settings.platform.poll)
-    dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout)
+    quotas = QuotaSharing(clock, network, view)
+    dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout, quotas)
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
     claims = Claims(platform, platform, network, clock, settings.claims, incarnation)
     plain, chains = PlainClient(session), ChainClient(session)
     parts = Parts(clock, own, dispatching, claims, plain, chains)
     metrics = Metrics()
     front = Front(parts, metrics, settings.requests.held)
-    follower.watch_bundle(lambda bundle: metrics.bundle.set({}, bundle.version))
+    metrics.add_source(Gauges(metrics, adoption, view, network, dispatching).read)
     callers = CallerInterface(
         clock,
         settings.requests,
@@ -76,6 +84,7 @@
         adoption,
         view,
         network,
+        gossip,
         follower,
         dispatching,
         front,
--- a/marigoldswitch/core/messages.py
+++ b/marigoldswitch/core/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from marigoldswitch.core.catalogue import Priority
+from marigoldswitch.core.datagrams import MemberRecord, TargetMark
 from marigoldswitch.core.errors import ErrorKind
 from marigoldswitch.core.ids import (
     AccountId,
@@ -34,6 +35,9 @@
     :param remaining: seconds until the request's deadline.
     :param avoid: targets that have failed this request.
     :param keep: targets of the chain so far that survive, for a recovery.
+    :param pool: data centre of the pool that is asked.
+    :param patience: longest estimated wait in seconds, where another pool may be
+        better.
     """
 
     request: RequestId
@@ -49,6 +53,8 @@
     prefix: int | None = None
     avoid: tuple[TargetId, ...] = ()
     keep: tuple[TargetId, ...] = ()
+    pool: DataCentre = DataCentre("")
+    patience: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +75,7 @@
     service: ServiceName
     dispatcher: HostId
     targets: tuple[TargetId, ...]
+    pool: DataCentre = DataCentre("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,12 +83,14 @@
     """The request gets no permit.
 
     :param retry_after: seconds after which a new try has a chance.
+    :param wait: estimated wait in seconds had it been let in.
     """
 
     request: RequestId
     attempt: int
     kind: ErrorKind
     retry_after: float
+    wait: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +101,7 @@
     attempt: int
     service: ServiceName
     front: HostId
+    pool: DataCentre = DataCentre("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +134,70 @@
     front: HostId
     seconds: float
     reports: tuple[TargetReport, ...]
+    pool: DataCentre = DataCentre("")
+
+
+@dataclass(frozen=True, slots=True)
+class PermitCheck:
+    """A dispatcher asks a front whether it still holds some permits."""
+
+    service: ServiceName
+    pool: DataCentre
+    dispatcher: HostId
+    permits: tuple[PermitId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PermitsUnknown:
+    """A front's reply to :class:`PermitCheck`: those that it does not hold."""
+
+    service: ServiceName
+    pool: DataCentre
+    front: HostId
+    permits: tuple[PermitId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaDraw:
+    """What a host needs of one account's quota.
+
+    :param tokens: what it has left; below 0 it is a debt.
+    :param demand: requests a second that it sees, also those refused.
+    :param moved: it has drawn from another keeper before.
+    """
+
+    account: AccountId
+    tokens: float
+    demand: float
+    moved: bool
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaDraws:
+    """A host asks the keeper of some accounts for tokens."""
+
+    front: HostId
+    draws: tuple[QuotaDraw, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLease:
+    """Tokens of one account for a host.
+
+    :param tokens: below 0 where tokens of an idle host went back.
+    :param rate: tokens a second that the host may expect.
+    """
+
+    account: AccountId
+    tokens: float
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLeases:
+    """A keeper's reply to :class:`QuotaDraws`."""
+
+    leases: tuple[QuotaLease, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +216,7 @@
     permit: PermitId
     request: RequestId
     targets: tuple[TargetId, ...]
+    attempt: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +282,20 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Introduction:
+    """A host's whole table of hosts and its marks of leaving targets.
+
+    :param to: the host that is meant; another one at its address drops it.
+    :param wants_reply: the receiver sends its own.
+    """
+
+    to: HostId
+    members: tuple[MemberRecord, ...]
+    marks: tuple[TargetMark, ...]
+    wants_reply: bool
+
+
 Message = (
     Ask
     | Queued
@@ -214,6 +303,10 @@
     | Deny
     | Cancel
     | Release
+    | PermitCheck
+    | PermitsUnknown
+    | QuotaDraws
+    | QuotaLeases
     | Resync
     | Holdings
     | HandOver
@@ -221,4 +314,5 @@
     | ClaimReply
     | FetchBundle
     | BundleContent
+    | Introduction
 )
--- a/marigoldswitch/fronts.py
+++ b/marigoldswitch/fronts.py
@@ -9,12 +9,12 @@
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.ids import RequestId
 from marigoldswitch.core.ledger import InvariantBroken
-from marigoldswitch.core.ports import Clock
-from marigoldswitch.core.requests import End, Request, Token
+from marigoldswitch.core.requests import Request
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.model_runs import ModelRun
+from marigoldswitch.observers import CallerGone, Observer
 from marigoldswitch.plain_runs import PlainRun
-from marigoldswitch.runs import Emit, Event, Parts, Run
+from marigoldswitch.runs import Emit, Parts, Run
 
 logger = structlog.get_logger(__name__)
 
@@ -24,10 +24,6 @@
 }
 
 
-class CallerGone(Exception):
-    """The caller no longer takes its answer."""
-
-
 class Front:
     """Runs requests; each emits exactly one ``End`` or ``Fault``, as its last event.
 
@@ -53,7 +49,7 @@
             await emit(Fault(ErrorKind.SATURATED, "the host holds too many requests"))
             return
         service = bundle.services[request.service]
-        observe = _Observer(self._parts.clock, self._metrics, request, emit)
+        observe = Observer(self._parts.clock, self._metrics, request, emit)
         run = RUNS[service.kind](self._parts, request, bundle, observe)
         task = asyncio.current_task()
         assert task is not None
@@ -75,23 +71,20 @@
         self._cancelled.add(request)
         return True
 
-    async def wait_idle(self, seconds: float) -> bool:
-        """Wait until nothing is held; tell whether that came to be."""
-        try:
-            async with asyncio.timeout(seconds):
-                while self.held:
-                    await asyncio.wait(list(self.held.values()))
-                    await asyncio.sleep(0)
-        except TimeoutError:
-            return False
-        return True
+    async def wait_idle(self) -> None:
+        """Wait until nothing is held."""
+        while self.held:
+            await asyncio.wait(list(self.held.values()))
+            await asyncio.sleep(0)
 
     async def stop(self) -> None:
         """Break off what is held."""
-        tasks = list(self.held.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        while self.held:
+            tasks = list(self.held.values())
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
+            await asyncio.sleep(0)
 
     def _hold(self, request: RequestId, task: "asyncio.Task[None]") -> None:
         self.held[request] = task
@@ -103,7 +96,7 @@
             del self.held[request]
             self._metrics.held.set({}, len(self.held))
 
-    async def _drive(self, run: Run, observe: "_Observer") -> None:
+    async def _drive(self, run: Run, observe: Observer) -> None:
         """Run a request so that it has one end, whatever happens."""
         try:
             await run.drive()
@@ -115,12 +108,11 @@
             logger.error("promise_broken", request=run.request.id, what=str(error))
             await self._end_internal(run, observe, "a promise was found broken")
         except Exception:
-            self._metrics.internal.inc({})
             logger.exception("internal_fault", request=run.request.id)
             await self._end_internal(run, observe, "")
 
     async def _end_cancelled(
-        self, run: Run, observe: "_Observer", error: BaseException
+        self, run: Run, observe: Observer, error: BaseException
     ) -> None:
         """End a request that its caller no longer wants.
 
@@ -139,7 +131,7 @@
         task.uncancel()
         await observe(run.life.fault)
 
-    async def _end_internal(self, run: Run, observe: "_Observer", detail: str) -> None:
+    async def _end_internal(self, run: Run, observe: Observer, detail: str) -> None:
         run.abandon()
         if observe.ended:
             return
@@ -147,38 +139,3 @@
         if not run.life.ended:
             run.life.end_with(fault)
         await observe(fault)
-
-
-class _Observer:
-    """Passes the events of one request on, counts them and sees to the one end."""
-
-    def __init__(
-        self, clock: Clock, metrics: Metrics, request: Request, emit: Emit
-    ) -> None:
-        self.ended = False
-        self._clock = clock
-        self._metrics = metrics
-        self._request = request
-        self._labels = {"service": str(request.service)}
-        self._emit = emit
-        self._began = clock.monotonic()
-        self._first = True
-
-    async def __call__(self, event: Event) -> None:
-        if self.ended:
-            raise InvariantBroken(f"request {self._request.id} would end twice")
-        self.ended = isinstance(event, End | Fault)
-        if self._first:
-            self._first = False
-            seconds = self._clock.monotonic() - self._began
-            self._metrics.first_event.observe(self._labels, seconds)
-        if isinstance(event, Token):
-            self._metrics.tokens.inc(self._labels)
-        try:
-            await self._emit(event)
-        except (ConnectionError, TimeoutError) as error:
-            raise CallerGone from error
-
-    def count_end(self, end: str) -> None:
-        """Count the request by how it ended."""
-        self._metrics.requests.inc({**self._labels, "end": end})
--- a/marigoldswitch/group_commit.py
+++ b/marigoldswitch/group_commit.py
@@ -46,6 +46,7 @@
         self._pump: asyncio.Task[None] | None = None
         self._commits: set[asyncio.Task[None]] = set()
         self._next_start = 0.0
+        self._stopped = False
         self._lost = 0
         self._retry_at: float | None = None
 
@@ -61,6 +62,8 @@
 
     async def write(self, put: Put) -> StoreFault | None:
         """Write one row; return why it was not written, if it was not."""
+        if self._stopped:
+            return StoreFault.UNAVAILABLE
         done: asyncio.Future[StoreFault | None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -71,6 +74,7 @@
 
     async def stop(self) -> None:
         """Break off what is under way."""
+        self._stopped = True
         tasks = [*self._commits, *([self._pump] if self._pump else [])]
         for task in tasks:
             task.cancel()
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -1,8 +1,11 @@
 """One running host: its listeners and its work, from start to planned stop."""
 
 import asyncio
-from collections.abc import Coroutine, Mapping
+import secrets
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import aiohttp
@@ -14,17 +17,25 @@
 from marigoldswitch.claiming import Claims
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.catalogue import Bundle
-from marigoldswitch.core.ids import AccountId, HostId, TargetId
-from marigoldswitch.core.ports import HostEntry, HostRole
+from marigoldswitch.core.datagrams import MemberRecord
+from marigoldswitch.core.ids import AccountId, DataCentre, HostId, Incarnation
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
-from marigoldswitch.members import Member, MemberView
+from marigoldswitch.gossip import Gossip
+from marigoldswitch.members import MemberView
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.settings import Settings
 
 logger = structlog.get_logger(__name__)
 
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+STOP_SECONDS = 2.0
+"""Seconds that a stop without a drain leaves to what is in flight."""
+RUN_BITS = 32
+NANOSECONDS_A_MILLISECOND = 1_000_000
+
 
 @dataclass(slots=True)
 class HostState:
@@ -48,6 +59,7 @@
     adoption: Adoption
     view: MemberView
     network: PeerNetwork
+    gossip: Gossip
     follower: Follower
     dispatching: Dispatching
     front: Front
@@ -62,6 +74,9 @@
     def __init__(self, parts: HostParts) -> None:
         self.parts = parts
         self.ports: dict[str, int] = {}
+        self._busy = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -71,7 +86,11 @@
         listen = parts.settings.listen
         self._connect_parts()
         self.ports["peers"] = await parts.network.start(listen.address, listen.peers)
+        self.ports["gossip"] = await parts.gossip.start(listen.address, listen.gossip)
+        parts.gossip.join(self._build_record(), Random())
         callers = parts.callers.build_application()
+        callers.middlewares.insert(0, self._count_busy)
+        callers.on_response_prepare.append(self._close_when_draining)
         self.ports["callers"] = await self._listen(callers, listen.callers)
         administration = parts.administration.build_application()
         self.ports["administration"] = await self._listen(
@@ -80,6 +99,7 @@
         await parts.follower.look()
         self._spawn(parts.follower.run())
         self._spawn(parts.dispatching.run())
+        self._spawn(parts.gossip.run())
         self._spawn(parts.claims.run(self._list_accounts, self._is_first_host))
         parts.state.ready = True
         logger.info("host_started", host=parts.settings.host, ports=self.ports)
@@ -87,26 +107,64 @@
     async def drain(self) -> None:
         """Stop as planned: no request in flight is cut off."""
         parts = self.parts
-        parts.state.ready = False
+        drain = parts.settings.drain
         logger.info("host_draining", host=parts.settings.host)
-        await asyncio.sleep(parts.settings.drain.balancer_lag)
+        parts.state.ready = False
+        parts.gossip.leave()
+        hand_over = getattr(parts.dispatching, "hand_over", None)
+        if hand_over is not None:
+            hand_over()
+        await asyncio.sleep(drain.balancer_lag)
         parts.state.accepting = False
-        await parts.front.wait_idle(parts.settings.drain.longest)
-        await parts.claims.flush(parts.settings.drain.longest)
+        try:
+            async with asyncio.timeout(drain.longest):
+                await self._idle.wait()
+                await parts.front.wait_idle()
+                await parts.claims.flush()
+        except TimeoutError:
+            logger.warning(
+                "drain_cut_short",
+                host=parts.settings.host,
+                held=len(parts.front.held),
+                setting="drain.longest",
+            )
 
     async def stop(self) -> None:
-        """Close everything at once."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.parts.front.stop()
-        await self.parts.claims.stop()
+        """Close everything; what is still in flight has a moment to end."""
         for runner in self._runners:
             await runner.cleanup()
+        await self.parts.front.stop()
+        await self.parts.claims.stop()
+        await self._end_tasks()
+        self.parts.gossip.leave(gone=True)
+        self.parts.gossip.stop()
         await self.parts.network.stop()
         await self.parts.session.close()
         logger.info("host_stopped", host=self.parts.settings.host)
 
+    async def kill(self) -> None:
+        """Vanish as a killed process does: nothing is said, nothing is ended.
+
+        It is there for tests and randomised runs with several hosts in one process.
+        """
+        self.parts.gossip.stop()
+        await self.parts.network.stop()
+        await self.parts.claims.stop()
+        await self.parts.session.close()
+        for runner in self._runners:
+            for connection in runner.server.connections if runner.server else ():
+                if connection.transport is not None:
+                    connection.transport.abort()
+        await self.parts.front.stop()
+        await self._end_tasks()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _end_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     def show_status(self) -> Mapping[str, Any]:
         """Return what an operator sees of this host."""
         return describe_status(self.parts)
@@ -114,7 +172,9 @@
     def _connect_parts(self) -> None:
         parts = self.parts
         parts.follower.watch_bundle(self._use_bundle)
-        parts.follower.watch_hosts(self._use_hosts)
+        parts.follower.watch_hosts(parts.gossip.use_host_list)
+        parts.gossip.watch_leaving(parts.dispatching.use_leaving)
+        parts.dispatching.watch_leaving(parts.gossip.note_leaving)
 
     def _list_accounts(self) -> list[AccountId]:
         bundle = self.parts.adoption.bundle
@@ -126,28 +186,47 @@
 
     def _use_bundle(self, bundle: Bundle) -> None:
         self.parts.dispatching.use_bundle(bundle)
-
-    def _use_hosts(self, hosts: list[HostEntry]) -> None:
-        parts = self.parts
-        leaving = frozenset(
-            TargetId(item.id)
-            for item in hosts
-            if item.role is HostRole.TARGET and item.leaving
+        self.parts.gossip.use_bundle(bundle.version)
+
+    def _build_record(self) -> MemberRecord:
+        """Return this host's own record with the ports that it really has."""
+        settings = self.parts.settings
+        address = settings.listen.advertise or settings.listen.address
+        return MemberRecord(
+            HostId(settings.host),
+            DataCentre(settings.data_centre),
+            f"{address}:{self.ports['peers']}",
+            f"{address}:{self.ports['gossip']}",
+            secrets.randbits(RUN_BITS),
+            Incarnation(time.time_ns() // NANOSECONDS_A_MILLISECOND),
         )
-        parts.dispatching.use_leaving(leaving)
-        members = {
-            HostId(item.id): Member(
-                HostId(item.id), item.data_centre, item.address, item.leaving
-            )
-            for item in hosts
-            if item.role is HostRole.ENTRY
-        }
-        parts.view.replace(members)
+
+    @web.middleware
+    async def _count_busy(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Count the requests under way, also those that the front does not hold yet."""
+        self._busy += 1
+        self._idle.clear()
+        try:
+            return await handler(request)
+        finally:
+            self._busy -= 1
+            if self._busy == 0:
+                self._idle.set()
+
+    async def _close_when_draining(
+        self, http: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Let callers open their next connection elsewhere."""
+        if not self.parts.state.ready:
+            response.force_close()
 
     async def _listen(self, application: web.Application, port: int) -> int:
         runner = web.AppRunner(
             application,
             access_log=None,
+            shutdown_timeout=STOP_SECONDS,
             max_line_size=self.parts.settings.requests.header_bytes,
             max_field_size=self.parts.settings.requests.header_bytes,
         )
