Bookings through running hosts, judged by the desk's own record

Lost replies, an outage before and during, callers that go away, late and lost answers, a killed owner, large answers, expiry: at most one run in all of them. 60 bookings at once take at most 60 writes (two rows each).

--- /dev/null
+++ b/marigoldswitch/tests/test_bookings.py
@@ -0,0 +1,218 @@
+"""Bookings through running hosts, judged by what the booking desk itself ran."""
+
+import asyncio
+
+import pytest
+
+from marigoldswitch.tests.helpers import (
+    BOOKINGS_PATH,
+    run_async,
+    run_deployment,
+    wait_until,
+)
+
+CLAIMS = {"owner_patience": 0.6, "late_answer": 5.0}
+SETTINGS = {"claims": CLAIMS, "platform": {"timeout": 0.3}}
+
+
+async def book(deployment, session, host, key="k", seconds="8", body=None):
+    """Send a booking; return the status, and the answer or the error."""
+    address = deployment.get_address(host, "callers") + BOOKINGS_PATH
+    headers = {"Request-Timeout": seconds}
+    if key:
+        headers["Idempotency-Key"] = key
+    body = body or {"input": {"reference": "pickup"}}
+    async with session.post(address, json=body, headers=headers) as response:
+        content = await response.json()
+    return response.status, content.get("answer") or content["error"]
+
+
+def count_runs(deployment):
+    return sum(item.ran["pickup"] for item in deployment.services.values())
+
+
+def play(work):
+    async def run():
+        async with run_deployment(settings=SETTINGS) as (deployment, session):
+            return await work(deployment, session)
+
+    return run_async(run())
+
+
+def test_same_key_at_all_hosts_at_once_runs_once():
+    async def work(deployment, session):
+        deployment.services["desk-0"].faults.delay = 0.2
+        hosts = [*deployment.hosts] * 4
+        calls = [book(deployment, session, host) for host in hosts]
+        return await asyncio.gather(*calls), count_runs(deployment)
+
+    ends, runs = play(work)
+    assert runs == 1
+    assert ends == [(200, {"confirmed": "pickup", "by": "desk-0"})] * 12
+
+
+def test_lost_reply_of_the_table_loses_no_booking():
+    async def work(deployment, session):
+        deployment.platform.faults.lose_answers = 2
+        first = await book(deployment, session, "host-0")
+        return first, await book(deployment, session, "host-2"), count_runs(deployment)
+
+    first, again, runs = play(work)
+    assert first[0] == again[0] == 200
+    assert runs == 1
+
+
+def test_table_out_refuses_at_once_unsent_and_booking_works_after():
+    async def work(deployment, session):
+        deployment.platform.faults.out = True
+        ends = [await book(deployment, session, "host-0") for _ in range(3)]
+        refused = count_runs(deployment)
+        deployment.platform.faults.out = False
+        while (last := await book(deployment, session, "host-0"))[0] != 200:
+            ends.append(last)
+            await asyncio.sleep(0.05)
+        return ends, refused, count_runs(deployment)
+
+    ends, refused, runs = play(work)
+    assert {end["kind"] for _, end in ends} == {"claims_unavailable"}
+    assert {end["outcome"] for _, end in ends} == {"not_run"}
+    assert (refused, runs) == (0, 1)
+
+
+def test_answer_outlives_an_outage_of_the_table():
+    async def work(deployment, session):
+        desk = deployment.services["desk-0"]
+        desk.faults.delay = 0.3
+        call = asyncio.create_task(book(deployment, session, "host-0"))
+        await wait_until(lambda: desk.running == 1)
+        deployment.platform.faults.out = True
+        first = await call
+        again = await book(deployment, session, "host-0")
+        deployment.platform.faults.out = False
+        await deployment.hosts["host-0"].parts.claims.flush()
+        stored = await book(deployment, session, "host-2")
+        return first, again, stored, count_runs(deployment)
+
+    first, again, stored, runs = play(work)
+    assert first == again == stored == (200, {"confirmed": "pickup", "by": "desk-0"})
+    assert runs == 1
+
+
+def test_booking_goes_on_when_its_caller_goes_away():
+    async def work(deployment, session):
+        desk = deployment.services["desk-0"]
+        desk.faults.delay = 0.3
+        call = asyncio.create_task(book(deployment, session, "host-0"))
+        await wait_until(lambda: desk.running == 1)
+        call.cancel()
+        again = await book(deployment, session, "host-1")
+        front = deployment.hosts["host-0"].parts.front
+        await wait_until(lambda: not front.held)
+        return again, count_runs(deployment)
+
+    again, runs = play(work)
+    assert again == (200, {"confirmed": "pickup", "by": "desk-0"})
+    assert runs == 1
+
+
+def test_late_answer_is_kept_for_the_resend():
+    async def work(deployment, session):
+        deployment.services["desk-0"].faults.delay = 0.6
+        first = await book(deployment, session, "host-0", seconds="0.3")
+        again = await book(deployment, session, "host-2")
+        return first, again, count_runs(deployment)
+
+    (status, error), again, runs = play(work)
+    assert (status, error["outcome"]) == (504, "may_have_run")
+    assert again == (200, {"confirmed": "pickup", "by": "desk-0"})
+    assert runs == 1
+
+
+def test_lost_answer_of_the_target_is_never_run_again():
+    async def work(deployment, session):
+        deployment.services["desk-0"].faults.lose_answers = 1
+        ends = [await book(deployment, session, host) for host in deployment.hosts]
+        return ends, count_runs(deployment)
+
+    ends, runs = play(work)
+    assert [error["outcome"] for _, error in ends] == ["may_have_run"] * 3
+    assert ends[1][1]["kind"] == ends[2][1]["kind"] == "outcome_unknown"
+    assert runs == 1
+
+
+def test_owner_killed_after_dispatch_leaves_the_outcome_unknown():
+    async def work(deployment, session):
+        desk = deployment.services["desk-0"]
+        desk.faults.delay = 0.3
+        call = asyncio.create_task(book(deployment, session, "host-0"))
+        await wait_until(lambda: desk.running == 1)
+        await deployment.hosts.pop("host-0").kill()
+        await asyncio.gather(call, return_exceptions=True)
+        again = await book(deployment, session, "host-1")
+        await wait_until(lambda: not desk.running)
+        return again, count_runs(deployment)
+
+    (_, error), runs = play(work)
+    assert error["kind"] == "outcome_unknown"
+    assert runs <= 1
+
+
+@pytest.mark.parametrize("fault", ["refuse", "leaving"])
+def test_refusal_by_the_target_frees_the_key(fault):
+    async def work(deployment, session):
+        desk = deployment.services["desk-0"]
+        setattr(desk.faults, fault, True)
+        first = await book(deployment, session, "host-0", seconds="0.5")
+        refused = count_runs(deployment)
+        desk.faults.refuse = desk.faults.leaving = False
+        return first, refused
+
+    (_, error), refused = play(work)
+    assert error["outcome"] == "not_run"
+    assert refused == 0
+
+
+def test_large_answer_goes_through_the_object_store():
+    async def work(deployment, session):
+        settings = deployment.hosts["host-0"].parts.settings
+        reference = "x" * settings.claims.inline_bytes
+        body = {"input": {"reference": reference}}
+        first = await book(deployment, session, "host-0", body=body)
+        await deployment.hosts["host-0"].parts.claims.flush()
+        again = await book(deployment, session, "host-1", body=body)
+        objects = [item for item in deployment.platform.objects if "answers/" in item]
+        return first, again, len(objects)
+
+    first, again, objects = play(work)
+    assert first == again
+    assert objects == 1
+
+
+def test_expired_claims_are_swept_and_younger_ones_kept():
+    async def work(deployment, session):
+        await book(deployment, session, "host-0")
+        claims = deployment.hosts["host-0"].parts.claims
+        await claims.flush()
+        kept = await claims.sweep(["family"])
+        claims._settings = claims._settings.model_copy(update={"keep": 1e-9})
+        return kept, await claims.sweep(["family"])
+
+    assert play(work) == (0, 1)
+
+
+def test_burst_of_bookings_is_committed_in_groups():
+    async def work(deployment, session):
+        desk = deployment.services["desk-0"]
+        desk.slots = 100
+        before = deployment.platform.writes
+        calls = [
+            book(deployment, session, "host-0", str(number), body={"input": {}})
+            for number in range(60)
+        ]
+        ends = await asyncio.gather(*calls)
+        await deployment.hosts["host-0"].parts.claims.flush()
+        return [status for status, _ in ends], deployment.platform.writes - before
+
+    statuses, writes = play(work)
+    assert statuses == [200] * 60
+    assert writes <= 60
