--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -88,7 +88,7 @@
     quotas = QuotaSharing(clock, network, view)
     dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout, quotas)
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
-    claims = Claims(platform, own.host, incarnation)
+    claims = Claims(platform, platform, network, clock, settings.claims, incarnation)
     plain, chains = PlainClient(session), ChainClient(session)
     parts = Parts(clock, own, dispatching, claims, plain, chains)
     metrics = Metrics()
@@ -151,5 +151,6 @@
         drains,
         orderer,
         tls,
+        claims,
     )
     return Host(host_parts)
