--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -31,10 +31,15 @@
 INCARNATION_BITS = 48
 
 
-def compose_host(settings: Settings, clock: Clock | None = None) -> Host:
+def compose_host(
+    settings: Settings,
+    clock: Clock | None = None,
+    connector: aiohttp.BaseConnector | None = None,
+) -> Host:
     """Wire one host; it must be called with a loop running.
 
     :param clock: the source of time; the machine's clock by default.
+    :param connector: how targets and the platform are reached.
     """
     clock = clock or SystemClock()
     state = HostState()
@@ -43,7 +48,9 @@
         DataCentre(settings.data_centre),
         f"{settings.listen.address}:{settings.listen.peers}",
     )
-    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    session = aiohttp.ClientSession(
+        connector=connector or aiohttp.TCPConnector(limit=0)
+    )
     platform = PlatformClient(
         session, settings.host, settings.platform.address, settings.platform.timeout
     )
--- a/marigoldswitch/dispatching.py
+++ b/marigoldswitch/dispatching.py
@@ -116,6 +116,11 @@
             self._leaving = leaving
             self._refresh_targets()
 
+    def count_permits(self) -> int:
+        """Return the permits out of the dispatchers of this host."""
+        dispatchers = [*self._owned.values(), *self._local.values()]
+        return sum(len(item.permits) for item in dispatchers)
+
     def watch_leaving(self, listener: Callable[[TargetId], None]) -> None:
         """Call ``listener`` with each target that answers that it is leaving."""
         self._leaving_listeners.append(listener)
--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -1,9 +1,12 @@
 """A whole small deployment on loopback, in one process and one loop."""
 
 import asyncio
+import errno
 import hashlib
 import secrets
+from collections.abc import Iterable
 from typing import Any
+from weakref import WeakSet
 
 import aiohttp
 import yaml
@@ -13,6 +16,7 @@
 from marigoldswitch.hosts import Host
 from marigoldswitch.settings import Settings
 from marigoldswitch.standins.engine import Engine
+from marigoldswitch.standins.journal import Journal
 from marigoldswitch.standins.platform import Platform
 from marigoldswitch.standins.service import PlainService
 from marigoldswitch.tools.admin_client import AdminClient
@@ -27,21 +31,55 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+class CutConnector(aiohttp.TCPConnector):
+    """Reaches no address that is cut, and breaks off connections to it."""
+
+    def __init__(self, **arguments: Any) -> None:
+        super().__init__(**arguments)
+        self._cut: frozenset[str] = frozenset()
+        self._transports: WeakSet[asyncio.BaseTransport] = WeakSet()
+
+    def cut_off(self, addresses: Iterable[str]) -> None:
+        """Cut these addresses, each ``http://IP:port``, and no others."""
+        self._cut = frozenset(addresses)
+        for transport in list(self._transports):
+            peer = transport.get_extra_info("peername")
+            if peer and f"http://{peer[0]}:{peer[1]}" in self._cut:
+                transport.abort()  # type: ignore[attr-defined]
+
+    async def connect(self, req: Any, traces: Any, timeout: Any) -> Any:
+        """Open or reuse a connection."""
+        if f"http://{req.url.host}:{req.url.port}" in self._cut:
+            error = OSError(errno.EHOSTUNREACH, "cut off")
+            raise aiohttp.ClientConnectorError(req.connection_key, error)
+        connection = await super().connect(req, traces, timeout)
+        if connection.transport is not None:
+            self._transports.add(connection.transport)
+        return connection
+
+
 class Deployment:
     """Platform, engines, a booking service and hosts, with ports from the kernel.
 
     :param data_centres: data centre of each host.
     :param settings: settings that differ from the defaults, by section.
+    :param target_centres: data centres that have targets of every service.
     """
 
     def __init__(
         self,
         data_centres: tuple[str, ...] = ("hobart", "hobart", "launceston"),
         settings: dict[str, Any] | None = None,
+        target_centres: tuple[str, ...] = ("hobart",),
     ) -> None:
         self.platform = Platform()
         self.engines: dict[str, Engine] = {}
         self.services: dict[str, PlainService] = {}
+        self.host_centres: dict[str, str] = {}
+        """Data centre of each host that has been started."""
+        self.journals: dict[str, Journal] = {}
+        self.connectors: dict[str, CutConnector] = {}
+        """How each host reaches targets and the platform."""
         self.hosts: dict[str, Host] = {}
         self.addresses: dict[str, str] = {}
         self.caller_key = secrets.token_urlsafe(16)
@@ -49,6 +87,8 @@
             name: secrets.token_urlsafe(16) for name in ("ana", "ben")
         }
         self._data_centres = data_centres
+        self._target_centres = target_centres
+        self._target_runners: dict[str, web.AppRunner] = {}
         self._settings = settings or {}
         self._runners: list[web.AppRunner] = []
         self._targets: dict[str, dict[str, Any]] = {}
@@ -76,7 +116,10 @@
 
     async def start_host(self, name: str, data_centre: str) -> Host:
         """Start one host and put it on the host list."""
-        host = compose_host(self.build_settings(name, data_centre))
+        self.host_centres[name] = data_centre
+        self.connectors[name] = CutConnector(limit=0)
+        settings = self.build_settings(name, data_centre)
+        host = compose_host(settings, connector=self.connectors[name])
         await host.start()
         self.hosts[name] = host
         peers = f"{LOOPBACK}:{host.ports['peers']}"
@@ -88,7 +131,7 @@
         for host in self.hosts.values():
             await host.drain()
             await host.stop()
-        for runner in reversed(self._runners):
+        for runner in [*self._target_runners.values(), *reversed(self._runners)]:
             await runner.cleanup()
 
     async def roll_out(self, content: bytes, seen: int = 0) -> dict[str, Any]:
@@ -105,6 +148,30 @@
             await host.parts.follower.look()
         return accepted
 
+    async def stop_target(self, name: str) -> None:
+        """End a target abruptly; its connections break off."""
+        runner = self._target_runners.pop(name)
+        for site in list(runner.sites):
+            await site.stop()
+        for connection in runner.server.connections if runner.server else ():
+            if connection.transport is not None:
+                connection.transport.abort()
+        await runner.cleanup()
+        if name in self.engines:
+            self.engines[name].forget_streams()
+
+    async def start_target(self, name: str) -> None:
+        """Start a target that was ended, at its old address."""
+        port = int(self.addresses[name].rpartition(":")[2])
+        target = self.engines.get(name) or self.services[name]
+        await self._serve_target(name, target, port)
+
+    def get_centre(self, name: str) -> str:
+        """Return the data centre of a host or a target."""
+        if name in self._targets:
+            return str(self._targets[name]["data_centre"])
+        return self.host_centres[name]
+
     def get_address(self, host: str, listener: str) -> str:
         """Return the address of one of a host's listeners."""
         return f"http://{LOOPBACK}:{self.hosts[host].ports[listener]}"
@@ -167,32 +234,46 @@
         return yaml.safe_dump(bundle | changes, sort_keys=False).encode()
 
     async def _start_targets(self) -> None:
-        for index, layers in enumerate(RANGES):
-            for replica, step in enumerate((0.001, 0.002)):
-                name = f"engine-{index}-{replica}"
-                engine = self.engines[name] = Engine(name, layers, step)
-                address = await self._serve(engine.build_application())
-                self._add_target(
-                    name,
-                    "drafting",
-                    address,
-                    layers=list(layers),
-                    speed=0.001 / step,
-                    accelerator=("fast", "slow")[replica],
-                )
-        service = self.services["desk-0"] = PlainService("desk-0")
-        address = await self._serve(service.build_application())
-        self._add_target("desk-0", "bookings", address)
-
-    def _add_target(self, name: str, service: str, address: str, **fields: Any) -> None:
+        for number, data_centre in enumerate(self._target_centres):
+            suffix = f"-{data_centre}" if number else ""
+            for index, layers in enumerate(RANGES):
+                for replica, step in enumerate((0.001, 0.002)):
+                    name = f"engine-{index}-{replica}{suffix}"
+                    self.engines[name] = Engine(name, layers, step)
+                    await self._add_target(
+                        name,
+                        data_centre,
+                        service="drafting",
+                        layers=list(layers),
+                        speed=0.001 / step,
+                        accelerator=("fast", "slow")[replica],
+                    )
+            desk = f"desk-{number}"
+            self.services[desk] = PlainService(desk)
+            await self._add_target(desk, data_centre, service="bookings")
+
+    async def _add_target(self, name: str, data_centre: str, **fields: Any) -> None:
+        target = self.engines.get(name) or self.services[name]
+        address = await self._serve_target(name, target)
         self.addresses[name] = address
         self._targets[name] = {
-            "service": service,
-            "data_centre": "hobart",
+            "data_centre": data_centre,
             "address": address,
             **fields,
         }
-        self.platform.add_host(name, "target", "hobart", address)
+        self.platform.add_host(name, "target", data_centre, address)
+
+    async def _serve_target(
+        self, name: str, target: Engine | PlainService, port: int = 0
+    ) -> str:
+        application = target.build_application()
+        journal = self.journals.setdefault(name, Journal())
+        application.middlewares.insert(0, journal.note)
+        runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        self._target_runners[name] = runner
+        await runner.setup()
+        await web.TCPSite(runner, LOOPBACK, port).start()
+        return f"http://{LOOPBACK}:{runner.addresses[0][1]}"
 
     async def _serve(self, application: web.Application) -> str:
         runner = web.AppRunner(application, access_log=None)
--- a/marigoldswitch/standins/engine.py
+++ b/marigoldswitch/standins/engine.py
@@ -201,6 +201,13 @@
             setattr(self.faults, name, value)
         return web.json_response({})
 
+    def forget_streams(self) -> None:
+        """Lose the memory of all streams, as an engine that ends does."""
+        for state in self._streams.values():
+            state.cancelled = True
+            state.queue.put_nowait(None)
+        self._streams.clear()
+
     def _refuse(self) -> web.Response:
         advice = "retry_elsewhere"
         return web.json_response(
