--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -108,9 +108,7 @@
         logger.info("host_draining", host=parts.settings.host)
         parts.state.ready = False
         parts.gossip.leave()
-        hand_over = getattr(parts.dispatching, "hand_over", None)
-        if hand_over is not None:
-            hand_over()
+        parts.dispatching.hand_over()
         await asyncio.sleep(drain.balancer_lag)
         parts.state.accepting = False
         try:
--- a/marigoldswitch/standins/engine.py
+++ b/marigoldswitch/standins/engine.py
@@ -158,12 +158,14 @@
         key = (order["request"], order["epoch"])
         state = self._streams.get(key)
         if state is None:
-            if activation["position"] > order["from"]:
+            is_last = activation["index"] == len(order["chain"]) - 1
+            if is_last or activation["position"] > order["from"]:
                 return web.json_response({"error": "no such stream"}, status=410)
             state = self._hold(order, activation["index"])
         if not await self._run_stage(
             state, activation["position"], activation["trace"]
         ):
+            self._streams.pop(key, None)
             return web.json_response({"error": "broken"}, status=502)
         return web.json_response({})
 
@@ -224,6 +226,7 @@
         order = state.order
         for position in range(order["from"], order["max_tokens"]):
             if state.cancelled or not await self._run_stage(state, position, []):
+                self._streams.pop((order["request"], order["epoch"]), None)
                 return
 
     async def _run_stage(
