Ask leaving targets whether they still are

Cause: a target's own word of leaving ran out after 30 s, and the first request after that went to a target that may be leaving still; a target that came back stayed marked. Change: one host of a data centre looks at each such target's state every second, and renews the mark or takes it back.

--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -20,6 +20,7 @@
 from marigoldswitch.gauges import Gauges
 from marigoldswitch.gossip import Gossip
 from marigoldswitch.hosts import Host, HostParts, HostState, describe_status
+from marigoldswitch.leaving_watch import LeavingWatch
 from marigoldswitch.members import Member, MemberView
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peers import PeerNetwork
@@ -90,6 +91,7 @@
         view,
         network,
         gossip,
+        LeavingWatch(session, view, gossip),
         follower,
         dispatching,
         front,
--- a/marigoldswitch/core/leaving.py
+++ b/marigoldswitch/core/leaving.py
@@ -2,7 +2,7 @@
 
 Each source keeps one mark a target. A mark carries a number, which rises with each
 change, and a time after which it no longer holds, so that a mark that nobody takes back
-ends by itself. A target that still leaves then says so again with its next answer.
+ends by itself.
 """
 
 from collections.abc import Iterable
@@ -13,11 +13,11 @@
 
 HOLDS_SECONDS = {
     MarkSource.HOST_LIST: 600.0,
-    MarkSource.ANSWER: 30.0,
+    MarkSource.ANSWER: 60.0,
     MarkSource.ORDER: 24 * 3600.0,
 }
-"""Seconds that a mark holds: an answer's is short, for the target can say so again; the
-host list's is renewed while the list says so; an order's waits for its operator."""
+"""Seconds that a mark holds. An answer's is renewed while the target says so when it is
+asked, the host list's while the list says so; an order's waits for its operator."""
 
 NEW_WORK_SECONDS = 3.0
 """Seconds after the first word of leaving after which no host sends new work."""
@@ -90,15 +90,27 @@
             return []
         return [self._set(target, MarkSource.ANSWER, True, now)]
 
+    def take_state(self, target: TargetId, now: float) -> list[TargetMark]:
+        """Note that a target says that it is not leaving, or no longer."""
+        held = self._held.get((target, MarkSource.ANSWER))
+        if held is None or not held.mark.leaving:
+            return []
+        return [self._set(target, MarkSource.ANSWER, False, now)]
+
+    def list_answered(self, now: float) -> list[TargetId]:
+        """Return the targets that leave by their own word."""
+        return [
+            target
+            for (target, source), item in self._held.items()
+            if source is MarkSource.ANSWER and item.mark.leaving and item.until > now
+        ]
+
     def take_order(
         self, target: TargetId, leaving: bool, now: float
     ) -> list[TargetMark]:
         """Note that an operator drains a target, or takes that back."""
         fresh = [self._set(target, MarkSource.ORDER, leaving, now)]
-        held = self._held.get((target, MarkSource.ANSWER))
-        if not leaving and held is not None and held.mark.leaving:
-            fresh.append(self._set(target, MarkSource.ANSWER, False, now))
-        return fresh
+        return fresh if leaving else fresh + self.take_state(target, now)
 
     def merge(self, marks: Iterable[TargetMark], now: float) -> list[TargetMark]:
         """Take marks from another host; return those that were new here."""
--- a/marigoldswitch/gossip.py
+++ b/marigoldswitch/gossip.py
@@ -135,6 +135,14 @@
         """Note that a target has answered that it is leaving."""
         self._spread(self._marks.take_answer(target, self._clock.monotonic()))
 
+    def note_staying(self, target: TargetId) -> None:
+        """Note that a target says that it is not leaving."""
+        self._spread(self._marks.take_state(target, self._clock.monotonic()))
+
+    def list_answered(self) -> list[TargetId]:
+        """Return the targets that leave by their own word."""
+        return self._marks.list_answered(self._clock.monotonic())
+
     def drain_target(self, target: TargetId, leaving: bool = True) -> None:
         """Let a target get no new work anywhere, or take that back."""
         logger.info("target_drain", target=target, leaving=leaving)
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -22,6 +22,7 @@
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
 from marigoldswitch.gossip import Gossip
+from marigoldswitch.leaving_watch import LeavingWatch
 from marigoldswitch.members import MemberView
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.settings import Settings
@@ -59,6 +60,7 @@
     view: MemberView
     network: PeerNetwork
     gossip: Gossip
+    leaving_watch: LeavingWatch
     follower: Follower
     dispatching: Dispatching
     front: Front
@@ -98,6 +100,7 @@
         self._spawn(parts.follower.run())
         self._spawn(parts.dispatching.run())
         self._spawn(parts.gossip.run())
+        self._spawn(parts.leaving_watch.run())
         parts.state.ready = True
         logger.info("host_started", host=parts.settings.host, ports=self.ports)
 
@@ -163,6 +166,7 @@
     def _connect_parts(self) -> None:
         parts = self.parts
         parts.follower.watch_bundle(self._use_bundle)
+        parts.follower.watch_bundle(parts.leaving_watch.use_bundle)
         parts.follower.watch_hosts(parts.gossip.use_host_list)
         parts.gossip.watch_leaving(parts.dispatching.use_leaving)
         parts.dispatching.watch_leaving(parts.gossip.note_leaving)
--- a/marigoldswitch/tools/soak.py
+++ b/marigoldswitch/tools/soak.py
@@ -1,6 +1,7 @@
 """A long randomised run: real daemons and stand-ins, faults, a load, invariants."""
 
 import asyncio
+import logging
 import sys
 import time
 from collections import deque
@@ -169,6 +170,20 @@
             raise structlog.DropEvent
 
         structlog.configure(processors=[keep], cache_logger_on_first_use=False)
+        logging.getLogger().handlers = [_Unhandled(self.figures.unhandled)]
+
+
+class _Unhandled(logging.Handler):
+    """Counts the errors that nobody handled, by their last line."""
+
+    def __init__(self, counts: Counter[str]) -> None:
+        super().__init__(logging.ERROR)
+        self._counts = counts
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Count one error."""
+        error = record.exc_info[1] if record.exc_info else None
+        self._counts[f"{record.getMessage()}: {error!r}"[:200]] += 1
 
 
 def soak(
--- a/marigoldswitch/tools/soak_report.py
+++ b/marigoldswitch/tools/soak_report.py
@@ -28,6 +28,7 @@
     heals: list[float] = field(default_factory=list)
     rests: list[float] = field(default_factory=list)
     gaps: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    unhandled: Counter[str] = field(default_factory=Counter)
     slowest_loop: float = 0.0
 
     def take(self, attempt: Attempt, player: FaultPlayer) -> None:
@@ -51,6 +52,8 @@
     print("  seconds from the last request to rest:", _describe(figures.rests))
     for fault, seconds in sorted(figures.gaps.items()):
         print(f"  longest gap of answered streams, {fault}: {_describe(seconds)}")
+    for what, count in figures.unhandled.items():
+        print(f"  unhandled, {count} times: {what}")
     print(f"  slowest turn of the loop: {figures.slowest_loop:.2f} s", flush=True)
 
 
