--- a/marigoldswitch/tools/soak.py
+++ b/marigoldswitch/tools/soak.py
@@ -4,7 +4,7 @@
 import logging
 import sys
 import time
-from collections import deque
+from collections import Counter, deque
 from pathlib import Path
 from random import Random
 from typing import Any
