--- a/marigoldswitch/gossip.py
+++ b/marigoldswitch/gossip.py
@@ -73,7 +73,8 @@
         self._seeds = settings.seeds
         self._period = settings.probe_period
         self._marks = marks
-        self._leaving: frozenset[TargetId] = frozenset()
+        self.leaving: frozenset[TargetId] = frozenset()
+        """Targets that may get no new work."""
         self._leaving_listeners: list[Callable[[frozenset[TargetId]], None]] = []
         self._transport: asyncio.DatagramTransport | None = None
         network.register(Introduction, self._take_introduction)
@@ -226,10 +227,10 @@
 
     def _tell_leaving(self) -> None:
         leaving = self._marks.list_leaving(self._clock.monotonic())
-        if leaving == self._leaving:
+        if leaving == self.leaving:
             return
         logger.info("leaving_targets", targets=sorted(leaving))
-        self._leaving = leaving
+        self.leaving = leaving
         for listener in self._leaving_listeners:
             listener(leaving)
 
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -207,6 +207,7 @@
     ) -> None:
         """Let callers open their next connection elsewhere."""
         if not self.parts.state.ready:
+            response.headers["Connection"] = "close"
             response.force_close()
 
     async def _listen(self, application: web.Application, port: int) -> int:
--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -128,9 +128,9 @@
 
     async def stop(self) -> None:
         """Stop the hosts as planned, then the rest."""
-        for host in self.hosts.values():
-            await host.drain()
-            await host.stop()
+        hosts = list(self.hosts.values())
+        await asyncio.gather(*(host.drain() for host in hosts))
+        await asyncio.gather(*(host.stop() for host in hosts))
         for runner in [*self._target_runners.values(), *reversed(self._runners)]:
             await runner.cleanup()
 
