--- a/marigoldswitch/tools/bench/figures.py
+++ b/marigoldswitch/tools/bench/figures.py
@@ -11,7 +11,8 @@
 from marigoldswitch.tools.bench.baselines import BASELINES, Policy
 from marigoldswitch.tools.bench.plays import Arrivals, Play, Trouble, estimate_share
 from marigoldswitch.tools.bench.router import Ideas, Router
-from marigoldswitch.tools.bench.world import End, Job, ModelTarget, VirtualTime
+from marigoldswitch.tools.bench.virtual import VirtualTime
+from marigoldswitch.tools.bench.world import PLACES, End, Job, ModelTarget
 
 PERCENTILES = (50, 95, 99)
 
@@ -37,6 +38,7 @@
     refused: int
     late: int
     failed: int
+    host_lost: int
     refused_at: float
     hottest: float
     extra: dict[str, float] = field(default_factory=dict)
@@ -59,6 +61,7 @@
     _arrive_next(time, iter(Arrivals(play, seed)), taker, jobs)
     time.after(play.trouble_at, lambda: _make_trouble(play, taker, targets))
     time.run(play.end)
+    time.close()
     return _reckon(play, jobs, targets)
 
 
@@ -72,6 +75,7 @@
             slots,
             0.25 if number < play.slow else 1.0,
             bound,
+            PLACES[number % play.places],
         )
         for number in range(play.targets)
     ]
@@ -114,7 +118,9 @@
         case Trouble.DISPATCHER_LOST if isinstance(policy, Router):
             policy.lose_dispatcher()
         case Trouble.HOSTS_LOST if isinstance(policy, Router):
-            policy.lose_hosts(policy.hosts[-(len(policy.hosts) // 3) :])
+            policy.lose_hosts(policy.play.hosts // 3)
+        case Trouble.SPLIT if isinstance(policy, Router):
+            policy.split()
         case _:
             pass
 
@@ -145,6 +151,7 @@
         refused=len(refused),
         late=sum(job.end is End.LATE for job in ended),
         failed=sum(job.end is End.FAILED for job in ended),
+        host_lost=sum(job.end is End.HOST_LOST for job in ended),
         refused_at=float(numpy.median(spent)) if spent else 0.0,
         hottest=max(loads) / max(1e-9, fmean(loads)),
     )
--- a/marigoldswitch/tools/bench/output.py
+++ b/marigoldswitch/tools/bench/output.py
@@ -41,6 +41,7 @@
     "ref. at": lambda item: item.refused_at,
     "late": lambda item: item.late,
     "failed": lambda item: item.failed,
+    "host lost": lambda item: item.host_lost,
     "hottest": lambda item: item.hottest,
 }
 
--- a/marigoldswitch/tools/bench/plays.py
+++ b/marigoldswitch/tools/bench/plays.py
@@ -1,6 +1,5 @@
 """The plays: who asks for what when, and what fails meanwhile."""
 
-import math
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
@@ -36,7 +35,8 @@
     :param prefixes: number of prefixes that four fifths of the jobs share.
     :param slow: targets that are four times slower than the router is told.
     :param long_share: share of jobs that are long.
-    :param understated: slots that targets really have, over what the bundle says.
+    :param true_slots: slots that targets really have, over what the bundle says.
+    :param places: data centres that hosts and targets are in.
     """
 
     name: str
@@ -54,6 +54,7 @@
     targets: int = 30
     slots: int = 8
     hosts: int = 8
+    places: int = 1
 
     @property
     def capacity(self) -> float:
@@ -94,7 +95,7 @@
     Play("target lost", 0.92, trouble=Trouble.TARGET_LOST),
     Play("dispatcher lost", 0.92, trouble=Trouble.DISPATCHER_LOST),
     Play("hosts lost", 0.92, trouble=Trouble.HOSTS_LOST),
-    Play("split", 0.8, trouble=Trouble.SPLIT),
+    Play("split", 0.8, trouble=Trouble.SPLIT, places=3, hosts=9),
 )
 
 
@@ -164,8 +165,3 @@
         shares[first] = min(demands[first], equal)
         room -= shares[first]
     return shares
-
-
-def is_finite(value: float) -> bool:
-    """Tell whether a figure can be printed."""
-    return math.isfinite(value)
--- a/marigoldswitch/tools/bench/world.py
+++ b/marigoldswitch/tools/bench/world.py
@@ -1,18 +1,20 @@
 """Virtual time, jobs and service-time models of targets."""
 
-import heapq
-import itertools
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
 from marigoldswitch.core.catalogue import Priority
+from marigoldswitch.core.ids import DataCentre
+from marigoldswitch.tools.bench.virtual import VirtualTime
 
 MEAN_SECONDS = 2.0
 """Run time of a job of cost 1 on a target of speed 1."""
 LINK_SECONDS = 0.0005
 """One-way seconds of a message inside a data centre."""
+HOBART = DataCentre("hobart")
+PLACES = (HOBART, DataCentre("launceston"), DataCentre("devonport"))
 CACHED_PREFIXES = 4
 """Prefixes that a target's cache holds."""
 CACHED_SHARE = 0.4
@@ -26,6 +28,8 @@
     REFUSED = "refused"
     LATE = "late"
     FAILED = "failed"
+    HOST_LOST = "host_lost"
+    """The entry host that held it was lost."""
 
 
 @dataclass(slots=True, eq=False)
@@ -53,27 +57,6 @@
     saved: bool = False
 
 
-class VirtualTime:
-    """A heap of things to do."""
-
-    def __init__(self) -> None:
-        self.now = 0.0
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._numbers = itertools.count()
-
-    def after(self, seconds: float, work: Callable[[], None]) -> None:
-        """Do something later."""
-        item = (self.now + max(0.0, seconds), next(self._numbers), work)
-        heapq.heappush(self._heap, item)
-
-    def run(self, until: float) -> None:
-        """Let time pass."""
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, work = heapq.heappop(self._heap)
-            work()
-        self.now = until
-
-
 class TargetEnd(Enum):
     """What a target says of a job."""
 
@@ -105,7 +88,7 @@
     slots: int
     speed: float = 1.0
     most_waiting: int = 1_000_000
-    data_centre: str = "hobart"
+    data_centre: DataCentre = HOBART
     alive: bool = True
     refuses: bool = False
     running: int = 0
