--- a/marigoldswitch/core/messages.py
+++ b/marigoldswitch/core/messages.py
@@ -280,6 +280,26 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Inquiry:
+    """A host asks another one on behalf of an operator.
+
+    :param number: tells the replies of one question from those of another.
+    """
+
+    number: int
+    subject: str
+    argument: str
+
+
+@dataclass(frozen=True, slots=True)
+class InquiryReply:
+    """What the host answers, as JSON."""
+
+    number: int
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Introduction:
     """A host's whole table of hosts and its marks of leaving targets.
@@ -312,5 +332,7 @@
     | ClaimReply
     | FetchBundle
     | BundleContent
+    | Inquiry
+    | InquiryReply
     | Introduction
 )
