--- a/marigoldswitch/tools/bench/__main__.py
+++ b/marigoldswitch/tools/bench/__main__.py
@@ -9,6 +9,7 @@
 
 from marigoldswitch.tools.bench.baselines import BASELINES
 from marigoldswitch.tools.bench.figures import run_play
+from marigoldswitch.tools.bench.live import measure_daemon
 from marigoldswitch.tools.bench.output import Row, draw_rows, print_rows, write_rows
 from marigoldswitch.tools.bench.plays import Play, find_plays
 from marigoldswitch.tools.bench.router import Router
@@ -40,7 +41,8 @@
     :param out: folder for JSON and plots.
     """
     if level is Level.DAEMON:
-        raise NotImplementedError
+        measure_daemon(out)
+        return 0
     rows = _measure_decisions(_choose_plays(plays), policies, seeds, workers)
     print_rows(rows)
     write_rows(rows, out)
