--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -14,10 +14,11 @@
 
 from marigoldswitch.administration import Administration
 from marigoldswitch.callers import CallerInterface
+from marigoldswitch.claiming import Claims
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.catalogue import Bundle
 from marigoldswitch.core.datagrams import MemberRecord
-from marigoldswitch.core.ids import DataCentre, HostId, Incarnation
+from marigoldswitch.core.ids import AccountId, DataCentre, HostId, Incarnation
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.drains import Drains
 from marigoldswitch.followers import Follower
@@ -72,6 +73,7 @@
     drains: Drains
     orderer: Orderer
     tls: Tls
+    claims: Claims
 
 
 class Host:
@@ -112,6 +114,7 @@
         self._spawn(parts.orderer.run(lambda: parts.follower.polls_often))
         self._spawn(parts.dispatching.run())
         self._spawn(parts.gossip.run())
+        self._spawn(parts.claims.run(self._list_accounts, self._is_first_host))
         parts.state.ready = True
         logger.info("host_started", host=parts.settings.host, ports=self.ports)
 
@@ -130,6 +133,8 @@
         try:
             async with asyncio.timeout(drain.longest):
                 await self._idle.wait()
+                await parts.front.wait_idle()
+                await parts.claims.flush()
         except TimeoutError:
             logger.warning(
                 "drain_cut_short",
@@ -142,6 +147,8 @@
         """Close everything; what is still in flight has a moment to end."""
         for runner in self._runners:
             await runner.cleanup()
+        await self.parts.front.stop()
+        await self.parts.claims.stop()
         await self._end_tasks()
         self.parts.gossip.leave(gone=True)
         self.parts.gossip.stop()
@@ -156,13 +163,13 @@
         """
         self.parts.gossip.stop()
         await self.parts.network.stop()
+        await self.parts.claims.stop()
         await self.parts.session.close()
         for runner in self._runners:
             for connection in runner.server.connections if runner.server else ():
                 if connection.transport is not None:
                     connection.transport.abort()
-        for request in list(self.parts.front.held.values()):
-            request.cancel()
+        await self.parts.front.stop()
         await self._end_tasks()
         for runner in self._runners:
             await runner.cleanup()
@@ -184,6 +191,14 @@
         parts.gossip.watch_leaving(parts.dispatching.use_leaving)
         parts.dispatching.watch_leaving(parts.gossip.note_leaving)
 
+    def _list_accounts(self) -> list[AccountId]:
+        bundle = self.parts.adoption.bundle
+        return list(bundle.accounts) if bundle else []
+
+    def _is_first_host(self) -> bool:
+        """Tell whether this host does what one host is enough for."""
+        return min(self.parts.view.members) == self.parts.settings.host
+
     def _use_bundle(self, bundle: Bundle) -> None:
         self.parts.dispatching.use_bundle(bundle)
         self.parts.gossip.use_bundle(bundle.version)
