--- a/marigoldswitch/core/dispatcher.py
+++ b/marigoldswitch/core/dispatcher.py
@@ -21,6 +21,7 @@
     Rebuild,
     Send,
     TargetsChanged,
+    TargetsListed,
     Tick,
 )
 from marigoldswitch.core.ids import DataCentre, HostId, PermitId
@@ -129,6 +130,8 @@
                 held = self.out.count_targets()
                 self.pool.replace_targets(targets, leaving, held)
                 self._measure()
+            case TargetsListed(names=names):
+                self.pool.use_list(names)
             case Rebuild(fronts=fronts):
                 self._unheard = fronts
                 self._fronts = max(1, len(fronts))
--- a/marigoldswitch/core/pool.py
+++ b/marigoldswitch/core/pool.py
@@ -27,6 +27,10 @@
 """Share of its limit that a probed target may use: it comes to one request."""
 REFRESH_SECONDS = 0.25
 FORGET_SECONDS = 5.0
+MOST_UNLISTED = 0.5
+"""Share of the pool above which a list that does not name it is implausible: data
+centres are lost one at a time; a list that is empty or cut short is a fault of the
+platform."""
 UNLISTED_SECONDS = 30.0
 """Time since its last answer after which a target that the host list no longer names is
 not used; while it answers, the list is taken to be wrong."""
@@ -46,7 +50,10 @@
     outliers: OutlierWatch = field(default_factory=OutlierWatch)
     ramps: Ramps = field(default_factory=Ramps)
     affinity: Affinity = field(default_factory=Affinity)
+    distrusts_list: bool = False
+    """The host list names so few targets of the pool that it is not followed."""
     _ranking: Ranking = field(default_factory=Ranking)
+    _listed: frozenset[TargetId] | None = None
     _unlisted: dict[TargetId, float | None] = field(default_factory=dict)
     """Targets that the host list does not name, and since when."""
     _changed: set[TargetId] = field(default_factory=set)
@@ -64,13 +71,11 @@
         targets: Iterable[Target],
         leaving: frozenset[TargetId],
         held: Mapping[TargetId, int],
-        unlisted: frozenset[TargetId] = frozenset(),
     ) -> None:
         """Take the targets of a new bundle or host list.
 
         :param leaving: those that may get no new work.
         :param held: permits out on each target.
-        :param unlisted: those that the host list does not name.
         """
         listed = list(targets)
         known = set(self.states)
@@ -87,15 +92,27 @@
         self.rates.replace(listed)
         self.outliers.replace(set(states))
         self._start_slowly(known)
-        self._unlisted = {
-            name: self._unlisted.get(name) for name in states if name in unlisted
-        }
+        self._find_unlisted()
         self._held = sum(state.held for state in states.values())
         for name in known - set(states):
             self._ranking.remove(name)
             self.affinity.forget(name)
         self._renew_shares(self.states)
 
+    def use_list(self, names: frozenset[TargetId]) -> None:
+        """Take the targets that the host list names."""
+        self._listed = names
+        self._find_unlisted()
+        self._renew_shares(self.states)
+
+    def _find_unlisted(self) -> None:
+        """Note which targets the host list does not name, unless it is implausible."""
+        missing = set() if self._listed is None else set(self.states) - self._listed
+        self.distrusts_list = len(missing) > MOST_UNLISTED * len(self.states)
+        if self.distrusts_list:
+            missing = set()
+        self._unlisted = {name: self._unlisted.get(name) for name in sorted(missing)}
+
     def _start_slowly(self, known: set[TargetId]) -> None:
         fresh = set(self.states) - known
         self.ramps.stop(known - set(self.states))
--- a/marigoldswitch/dispatchers.py
+++ b/marigoldswitch/dispatchers.py
@@ -97,6 +97,7 @@
         self._view = view
         self._topology: Topology | None = None
         self._leaving: frozenset[TargetId] = frozenset()
+        self._listed: frozenset[TargetId] | None = None
         self._members: set[HostId] = set(view.members)
         self._handed_over = False
         handlers: dict[type[Message], Callable[..., None]] = {
@@ -128,6 +129,21 @@
         self._leaving = leaving
         self._refresh_targets()
 
+    def use_list(self, names: frozenset[TargetId]) -> None:
+        """Take the targets that the host list names."""
+        if names == self._listed:
+            return
+        self._listed = names
+        for key, dispatcher in self.owned.items():
+            self._builder.feed(dispatcher, core.TargetsListed(names))
+            if dispatcher.pool.distrusts_list:
+                logger.warning(
+                    "host_list_implausible",
+                    listed=len(names),
+                    targets=len(dispatcher.pool.states),
+                    **_describe(key),
+                )
+
     def tick(self) -> None:
         """Let time pass."""
         for key, dispatcher in list(self.owned.items()):
@@ -184,6 +200,8 @@
             topology.list_targets(key),
             self._leaving,
         )
+        if self._listed is not None:
+            self._builder.feed(dispatcher, core.TargetsListed(self._listed))
         own = self._view.own.host
         fronts = frozenset(self._view.members)
         self._builder.feed(dispatcher, core.Rebuild(fronts))
--- a/marigoldswitch/dispatching.py
+++ b/marigoldswitch/dispatching.py
@@ -123,6 +123,10 @@
         self.dispatchers.use_leaving(leaving)
         self._local.use_leaving(leaving)
 
+    def use_list(self, names: frozenset[TargetId]) -> None:
+        """Take the targets that the host list names."""
+        self.dispatchers.use_list(names)
+
     def watch_leaving(self, listener: Callable[[TargetId], None]) -> None:
         """Call ``listener`` with each target that answers that it is leaving."""
         self._leaving_listeners.append(listener)
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -18,7 +18,14 @@
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.catalogue import Bundle
 from marigoldswitch.core.datagrams import MemberRecord
-from marigoldswitch.core.ids import AccountId, DataCentre, HostId, Incarnation
+from marigoldswitch.core.ids import (
+    AccountId,
+    DataCentre,
+    HostId,
+    Incarnation,
+    TargetId,
+)
+from marigoldswitch.core.ports import HostEntry, HostRole
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.drains import Drains
 from marigoldswitch.followers import Follower
@@ -187,6 +194,7 @@
         parts = self.parts
         parts.follower.watch_bundle(self._use_bundle)
         parts.follower.watch_hosts(parts.gossip.use_host_list)
+        parts.follower.watch_hosts(self._use_list)
         parts.follower.watch_drains(parts.gossip.use_drains)
         parts.gossip.watch_leaving(parts.dispatching.use_leaving)
         parts.dispatching.watch_leaving(parts.gossip.note_leaving)
@@ -203,6 +211,11 @@
         self.parts.dispatching.use_bundle(bundle)
         self.parts.gossip.use_bundle(bundle.version)
 
+    def _use_list(self, entries: list[HostEntry]) -> None:
+        targets = (item for item in entries if item.role is HostRole.TARGET)
+        names = frozenset(TargetId(item.id) for item in targets)
+        self.parts.dispatching.use_list(names)
+
     def _build_record(self) -> MemberRecord:
         """Return this host's own record with the ports that it really has."""
         settings = self.parts.settings
--- a/marigoldswitch/tools/bench/virtual.py
+++ b/marigoldswitch/tools/bench/virtual.py
@@ -37,6 +37,10 @@
         """Return the same, as a clock does."""
         return self._selector.skipped
 
+    def wall(self) -> float:
+        """Return the same; nothing in the plays looks at the calendar."""
+        return self._selector.skipped
+
     def after(self, seconds: float, work: Callable[[], None]) -> None:
         """Do something later."""
         self.loop.call_later(max(0.0, seconds), work)
