Offer an accepted bundle to its own host at once; measure bundles

Cause: with a platform slower than its timeout nobody could read a bundle that had been accepted a moment before; a check held the loop for 11 ms. Change: the host that accepted a bundle adopts it from what it wrote; the check of parts and of the whole are two turns of the loop; an acceptance first reads the content.

--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -84,6 +84,7 @@
         drains,
         settings.platform,
     )
+    releases.watch_accepted(follower.offer)
     dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout)
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
     claims = Claims(platform, own.host, incarnation)
--- a/marigoldswitch/followers.py
+++ b/marigoldswitch/followers.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -18,7 +18,8 @@
 from marigoldswitch.bundles import (
     CANONICAL_SOURCE,
     build_bundle,
-    check_document,
+    check_parts,
+    check_whole,
     load_canonical,
 )
 from marigoldswitch.core.adoption import Adoption
@@ -86,6 +87,8 @@
     ) -> None:
         self.adoption = adoption
         self.hosts: list[HostEntry] = []
+        self.counts: Counter[str] = Counter()
+        """Questions to peers (asked) and bundles sent to them (told)."""
         self.refused = 0
         """Bundles that came and could not be adopted."""
         self._releases = releases
@@ -165,6 +168,7 @@
         else:
             asked = self._choose_blindly([item.host for item in others])
         for host in asked:
+            self.counts["asked"] += 1
             self._send(host, FetchBundle(own))
 
     def _choose_blindly(self, hosts: list[HostId]) -> list[HostId]:
@@ -181,6 +185,7 @@
         if self._in_force is None or self.adoption.version <= message.above:
             return
         record, packed = self._in_force.record, self._in_force.packed
+        self.counts["told"] += 1
         answer = BundleContent(record.version, encode_record(record), packed)
         self._send(sender, answer)
 
@@ -193,7 +198,11 @@
         except ValueError as error:
             self._refuse("bundle_record_wrong", sender=sender, why=str(error))
             return
-        self._offers.append(InForce(record, message.content))
+        self.offer(record, message.content)
+
+    def offer(self, record: AcceptedRecord, packed: bytes) -> None:
+        """Keep a bundle until it is verified."""
+        self._offers.append(InForce(record, packed))
         self._offered.set()
 
     async def run_offers(self) -> None:
@@ -244,7 +253,11 @@
         if isinstance(document, Err):
             return Err(document.err_value)
         await asyncio.sleep(0)
-        return check_document(document.ok_value, CANONICAL_SOURCE)
+        parts = check_parts(document.ok_value, CANONICAL_SOURCE)
+        if isinstance(parts, Err):
+            return Err(parts.err_value)
+        await asyncio.sleep(0)
+        return check_whole(parts.ok_value, CANONICAL_SOURCE)
 
     def _put_in_force(self, bundle: Bundle, in_force: InForce) -> bool:
         try:
--- a/marigoldswitch/releases.py
+++ b/marigoldswitch/releases.py
@@ -1,6 +1,6 @@
 """Life cycle of bundles in the platform: draft, reviewed, signed off, accepted."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -110,6 +110,7 @@
         self._table = table
         self._objects = objects
         self._operators = operators
+        self._listeners: list[Callable[[AcceptedRecord, bytes], None]] = []
 
     async def submit(
         self, content: bytes, endorsement: Endorsement, why: str = ""
@@ -176,10 +177,21 @@
         reason = find_record_fault(record, self._operators)
         if reason is not None:
             return Err(Refusal(ReleaseFault.SIGNATURE, (reason,)))
+        packed = await self._fetch_whole(digest)
+        if isinstance(packed, Err):
+            return Err(packed.err_value)
         refusal = await self._check_upgrade(record)
         if refusal is not None:
             return Err(refusal)
-        return await self._write_record(record, read.ok_value)
+        accepted = await self._write_record(record, read.ok_value)
+        if isinstance(accepted, Ok):
+            for listener in self._listeners:
+                listener(record, packed.ok_value)
+        return accepted
+
+    def watch_accepted(self, listener: Callable[[AcceptedRecord, bytes], None]) -> None:
+        """Call ``listener`` with each bundle accepted here and its packed content."""
+        self._listeners.append(listener)
 
     async def read_accepted(self) -> Result[AcceptedRecord | None, StoreFault]:
         """Return the record in force."""
@@ -234,6 +246,17 @@
         except ValueError:
             return Err(StoreFault.UNAVAILABLE)
 
+    async def _fetch_whole(self, digest: Digest) -> Result[bytes, Refusal]:
+        """Return a draft's packed content; it must be there before it is accepted."""
+        packed = await self.fetch(digest)
+        if isinstance(packed, Err):
+            return Err(_blame_platform(packed.err_value))
+        content = packed.ok_value
+        if content is None or isinstance(unpack_content(content, digest), Err):
+            lines = ("its content is missing or damaged; submit it again",)
+            return Err(Refusal(ReleaseFault.INVALID, lines))
+        return Ok(content)
+
     async def _check_upgrade(self, record: AcceptedRecord) -> Refusal | None:
         """Tell why a bundle may not follow the one in force; ``None`` where it may."""
         read = await self.read_accepted()
--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -96,21 +96,34 @@
 
     async def roll_out(self, content: bytes, seen: int = 0) -> dict[str, Any]:
         """Submit, review, sign off and accept a bundle as operators do."""
-        address = self.get_address(next(iter(self.hosts)), "administration")
+        accepted = await self.accept(await self.prepare(content), seen)
+        for host in self.hosts.values():
+            await host.parts.follower.look()
+        return accepted
+
+    async def prepare(self, content: bytes) -> str:
+        """Take a bundle in YAML up to its sign-off; return its digest."""
         canonical = read_bundle(content, "bundle").unwrap().content
+        why = "prepare"
         async with aiohttp.ClientSession() as session:
-            ana, ben = (
-                AdminClient(session, address, key, self.signers[name])
-                for name, key in self.operator_keys.items()
-            )
-            why = "roll out"
+            ana, ben = (self._build_client(session, name) for name in ("ana", "ben"))
             draft = (await ana.submit(canonical, why)).unwrap()
             (await ana.review(draft["digest"], why)).unwrap()
             (await ben.sign_off(draft["digest"], why)).unwrap()
-            accepted = (await ben.accept(draft["digest"], seen, why)).unwrap()
-        for host in self.hosts.values():
-            await host.parts.follower.look()
-        return accepted
+        return str(draft["digest"])
+
+    async def accept(self, digest: str, seen: int) -> dict[str, Any]:
+        """Put a prepared bundle in force."""
+        async with aiohttp.ClientSession() as session:
+            client = self._build_client(session, "ben")
+            return (await client.accept(digest, seen, "roll out")).unwrap()
+
+    def _build_client(
+        self, session: aiohttp.ClientSession, operator: str
+    ) -> AdminClient:
+        address = self.get_address(next(iter(self.hosts)), "administration")
+        key, signer = self.operator_keys[operator], self.signers[operator]
+        return AdminClient(session, address, key, signer)
 
     def get_address(self, host: str, listener: str) -> str:
         """Return the address of one of a host's listeners."""
