--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -36,6 +36,7 @@
 from marigoldswitch.operators import OperatorDirectory
 from marigoldswitch.orderers import Orderer, OrdererPorts, OrderSwitch
 from marigoldswitch.peers import PeerNetwork
+from marigoldswitch.quotas import QuotaSharing
 from marigoldswitch.releases import Releases
 from marigoldswitch.runs import Parts
 from marigoldswitch.settings import Settings
@@ -85,7 +86,8 @@
         settings.platform,
     )
     releases.watch_accepted(follower.offer)
-    dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout)
+    quotas = QuotaSharing(clock, network, view)
+    dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout, quotas)
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
     claims = Claims(platform, own.host, incarnation)
     plain, chains = PlainClient(session), ChainClient(session)
