--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -93,6 +93,7 @@
         drains,
         settings.platform,
     )
+    releases.watch_accepted(follower.offer)
     quotas = QuotaSharing(clock, network, view)
     dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout, quotas)
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 from aiohttp import web
-from result import Err, Result
+from result import Err, Ok, Result
 
 from marigoldswitch.bundles import read_bundle
 from marigoldswitch.compose import compose_host
@@ -140,7 +140,7 @@
 
     async def roll_out(self, content: bytes, seen: int = 0) -> dict[str, Any]:
         """Submit, review, sign off and accept a bundle as operators do."""
-        accepted = await self.try_roll_out(content, seen, next(iter(self.hosts)))
+        accepted = await self.try_roll_out(content, seen, self._first)
         for host in self.hosts.values():
             await host.parts.follower.look()
         return accepted.unwrap()
@@ -149,23 +149,53 @@
         self, content: bytes, seen: int, host: str
     ) -> Result[dict[str, Any], CallFault]:
         """Take a bundle through its life cycle at a host; a step may be refused."""
-        address = self.get_address(host, "administration")
+        prepared = await self._prepare(content, host)
+        if isinstance(prepared, Err):
+            return prepared
+        return await self._accept(prepared.ok_value, seen, host)
+
+    async def prepare(self, content: bytes) -> str:
+        """Take a bundle in YAML up to its sign-off; return its digest."""
+        return (await self._prepare(content, self._first)).unwrap()
+
+    async def accept(self, digest: str, seen: int) -> dict[str, Any]:
+        """Put a prepared bundle in force."""
+        return (await self._accept(digest, seen, self._first)).unwrap()
+
+    @property
+    def _first(self) -> str:
+        return next(iter(self.hosts))
+
+    async def _prepare(self, content: bytes, host: str) -> Result[str, CallFault]:
         canonical = read_bundle(content, "bundle").unwrap().content
+        why = "prepare"
         async with aiohttp.ClientSession() as session:
             ana, ben = (
-                AdminClient(session, address, key, self.signers[name])
-                for name, key in self.operator_keys.items()
+                self._build_client(session, name, host) for name in ("ana", "ben")
             )
-            why = "roll out"
             draft = await ana.submit(canonical, why)
             if isinstance(draft, Err):
                 return draft
-            digest = draft.ok_value["digest"]
+            digest = str(draft.ok_value["digest"])
             for step in (ana.review, ben.sign_off):
                 taken = await step(digest, why)
                 if isinstance(taken, Err):
                     return taken
-            return await ben.accept(digest, seen, why)
+        return Ok(digest)
+
+    async def _accept(
+        self, digest: str, seen: int, host: str
+    ) -> Result[dict[str, Any], CallFault]:
+        async with aiohttp.ClientSession() as session:
+            client = self._build_client(session, "ben", host)
+            return await client.accept(digest, seen, "roll out")
+
+    def _build_client(
+        self, session: aiohttp.ClientSession, operator: str, host: str
+    ) -> AdminClient:
+        address = self.get_address(host, "administration")
+        key, signer = self.operator_keys[operator], self.signers[operator]
+        return AdminClient(session, address, key, signer)
 
     async def stop_target(self, name: str) -> None:
         """End a target abruptly; its connections break off."""
