Streams: recovery that keeps surviving stages, reordering, stall detection

A broken chain avoided every target of every earlier attempt, which used the pool up; a stalled stage held the caller until its deadline; a token out of order killed the request; a caller that went away in mid-stream raised a RuntimeError in the chain client. Now the stages are asked how far they are, only the failed ones are avoided, KV cache is moved or recomputed, and an answer that has begun goes on.

--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -6,8 +6,9 @@
 import aiohttp
 
 from marigoldswitch.administration import Administration
-from marigoldswitch.backends import ChainClient, PlainClient
+from marigoldswitch.backends import PlainClient
 from marigoldswitch.callers import CallerInterface
+from marigoldswitch.chains import ChainClient
 from marigoldswitch.claiming import Claims
 from marigoldswitch.clocks import SystemClock
 from marigoldswitch.core.adoption import Adoption
@@ -60,7 +61,7 @@
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
     claims = Claims(platform, platform, network, clock, settings.claims, incarnation)
     plain, chains = PlainClient(session), ChainClient(session)
-    parts = Parts(clock, own, dispatching, claims, plain, chains)
+    parts = Parts(clock, own, dispatching, claims, plain, chains, settings.streams)
     metrics = Metrics()
     front = Front(parts, metrics, settings.requests.held)
     metrics.add_source(Gauges(metrics, adoption, view, network, dispatching).read)
--- a/marigoldswitch/core/delivery.py
+++ b/marigoldswitch/core/delivery.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from marigoldswitch.core.errors import Advice
+from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.messages import Load
 
 
@@ -22,6 +23,8 @@
     """An attempt that brought no answer.
 
     :param advice: what the target said to do next, if it said anything.
+    :param target: the stage of a chain that is known to be at fault.
+    :param deadline: the request's time was up, which says nothing against a target.
     """
 
     delivery: Delivery
@@ -29,3 +32,5 @@
     advice: Advice | None = None
     leaving: bool = False
     load: Load | None = None
+    target: TargetId | None = None
+    deadline: bool = False
--- a/marigoldswitch/fronts.py
+++ b/marigoldswitch/fronts.py
@@ -79,6 +79,10 @@
 
     async def stop(self) -> None:
         """Break off what is held."""
+        await self._stop_held()
+        await self._parts.chains.stop()
+
+    async def _stop_held(self) -> None:
         while self.held:
             tasks = list(self.held.values())
             for task in tasks:
--- a/marigoldswitch/plain_runs.py
+++ b/marigoldswitch/plain_runs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+from dataclasses import replace
 
 import orjson
 from result import Err, Ok, Result
@@ -83,7 +84,7 @@
                     self.release(permit.ok_value, 0.0)
             if isinstance(answer, Ok):
                 return Ok(answer.ok_value)
-            self.avoid += permit.ok_value.targets
+            self.shun(permit.ok_value.targets)
             fault = self.judge(answer.err_value)
             if fault is not None:
                 return Err(fault)
@@ -192,5 +193,7 @@
                 self.release(grant, taken, TargetReport(target.id, taken, load=load))
                 return Ok(answer)
             case Err(miss):
+                late = self.left <= 0.0 and miss.delivery is Delivery.MAY_HAVE_RUN
+                miss = replace(miss, deadline=late)
                 self.release(grant, taken, describe_miss(target, miss))
                 return Err(miss)
--- a/marigoldswitch/runs.py
+++ b/marigoldswitch/runs.py
@@ -7,10 +7,12 @@
 
 from result import Err, Ok, Result
 
-from marigoldswitch.backends import ChainClient, PlainClient
+from marigoldswitch.backends import PlainClient
+from marigoldswitch.chains import ChainClient
 from marigoldswitch.claiming import Claims
 from marigoldswitch.core.catalogue import Bundle, Target
 from marigoldswitch.core.delivery import Delivery, Miss
+from marigoldswitch.core.diagnosis import can_serve
 from marigoldswitch.core.errors import Advice, ErrorKind, Fault
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.lifecycle import Lifecycle
@@ -20,6 +22,7 @@
 from marigoldswitch.core.retries import is_not_run, may_retry
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.members import Member
+from marigoldswitch.settings import StreamSettings
 
 Event = Token | Answer | End | Fault
 Emit = Callable[[Event], Awaitable[None]]
@@ -36,6 +39,7 @@
     claims: Claims
     plain: PlainClient
     chains: ChainClient
+    streams: StreamSettings = StreamSettings()
 
 
 class Run:
@@ -57,6 +61,8 @@
         self.attempt = 0
         self.avoid: tuple[TargetId, ...] = ()
         """Targets that have failed or refused this request."""
+        self.recoveries = 0
+        """Attempts that do not count, since the one before them made progress."""
         self.keep: tuple[TargetId, ...] = ()
         """Targets of a broken chain that survive."""
         self.remainder: asyncio.Task[Any] | None = None
@@ -97,7 +103,7 @@
         trusts = self.service.trusts_not_run
         if is_not_run(miss, trusts):
             self.life.retract_delivery()
-        if may_retry(miss, self.request.idempotent, trusts, self.attempt):
+        if may_retry(miss, self.request.idempotent, trusts, self._tries):
             return None
         if not self.life.deliveries:
             return _describe_unrun(miss)
@@ -105,6 +111,24 @@
             return Fault(ErrorKind.DEADLINE_EXCEEDED, miss.detail)
         return Fault(ErrorKind.TARGET_LOST, miss.detail)
 
+    def shun(self, targets: tuple[TargetId, ...]) -> None:
+        """Avoid targets from now on, as long as others can do the work.
+
+        Those that failed longest ago are tried again first.
+        """
+        self.avoid = tuple(item for item in self.avoid if item not in targets) + targets
+        known = self.bundle.list_targets(self.service.name)
+        while self.avoid:
+            others = [item for item in known if item.id not in self.avoid]
+            if can_serve(self.service, others):
+                return
+            self.avoid = self.avoid[1:]
+
+    @property
+    def _tries(self) -> int:
+        """Return the number of attempts that count, from 1."""
+        return self.attempt - self.recoveries
+
     async def end_with(self, fault: Fault) -> None:
         """End the request without its whole answer."""
         await self.emit(self.life.end_with(fault))
@@ -134,7 +158,8 @@
 def describe_miss(target: Target, miss: Miss) -> TargetReport:
     """Return what a miss says of a target."""
     refused = miss.delivery is Delivery.REFUSED
-    return TargetReport(target.id, -1.0, refused, not refused, miss.leaving, miss.load)
+    failed = not refused and not miss.deadline
+    return TargetReport(target.id, -1.0, refused, failed, miss.leaving, miss.load)
 
 
 def _describe_unrun(miss: Miss) -> Fault:
--- a/marigoldswitch/settings.py
+++ b/marigoldswitch/settings.py
@@ -140,6 +140,27 @@
     )
 
 
+class StreamSettings(Section):
+    """When a stream over a chain of engines counts as stalled."""
+
+    first_token: Seconds = Field(
+        5.0,
+        description="Longest wait for the first token of a chain, in seconds; the "
+        "letter's bound is 0.83 s for 95 in 100, so a healthy chain stays far below.",
+    )
+    stall_factor: float = Field(
+        10.0,
+        gt=1,
+        description="Usual gaps between tokens without a token after which a stream is "
+        "taken for stalled and a new chain is asked for.",
+    )
+    stall_floor: Seconds = Field(
+        0.5,
+        description="Seconds that a stream may be without a token in any case; above a "
+        "pause of an engine's batch, below what a reader notices as a break.",
+    )
+
+
 class DrainSettings(Section):
     """The planned stop of a host."""
 
@@ -191,6 +212,7 @@
     peers: PeerSettings
     requests: RequestSettings = Field(default_factory=RequestSettings)
     claims: ClaimSettings = Field(default_factory=ClaimSettings)
+    streams: StreamSettings = Field(default_factory=StreamSettings)
     drain: DrainSettings = Field(default_factory=DrainSettings)
     operators: dict[str, OperatorSettings] = Field(
         default_factory=dict,
--- a/marigoldswitch/tests/test_claim_protocol.py
+++ b/marigoldswitch/tests/test_claim_protocol.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 import pytest
-from hypothesis import settings, strategies as st
+from hypothesis import given, settings, strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
@@ -488,3 +488,12 @@
     assert play(finish_claim(ROW, ended, 1), table, own, faults=faults)
     assert decode_claim(table.rows[ROW].value).state is ClaimState.DONE
     assert table.rows[ROW].version == 2
+
+
+@given(st.binary(max_size=60))
+def test_row_that_cannot_be_read_is_an_unknown_outcome(value):
+    table, own = FakeTable(), OwnClaims()
+    table.rows[ROW] = Row(value, 1)
+    taken = play(take_claim(own, ROW, claim_of("a", "n")), table, own)
+    assert taken.kind is ErrorKind.OUTCOME_UNKNOWN
+    assert table.rows[ROW] == Row(value, 1)
--- /dev/null
+++ b/marigoldswitch/tests/test_streams.py
@@ -0,0 +1,204 @@
+"""Streams over chains whose stages fail: the caller's text is an undisturbed run's.
+
+Judged by the engines' own records: each layer at most once for each token of an epoch.
+"""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from marigoldswitch.standins.engine_state import choose_word
+from marigoldswitch.tests.helpers import (
+    LETTERS_PATH,
+    run_async,
+    run_deployment,
+    wait_until,
+)
+from marigoldswitch.tests.test_deployment import parse_events
+
+PROMPT = "A letter about a doll"
+TOKENS = 40
+WHOLE = "".join(choose_word(PROMPT, position) for position in range(TOKENS))
+SETTINGS = {"streams": {"first_token": 0.5, "stall_factor": 10, "stall_floor": 0.15}}
+FAST = ["engine-0-0", "engine-1-0", "engine-2-0"]
+
+
+@asynccontextmanager
+async def run_streams():
+    async with run_deployment(data_centres=("hobart", "hobart"), settings=SETTINGS) as (
+        deployment,
+        session,
+    ):
+        yield deployment, session
+
+
+@asynccontextmanager
+async def open_draft(deployment, session, tokens=TOKENS):
+    body = {"input": {"prompt": PROMPT}, "stream": True, "max_tokens": tokens}
+    address = deployment.get_address("host-0", "callers")
+    headers = {"Request-Timeout": "20"}
+    async with session.post(
+        address + LETTERS_PATH, json=body, headers=headers
+    ) as response:
+        yield response
+
+
+async def draft(deployment, session, disturb=None, after=0):
+    """Stream a draft and call ``disturb`` once some tokens have come."""
+    content = b""
+    async with open_draft(deployment, session) as response:
+        if disturb and not after:
+            disturb(deployment.engines)
+        async for line in response.content:
+            content += line
+            if disturb and after and content.count(b"event: token") == after:
+                disturb(deployment.engines)
+                after = 0
+    return parse_events(content)
+
+
+def check(deployment, events):
+    """The whole text came once, and no layer ran twice for a token of an epoch."""
+    *tokens, (last, end) = events
+    assert last == "end", end
+    assert [data["position"] for _, data in tokens] == list(range(TOKENS))
+    assert "".join(data["text"] for _, data in tokens) == WHOLE
+    assert end["tokens"] == TOKENS
+    for engine in deployment.engines.values():
+        assert set(engine.ran.values()) <= {1}
+    assert not any(host.parts.front.breaches for host in deployment.hosts.values())
+
+
+def set_fault(names, **faults):
+    def disturb(engines):
+        for name in names:
+            for fault, value in faults.items():
+                setattr(engines[name].faults, fault, value)
+
+    return disturb
+
+
+@pytest.mark.parametrize("after", [1, 20, 39])
+@pytest.mark.parametrize("name", FAST)
+@pytest.mark.parametrize("fault", [{"dead": True}, {"stall": True}])
+def test_stage_fails_in_mid_stream(after, name, fault):
+    async def play():
+        async with run_streams() as (deployment, session):
+            disturb = set_fault([name], **fault)
+            check(deployment, await draft(deployment, session, disturb, after))
+            deployment.engines[name].faults.stall = False
+
+    run_async(play())
+
+
+@pytest.mark.parametrize("name", FAST)
+@pytest.mark.parametrize("fault", [{"dead": True}, {"stall": True}, {"refuse": True}])
+def test_stage_fails_before_the_first_token(name, fault):
+    async def play():
+        async with run_streams() as (deployment, session):
+            set_fault([name], **fault)(deployment.engines)
+            check(deployment, await draft(deployment, session))
+            deployment.engines[name].faults.stall = False
+
+    run_async(play())
+
+
+@pytest.mark.parametrize(
+    ("names", "fault"),
+    [
+        (["engine-2-0"], {"die_at": TOKENS - 1}),
+        (["engine-2-0"], {"die_at": 7}),
+        (["engine-0-0"], {"link_delay": 30.0}),
+        (["engine-1-0"], {"link_delay": 30.0}),
+        (["engine-2-0", "engine-2-1"], {"swap_every": 5}),
+        (["engine-2-0", "engine-2-1"], {"duplicate_every": 3}),
+        (["engine-0-0", "engine-2-0"], {"dead": True}),
+        (FAST, {"dead": True}),
+        (FAST, {"leaving": True}),
+        (FAST, {"slow": 20.0}),
+    ],
+)
+def test_whole_text_under_other_faults(names, fault):
+    async def play():
+        async with run_streams() as (deployment, session):
+            disturb = set_fault(names, **fault)
+            check(deployment, await draft(deployment, session, disturb, after=5))
+
+    run_async(play())
+
+
+def test_second_failure_during_the_recovery_from_the_first():
+    async def play():
+        async with run_streams() as (deployment, session):
+            engines = deployment.engines
+            engines["engine-1-0"].faults.die_at = None
+
+            def disturb(engines):
+                engines["engine-2-0"].faults.dead = True
+                engines["engine-2-1"].faults.die_at = 11
+                engines["engine-1-0"].faults.link_delay = 0.05
+
+            events = draft(deployment, session, disturb, after=10)
+            task = asyncio.create_task(events)
+            await wait_until(lambda: engines["engine-2-1"].ran)
+            engines["engine-0-0"].faults.dead = True
+            await asyncio.sleep(0.1)
+            engines["engine-2-0"].faults.dead = False
+            check(deployment, await task)
+
+    run_async(play())
+
+
+def test_recovery_keeps_the_kv_cache_of_surviving_stages():
+    async def play(refuse):
+        async with run_streams() as (deployment, session):
+            engines = deployment.engines
+            for engine in engines.values():
+                engine.faults.refuse_kv = refuse
+            disturb = set_fault(["engine-1-0"], stall=True)
+            check(deployment, await draft(deployment, session, disturb, after=20))
+            engines["engine-1-0"].faults.stall = False
+            return {name: engine.prefilled for name, engine in engines.items()}
+
+    moved = run_async(play(refuse=False))
+    assert moved["engine-0-0"] == moved["engine-2-0"] == 0
+    assert moved["engine-1-1"] == 0
+    recomputed = run_async(play(refuse=True))
+    assert recomputed["engine-1-1"] >= 20
+
+
+def test_caller_gone_ends_the_work_at_all_stages():
+    async def play():
+        async with run_streams() as (deployment, session):
+            async with open_draft(deployment, session, tokens=64) as response:
+                await response.content.readline()
+                response.close()
+            for engine in deployment.engines.values():
+                await wait_until(lambda engine=engine: not engine._streams)
+            front = deployment.hosts["host-0"].parts.front
+            await wait_until(lambda: not front.held)
+            dispatching = deployment.hosts["host-0"].parts.dispatching
+            await wait_until(lambda: not dispatching.held)
+            return max(key[3] for e in deployment.engines.values() for key in e.ran)
+
+    assert run_async(play()) < 63
+
+
+def test_cancelled_stream_ends_in_an_error_event():
+    async def play():
+        async with run_streams() as (deployment, session):
+            set_fault(FAST, slow=30.0)(deployment.engines)
+            async with open_draft(deployment, session) as response:
+                await response.content.readline()
+                request = response.headers["X-Request-Id"]
+                address = deployment.get_address("host-0", "callers")
+                path = f"{address}/v1/requests/{request}"
+                async with session.delete(path) as cancelled:
+                    assert await cancelled.json() == {"cancelled": True}
+                content = await response.read()
+            return content.decode()
+
+    last = run_async(play()).strip().split("\n\n")[-1]
+    assert last.startswith("event: error")
+    assert '"kind":"cancelled"' in last
