--- a/marigoldswitch/chains.py
+++ b/marigoldswitch/chains.py
@@ -10,7 +10,7 @@
 import orjson
 from result import Err, Ok, Result
 
-from marigoldswitch.backends import parse_load, parse_miss
+from marigoldswitch.backends import parse_load, read_miss
 from marigoldswitch.core.catalogue import LayerRange, Target
 from marigoldswitch.core.delivery import Delivery, Miss
 from marigoldswitch.core.diagnosis import StageStatus
@@ -64,6 +64,7 @@
 
     :param delivered: tokens that the caller has; the chain goes on after them.
     :param resume: epoch whose KV cache the stages may use, 0 for none.
+    :param model: what the stages must hold, or refuse the chain as not run.
     """
 
     request: Request
@@ -71,6 +72,8 @@
     chain: tuple[Target, ...]
     delivered: tuple[str, ...] = ()
     resume: Epoch = Epoch(0)
+    model: str = ""
+    version: str = ""
 
     def describe(self) -> dict[str, Any]:
         """Return the order as the engines' interface wants it."""
@@ -87,6 +90,8 @@
                 for target in self.chain
                 if target.layers is not None
             ],
+            "model": self.model,
+            "version": self.version,
             "prompt": str(self.request.body.get("prompt", "")),
             "prefix": self.request.prefix,
             "delivered": list(self.delivered),
@@ -196,7 +201,7 @@
             )
             if response.status != 200:
                 content = await response.read()
-                return Err(_blame(parse_miss(response.status, content), last))
+                return Err(_blame(read_miss(response, content), last))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return Err(_miss(Delivery.NOT_DELIVERED, "no connection", last))
         except (TimeoutError, aiohttp.ClientError) as error:
@@ -213,7 +218,7 @@
                 if response.status == 200:
                     return None
                 content = await response.read()
-                return _blame(parse_miss(response.status, content), first)
+                return _blame(read_miss(response, content), first)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return _miss(Delivery.NOT_DELIVERED, "no connection", first)
         except (TimeoutError, aiohttp.ClientError) as error:
--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -2,33 +2,48 @@
 
 import secrets
 import time
+from collections.abc import Callable
 
 import aiohttp
 
-from marigoldswitch.administration import Administration
+from marigoldswitch.administration import Administration, AdministrationParts
 from marigoldswitch.backends import PlainClient
 from marigoldswitch.callers import CallerInterface
 from marigoldswitch.chains import ChainClient
 from marigoldswitch.claiming import Claims
 from marigoldswitch.clocks import SystemClock
 from marigoldswitch.core.adoption import Adoption
-from marigoldswitch.core.ids import DataCentre, HostId, Incarnation
+from marigoldswitch.core.ids import DataCentre, HostId, Incarnation, Region
 from marigoldswitch.core.leaving import LeavingMarks
+from marigoldswitch.core.messages import (
+    BundleContent,
+    FetchBundle,
+    Inquiry,
+    InquiryReply,
+    Message,
+)
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.dispatching import Dispatching
+from marigoldswitch.drains import Drains
+from marigoldswitch.engine_orders import EngineOrdersClient
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
 from marigoldswitch.gauges import Gauges
 from marigoldswitch.gossip import Gossip
 from marigoldswitch.hosts import Host, HostParts, HostState, describe_status
+from marigoldswitch.inquiries import Inquiries, Subject, Teller
 from marigoldswitch.members import Member, MemberView
 from marigoldswitch.metrics import Metrics
+from marigoldswitch.operators import OperatorDirectory
+from marigoldswitch.orderers import Orderer, OrdererPorts, OrderSwitch
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.quotas import QuotaSharing
 from marigoldswitch.releases import Releases
 from marigoldswitch.runs import Parts
 from marigoldswitch.settings import Settings
 from marigoldswitch.stores import PlatformClient
+from marigoldswitch.tls import build_tls
+from marigoldswitch.trails import TRAIL
 
 INCARNATION_BITS = 48
 
@@ -46,16 +61,31 @@
         f"{settings.listen.address}:{settings.listen.peers}",
     )
     session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    tls = build_tls(settings).unwrap()
     platform = PlatformClient(
-        session, settings.host, settings.platform.address, settings.platform.timeout
+        session,
+        settings.host,
+        settings.platform.address,
+        settings.platform.timeout,
+        tls.platform,
     )
     view = MemberView(own)
     network = PeerNetwork(own.host, settings.peers.secrets, view.locate)
     marks = LeavingMarks(time.time() - clock.monotonic())
     gossip = Gossip(clock, view, network, settings.peers, marks)
     adoption = Adoption()
-    releases = Releases(platform, platform)
-    follower = Follower(releases, platform, adoption, settings.platform.poll)
+    releases = Releases(platform, platform, settings.operators)
+    drains = Drains(platform)
+    follower = Follower(
+        releases,
+        platform,
+        adoption,
+        settings.operators,
+        view,
+        network.send,
+        drains,
+        settings.platform,
+    )
     quotas = QuotaSharing(clock, network, view)
     dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout, quotas)
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
@@ -75,9 +105,37 @@
         is_ready=lambda: state.ready and adoption.bundle is not None,
         accepts=lambda: state.accepting,
     )
+    tellers: dict[Subject, Teller] = {
+        Subject.STATUS: lambda argument: describe_status(host_parts),
+        Subject.TRAIL: TRAIL.find,
+    }
+    inquiries = Inquiries(view, network.send, tellers)
+    switch = OrderSwitch(platform)
     administration = Administration(
-        settings.operators, releases, lambda: describe_status(host_parts)
+        AdministrationParts(
+            OperatorDirectory(settings.operators),
+            releases,
+            adoption,
+            drains,
+            switch,
+            inquiries,
+        )
+    )
+    engines = EngineOrdersClient(session)
+    orderer = Orderer(
+        OrdererPorts(clock, platform, engines, drains, switch, adoption),
+        own.host,
+        Region(settings.region),
+        settings.orders,
     )
+    handlers: dict[type[Message], Callable[..., None]] = {
+        FetchBundle: follower.tell_bundle,
+        BundleContent: follower.take_bundle,
+        Inquiry: inquiries.tell,
+        InquiryReply: inquiries.take,
+    }
+    for kind, handler in handlers.items():
+        network.register(kind, handler)
     host_parts = HostParts(
         settings,
         state,
@@ -91,6 +149,9 @@
         front,
         callers,
         administration,
+        drains,
+        orderer,
+        tls,
         claims,
     )
     return Host(host_parts)
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -20,12 +20,17 @@
 from marigoldswitch.core.datagrams import MemberRecord
 from marigoldswitch.core.ids import AccountId, DataCentre, HostId, Incarnation
 from marigoldswitch.dispatching import Dispatching
+from marigoldswitch.drains import Drains
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
 from marigoldswitch.gossip import Gossip
+from marigoldswitch.listeners import GuardedSite, build_guard
 from marigoldswitch.members import MemberView
+from marigoldswitch.orderers import Orderer, describe_lease
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.settings import Settings
+from marigoldswitch.statuses import describe_dispatchers, describe_members
+from marigoldswitch.tls import ServerContext, Tls
 
 logger = structlog.get_logger(__name__)
 
@@ -65,6 +70,9 @@
     front: Front
     callers: CallerInterface
     administration: Administration
+    drains: Drains
+    orderer: Orderer
+    tls: Tls
     claims: Claims
 
 
@@ -91,13 +99,19 @@
         callers = parts.callers.build_application()
         callers.middlewares.insert(0, self._count_busy)
         callers.on_response_prepare.append(self._close_when_draining)
-        self.ports["callers"] = await self._listen(callers, listen.callers)
+        self.ports["callers"] = await self._listen(
+            callers, listen.callers, parts.tls.callers
+        )
         administration = parts.administration.build_application()
         self.ports["administration"] = await self._listen(
-            administration, listen.administration
+            administration, listen.administration, parts.tls.administration
         )
         await parts.follower.look()
         self._spawn(parts.follower.run())
+        self._spawn(parts.tls.run(parts.settings.tls.reload))
+        self._spawn(parts.follower.run_questions())
+        self._spawn(parts.follower.run_offers())
+        self._spawn(parts.orderer.run(lambda: parts.follower.polls_often))
         self._spawn(parts.dispatching.run())
         self._spawn(parts.gossip.run())
         self._spawn(parts.claims.run(self._list_accounts, self._is_first_host))
@@ -173,6 +187,7 @@
         parts = self.parts
         parts.follower.watch_bundle(self._use_bundle)
         parts.follower.watch_hosts(parts.gossip.use_host_list)
+        parts.follower.watch_drains(parts.gossip.use_drains)
         parts.gossip.watch_leaving(parts.dispatching.use_leaving)
         parts.dispatching.watch_leaving(parts.gossip.note_leaving)
 
@@ -222,7 +237,11 @@
         if not self.parts.state.ready:
             response.force_close()
 
-    async def _listen(self, application: web.Application, port: int) -> int:
+    async def _listen(
+        self, application: web.Application, port: int, tls: ServerContext | None
+    ) -> int:
+        guard = build_guard(self.parts.settings.requests)
+        application.middlewares.append(guard.build_middleware())
         runner = web.AppRunner(
             application,
             access_log=None,
@@ -232,7 +251,9 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, self.parts.settings.listen.address, port)
+        address = self.parts.settings.listen.address
+        site = GuardedSite(runner, address, port, guard)
+        site.use_tls(tls)
         await site.start()
         return int(runner.addresses[0][1])
 
@@ -250,4 +271,9 @@
         "held": len(parts.front.held),
         "breaches": parts.front.breaches,
         "hosts": sorted(parts.view.members),
+        "members": describe_members(parts.view),
+        "dispatchers": describe_dispatchers(parts.dispatching),
+        "drains": sorted(parts.drains.marked),
+        "orders": describe_lease(parts.orderer),
+        "bundles_refused": parts.follower.refused,
     }
--- a/marigoldswitch/model_runs.py
+++ b/marigoldswitch/model_runs.py
@@ -73,8 +73,9 @@
                 return
             if self._may_recover(miss):
                 self.recoveries += 1
+                self.pause = 0.0
                 if self.ledger.next_position == had:
-                    await asyncio.sleep(min(LONGEST_PAUSE, self.left))
+                    self.pause = min(LONGEST_PAUSE, self.left)
                 continue
             fault = self.judge(miss)
             if fault is not None:
@@ -109,7 +110,13 @@
         epoch = self.ledger.open_epoch()
         self.progress.begin()
         order = ChainOrder(
-            self.request, epoch, chain, tuple(self.ledger.delivered), resume
+            self.request,
+            epoch,
+            chain,
+            tuple(self.ledger.delivered),
+            resume,
+            self.service.model,
+            self.service.version,
         )
         self.life.advance("dispatch")
         self.life.note_delivery()
