--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -23,6 +23,8 @@
 
 LOOPBACK = "127.0.0.1"
 LAYERS = 12
+WIDE_QUOTA = {"rate": 10_000.0, "burst": 10_000.0}
+"""Quota for loads that are not about quotas."""
 RANGES = ((0, 4), (4, 8), (8, 12))
 
 
@@ -86,6 +88,8 @@
         self.operator_keys = {
             name: secrets.token_urlsafe(16) for name in ("ana", "ben")
         }
+        self.quota: dict[str, float] = {}
+        """Quota of the client account, where it is not the usual one."""
         self._data_centres = data_centres
         self._target_centres = target_centres
         self._target_runners: dict[str, web.AppRunner] = {}
@@ -134,9 +138,15 @@
         for runner in [*self._target_runners.values(), *reversed(self._runners)]:
             await runner.cleanup()
 
-    async def roll_out(self, content: bytes, seen: int = 0) -> dict[str, Any]:
-        """Submit, review, sign off and accept a bundle as operators do."""
-        address = self.get_address(next(iter(self.hosts)), "administration")
+    async def roll_out(
+        self, content: bytes, seen: int = 0, address: str = ""
+    ) -> dict[str, Any]:
+        """Submit, review, sign off and accept a bundle as operators do.
+
+        :param address: a host's administration listener; any host's by default.
+        """
+        if not address:
+            address = self.get_address(next(iter(self.hosts)), "administration")
         async with aiohttp.ClientSession() as session:
             ana = AdminClient(session, address, self.operator_keys["ana"])
             ben = AdminClient(session, address, self.operator_keys["ben"])
@@ -226,6 +236,7 @@
                 "family": {
                     "brands": ["dollhouse"],
                     "key_digests": [digest_key(self.caller_key)],
+                    **self.quota,
                 }
             },
             "targets": self._targets,
@@ -255,6 +266,12 @@
     async def _add_target(self, name: str, data_centre: str, **fields: Any) -> None:
         target = self.engines.get(name) or self.services[name]
         address = await self._serve_target(name, target)
+        self.note_target(name, data_centre, address, **fields)
+
+    def note_target(
+        self, name: str, data_centre: str, address: str, **fields: Any
+    ) -> None:
+        """Put a target that runs somewhere into bundles and on the host list."""
         self.addresses[name] = address
         self._targets[name] = {
             "data_centre": data_centre,
--- a/marigoldswitch/standins/service.py
+++ b/marigoldswitch/standins/service.py
@@ -44,6 +44,7 @@
         application.router.add_post("/v1/calls", self._call)
         application.router.add_get("/v1/state", self._show_state)
         application.router.add_post("/control/faults", self._set_faults)
+        application.router.add_get("/control/record", self._show_record)
         return application
 
     @property
@@ -83,6 +84,9 @@
         state: dict[str, Any] = {"name": self.name, "load": self.load}
         return web.json_response(state | {"leaving": self.faults.leaving})
 
+    async def _show_record(self, http: web.Request) -> web.Response:
+        return web.json_response({"ran": self.ran})
+
     async def _set_faults(self, http: web.Request) -> web.Response:
         for name, value in (await http.json()).items():
             setattr(self.faults, name, value)
--- a/marigoldswitch/tools/soak.py
+++ b/marigoldswitch/tools/soak.py
@@ -14,7 +14,7 @@
 import orjson
 import structlog
 
-from marigoldswitch.standins.deployment import Deployment
+from marigoldswitch.standins.deployment import WIDE_QUOTA, Deployment
 from marigoldswitch.tools.soak_checks import Checks, list_unrest
 from marigoldswitch.tools.soak_faults import FaultPlayer
 from marigoldswitch.tools.soak_load import Attempt, Caller, Load
@@ -64,6 +64,7 @@
         self.deployment = Deployment(
             CENTRES, SETTINGS, ("hobart", "launceston", "devonport")
         )
+        self.deployment.quota = WIDE_QUOTA
         await self.deployment.start()
         await self.deployment.roll_out(self.deployment.build_bundle())
         self.player = FaultPlayer(self.deployment)
