--- a/marigoldswitch/core/messages.py
+++ b/marigoldswitch/core/messages.py
@@ -254,10 +254,12 @@
     """The owner's answer.
 
     :param state: value of :class:`marigoldswitch.core.claims.OwnerState`.
+    :param answer: canonical JSON of a small answer that the row may not hold yet.
     """
 
     nonce: str
     state: str
+    answer: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -280,6 +282,26 @@
     content: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Inquiry:
+    """A host asks another one on behalf of an operator.
+
+    :param number: tells the replies of one question from those of another.
+    """
+
+    number: int
+    subject: str
+    argument: str
+
+
+@dataclass(frozen=True, slots=True)
+class InquiryReply:
+    """What the host answers, as JSON."""
+
+    number: int
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Introduction:
     """A host's whole table of hosts and its marks of leaving targets.
@@ -312,5 +334,7 @@
     | ClaimReply
     | FetchBundle
     | BundleContent
+    | Inquiry
+    | InquiryReply
     | Introduction
 )
--- a/marigoldswitch/gossip.py
+++ b/marigoldswitch/gossip.py
@@ -144,6 +144,10 @@
         """Return the targets that leave by their own word."""
         return self._marks.list_answered(self._clock.monotonic())
 
+    def use_drains(self, drained: frozenset[TargetId]) -> None:
+        """Follow the drains that the platform keeps."""
+        self._spread(self._marks.take_drains(drained, self._clock.monotonic()))
+
     def drain_target(self, target: TargetId, leaving: bool = True) -> None:
         """Let a target get no new work anywhere, or take that back."""
         logger.info("target_drain", target=target, leaving=leaving)
--- a/marigoldswitch/tools/soak_faults.py
+++ b/marigoldswitch/tools/soak_faults.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 
+from marigoldswitch.bundles import read_bundle
 from marigoldswitch.core.ids import HostId, TargetId
 from marigoldswitch.hosts import Host
 from marigoldswitch.standins.deployment import Deployment
@@ -295,17 +296,20 @@
         seconds = 0.0005 + self._bundles * 1e-6
         links = [{"between": ["hobart", "launceston"], "seconds": seconds}]
         content = self.deployment.build_bundle(links=links)
+        canonical = read_bundle(content, "bundle").unwrap().content
         address = self.deployment.get_address(host, "administration")
-        keys = self.deployment.operator_keys
-        ana = AdminClient(session, address, keys["ana"])
-        ben = AdminClient(session, address, keys["ben"])
-        draft = await ana.submit(content)
+        ana, ben = (
+            AdminClient(session, address, key, self.deployment.signers[name])
+            for name, key in self.deployment.operator_keys.items()
+        )
+        why = "race"
+        draft = await ana.submit(canonical, why)
         if draft.is_err():
             return False
         digest = draft.unwrap()["digest"]
-        await ana.review(digest)
-        await ben.sign_off(digest)
-        return (await ben.accept(digest, seen)).is_ok()
+        await ana.review(digest, why)
+        await ben.sign_off(digest, why)
+        return (await ben.accept(digest, seen, why)).is_ok()
 
     async def _nothing(self, _: str) -> None:
         pass
