--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -25,7 +25,7 @@
 
 LOOPBACK = "127.0.0.1"
 LAYERS = 12
-WIDE_QUOTA = {"rate": 10_000.0, "burst": 10_000.0}
+WIDE_QUOTA = {"burst": 100_000.0}
 """Quota for loads that are not about quotas."""
 RANGES = ((0, 4), (4, 8), (8, 12))
 
