--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -26,6 +26,8 @@
 
 LOOPBACK = "127.0.0.1"
 LAYERS = 12
+WIDE_QUOTA = {"burst": 100_000.0}
+"""Quota for loads that are not about quotas."""
 RANGES = ((0, 4), (4, 8), (8, 12))
 
 
@@ -89,6 +91,8 @@
         self.operator_keys = {
             name: secrets.token_urlsafe(16) for name in ("ana", "ben")
         }
+        self.quota: dict[str, float] = {}
+        """Quota of the client account, where it is not the usual one."""
         self.signers = {name: make_private_key() for name in self.operator_keys}
         self._data_centres = data_centres
         self._target_centres = target_centres
@@ -138,40 +142,46 @@
         for runner in [*self._target_runners.values(), *reversed(self._runners)]:
             await runner.cleanup()
 
-    async def roll_out(self, content: bytes, seen: int = 0) -> dict[str, Any]:
-        """Submit, review, sign off and accept a bundle as operators do."""
-        accepted = await self.try_roll_out(content, seen, self._first)
+    async def roll_out(
+        self, content: bytes, seen: int = 0, address: str = ""
+    ) -> dict[str, Any]:
+        """Submit, review, sign off and accept a bundle as operators do.
+
+        :param address: a host's administration listener; the first host's by default.
+        """
+        address = address or self._administration
+        accepted = await self.try_roll_out(content, seen, address)
         for host in self.hosts.values():
             await host.parts.follower.look()
         return accepted.unwrap()
 
     async def try_roll_out(
-        self, content: bytes, seen: int, host: str
+        self, content: bytes, seen: int, address: str
     ) -> Result[dict[str, Any], CallFault]:
-        """Take a bundle through its life cycle at a host; a step may be refused."""
-        prepared = await self._prepare(content, host)
+        """Take a bundle through its life cycle; a step may be refused."""
+        prepared = await self._prepare(content, address)
         if isinstance(prepared, Err):
             return prepared
-        return await self._accept(prepared.ok_value, seen, host)
+        return await self._accept(prepared.ok_value, seen, address)
 
     async def prepare(self, content: bytes) -> str:
         """Take a bundle in YAML up to its sign-off; return its digest."""
-        return (await self._prepare(content, self._first)).unwrap()
+        return (await self._prepare(content, self._administration)).unwrap()
 
     async def accept(self, digest: str, seen: int) -> dict[str, Any]:
         """Put a prepared bundle in force."""
-        return (await self._accept(digest, seen, self._first)).unwrap()
+        return (await self._accept(digest, seen, self._administration)).unwrap()
 
     @property
-    def _first(self) -> str:
-        return next(iter(self.hosts))
+    def _administration(self) -> str:
+        return self.get_address(next(iter(self.hosts)), "administration")
 
-    async def _prepare(self, content: bytes, host: str) -> Result[str, CallFault]:
+    async def _prepare(self, content: bytes, address: str) -> Result[str, CallFault]:
         canonical = read_bundle(content, "bundle").unwrap().content
         why = "prepare"
         async with aiohttp.ClientSession() as session:
             ana, ben = (
-                self._build_client(session, name, host) for name in ("ana", "ben")
+                self._build_client(session, name, address) for name in ("ana", "ben")
             )
             draft = await ana.submit(canonical, why)
             if isinstance(draft, Err):
@@ -184,16 +194,15 @@
         return Ok(digest)
 
     async def _accept(
-        self, digest: str, seen: int, host: str
+        self, digest: str, seen: int, address: str
     ) -> Result[dict[str, Any], CallFault]:
         async with aiohttp.ClientSession() as session:
-            client = self._build_client(session, "ben", host)
+            client = self._build_client(session, "ben", address)
             return await client.accept(digest, seen, "roll out")
 
     def _build_client(
-        self, session: aiohttp.ClientSession, operator: str, host: str
+        self, session: aiohttp.ClientSession, operator: str, address: str
     ) -> AdminClient:
-        address = self.get_address(host, "administration")
         key, signer = self.operator_keys[operator], self.signers[operator]
         return AdminClient(session, address, key, signer)
 
@@ -276,6 +285,7 @@
                 "family": {
                     "brands": ["dollhouse"],
                     "key_digests": [digest_key(self.caller_key)],
+                    **self.quota,
                 }
             },
             "targets": self._targets,
@@ -305,6 +315,12 @@
     async def _add_target(self, name: str, data_centre: str, **fields: Any) -> None:
         target = self.engines.get(name) or self.services[name]
         address = await self._serve_target(name, target)
+        self.note_target(name, data_centre, address, **fields)
+
+    def note_target(
+        self, name: str, data_centre: str, address: str, **fields: Any
+    ) -> None:
+        """Put a target that runs somewhere into bundles and on the host list."""
         self.addresses[name] = address
         self._targets[name] = {
             "data_centre": data_centre,
--- a/marigoldswitch/tools/soak_faults.py
+++ b/marigoldswitch/tools/soak_faults.py
@@ -288,7 +288,8 @@
         seconds = 0.0005 + self._bundles * 1e-6
         links = [{"between": ["hobart", "launceston"], "seconds": seconds}]
         content = self.deployment.build_bundle(links=links)
-        accepted = await self.deployment.try_roll_out(content, seen, host)
+        address = self.deployment.get_address(host, "administration")
+        accepted = await self.deployment.try_roll_out(content, seen, address)
         return accepted.is_ok()
 
     async def _nothing(self, _: str) -> None:
