--- a/marigoldswitch/core/pool.py
+++ b/marigoldswitch/core/pool.py
@@ -244,6 +244,14 @@
             self._changed.update(self.states)
         self._renew_shares(changed)
 
+    def refresh_limits(self) -> None:
+        """Take the limits as they are learned by now."""
+        for name, state in self.states.items():
+            room = state.room
+            state.refresh_limit()
+            if state.room != room:
+                self._changed.add(name)
+
     def _follow_unlisted(self, now: float) -> set[TargetId]:
         for name, since in self._unlisted.items():
             if since is None:
