--- a/marigoldswitch/core/outliers.py
+++ b/marigoldswitch/core/outliers.py
@@ -14,12 +14,15 @@
 BLAME_LIMIT = 3.0
 """Failures in a row that eject: one may be the request's own fault, and a request has
 at most three attempts, each on another target."""
-REFUSAL_BLAME = 0.3
-"""A refusal says that the target lives; ten in a row say that it does no work."""
+REFUSAL_BLAME = 0.5
+"""A refusal says that the target lives; six in a row say that it does no work."""
 FIRST_SECONDS = 5.0
 LONGEST_SECONDS = 60.0
 """Time out of use: doubled with each failed probe, as restarts take from seconds to a
 minute."""
+REFUSING_SECONDS = 1.0
+"""Time out of use of a target that refuses: a refusal is quick and says that nothing
+ran, so that asking again costs little."""
 MOST_EJECTED = 0.34
 """Share of the pool that may be ejected at once: a third, so that the loss of one of
 three data centres or racks is covered and the rest never carries more than half as much
@@ -42,6 +45,8 @@
     ejections: int = 0
     until: float = 0.0
     succeeded: float | None = None
+    refusing: bool = False
+    """It was ejected for refusals, not for failures."""
 
 
 class OutlierWatch:
@@ -79,12 +84,24 @@
         self.ejected.discard(name)
         return True
 
+    def is_refusing(self, name: TargetId) -> bool:
+        """Tell whether a target was last ejected for refusals."""
+        return self._records[name].refusing
+
+    def note_refusal(self, name: TargetId, now: float) -> bool:
+        """Take a "busy, not run"; tell whether the target is ejected by it."""
+        return self._note(name, REFUSAL_BLAME, True, now)
+
     def note_failure(self, name: TargetId, blame: float, now: float) -> bool:
         """Take a failure; tell whether the target is ejected by it.
 
         :param blame: 1 where this target alone failed, less where others may have.
         """
+        return self._note(name, blame, False, now)
+
+    def _note(self, name: TargetId, blame: float, refused: bool, now: float) -> bool:
         record = self._records[name]
+        record.refusing = refused
         record.blame += blame
         if record.health is Health.PROBING:
             return self._eject(name, record, now)
@@ -111,10 +128,13 @@
         return max(1, int(MOST_EJECTED * count)) if count > 1 else 0
 
     def _eject(self, name: TargetId, record: _Record, now: float) -> bool:
-        seconds = min(LONGEST_SECONDS, FIRST_SECONDS * 2.0**record.ejections)
+        if record.refusing:
+            seconds = REFUSING_SECONDS
+        else:
+            seconds = min(LONGEST_SECONDS, FIRST_SECONDS * 2.0**record.ejections)
+            record.ejections += 1
         record.health = Health.EJECTED
         record.until = now + seconds
-        record.ejections += 1
         record.blame = 0.0
         self.ejected.add(name)
         assert len(self.ejected) <= max(1, len(self._records))
--- a/marigoldswitch/core/pool.py
+++ b/marigoldswitch/core/pool.py
@@ -7,7 +7,7 @@
 from marigoldswitch.core.catalogue import Service, Target
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.messages import Ask, TargetReport
-from marigoldswitch.core.outliers import REFUSAL_BLAME, Health, OutlierWatch
+from marigoldswitch.core.outliers import Health, OutlierWatch
 from marigoldswitch.core.ranking import Ranking
 from marigoldswitch.core.rates import RunRates
 from marigoldswitch.core.routing import Route, choose_route
@@ -220,15 +220,26 @@
     ) -> None:
         name = state.target.id
         if report.refused or report.failed:
-            if report.leaving:
-                return
-            blame = REFUSAL_BLAME if report.refused else blame
-            if self.outliers.note_failure(name, blame, now):
-                self.ramps.stop({name})
-                self.affinity.forget(name)
-                state.share = self._get_share(name)
+            if not report.leaving:
+                self._note_miss(state, report, blame, now)
         elif self.outliers.note_success(name, now):
-            self.ramps.begin({name}, len(self.states), now)
+            # What it refused while it did no work says nothing of its limit.
+            state.restart_limit()
+            if not self.outliers.is_refusing(name):
+                self.ramps.begin({name}, len(self.states), now)
+            state.share = self._get_share(name)
+
+    def _note_miss(
+        self, state: TargetState, report: TargetReport, blame: float, now: float
+    ) -> None:
+        name = state.target.id
+        if report.refused:
+            ejected = self.outliers.note_refusal(name, now)
+        else:
+            ejected = self.outliers.note_failure(name, blame, now)
+        if ejected:
+            self.ramps.stop({name})
+            self.affinity.forget(name)
             state.share = self._get_share(name)
 
     # Time.
--- a/marigoldswitch/tools/bench/output.py
+++ b/marigoldswitch/tools/bench/output.py
@@ -34,6 +34,7 @@
     "p50": lambda item: read_wait(item, 50),
     "p95": lambda item: read_wait(item, 95),
     "p99": lambda item: read_wait(item, 99),
+    "longest": lambda item: read_wait(item, 100),
     "p99 long": lambda item: read_wait(item, 99, "long"),
     "Jain": lambda item: item.jain,
     "attempts": lambda item: item.attempts,
