--- a/marigoldswitch/dispatching.py
+++ b/marigoldswitch/dispatching.py
@@ -123,6 +123,14 @@
         self.dispatchers.use_leaving(leaving)
         self._local.use_leaving(leaving)
 
+    def count_permits(self) -> int:
+        """Return the permits out of the dispatchers of this host."""
+        dispatchers = [
+            *self.dispatchers.owned.values(),
+            *self._local.dispatchers.values(),
+        ]
+        return sum(len(item.permits) for item in dispatchers)
+
     def use_list(self, names: frozenset[TargetId]) -> None:
         """Take the targets that the host list names."""
         self.dispatchers.use_list(names)
--- a/marigoldswitch/gossip.py
+++ b/marigoldswitch/gossip.py
@@ -73,7 +73,8 @@
         self._seeds = settings.seeds
         self._period = settings.probe_period
         self._marks = marks
-        self._leaving: frozenset[TargetId] = frozenset()
+        self.leaving: frozenset[TargetId] = frozenset()
+        """Targets that may get no new work."""
         self._leaving_listeners: list[Callable[[frozenset[TargetId]], None]] = []
         self._transport: asyncio.DatagramTransport | None = None
         network.register(Introduction, self._take_introduction)
@@ -139,6 +140,14 @@
         """Follow the drains that the platform keeps."""
         self._spread(self._marks.take_drains(drained, self._clock.monotonic()))
 
+    def note_staying(self, target: TargetId) -> None:
+        """Note that a target says that it is not leaving."""
+        self._spread(self._marks.take_state(target, self._clock.monotonic()))
+
+    def list_answered(self) -> list[TargetId]:
+        """Return the targets that leave by their own word."""
+        return self._marks.list_answered(self._clock.monotonic())
+
     def drain_target(self, target: TargetId, leaving: bool = True) -> None:
         """Let a target get no new work anywhere, or take that back."""
         logger.info("target_drain", target=target, leaving=leaving)
@@ -222,10 +231,10 @@
 
     def _tell_leaving(self) -> None:
         leaving = self._marks.list_leaving(self._clock.monotonic())
-        if leaving == self._leaving:
+        if leaving == self.leaving:
             return
         logger.info("leaving_targets", targets=sorted(leaving))
-        self._leaving = leaving
+        self.leaving = leaving
         for listener in self._leaving_listeners:
             listener(leaving)
 
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -31,6 +31,7 @@
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
 from marigoldswitch.gossip import Gossip
+from marigoldswitch.leaving_watch import LeavingWatch
 from marigoldswitch.listeners import GuardedSite, build_guard
 from marigoldswitch.members import MemberView
 from marigoldswitch.orderers import Orderer, describe_lease
@@ -72,6 +73,7 @@
     view: MemberView
     network: PeerNetwork
     gossip: Gossip
+    leaving_watch: LeavingWatch
     follower: Follower
     dispatching: Dispatching
     front: Front
@@ -122,6 +124,7 @@
         self._spawn(parts.dispatching.run())
         self._spawn(parts.gossip.run())
         self._spawn(parts.claims.run(self._list_accounts, self._is_first_host))
+        self._spawn(parts.leaving_watch.run())
         parts.state.ready = True
         logger.info("host_started", host=parts.settings.host, ports=self.ports)
 
@@ -132,9 +135,7 @@
         logger.info("host_draining", host=parts.settings.host)
         parts.state.ready = False
         parts.gossip.leave()
-        hand_over = getattr(parts.dispatching, "hand_over", None)
-        if hand_over is not None:
-            hand_over()
+        parts.dispatching.hand_over()
         await asyncio.sleep(drain.balancer_lag)
         parts.state.accepting = False
         try:
@@ -193,6 +194,7 @@
     def _connect_parts(self) -> None:
         parts = self.parts
         parts.follower.watch_bundle(self._use_bundle)
+        parts.follower.watch_bundle(parts.leaving_watch.use_bundle)
         parts.follower.watch_hosts(parts.gossip.use_host_list)
         parts.follower.watch_hosts(self._use_list)
         parts.follower.watch_drains(parts.gossip.use_drains)
@@ -248,6 +250,7 @@
     ) -> None:
         """Let callers open their next connection elsewhere."""
         if not self.parts.state.ready:
+            response.headers["Connection"] = "close"
             response.force_close()
 
     async def _listen(
