--- a/marigoldswitch/tests/test_placement.py
+++ b/marigoldswitch/tests/test_placement.py
@@ -208,6 +208,7 @@
     def __init__(self, engines, lost):
         self.engines = engines
         self.lost = lost
+        self.on_way = 0
 
     async def read_all(self, targets):
         await Pause()
@@ -218,7 +219,9 @@
         }
 
     async def send(self, target, placement, fencing):
+        self.on_way += 1
         await Pause()
+        self.on_way -= 1
         end = self.engines[target.id].take(placement, fencing)
         if self.lost:
             self.lost.pop()
@@ -253,10 +256,11 @@
     def __init__(self, world, name):
         self.adoption = Adoption()
         drains = Drains(world.platform)
+        self.engines = FakeEngines(world.engines, world.lost)
         ports = OrdererPorts(
             world.clock,
             world.platform,
-            FakeEngines(world.engines, world.lost),
+            self.engines,
             drains,
             OrderSwitch(world.platform),
             self.adoption,
@@ -300,12 +304,18 @@
         for holder in self.holders:
             holder.adoption.adopt(self.bundle)
         self.starts = 2
+        self.healed = None
 
     @rule(which=st.integers(0, 1), count=st.integers(1, 40))
     def run(self, which, count):
         for _ in range(count):
             self.holders[which].step()
 
+    @rule(which=st.integers(0, 1), ticks=st.integers(1, 15))
+    def work(self, which, ticks):
+        """Let one host work in peace, so that runs reach what comes late."""
+        run_ticks(self, self.holders[which], ticks)
+
     @rule(seconds=st.sampled_from([0.1, 1.0, 2.0, 4.0, 8.0, 11.0]))
     def wait(self, seconds):
         self.clock.advance(seconds)
@@ -395,7 +405,7 @@
             return
         for holder in self.holders:
             holder.kill()
-        self.heal()
+        self.healed = self.heal()
 
 
 def test_paused_holder_cannot_drain_after_its_lease_has_passed_on():
@@ -423,6 +433,44 @@
     world.teardown()
 
 
+@pytest.mark.parametrize("checks", [True, False])
+def test_order_that_comes_late_is_refused_or_put_right(checks):
+    """A holder stands still with an order on its way; its successor changes all."""
+    world = TwoHolders()
+    world.checks = checks
+    world.start()
+    old, new = world.holders
+    run_ticks(world, old, 5)
+    world.change_bundle(0)
+    while not old.engines.on_way:
+        if old.step():
+            world.clock.advance(1.0)
+    world.change_bundle(1)
+    wanted = world.bundle
+    run_ticks(world, new, 90)
+    right = want_placement(wanted.services["drafting"], wanted.targets["e0-0"])
+    assert {item.loaded.adapters for item in world.engines.values()} == {("a3",)}
+    while old.engines.on_way:
+        old.step()
+    engine = world.engines["e0-0"]
+    assert (engine.wanted == right) == checks
+    began = world.clock.monotonic()
+    while engine.loaded != right or ("drains", "e0-0") in world.platform.rows:
+        run_ticks(world, new, 1)
+    lasted = world.clock.monotonic() - began
+    settle, tick = OrderSettings().settle, OrderSettings().tick
+    assert lasted <= (0.0 if checks else settle + 3 * tick)
+
+
+def run_ticks(world, holder, count):
+    """Let a holder work for some seconds with engines that load in one."""
+    for _ in range(count):
+        run_tick(holder)
+        world.clock.advance(1.0)
+        for engine in world.engines.values():
+            engine.loaded = engine.wanted
+
+
 def run_tick(holder):
     while not holder.step():
         pass
