--- a/marigoldswitch/callers.py
+++ b/marigoldswitch/callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import hashlib
-import hmac
+import math
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -29,6 +29,7 @@
 from marigoldswitch.core.requests import Answer, End, Request, Token
 from marigoldswitch.fronts import Front
 from marigoldswitch.metrics import Metrics
+from marigoldswitch.observers import CallerGone
 from marigoldswitch.runs import Event
 from marigoldswitch.settings import RequestSettings
 
@@ -68,7 +69,7 @@
     """Return the HTTP response to a fault."""
     headers = {}
     if fault.wait is not None:
-        headers["Retry-After"] = str(max(0, round(fault.wait)))
+        headers["Retry-After"] = str(max(0, math.ceil(fault.wait)))
     return web.Response(
         status=fault.row.status,
         body=orjson.dumps(format_fault(fault)),
@@ -184,7 +185,7 @@
 
         try:
             await self._run_task(self._front.run(request, bundle, emit))
-        except ConnectionError:
+        except CallerGone:
             logger.info("caller_gone", request=request.id)
             return response
         if refusal:
@@ -220,11 +221,11 @@
         if isinstance(account, Err):
             return build_fault_response(account.err_value)
         key = IdempotencyKey(http.match_info["key"])
-        match await self._claims.look_up(account.ok_value.id, key):
+        match await self._claims.fetch(account.ok_value.id, key):
             case Err(fault):
                 return build_fault_response(fault)
-            case Ok(stored):
-                body = b'{"answer":' + stored.answer + b"}"
+            case Ok(answer):
+                body = b'{"answer":' + answer + b"}"
                 return web.Response(body=body, content_type="application/json")
 
     async def _show_live(self, http: web.Request) -> web.Response:
@@ -243,11 +244,9 @@
         if scheme.lower() != "bearer" or not key:
             return Err(Fault(ErrorKind.UNAUTHENTICATED, "no bearer key"))
         digest = hashlib.sha256(key.strip().encode("utf-8", "replace")).hexdigest()
-        found: Account | None = None
-        for account in bundle.accounts.values():
-            for known in account.key_digests:
-                if hmac.compare_digest(known, digest):
-                    found = account
+        # What the look-up's time may tell is how far the SHA-256 of a guess agrees with
+        # a stored digest; nobody can choose a key for the digest that it shall have.
+        found = bundle.accounts_by_key.get(Digest(digest))
         if found is None:
             return Err(Fault(ErrorKind.UNAUTHENTICATED))
         return Ok(found)
--- a/marigoldswitch/core/dispatcher.py
+++ b/marigoldswitch/core/dispatcher.py
@@ -24,7 +24,6 @@
     Tick,
 )
 from marigoldswitch.core.ids import DataCentre, HostId, PermitId
-from marigoldswitch.core.limits import start_probe
 from marigoldswitch.core.messages import (
     Ask,
     Cancel,
@@ -208,11 +207,17 @@
 
     def _take_release(self, release: Release, now: float) -> None:
         permit = self._free(release.permit)
+        if permit is not None and not permit.learned:
+            self._note_run(permit, release, now)
+        self.pool.take_reports(release.reports, now)
+
+    def _note_run(self, permit: Permit, release: Release, now: float) -> None:
         bad = any(item.refused or item.failed for item in release.reports)
-        if permit is not None and release.reports and not bad:
+        if release.reports and not bad:
             self.estimates.note_run(permit.cost, release.seconds)
-        for report in release.reports:
-            self.pool.take_report(report, now)
+            self.pool.note_run(permit.targets, release.seconds, permit.cost, now)
+        else:
+            self.estimates.note_broken_run(permit.cost, now - permit.granted)
 
     def _take_holdings(self, holdings: Holdings, now: float) -> list[Action]:
         for held in holdings.held:
@@ -267,12 +272,11 @@
 
     def _measure(self) -> None:
         """Take in that targets, limits or leaving marks may have changed."""
-        for state in self.pool.states.values():
-            state.refresh_limit()
         self.admission.slots = self.out.measure_capacity()
         self._full = False
 
     def _pass_time(self, now: float) -> list[Action]:
+        self.pool.refresh(now)
         self._measure()
         actions: list[Action] = []
         expired = [*self.waiting.pop_expired(now), *self.parked.pop_expired(now)]
@@ -285,7 +289,7 @@
         if now - self._tails_at >= TAIL_SECONDS:
             self.estimates.pass_time(now - self._tails_at)
             self._tails_at = now
-            start_probe(state.limiter for state in self.pool.states.values())
+            self.pool.probe_limits()
             if self.refuses:
                 actions += self._refuse_hopeless(now)
         if now - self._checked_at >= CHECK_SECONDS / 4:
--- a/marigoldswitch/core/estimates.py
+++ b/marigoldswitch/core/estimates.py
@@ -94,6 +94,15 @@
         self._typical.add(seconds / cost)
         self._slow.add(seconds / cost)
 
+    def note_broken_run(self, cost: float, seconds: float) -> None:
+        """Take a run that was cut off: it would have taken longer still.
+
+        Without them only runs that beat their deadline would count, and the estimate
+        would be too low. Where it ended early it says nothing.
+        """
+        if seconds > self.seconds_per_cost * cost:
+            self.note_run(cost, seconds)
+
     def is_long(self, cost: float) -> bool:
         """Tell whether work is long beside the mean of the service."""
         return cost > LONG_FACTOR * self._mean_cost > 0.0
--- a/marigoldswitch/core/limits.py
+++ b/marigoldswitch/core/limits.py
@@ -42,6 +42,9 @@
 AFTER_FAILURE = 0.5
 """What is left of the limit after a refusal, and after a timeout or a broken
 connection."""
+THRESHOLD_DECAY = 0.9
+"""Part of where the limit would come back to that stays if the target refuses or fails
+again on the way: work that it had taken before still ends well in between."""
 REFUSAL_SECONDS = 0.25
 FAILURE_SECONDS = 1.0
 """Time within which several of them count once: they speak of the same moment."""
@@ -88,6 +91,8 @@
         self._most_held = 0.0
         self._refused = float("-inf")
         self._failed = float("-inf")
+        self._falling = False
+        self._threshold = 0.0
 
     @property
     def limit(self) -> float:
@@ -133,7 +138,9 @@
             return
         if self._skip:
             self._skip -= 1
+            self._recover()
             return
+        self._recover()
         self._sum += seconds
         self._count += 1
         self._most_held = max(self._most_held, self.limit if held is None else held)
@@ -144,13 +151,29 @@
         """Take a "busy, not run" of the target."""
         if now - self._refused >= REFUSAL_SECONDS:
             self._refused = now
-            self._set(self._learned * AFTER_REFUSAL)
+            self._fall(AFTER_REFUSAL)
 
     def on_failure(self, now: float) -> None:
         """Take a timeout, a broken connection or a fault of the target."""
         if now - self._failed >= FAILURE_SECONDS:
             self._failed = now
-            self._set(self._learned * AFTER_FAILURE)
+            self._fall(AFTER_FAILURE)
+
+    def _fall(self, part: float) -> None:
+        """Lower the limit; remember where a series of refusals or failures began."""
+        if not self._falling:
+            self._falling = True
+            before = THRESHOLD_DECAY * self._threshold
+            self._threshold = max(before, part * self._learned)
+        self._set(self._learned * part)
+
+    def _recover(self) -> None:
+        """Grow by one for each answer up to near the limit before the series."""
+        self._falling = False
+        if self._learned >= self._threshold:
+            self._threshold = 0.0
+        else:
+            self._set(min(self._threshold, self._learned + 1.0))
 
     def _begin_window(self) -> None:
         self._sum = 0.0
@@ -220,13 +243,14 @@
         assert bounds.floor <= self.limit <= bounds.ceiling
 
 
-def start_probe(limiters: Iterable[Limiter]) -> None:
-    """Begin the next probe of a pool, if one is due and none is on."""
+def start_probe(limiters: Iterable[Limiter]) -> Limiter | None:
+    """Begin the next probe of a pool, if one is due and none is on, and return it."""
     due = None
     for limiter in limiters:
         if limiter.is_probing:
-            return
+            return None
         if due is None and limiter.wants_probe:
             due = limiter
     if due is not None:
         due.begin_probe()
+    return due
--- a/marigoldswitch/core/quotas.py
+++ b/marigoldswitch/core/quotas.py
@@ -57,6 +57,7 @@
     demand: float = 0.0
     moved: bool = False
     asked: bool = False
+    knows_keeper: bool = False
 
 
 class HostQuotas:
@@ -90,10 +91,11 @@
         self._refill(account, purse, now)
         purse.offered += 1
         purse.used = now
-        if purse.tokens - 1.0 >= -self._get_credit(account):
+        credit = self._get_credit(account, purse)
+        if purse.tokens - 1.0 >= -credit:
             purse.tokens -= 1.0
             return None
-        missing = 1.0 - self._get_credit(account) - purse.tokens + purse.promised
+        missing = 1.0 - credit - purse.tokens + purse.promised
         purse.promised += 1.0
         next_draw = max(0.0, purse.drawn + URGENT_SECONDS - now)
         return min(MOST_RETRY_SECONDS, next_draw + max(0.0, missing) / purse.rate)
@@ -136,6 +138,7 @@
         purse.heard = now
         purse.asked = False
         purse.moved = False
+        purse.knows_keeper = True
 
     def _draw(
         self, name: AccountId, purse: _Purse, elapsed: float, now: float
@@ -160,9 +163,15 @@
             )
         return purse
 
-    def _get_credit(self, account: Account) -> float:
-        """Return what a host may owe: its even part of the burst, at least one."""
-        return max(1.0, account.burst / self._hosts)
+    def _get_credit(self, account: Account, purse: _Purse) -> float:
+        """Return what a host may owe: its even part of the burst, at least one.
+
+        Only a host that has not heard of the keeper yet may owe anything.
+        """
+        return 0.0 if purse.knows_keeper else self._get_part(account.burst)
+
+    def _get_part(self, tokens: float) -> float:
+        return max(1.0, tokens / self._hosts)
 
     def _refill(self, account: Account, purse: _Purse, now: float) -> None:
         elapsed = now - purse.refilled
@@ -170,7 +179,8 @@
         purse.promised = max(0.0, purse.promised - elapsed * purse.rate)
         if purse.asked and now - purse.heard >= SILENT_SECONDS:
             purse.rate = account.rate / self._hosts
-            purse.tokens = min(0.0, purse.tokens + elapsed * purse.rate)
+            most = max(purse.tokens, self._get_part(account.burst))
+            purse.tokens = min(most, purse.tokens + elapsed * purse.rate)
 
 
 @dataclass(slots=True)
--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -14,17 +14,23 @@
 
 from marigoldswitch.administration import Administration
 from marigoldswitch.callers import CallerInterface
+from marigoldswitch.claiming import Claims
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.core.catalogue import Bundle
 from marigoldswitch.core.datagrams import MemberRecord
-from marigoldswitch.core.ids import DataCentre, HostId, Incarnation
+from marigoldswitch.core.ids import AccountId, DataCentre, HostId, Incarnation
 from marigoldswitch.dispatching import Dispatching
+from marigoldswitch.drains import Drains
 from marigoldswitch.followers import Follower
 from marigoldswitch.fronts import Front
 from marigoldswitch.gossip import Gossip
+from marigoldswitch.listeners import GuardedSite, build_guard
 from marigoldswitch.members import MemberView
+from marigoldswitch.orderers import Orderer, describe_lease
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.settings import Settings
+from marigoldswitch.statuses import describe_dispatchers, describe_members
+from marigoldswitch.tls import ServerContext, Tls
 
 logger = structlog.get_logger(__name__)
 
@@ -64,6 +70,10 @@
     front: Front
     callers: CallerInterface
     administration: Administration
+    drains: Drains
+    orderer: Orderer
+    tls: Tls
+    claims: Claims
 
 
 class Host:
@@ -89,15 +99,22 @@
         callers = parts.callers.build_application()
         callers.middlewares.insert(0, self._count_busy)
         callers.on_response_prepare.append(self._close_when_draining)
-        self.ports["callers"] = await self._listen(callers, listen.callers)
+        self.ports["callers"] = await self._listen(
+            callers, listen.callers, parts.tls.callers
+        )
         administration = parts.administration.build_application()
         self.ports["administration"] = await self._listen(
-            administration, listen.administration
+            administration, listen.administration, parts.tls.administration
         )
         await parts.follower.look()
         self._spawn(parts.follower.run())
+        self._spawn(parts.tls.run(parts.settings.tls.reload))
+        self._spawn(parts.follower.run_questions())
+        self._spawn(parts.follower.run_offers())
+        self._spawn(parts.orderer.run(lambda: parts.follower.polls_often))
         self._spawn(parts.dispatching.run())
         self._spawn(parts.gossip.run())
+        self._spawn(parts.claims.run(self._list_accounts, self._is_first_host))
         parts.state.ready = True
         logger.info("host_started", host=parts.settings.host, ports=self.ports)
 
@@ -116,6 +133,8 @@
         try:
             async with asyncio.timeout(drain.longest):
                 await self._idle.wait()
+                await parts.front.wait_idle()
+                await parts.claims.flush()
         except TimeoutError:
             logger.warning(
                 "drain_cut_short",
@@ -128,6 +147,8 @@
         """Close everything; what is still in flight has a moment to end."""
         for runner in self._runners:
             await runner.cleanup()
+        await self.parts.front.stop()
+        await self.parts.claims.stop()
         await self._end_tasks()
         self.parts.gossip.leave(gone=True)
         self.parts.gossip.stop()
@@ -142,13 +163,13 @@
         """
         self.parts.gossip.stop()
         await self.parts.network.stop()
+        await self.parts.claims.stop()
         await self.parts.session.close()
         for runner in self._runners:
             for connection in runner.server.connections if runner.server else ():
                 if connection.transport is not None:
                     connection.transport.abort()
-        for request in list(self.parts.front.held.values()):
-            request.cancel()
+        await self.parts.front.stop()
         await self._end_tasks()
         for runner in self._runners:
             await runner.cleanup()
@@ -166,9 +187,18 @@
         parts = self.parts
         parts.follower.watch_bundle(self._use_bundle)
         parts.follower.watch_hosts(parts.gossip.use_host_list)
+        parts.follower.watch_drains(parts.gossip.use_drains)
         parts.gossip.watch_leaving(parts.dispatching.use_leaving)
         parts.dispatching.watch_leaving(parts.gossip.note_leaving)
 
+    def _list_accounts(self) -> list[AccountId]:
+        bundle = self.parts.adoption.bundle
+        return list(bundle.accounts) if bundle else []
+
+    def _is_first_host(self) -> bool:
+        """Tell whether this host does what one host is enough for."""
+        return min(self.parts.view.members) == self.parts.settings.host
+
     def _use_bundle(self, bundle: Bundle) -> None:
         self.parts.dispatching.use_bundle(bundle)
         self.parts.gossip.use_bundle(bundle.version)
@@ -207,7 +237,11 @@
         if not self.parts.state.ready:
             response.force_close()
 
-    async def _listen(self, application: web.Application, port: int) -> int:
+    async def _listen(
+        self, application: web.Application, port: int, tls: ServerContext | None
+    ) -> int:
+        guard = build_guard(self.parts.settings.requests)
+        application.middlewares.append(guard.build_middleware())
         runner = web.AppRunner(
             application,
             access_log=None,
@@ -217,7 +251,9 @@
         )
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, self.parts.settings.listen.address, port)
+        address = self.parts.settings.listen.address
+        site = GuardedSite(runner, address, port, guard)
+        site.use_tls(tls)
         await site.start()
         return int(runner.addresses[0][1])
 
@@ -235,4 +271,9 @@
         "held": len(parts.front.held),
         "breaches": parts.front.breaches,
         "hosts": sorted(parts.view.members),
+        "members": describe_members(parts.view),
+        "dispatchers": describe_dispatchers(parts.dispatching),
+        "drains": sorted(parts.drains.marked),
+        "orders": describe_lease(parts.orderer),
+        "bundles_refused": parts.follower.refused,
     }
--- a/marigoldswitch/settings.py
+++ b/marigoldswitch/settings.py
@@ -1,12 +1,17 @@
 """Settings of the daemon: one table of defaults, checked whole at the start."""
 
 from pathlib import Path
+from textwrap import shorten
 from typing import Annotated, Any
 
-import yaml
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from result import Err, Ok, Result
 
+from marigoldswitch.documents import read_document
+
+LONGEST_SHOWN = 80
+"""Characters of a wrong value that a message repeats."""
+
 Port = Annotated[int, Field(ge=0, le=65535)]
 Seconds = Annotated[float, Field(gt=0)]
 
@@ -44,7 +49,24 @@
     poll: Seconds = Field(
         2.0,
         description="Seconds between two looks at the accepted bundle and the host "
-        "list; with gossip between, a version is in force within 8 s.",
+        "list of the one host of each data centre that polls for the others.",
+    )
+    poll_others: Seconds = Field(
+        5.0,
+        description="Seconds between two looks of all other hosts; they hear of a new "
+        "bundle from their peers, and by this look alone it is still in force within "
+        "8 s. It keeps 400 hosts under 300 reads a second.",
+    )
+    ca_file: str = Field(
+        "",
+        description="PEM file of the authorities that sign the platform's certificate, "
+        "for an ``https`` address; empty takes the machine's own.",
+    )
+    certificate: str = Field(
+        "", description="PEM file of the certificate shown to the platform, if any."
+    )
+    private_key: str = Field(
+        "", description="PEM file of that certificate's private key."
     )
 
 
@@ -83,6 +105,14 @@
     header_bytes: int = Field(
         8190, gt=0, description="Largest header line of a request, in bytes."
     )
+    head_seconds: Seconds = Field(
+        20.0,
+        description="Longest wait on a connection for a request's head, the first or "
+        "the next; longer than a balancer keeps idle connections costs sockets only.",
+    )
+    body_seconds: Seconds = Field(
+        20.0, description="Longest wait for a request's body once its head is there."
+    )
     deadline: Seconds = Field(
         60.0, description="Deadline of a request that names none, in seconds."
     )
@@ -96,6 +126,50 @@
     )
 
 
+class ClaimSettings(Section):
+    """Claims of non-idempotent requests in the table service."""
+
+    interval: Seconds = Field(
+        0.02,
+        description="Least seconds between the starts of two group commits of a host; "
+        "50 writes a second a host keep 8 hosts within the several hundred that the "
+        "platform takes.",
+    )
+    batch: int = Field(64, gt=0, description="Most claims written in one group commit.")
+    owner_patience: Seconds = Field(
+        3.0,
+        description="Seconds without a word from the owner of a claim after which the "
+        "outcome is said to be unknown; longer than a pause of the interpreter and the "
+        "detection of a failed host.",
+    )
+    late_answer: float = Field(
+        30.0,
+        ge=0,
+        description="Seconds past a caller's deadline for which a target's answer to a "
+        "non-idempotent request is still awaited, so that a resend can have it.",
+    )
+    inline_bytes: int = Field(
+        16 * 1024,
+        ge=0,
+        description="Largest answer kept in the claim's row, in bytes; a larger one "
+        "goes to the object store.",
+    )
+    kept_bytes: int = Field(
+        32 * 1024 * 1024,
+        gt=0,
+        description="Most bytes of answers that wait in memory for the platform; above "
+        "it non-idempotent requests are refused unsent.",
+    )
+    keep: Seconds = Field(
+        86400.0,
+        description="Seconds for which a key and its answer are kept; a key used again "
+        "later is a new request. Far longer than the longest deadline.",
+    )
+    sweep: Seconds = Field(
+        600.0, description="Seconds between two searches for expired claims."
+    )
+
+
 class DrainSettings(Section):
     """The planned stop of a host."""
 
@@ -122,7 +196,59 @@
         ("viewer",), description="Any of ``viewer``, ``reviewer``, ``releaser``."
     )
     public_key: str = Field(
-        "", description="The operator's Ed25519 public key, as hexadecimal."
+        "",
+        pattern=r"^([0-9a-f]{64})?$",
+        description="The operator's Ed25519 public key, as hexadecimal; without one "
+        "the operator can look but not take a bundle any step further.",
+    )
+
+
+class TlsSettings(Section):
+    """TLS for callers and operators; files are read again when they change."""
+
+    callers_certificate: str = Field(
+        "", description="PEM file of the callers' listener; empty means plain HTTP."
+    )
+    callers_key: str = Field("", description="PEM file of its private key.")
+    administration_certificate: str = Field(
+        "", description="PEM file of the operators' listener; empty means plain HTTP."
+    )
+    administration_key: str = Field("", description="PEM file of its private key.")
+    reload: Seconds = Field(
+        10.0, description="Seconds between two looks at whether the files changed."
+    )
+
+
+class OrderSettings(Section):
+    """Engine orders: which the holder of the region's lease sends."""
+
+    enabled: bool = Field(True, description="Whether this host may hold the lease.")
+    tick: Seconds = Field(
+        1.0, description="Seconds between two looks at the lease and the engines."
+    )
+    lease: Seconds = Field(
+        10.0,
+        description="Seconds without a change of the lease's row after which another "
+        "host may take it.",
+    )
+    margin: Seconds = Field(
+        3.0,
+        description="Seconds before the end of its lease in which a holder sends no "
+        "order, and for which a new holder waits; longer than an order's timeout.",
+    )
+    changes: int = Field(
+        2, ge=1, description="Most targets of one service that change at once."
+    )
+    settle: Seconds = Field(
+        8.0,
+        description="Seconds after a target is marked as draining before it counts as "
+        "idle; all hosts have seen the mark by then.",
+    )
+    loads: int = Field(
+        6,
+        ge=1,
+        description="Most loads of weights begun in a minute in a region; the weight "
+        "store's rate.",
     )
 
 
@@ -146,12 +272,15 @@
     platform: PlatformSettings
     peers: PeerSettings
     requests: RequestSettings = Field(default_factory=RequestSettings)
+    claims: ClaimSettings = Field(default_factory=ClaimSettings)
     drain: DrainSettings = Field(default_factory=DrainSettings)
     operators: dict[str, OperatorSettings] = Field(
         default_factory=dict,
         description="Operators by name; each has ``key_digest`` (SHA-256 of the bearer "
         "key), ``roles`` (any of viewer, reviewer, releaser) and ``public_key``.",
     )
+    tls: TlsSettings = Field(default_factory=TlsSettings)
+    orders: OrderSettings = Field(default_factory=OrderSettings)
     logs: LogSettings = Field(default_factory=LogSettings)
 
 
@@ -160,11 +289,18 @@
     lines = []
     for fault in error.errors():
         key = ".".join(str(part) for part in fault["loc"])
-        value = "" if fault["type"] == "missing" else f" (is {fault['input']!r})"
+        value = "" if fault["type"] == "missing" else f" (is {_show(fault['input'])})"
         lines.append(f"{source}: {key}{value}: {fault['msg']}")
     return lines
 
 
+def _show(value: Any) -> str:
+    """Return a value from outside, short enough for a message."""
+    if isinstance(value, int) and value.bit_length() > 64:
+        return f"a number of {value.bit_length()} bits"
+    return shorten(repr(value), LONGEST_SHOWN, placeholder="...")
+
+
 def parse_settings(source: str, content: Any) -> Result[Settings, list[str]]:
     """Check settings as a whole.
 
@@ -180,7 +316,10 @@
 def read_settings(path: Path) -> Result[Settings, list[str]]:
     """Read settings from a YAML file and check them as a whole."""
     try:
-        content = yaml.safe_load(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        return Err([f"{path}: {error}"])
-    return parse_settings(str(path), content)
+        content = path.read_bytes()
+    except OSError as error:
+        return Err([f"{path}: {error.strerror}"])
+    document = read_document(content, str(path))
+    if isinstance(document, Err):
+        return Err(document.err_value)
+    return parse_settings(str(path), document.ok_value)
