--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -31,6 +31,7 @@
 from marigoldswitch.gossip import Gossip
 from marigoldswitch.hosts import Host, HostParts, HostState, describe_status
 from marigoldswitch.inquiries import Inquiries, Subject, Teller
+from marigoldswitch.leaving_watch import LeavingWatch
 from marigoldswitch.members import Member, MemberView
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.operators import OperatorDirectory
@@ -47,10 +48,15 @@
 INCARNATION_BITS = 48
 
 
-def compose_host(settings: Settings, clock: Clock | None = None) -> Host:
+def compose_host(
+    settings: Settings,
+    clock: Clock | None = None,
+    connector: aiohttp.BaseConnector | None = None,
+) -> Host:
     """Wire one host; it must be called with a loop running.
 
     :param clock: the source of time; the machine's clock by default.
+    :param connector: how targets and the platform are reached.
     """
     clock = clock or SystemClock()
     state = HostState()
@@ -59,7 +65,9 @@
         DataCentre(settings.data_centre),
         f"{settings.listen.address}:{settings.listen.peers}",
     )
-    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    session = aiohttp.ClientSession(
+        connector=connector or aiohttp.TCPConnector(limit=0)
+    )
     tls = build_tls(settings).unwrap()
     platform = PlatformClient(
         session,
@@ -143,6 +151,7 @@
         view,
         network,
         gossip,
+        LeavingWatch(session, view, gossip),
         follower,
         dispatching,
         front,
--- a/marigoldswitch/standins/engine.py
+++ b/marigoldswitch/standins/engine.py
@@ -179,7 +179,8 @@
         key = (order["request"], order["epoch"])
         state = self._streams.get(key)
         if state is None:
-            if activation["position"] > order["from"]:
+            is_last = activation["index"] == len(order["chain"]) - 1
+            if is_last or activation["position"] > order["from"]:
                 return web.json_response({"error": "no such stream"}, status=410)
             if not self._holds_stage(order, activation["index"]):
                 return web.json_response({"error": "other layers"}, status=409)
@@ -187,6 +188,7 @@
         if not await self._run_stage(
             state, activation["position"], activation["trace"]
         ):
+            self._streams.pop(key, None)
             return web.json_response({"error": "broken"}, status=502)
         return web.json_response({})
 
@@ -243,6 +245,13 @@
             setattr(self.faults, name, value)
         return web.json_response({})
 
+    def forget_streams(self) -> None:
+        """Lose the memory of all streams, as an engine that ends does."""
+        for state in self._streams.values():
+            state.cancelled = True
+            state.queue.put_nowait(None)
+        self._streams.clear()
+
     def _refuse(self) -> web.Response:
         return web.json_response(
             {
@@ -263,6 +272,7 @@
         order = state.order
         for position in range(order["from"], order["max_tokens"]):
             if state.cancelled or not await self._run_stage(state, position, []):
+                self._streams.pop((order["request"], order["epoch"]), None)
                 return
 
     async def _run_stage(
