Count only what is served before a request in its estimated wait

Change: short and long lanes have their own costs and service rates; hosts draw at least an even part of the burst from a quota's keeper, since small bursts were refused within it.

--- a/marigoldswitch/core/admission.py
+++ b/marigoldswitch/core/admission.py
@@ -13,7 +13,8 @@
 from marigoldswitch.core.estimates import WorkEstimates
 from marigoldswitch.core.messages import Ask
 from marigoldswitch.core.occupancy import Occupancy
-from marigoldswitch.core.queueing import FairQueue, Pace
+from marigoldswitch.core.pace import Pace
+from marigoldswitch.core.queueing import FairQueue
 
 TAIL_TOLERANCE = 1.25
 """A request that was let in is turned away again only when its estimated end is so many
@@ -86,7 +87,13 @@
         pace = self._measure_pace(now, full)
         if pace is None:
             return 0.0
-        return self._waiting.estimate_wait(ask.account, ask.priority, ask.weight, pace)
+        long = self._estimates.is_long(ask.cost)
+        return self._waiting.estimate_wait(ask, long, pace)
+
+    def allows_long(self) -> bool:
+        """Tell whether one more long request may take a slot."""
+        short = self._estimates.estimate_short_slots()
+        return self._out.allows_long(self.slots, short)
 
     def list_hopeless(self, now: float, full: bool) -> list[Refusal]:
         """Take out what the pool, grown slower since, will not reach in time."""
@@ -114,7 +121,10 @@
         busy = len(self._out) if full else max(len(self._out), self.slots)
         if not busy:
             return None
-        return Pace(busy / self._estimates.seconds_per_cost, now)
+        rate = busy / self._estimates.seconds_per_cost
+        if self.allows_long():
+            return Pace(rate, None, now)
+        return Pace(rate, rate * self._out.long / busy, now)
 
     def _get_run_margin(self, cost: float, remaining: float) -> float:
         """Return the time to keep for the run itself."""
--- a/marigoldswitch/core/dispatcher.py
+++ b/marigoldswitch/core/dispatcher.py
@@ -343,7 +343,7 @@
         if len(self.parked):
             actions += self._grant_parked(now)
         while len(self.waiting) and self._may_grant(now):
-            item = self.waiting.peek(self._allows_long())
+            item = self.waiting.peek(self.admission.allows_long())
             if item is None:
                 break
             route = self.pool.choose(item.ask, now)
@@ -358,10 +358,6 @@
                 self.parked.add(item, now + AVOID_SECONDS)
         return actions
 
-    def _allows_long(self) -> bool:
-        short = self.estimates.estimate_short_slots()
-        return self.out.allows_long(self.admission.slots, short)
-
     def _grant_parked(self, now: float) -> list[Action]:
         actions: list[Action] = []
         for parked in self.parked.rotate(AVOID_TRIES):
--- a/marigoldswitch/core/queueing.py
+++ b/marigoldswitch/core/queueing.py
@@ -13,7 +13,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from sortedcontainers import SortedList
 
@@ -21,6 +21,7 @@
 from marigoldswitch.core.ids import AccountId, RequestId
 from marigoldswitch.core.ledger import InvariantBroken
 from marigoldswitch.core.messages import Ask
+from marigoldswitch.core.pace import Pace, ServiceRate
 
 AskKey = tuple[RequestId, int]
 """Request and attempt."""
@@ -38,27 +39,11 @@
 each, so 20 MB of the host's 256 MB."""
 
 
-SERVICE_SECONDS = 2.0
-"""Time of a window in which a flow's service is counted."""
-FEWEST_SERVED = 10
-"""Requests served before a flow's own rate is believed."""
 LEAST_RATE_SHARE = 1e-3
 """Part of the pool's rate below which a flow's rate is not taken, so that a pause of
 the pool is not read as for ever."""
 
 
-@dataclass(frozen=True, slots=True)
-class Pace:
-    """How fast the pool works.
-
-    :param rate: cost a second; above 0.
-    :param now: monotonic seconds.
-    """
-
-    rate: float
-    now: float
-
-
 @dataclass(slots=True)
 class WaitingRequest:
     """One ask that waits.
@@ -80,50 +65,38 @@
         return (self.ask.request, self.ask.attempt)
 
 
-@dataclass(slots=True)
-class _Service:
-    """What a flow was served lately, over the last window and the one before."""
-
-    began: float
-    turned: float
-    before: float = 0.0
-    cost: float = 0.0
-    count: int = 0
-
-    def add(self, cost: float, now: float) -> None:
-        if now - self.turned >= SERVICE_SECONDS:
-            self.began, self.turned = self.turned, now
-            self.before, self.cost = self.cost, 0.0
-        self.cost += cost
-        self.count += 1
-
-    def get_rate(self, now: float) -> float | None:
-        """Return the cost a second, ``None`` while too little is known."""
-        elapsed = now - self.began
-        if self.count < FEWEST_SERVED or elapsed < SERVICE_SECONDS / 2.0:
-            return None
-        return (self.before + self.cost) / elapsed
+class _Lane:
+    """The short or the long requests of one flow, first come first."""
+
+    def __init__(self, now: float) -> None:
+        self.items: OrderedDict[AskKey, WaitingRequest] = OrderedDict()
+        self.head: tuple[float, int, AccountId] | None = None
+        """Place of the first one in the order of its class."""
+        self.cost = 0.0
+        self.served = ServiceRate(now)
+
+    def add(self, item: WaitingRequest) -> None:
+        self.items[item.key] = item
+        self.cost += item.ask.cost
+
+    def remove(self, item: WaitingRequest) -> None:
+        del self.items[item.key]
+        self.cost = self.cost - item.ask.cost if self.items else 0.0
 
 
-@dataclass(slots=True)
 class _Flow:
-    """The waiting requests of one client account in one class; it ends when none
-    waits."""
-
-    account: AccountId
-    weight: float
-    service: _Service
-    finish: float = 0.0
-    cost: float = 0.0
-    lanes: tuple[OrderedDict[AskKey, WaitingRequest], ...] = field(
-        default_factory=lambda: (OrderedDict(), OrderedDict())
-    )
-    heads: list[tuple[float, int, AccountId] | None] = field(
-        default_factory=lambda: [None, None]
-    )
+    """The waiting requests of one client account in one class; ends when none waits."""
+
+    def __init__(
+        self, account: AccountId, weight: float, finish: float, now: float
+    ) -> None:
+        self.account = account
+        self.weight = weight
+        self.finish = finish
+        self.lanes = (_Lane(now), _Lane(now))
 
     def __len__(self) -> int:
-        return len(self.lanes[0]) + len(self.lanes[1])
+        return sum(len(lane.items) for lane in self.lanes)
 
 
 class _PriorityClass:
@@ -144,18 +117,15 @@
         flow = self.flows.get(ask.account)
         if flow is None:
             finish = self._finishes.pop(ask.account, 0.0)
-            service = _Service(item.arrived, item.arrived)
-            flow = _Flow(ask.account, ask.weight, service, finish)
+            flow = _Flow(ask.account, ask.weight, finish, item.arrived)
             self.flows[ask.account] = flow
             self.flow_weight += flow.weight
-        flow.lanes[item.long][item.key] = item
-        flow.cost += ask.cost
+        flow.lanes[item.long].add(item)
         self._place(flow, item.long)
 
     def remove(self, item: WaitingRequest) -> None:
         flow = self.flows[item.ask.account]
-        del flow.lanes[item.long][item.key]
-        flow.cost -= item.ask.cost
+        flow.lanes[item.long].remove(item)
         self._place(flow, item.long)
         self._retire(flow)
 
@@ -166,44 +136,39 @@
             return None
         _, _, account = head = min(heads)
         lanes = self.flows[account].lanes
-        lane = lanes[0] if self.flows[account].heads[0] == head else lanes[1]
-        return next(iter(lane.values()))
+        lane = lanes[0] if lanes[0].head == head else lanes[1]
+        return next(iter(lane.items.values()))
 
     def take(self, item: WaitingRequest, now: float) -> None:
         """Take the next request out and charge its flow for it."""
         flow = self.flows[item.ask.account]
-        flow.service.add(item.ask.cost, now)
-        head = flow.heads[item.long]
-        assert head is not None
-        self._virtual = max(self._virtual, head[0])
+        lane = flow.lanes[item.long]
+        assert lane.head is not None
+        self._virtual = max(self._virtual, lane.head[0])
         flow.finish = self._virtual + item.ask.cost / flow.weight
-        del flow.lanes[item.long][item.key]
-        flow.cost -= item.ask.cost
-        self._unplace(flow)
+        lane.remove(item)
+        lane.served.add(item.ask.cost, now)
         for long in (False, True):
+            self._unplace(flow.lanes[long], long)
             self._place(flow, long)
         self._retire(flow)
 
     def _place(self, flow: _Flow, long: bool) -> None:
         """Put the head of a lane in its place in the order."""
-        head = flow.heads[long]
         lane = flow.lanes[long]
-        first = next(iter(lane.values())) if lane else None
-        if head is not None and first is not None and head[1] == first.sequence:
+        first = next(iter(lane.items.values())) if lane.items else None
+        if lane.head and first and lane.head[1] == first.sequence:
             return
-        start = max(self._virtual, flow.finish) if head is None else head[0]
-        if head is not None:
-            self._heads[long].remove(head)
-            flow.heads[long] = None
+        start = lane.head[0] if lane.head else max(self._virtual, flow.finish)
+        self._unplace(lane, long)
         if first is not None:
-            flow.heads[long] = (start, first.sequence, flow.account)
-            self._heads[long].add(flow.heads[long])
+            lane.head = (start, first.sequence, flow.account)
+            self._heads[long].add(lane.head)
 
-    def _unplace(self, flow: _Flow) -> None:
-        for long in (False, True):
-            if flow.heads[long] is not None:
-                self._heads[long].remove(flow.heads[long])
-                flow.heads[long] = None
+    def _unplace(self, lane: _Lane, long: bool) -> None:
+        if lane.head is not None:
+            self._heads[long].remove(lane.head)
+            lane.head = None
 
     def _retire(self, flow: _Flow) -> None:
         """Forget a flow with nothing waiting but for the charge it still carries."""
@@ -227,8 +192,7 @@
     """Waiting requests in the order in which they are to be granted."""
 
     def __init__(self) -> None:
-        self.cost = 0.0
-        """Cost of all that waits."""
+        self._lane_costs = [0.0, 0.0]
         self._items: dict[AskKey, WaitingRequest] = {}
         self._classes = {item: _PriorityClass(item) for item in Priority}
         self._virtual = 0.0
@@ -236,6 +200,11 @@
         self._by_front: dict[str, set[AskKey]] = {}
         self._sequence = 0
 
+    @property
+    def cost(self) -> float:
+        """Return the cost of all that waits."""
+        return sum(self._lane_costs)
+
     def __len__(self) -> int:
         return len(self._items)
 
@@ -272,7 +241,7 @@
         self._items[item.key] = item
         self._latest.add((item.latest, item.sequence, item.key))
         self._by_front.setdefault(item.ask.front, set()).add(item.key)
-        self.cost += item.ask.cost
+        self._lane_costs[item.long] += item.ask.cost
 
     def remove(self, key: AskKey) -> WaitingRequest | None:
         """Take a request out wherever it stands; its account is not charged."""
@@ -318,44 +287,50 @@
             expired.append(item)
         return expired
 
-    def estimate_wait(
-        self, account: AccountId, priority: Priority, weight: float, pace: Pace
-    ) -> float:
-        """Return the seconds that one more request of an account would wait.
-
-        An account whose requests have waited for a while goes on as it was served. For
-        another it is the lesser of all waiting work and of its own over its fair share.
-        """
-        flow = self._classes[priority].flows.get(account)
+    def estimate_wait(self, ask: Ask, long: bool, pace: Pace) -> float:
+        """Return the seconds that one more request of an account would wait."""
+        flow = self._classes[ask.priority].flows.get(ask.account)
         if flow is None:
             return 0.0
-        return self._estimate(flow, flow.cost, priority, weight, pace)
+        return self._estimate(flow, ask.priority, long, 0.0, pace)
 
     def list_tails(self, pace: Pace) -> list[tuple[WaitingRequest, float]]:
-        """Return the last request of each account with its estimated wait."""
+        """Return the last requests of each account with their estimated waits."""
         tails = []
         for priority, group in self._classes.items():
             for flow in group.flows.values():
-                last = max(
-                    (next(reversed(lane.values())) for lane in flow.lanes if lane),
-                    key=lambda item: item.sequence,
-                )
-                ahead = max(0.0, flow.cost - last.ask.cost)
-                wait = self._estimate(flow, ahead, priority, flow.weight, pace)
-                tails.append((last, wait))
+                for long, lane in enumerate(flow.lanes):
+                    if not lane.items:
+                        continue
+                    last = next(reversed(lane.items.values()))
+                    own = last.ask.cost
+                    wait = self._estimate(flow, priority, bool(long), own, pace)
+                    tails.append((last, wait))
         return tails
 
     def _estimate(
-        self, flow: _Flow, ahead: float, priority: Priority, weight: float, pace: Pace
+        self, flow: _Flow, priority: Priority, long: bool, own: float, pace: Pace
     ) -> float:
-        """Return the seconds until some work of a flow has been served."""
-        rate = flow.service.get_rate(pace.now)
-        if rate is not None:
-            return ahead / max(rate, pace.rate * LEAST_RATE_SHARE)
+        """Return the seconds until the work of a flow that waits has been served.
+
+        An account whose requests have waited for a while goes on as it was served. For
+        another it is the lesser of all waiting work and of its own over its fair share.
+
+        :param own: waiting work of the flow that doesn't count.
+        """
+        lane = flow.lanes[long]
+        served = lane.served.measure(pace.now)
+        if served is not None:
+            return (lane.cost - own) / max(served, pace.rate * LEAST_RATE_SHARE)
         group = self._classes[priority]
         classes = sum(item.weight for item in self._classes.values() if item.flows)
-        share = weight / group.flow_weight * group.weight / classes
-        return min(self.cost, ahead / share) / pace.rate
+        share = flow.weight / group.flow_weight * group.weight / classes
+        if pace.long_rate is None:
+            ahead, total, rate = sum(i.cost for i in flow.lanes), self.cost, pace.rate
+        else:
+            ahead, total = lane.cost, self._lane_costs[long]
+            rate = pace.long_rate if long else pace.rate
+        return max(0.0, min(total, (ahead - own) / share)) / rate
 
     def _forget(self, item: WaitingRequest) -> None:
         del self._items[item.key]
@@ -364,8 +339,8 @@
         keys.discard(item.key)
         if not keys:
             del self._by_front[item.ask.front]
-        self.cost -= item.ask.cost
+        self._lane_costs[item.long] -= item.ask.cost
         if not self._items:
             if abs(self.cost) > ROUNDING:
                 raise InvariantBroken(f"an empty queue holds work of {self.cost}")
-            self.cost = 0.0
+            self._lane_costs = [0.0, 0.0]
--- a/marigoldswitch/core/quotas.py
+++ b/marigoldswitch/core/quotas.py
@@ -118,7 +118,8 @@
             short = purse.tokens < 1.0 and purse.offered > 0
             if elapsed < (URGENT_SECONDS if short else DRAW_SECONDS):
                 continue
-            draws.setdefault(keeper, []).append(self._draw(name, purse, elapsed, now))
+            draw = self._draw(self._accounts[name], purse, elapsed, now)
+            draws.setdefault(keeper, []).append(draw)
             if now - purse.used >= IDLE_SECONDS and purse.tokens >= 0.0:
                 del self._purses[name]
         return draws
@@ -141,18 +142,21 @@
         purse.knows_keeper = True
 
     def _draw(
-        self, name: AccountId, purse: _Purse, elapsed: float, now: float
+        self, account: Account, purse: _Purse, elapsed: float, now: float
     ) -> QuotaDraw:
+        """Ask for what the demand needs, and at least for an even part of the burst."""
         recent = purse.offered / elapsed
         purse.demand += DEMAND_WEIGHT * (recent - purse.demand)
+        part = self._get_part(account.burst)
+        wanted = max(part, purse.demand * HORIZON_SECONDS)
         if now - purse.used >= IDLE_SECONDS:
-            purse.demand = 0.0
+            wanted = purse.demand = 0.0
         if not purse.asked:
             purse.asked = True
             purse.heard = now
         purse.offered = 0
         purse.drawn = now
-        return QuotaDraw(name, purse.tokens, purse.demand, purse.moved)
+        return QuotaDraw(account.id, purse.tokens, wanted, purse.demand, purse.moved)
 
     def _get_purse(self, account: Account, now: float) -> _Purse:
         purse = self._purses.get(account.id)
@@ -218,10 +222,10 @@
         bucket = self._fill(account, draw, now)
         bucket.demands[host] = (draw.demand, now)
         share = self._get_share(bucket, host, now)
-        wanted = min(account.burst, draw.demand * HORIZON_SECONDS) - draw.tokens
-        given = min(max(0.0, wanted), bucket.tokens * share)
-        if draw.demand == 0.0:
-            given = min(wanted, bucket.tokens)
+        missing = min(account.burst, draw.wanted) - draw.tokens
+        given = min(max(0.0, missing), bucket.tokens * share)
+        if draw.wanted == 0.0:
+            given = min(missing, bucket.tokens)
         bucket.tokens = min(account.burst, bucket.tokens - given)
         assert bucket.tokens >= -ROUNDING
         return QuotaLease(draw.account, given, account.rate * share)
--- a/marigoldswitch/tests/test_queueing.py
+++ b/marigoldswitch/tests/test_queueing.py
@@ -9,7 +9,8 @@
 from marigoldswitch.core import queueing
 from marigoldswitch.core.catalogue import Priority
 from marigoldswitch.core.ledger import InvariantBroken
-from marigoldswitch.core.queueing import FairQueue, Pace, WaitingRequest
+from marigoldswitch.core.pace import Pace
+from marigoldswitch.core.queueing import FairQueue, WaitingRequest
 from marigoldswitch.tests.helpers import build_ask
 
 
@@ -187,9 +188,9 @@
         assert set(self.queue) == set(self.model)
         cost = sum(item.ask.cost for item in self.model.values())
         assert self.queue.cost == pytest.approx(cost, abs=1e-6)
-        pace = Pace(1.0, self.now)
+        pace = Pace(1.0, 1.0, self.now)
         tails = {i.key for i, wait in self.queue.list_tails(pace) if wait >= 0.0}
-        flows = {(i.ask.account, i.ask.priority) for i in self.model.values()}
+        flows = {(i.ask.account, i.ask.priority, i.long) for i in self.model.values()}
         assert len(tails) == len(flows)
         assert tails <= set(self.model)
 
