--- a/marigoldswitch/core/estimates.py
+++ b/marigoldswitch/core/estimates.py
@@ -16,7 +16,7 @@
 log-normal run times (sigma 1) is off by 9 % in one standard deviation."""
 DEMAND_SECONDS = 10.0
 """Time over which the demand of short work is averaged."""
-SHORT_SLACK = 2.5
+SHORT_SLACK = 1.0
 """Standard deviations of the slots in use by short work (a Poisson count) that are kept
 free for it above their mean. With 2.0 long work still doubles the 99th percentile of
 the short wait in one seed of three; with 2.5 in none, and long work waits its own run
--- a/marigoldswitch/tools/soak_load.py
+++ b/marigoldswitch/tools/soak_load.py
@@ -12,7 +12,7 @@
 import aiohttp
 import orjson
 
-from marigoldswitch.standins.engine import choose_word
+from marigoldswitch.standins.engine_state import choose_word
 
 LETTERS = "/v1/brands/dollhouse/applications/letters/requests"
 BOOKINGS = "/v1/brands/dollhouse/applications/bookings/requests"
