--- a/marigoldswitch/core/dispatcher.py
+++ b/marigoldswitch/core/dispatcher.py
@@ -40,13 +40,9 @@
 from marigoldswitch.core.parking import Parking
 from marigoldswitch.core.pool import TargetPool
 from marigoldswitch.core.queueing import FairQueue, WaitingRequest
+from marigoldswitch.core.rebuilding import Rebuilding
 from marigoldswitch.core.routing import Route
 
-QUIET_SECONDS = 0.05
-"""Time for which a new dispatcher grants nothing; all live fronts answer within it."""
-REBUILD_SECONDS = 0.4
-"""Longest time for which a new dispatcher grants only the part of the fronts that have
-answered; with the time to notice the loss still under a second."""
 CHECK_SECONDS = 5.0
 """Age of a permit at which its front is asked whether it still holds it, and time
 between two such questions; a lost release costs a slot for at most so long."""
@@ -85,9 +81,7 @@
     admission: Admission = field(init=False)
     parked: Parking = field(default_factory=Parking)
     _full: bool = False
-    _unheard: frozenset[HostId] = frozenset()
-    _fronts: int = 1
-    _rebuild_began: float = 0.0
+    _rebuild: Rebuilding = field(default_factory=Rebuilding)
     _tails_at: float = 0.0
     _checked_at: float = 0.0
     _targetless_since: float | None = None
@@ -133,9 +127,7 @@
             case TargetsListed(names=names):
                 self.pool.use_list(names)
             case Rebuild(fronts=fronts):
-                self._unheard = fronts
-                self._fronts = max(1, len(fronts))
-                self._rebuild_began = now
+                self._rebuild = Rebuilding(fronts, now)
             case Close():
                 return self._close()
             case Tick():
@@ -157,7 +149,9 @@
             return [Send(ask.front, Queued(ask.request, ask.attempt))]
         self.estimates.note_cost(ask.cost)
         if self.refuses:
-            refusal = self.admission.judge(ask, now, not self._unheard, self._full)
+            refusal = self.admission.judge(
+                ask, now, not self._rebuild.is_on(now), self._full
+            )
             if refusal is not None:
                 return self._deny(refusal)
         self._let_wait(ask, now)
@@ -239,7 +233,7 @@
                     learned=True,
                 )
             )
-        self._unheard -= {holdings.front}
+        self._rebuild.hear(holdings.front)
         self._full = False
         actions: list[Action] = []
         for ask in holdings.waiting:
@@ -258,7 +252,7 @@
         self.parked.remove_all(host)
         for permit in self.out.list_front(host):
             self._free(permit.id)
-        self._unheard -= {host}
+        self._rebuild.hear(host)
 
     def _close(self) -> list[Action]:
         items = [self.waiting.remove(key) for key in list(self.waiting)]
@@ -318,18 +312,10 @@
 
     def _check_permits(self, now: float) -> list[Action]:
         """Ask fronts whether they still hold the permits that are long out."""
-        due: dict[HostId, list[PermitId]] = {}
-        for permit in self.out.permits.values():
-            if now - permit.checked >= CHECK_SECONDS:
-                permit.checked = now
-                due.setdefault(permit.front, []).append(permit.id)
+        due = self.out.list_unchecked(now, CHECK_SECONDS)
+        name, place = self.service.name, self.data_centre
         return [
-            Send(
-                front,
-                PermitCheck(
-                    self.service.name, self.data_centre, self.host, tuple(permits)
-                ),
-            )
+            Send(front, PermitCheck(name, place, self.host, tuple(permits)))
             for front, permits in due.items()
         ]
 
@@ -378,22 +364,9 @@
         return self.pool.choose(replace(item.ask, avoid=()), now)
 
     def _may_grant(self, now: float) -> bool:
-        """Tell whether one more permit may go out.
-
-        A new dispatcher grants the part of the slots that belongs to the fronts it has
-        heard from, until it has heard from all or has waited long enough.
-        """
-        if not self._is_rebuilding(now):
-            return True
-        if now - self._rebuild_began < QUIET_SECONDS:
-            return False
-        heard = 1.0 - len(self._unheard) / self._fronts
-        return len(self.out) < int(heard * self.admission.slots)
-
-    def _is_rebuilding(self, now: float) -> bool:
-        if now - self._rebuild_began >= REBUILD_SECONDS:
-            self._unheard = frozenset()
-        return bool(self._unheard)
+        """Tell whether one more permit may go out."""
+        share = self._rebuild.get_share(now)
+        return share == 1.0 or len(self.out) < int(share * self.admission.slots)
 
     def _grant(self, item: WaitingRequest, route: Route, now: float) -> list[Action]:
         ask = item.ask
