--- a/marigoldswitch/core/pool.py
+++ b/marigoldswitch/core/pool.py
@@ -6,6 +6,7 @@
 from marigoldswitch.core.affinity import LOAD_BOUND, SAVING, Affinity
 from marigoldswitch.core.catalogue import Service, Target
 from marigoldswitch.core.ids import DataCentre, TargetId
+from marigoldswitch.core.limits import start_probe
 from marigoldswitch.core.messages import Ask, TargetReport
 from marigoldswitch.core.outliers import Health, OutlierWatch
 from marigoldswitch.core.ranking import Ranking
@@ -203,6 +204,11 @@
             self._judge(state, report, 1.0 / max(1, failed), now)
             self._changed.add(report.target)
 
+    def probe_limits(self) -> None:
+        """Begin the next probe of a target's limit, if one is due and none is on."""
+        start_probe(state.limiter for state in self.states.values())
+        self.refresh_limits()
+
     def take_report(self, report: TargetReport, now: float) -> None:
         """Learn from how a target behaved."""
         self.take_reports((report,), now)
--- a/marigoldswitch/core/quotas.py
+++ b/marigoldswitch/core/quotas.py
@@ -57,6 +57,7 @@
     demand: float = 0.0
     moved: bool = False
     asked: bool = False
+    knows_keeper: bool = False
 
 
 class HostQuotas:
@@ -90,10 +91,11 @@
         self._refill(account, purse, now)
         purse.offered += 1
         purse.used = now
-        if purse.tokens - 1.0 >= -self._get_credit(account):
+        credit = self._get_credit(account, purse)
+        if purse.tokens - 1.0 >= -credit:
             purse.tokens -= 1.0
             return None
-        missing = 1.0 - self._get_credit(account) - purse.tokens + purse.promised
+        missing = 1.0 - credit - purse.tokens + purse.promised
         purse.promised += 1.0
         next_draw = max(0.0, purse.drawn + URGENT_SECONDS - now)
         return min(MOST_RETRY_SECONDS, next_draw + max(0.0, missing) / purse.rate)
@@ -116,7 +118,8 @@
             short = purse.tokens < 1.0 and purse.offered > 0
             if elapsed < (URGENT_SECONDS if short else DRAW_SECONDS):
                 continue
-            draws.setdefault(keeper, []).append(self._draw(name, purse, elapsed, now))
+            draw = self._draw(self._accounts[name], purse, elapsed, now)
+            draws.setdefault(keeper, []).append(draw)
             if now - purse.used >= IDLE_SECONDS and purse.tokens >= 0.0:
                 del self._purses[name]
         return draws
@@ -136,20 +139,24 @@
         purse.heard = now
         purse.asked = False
         purse.moved = False
+        purse.knows_keeper = True
 
     def _draw(
-        self, name: AccountId, purse: _Purse, elapsed: float, now: float
+        self, account: Account, purse: _Purse, elapsed: float, now: float
     ) -> QuotaDraw:
+        """Ask for what the demand needs, and at least for an even part of the burst."""
         recent = purse.offered / elapsed
         purse.demand += DEMAND_WEIGHT * (recent - purse.demand)
+        part = self._get_part(account.burst)
+        wanted = max(part, purse.demand * HORIZON_SECONDS)
         if now - purse.used >= IDLE_SECONDS:
-            purse.demand = 0.0
+            wanted = purse.demand = 0.0
         if not purse.asked:
             purse.asked = True
             purse.heard = now
         purse.offered = 0
         purse.drawn = now
-        return QuotaDraw(name, purse.tokens, purse.demand, purse.moved)
+        return QuotaDraw(account.id, purse.tokens, wanted, purse.demand, purse.moved)
 
     def _get_purse(self, account: Account, now: float) -> _Purse:
         purse = self._purses.get(account.id)
@@ -160,9 +167,15 @@
             )
         return purse
 
-    def _get_credit(self, account: Account) -> float:
-        """Return what a host may owe: its even part of the burst, at least one."""
-        return max(1.0, account.burst / self._hosts)
+    def _get_credit(self, account: Account, purse: _Purse) -> float:
+        """Return what a host may owe: its even part of the burst, at least one.
+
+        Only a host that has not heard of the keeper yet may owe anything.
+        """
+        return 0.0 if purse.knows_keeper else self._get_part(account.burst)
+
+    def _get_part(self, tokens: float) -> float:
+        return max(1.0, tokens / self._hosts)
 
     def _refill(self, account: Account, purse: _Purse, now: float) -> None:
         elapsed = now - purse.refilled
@@ -170,7 +183,8 @@
         purse.promised = max(0.0, purse.promised - elapsed * purse.rate)
         if purse.asked and now - purse.heard >= SILENT_SECONDS:
             purse.rate = account.rate / self._hosts
-            purse.tokens = min(0.0, purse.tokens + elapsed * purse.rate)
+            most = max(purse.tokens, self._get_part(account.burst))
+            purse.tokens = min(most, purse.tokens + elapsed * purse.rate)
 
 
 @dataclass(slots=True)
@@ -208,10 +222,10 @@
         bucket = self._fill(account, draw, now)
         bucket.demands[host] = (draw.demand, now)
         share = self._get_share(bucket, host, now)
-        wanted = min(account.burst, draw.demand * HORIZON_SECONDS) - draw.tokens
-        given = min(max(0.0, wanted), bucket.tokens * share)
-        if draw.demand == 0.0:
-            given = min(wanted, bucket.tokens)
+        missing = min(account.burst, draw.wanted) - draw.tokens
+        given = min(max(0.0, missing), bucket.tokens * share)
+        if draw.wanted == 0.0:
+            given = min(missing, bucket.tokens)
         bucket.tokens = min(account.burst, bucket.tokens - given)
         assert bucket.tokens >= -ROUNDING
         return QuotaLease(draw.account, given, account.rate * share)
