--- a/marigoldswitch/tools/bench/output.py
+++ b/marigoldswitch/tools/bench/output.py
@@ -63,15 +63,15 @@
     return f"{mean:.{digits}f}±{deviation:.{digits}f}"
 
 
-def write_rows(rows: list[Row], out: Path) -> None:
+def write_rows(rows: list[Row], out: Path, name: str) -> None:
     """Write all figures as JSON."""
     out.mkdir(parents=True, exist_ok=True)
     content = [asdict(row) for row in rows]
     option = orjson.OPT_INDENT_2 | orjson.OPT_NON_STR_KEYS
-    (out / "decisions.json").write_bytes(orjson.dumps(content, option=option))
+    (out / f"{name}.json").write_bytes(orjson.dumps(content, option=option))
 
 
-def draw_rows(rows: list[Row], out: Path) -> None:
+def draw_rows(rows: list[Row], out: Path, name: str) -> None:
     """Draw goodput and the 99th percentile of the wait, by play and policy."""
     import matplotlib
 
@@ -93,5 +93,5 @@
         axes.set_ylabel(column)
         axes.legend(fontsize=7)
         figure.tight_layout()
-        figure.savefig(out / f"{column}.png", dpi=110)
+        figure.savefig(out / f"{name}-{column}.png", dpi=110)
         pyplot.close(figure)
--- a/marigoldswitch/tools/bench/world.py
+++ b/marigoldswitch/tools/bench/world.py
@@ -39,6 +39,8 @@
     :param cost: what the router is told of its size.
     :param work: seconds that it really takes on a target of speed 1.
     :param deadline: instant.
+    :param attempts: times that a front asked for a permit for it.
+    :param sends: times that it was sent to a target.
     """
 
     number: int
@@ -51,6 +53,7 @@
     deadline: float
     prefix: int | None = None
     attempts: int = 0
+    sends: int = 0
     started: float | None = None
     ended: float | None = None
     end: End | None = None
@@ -100,6 +103,7 @@
     def submit(self, job: Job, tell: Callable[[TargetEnd], None]) -> Stay:
         """Take a job; ``tell`` is called once with how it ended."""
         stay = Stay(job, tell)
+        job.sends += 1
         if not self.alive:
             self.time.after(LINK_SECONDS, lambda: self._end(stay, TargetEnd.LOST))
         elif self.refuses or len(self.waiting) >= self.most_waiting + max(
