--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -7,8 +7,9 @@
 import aiohttp
 
 from marigoldswitch.administration import Administration, AdministrationParts
-from marigoldswitch.backends import ChainClient, PlainClient
+from marigoldswitch.backends import PlainClient
 from marigoldswitch.callers import CallerInterface
+from marigoldswitch.chains import ChainClient
 from marigoldswitch.claiming import Claims
 from marigoldswitch.clocks import SystemClock
 from marigoldswitch.core.adoption import Adoption
@@ -93,12 +94,13 @@
         drains,
         settings.platform,
     )
+    releases.watch_accepted(follower.offer)
     quotas = QuotaSharing(clock, network, view)
     dispatching = Dispatching(clock, network, view, settings.peers.ask_timeout, quotas)
     incarnation = Incarnation(secrets.randbits(INCARNATION_BITS))
     claims = Claims(platform, platform, network, clock, settings.claims, incarnation)
     plain, chains = PlainClient(session), ChainClient(session)
-    parts = Parts(clock, own, dispatching, claims, plain, chains)
+    parts = Parts(clock, own, dispatching, claims, plain, chains, settings.streams)
     metrics = Metrics()
     front = Front(parts, metrics, settings.requests.held)
     metrics.add_source(Gauges(metrics, adoption, view, network, dispatching).read)
--- a/marigoldswitch/runs.py
+++ b/marigoldswitch/runs.py
@@ -9,10 +9,12 @@
 import structlog
 from result import Err, Ok, Result
 
-from marigoldswitch.backends import ChainClient, PlainClient
+from marigoldswitch.backends import PlainClient
+from marigoldswitch.chains import ChainClient
 from marigoldswitch.claiming import Claims
 from marigoldswitch.core.catalogue import Bundle, Target
 from marigoldswitch.core.delivery import Delivery, Miss
+from marigoldswitch.core.diagnosis import can_serve
 from marigoldswitch.core.errors import Advice, ErrorKind, Fault
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.lifecycle import Lifecycle
@@ -22,6 +24,7 @@
 from marigoldswitch.core.retries import GiveUp, HostRetries, Missed, Retry, is_not_run
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.members import Member
+from marigoldswitch.settings import StreamSettings
 
 logger = structlog.get_logger(__name__)
 
@@ -40,6 +43,7 @@
     claims: Claims
     plain: PlainClient
     chains: ChainClient
+    streams: StreamSettings = StreamSettings()
     retries: HostRetries = field(default_factory=lambda: HostRetries(random.Random()))
 
 
@@ -62,6 +66,8 @@
         self.attempt = 0
         self.avoid: tuple[TargetId, ...] = ()
         """Targets that have failed or refused this request."""
+        self.recoveries = 0
+        """Attempts that do not count, since the one before them made progress."""
         self.pause = 0.0
         """Seconds to wait before the next attempt."""
         self.keep: tuple[TargetId, ...] = ()
@@ -119,12 +125,30 @@
             return Fault(ErrorKind.DEADLINE_EXCEEDED, miss.detail)
         return Fault(ErrorKind.TARGET_LOST, miss.detail)
 
+    def shun(self, targets: tuple[TargetId, ...]) -> None:
+        """Avoid targets from now on, as long as others can do the work.
+
+        Those that failed longest ago are tried again first.
+        """
+        self.avoid = tuple(item for item in self.avoid if item not in targets) + targets
+        known = self.bundle.list_targets(self.service.name)
+        while self.avoid:
+            others = [item for item in known if item.id not in self.avoid]
+            if can_serve(self.service, others):
+                return
+            self.avoid = self.avoid[1:]
+
+    @property
+    def _tries(self) -> int:
+        """Return the number of attempts that count, from 1."""
+        return self.attempt - self.recoveries
+
     def _choose_retry(self, miss: Miss) -> Retry | GiveUp:
         missed = Missed(
             miss,
             self.request.idempotent,
             self.service.trusts_not_run,
-            self.attempt,
+            self._tries,
             self.left,
         )
         now = self.parts.clock.monotonic()
@@ -167,7 +191,8 @@
 def describe_miss(target: Target, miss: Miss) -> TargetReport:
     """Return what a miss says of a target."""
     refused = miss.delivery is Delivery.REFUSED
-    return TargetReport(target.id, -1.0, refused, not refused, miss.leaving, miss.load)
+    failed = not refused and not miss.deadline
+    return TargetReport(target.id, -1.0, refused, failed, miss.leaving, miss.load)
 
 
 def _describe_unrun(miss: Miss, choice: GiveUp) -> Fault:
--- a/marigoldswitch/standins/engine.py
+++ b/marigoldswitch/standins/engine.py
@@ -6,65 +6,25 @@
 """
 
 import asyncio
-import hashlib
-from collections import Counter
-from dataclasses import dataclass, field
 from typing import Any
 
 import aiohttp
 import orjson
 from aiohttp import web
 
+from marigoldswitch.standins.engine_state import StreamState
+from marigoldswitch.standins.engine_steps import LOCAL, EngineSteps, Key
 from marigoldswitch.standins.service import format_retry_after
 
-WORDS = (
-    "bisque", "doll", "mended", "with", "care", "the", "left", "arm", "was", "reset",
-    "and", "new", "glass", "eyes", "were", "fitted", "before", "a", "gentle", "clean",
-)  # fmt: skip
 
-
-@dataclass(slots=True)
-class EngineFaults:
-    """What goes wrong.
-
-    :param slow: factor on the time of each step.
-    :param stall: steps hang until it is taken back.
-    :param refuse: new streams are refused as not run.
-    :param die_at: the connection breaks off at this position, if any.
-    """
-
-    slow: float = 1.0
-    stall: bool = False
-    refuse: bool = False
-    die_at: int | None = None
-    leaving: bool = False
-    advice: str = "retry_elsewhere"
-    retry_after: int | None = None
-
-
-@dataclass(slots=True)
-class StreamState:
-    """One stream in the engine's memory (its KV cache)."""
-
-    order: dict[str, Any]
-    index: int
-    queue: asyncio.Queue[dict[str, Any] | None] = field(default_factory=asyncio.Queue)
-    cancelled: bool = False
-
-
-def choose_word(prompt: str, position: int) -> str:
-    """Return the token at a position of the answer to a prompt."""
-    seed = hashlib.sha256(f"{prompt}/{position}".encode()).digest()
-    return WORDS[seed[0] % len(WORDS)] + " "
-
-
-class Engine:
+class Engine(EngineSteps):
     """One engine's state and its HTTP application.
 
     :param layers: the layer range that it holds, ``(first, end)``.
     :param step: seconds of one step over all of its layers.
-    :param checks_fencing: whether it refuse orders with an old fencing number.
+    :param checks_fencing: whether it refuses orders with an old fencing number.
     :param load_seconds: time that it takes to load what an order asks for.
+    :param records: whether it counts each layer that it runs; off for benches.
     """
 
     def __init__(
@@ -77,15 +37,11 @@
         model: str = "letters",
         version: str = "1",
         load_seconds: float = 0.0,
+        records: bool = True,
     ) -> None:
         self.name = name
-        self.layers = layers
-        self.step = step
-        self.slots = slots
+        super().__init__(layers, step, slots, records)
         self.checks_fencing = checks_fencing
-        self.faults = EngineFaults()
-        self.ran: Counter[tuple[str, int, int, int]] = Counter()
-        """Times that (request, epoch, layer, position) was run."""
         self.fencing = 0
         self.desired: dict[str, Any] = {}
         self.orders: list[dict[str, Any]] = []
@@ -97,40 +53,53 @@
             "layers": list(layers),
             "adapters": [],
         }
-        self._streams: dict[tuple[str, int], StreamState] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._session: aiohttp.ClientSession | None = None
 
     def build_application(self) -> web.Application:
         """Return the HTTP application."""
-        application = web.Application(client_max_size=16 * 1024 * 1024)
-        application.router.add_post("/v1/streams", self._open_stream)
-        application.router.add_post("/v1/starts", self._start)
-        application.router.add_post("/v1/activations", self._activate)
-        application.router.add_delete("/v1/streams/{request}/{epoch}", self._cancel)
-        application.router.add_get("/v1/state", self._show_state)
-        application.router.add_post("/v1/orders", self._take_order)
-        application.router.add_post("/control/faults", self._set_faults)
+        application = web.Application(
+            client_max_size=16 * 1024 * 1024,
+            middlewares=[self._die],  # type: ignore[list-item]
+        )
+        router = application.router
+        router.add_post("/v1/streams", self._open_stream)
+        router.add_get("/v1/streams/{request}/{epoch}", self._show_stream)
+        router.add_delete("/v1/streams/{request}/{epoch}", self._cancel)
+        router.add_post("/v1/starts", self._start)
+        router.add_post("/v1/activations", self._activate)
+        router.add_post("/v1/failures", self._take_failure)
+        router.add_get("/v1/kv/{request}/{epoch}", self._export_kv)
+        router.add_put("/v1/kv/{request}/{epoch}", self._import_kv)
+        router.add_get("/v1/cache-events", self._show_cache_events)
+        router.add_get("/v1/state", self._show_state)
+        router.add_post("/v1/orders", self._take_order)
+        router.add_post("/control/faults", self._set_faults)
         application.cleanup_ctx.append(self._hold_session)
         return application
 
-    @property
-    def load(self) -> dict[str, int]:
-        """Return what the engine says of its load."""
-        return {
-            "running": min(len(self._streams), self.slots),
-            "waiting": max(0, len(self._streams) - self.slots),
-        }
-
     async def _hold_session(self, application: web.Application) -> Any:
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0), json_serialize=_dump
         )
         yield
-        for task in self._tasks:
+        for address in [key for key, engine in LOCAL.items() if engine is self]:
+            del LOCAL[address]
+        self.forget_streams()
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._session.close()
 
+    @web.middleware
+    async def _die(self, http: web.Request, handler: Any) -> web.StreamResponse:
+        """Break off every connection while the engine is dead."""
+        if self.faults.dead and not http.path.startswith("/control"):
+            self.forget_streams()
+            _break_off(http)
+            return web.Response(status=500)
+        response: web.StreamResponse = await handler(http)
+        return response
+
     async def _open_stream(self, http: web.Request) -> web.StreamResponse:
         """Open the last stage of a chain; the reply is the stream of tokens."""
         order = await http.json(loads=orjson.loads)
@@ -144,20 +113,32 @@
         await response.prepare(http)
         await response.write(_dump_line({"opened": True, "load": self.load}))
         try:
-            while (event := await state.queue.get()) is not None:
-                if event.get("position") == self.faults.die_at is not None:
-                    _break_off(http)
-                    return response
-                await response.write(_dump_line(event))
-                if "end" in event:
-                    break
-            await response.write_eof()
+            await self._send_events(http, response, state)
         except ConnectionError:
-            state.cancelled = True
+            self._spawn(self._cancel_others(state))
         finally:
-            self._streams.pop((order["request"], order["epoch"]), None)
+            self._drop(state)
         return response
 
+    async def _send_events(
+        self, http: web.Request, response: web.StreamResponse, state: StreamState
+    ) -> None:
+        while True:
+            events = await state.take_events()
+            lines = []
+            for event in events:
+                if self.faults.dead or (
+                    event.get("position") == self.faults.die_at is not None
+                ):
+                    _break_off(http)
+                    return
+                lines.append(_dump_line(event))
+            await response.write(b"".join(lines))
+            if not events or "end" in events[-1]:
+                await response.write_eof()
+                return
+            self._feed_back(state)
+
     async def _start(self, http: web.Request) -> web.StreamResponse:
         """Start the first stage; it drives the steps of the whole chain."""
         order = await http.json(loads=orjson.loads)
@@ -165,41 +146,64 @@
             return self._refuse()
         if not self._holds_stage(order, 0):
             return self._refuse()
-        key = (order["request"], order["epoch"])
-        state = self._streams.get(key) or self._hold(order, 0)
-        task = asyncio.create_task(self._drive(state))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        state = self._streams.get(_get_key(order)) or self._hold(order, 0)
+        self._take(state, order["from"], [])
         return web.json_response({"started": True, "load": self.load})
 
     async def _activate(self, http: web.Request) -> web.StreamResponse:
-        """Run this stage on an activation and pass it on."""
+        """Take an activation from the stage before."""
         activation = await http.json(loads=orjson.loads)
-        order = activation["order"]
-        key = (order["request"], order["epoch"])
-        state = self._streams.get(key)
+        order, index = activation["order"], activation["index"]
+        state = self._streams.get(_get_key(order))
         if state is None:
-            is_last = activation["index"] == len(order["chain"]) - 1
-            if is_last or activation["position"] > order["from"]:
+            opens = 0 < index < len(order["chain"]) - 1
+            if not opens or activation["position"] > order["from"]:
                 return web.json_response({"error": "no such stream"}, status=410)
-            if not self._holds_stage(order, activation["index"]):
+            if not self._holds_stage(order, index):
                 return web.json_response({"error": "other layers"}, status=409)
-            state = self._hold(order, activation["index"])
-        if not await self._run_stage(
-            state, activation["position"], activation["trace"]
-        ):
-            self._streams.pop(key, None)
-            return web.json_response({"error": "broken"}, status=502)
+            state = self._hold(order, index)
+        self._take(state, activation["position"], activation["trace"])
+        return web.json_response({})
+
+    async def _take_failure(self, http: web.Request) -> web.Response:
+        """Hear at the last stage that another stage cannot be reached."""
+        body = await http.json(loads=orjson.loads)
+        state = self._streams.get((body["request"], body["epoch"]))
+        if state is not None:
+            state.emit({"failed": body["target"]})
         return web.json_response({})
 
-    async def _cancel(self, http: web.Request) -> web.StreamResponse:
-        key = (http.match_info["request"], int(http.match_info["epoch"]))
-        state = self._streams.pop(key, None)
+    async def _show_stream(self, http: web.Request) -> web.Response:
+        """Tell how far this stage is, so that a stalled one can be found."""
+        state = self._streams.get(_parse_key(http))
+        if state is None:
+            return web.json_response({"error": "no such stream"}, status=404)
+        return web.json_response({"received": state.received, "passed": state.passed})
+
+    async def _cancel(self, http: web.Request) -> web.Response:
+        state = self._streams.get(_parse_key(http))
         if state is not None:
-            state.cancelled = True
-            state.queue.put_nowait(None)
+            self._drop(state)
         return web.json_response({"cancelled": state is not None})
 
+    async def _export_kv(self, http: web.Request) -> web.Response:
+        positions = self.kv.read(*_parse_key(http))
+        if self.faults.refuse_kv or positions is None:
+            return web.json_response({"error": "no KV cache"}, status=404)
+        return web.json_response({"layers": self.layers, "positions": positions})
+
+    async def _import_kv(self, http: web.Request) -> web.Response:
+        body = await http.json(loads=orjson.loads)
+        if self.faults.refuse_kv or tuple(body["layers"]) != self.layers:
+            return web.json_response({"error": "refused"}, status=409)
+        self.kv.write(*_parse_key(http), body["positions"])
+        return web.json_response({})
+
+    async def _show_cache_events(self, http: web.Request) -> web.Response:
+        after = int(http.query.get("after", "0"))
+        lag, gap = self.faults.event_lag, self.faults.event_gap
+        return web.json_response(self.prefixes.list_events(after, lag, gap))
+
     async def _show_state(self, http: web.Request) -> web.Response:
         return web.json_response(
             {
@@ -238,20 +242,13 @@
             wanted = (order["model"], order["version"])
             if (self.loaded["model"], self.loaded["version"]) != wanted:
                 return False
-        return order["chain"][index]["layers"] == list(self.layers)
+        return bool(order["chain"][index]["layers"] == list(self.layers))
 
     async def _set_faults(self, http: web.Request) -> web.Response:
         for name, value in (await http.json()).items():
             setattr(self.faults, name, value)
         return web.json_response({})
 
-    def forget_streams(self) -> None:
-        """Lose the memory of all streams, as an engine that ends does."""
-        for state in self._streams.values():
-            state.cancelled = True
-            state.queue.put_nowait(None)
-        self._streams.clear()
-
     def _refuse(self) -> web.Response:
         return web.json_response(
             {
@@ -263,69 +260,13 @@
             headers=format_retry_after(self.faults.retry_after),
         )
 
-    def _hold(self, order: dict[str, Any], index: int) -> StreamState:
-        state = StreamState(order, index)
-        self._streams[order["request"], order["epoch"]] = state
-        return state
 
-    async def _drive(self, state: StreamState) -> None:
-        order = state.order
-        for position in range(order["from"], order["max_tokens"]):
-            if state.cancelled or not await self._run_stage(state, position, []):
-                self._streams.pop((order["request"], order["epoch"]), None)
-                return
+def _get_key(order: dict[str, Any]) -> Key:
+    return order["request"], order["epoch"]
 
-    async def _run_stage(
-        self, state: StreamState, position: int, trace: list[list[int]]
-    ) -> bool:
-        while self.faults.stall and not state.cancelled:
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(self.step * self.faults.slow)
-        if state.cancelled:
-            return False
-        order = state.order
-        for layer in range(*self.layers):
-            self.ran[order["request"], order["epoch"], layer, position] += 1
-        trace = [*trace, list(self.layers)]
-        if state.index == len(order["chain"]) - 1:
-            self._emit(state, position, trace)
-            return True
-        if position == order["max_tokens"] - 1:
-            self._streams.pop((order["request"], order["epoch"]), None)
-        return await self._pass_on(state, position, trace)
-
-    def _emit(self, state: StreamState, position: int, trace: list[list[int]]) -> None:
-        order = state.order
-        state.queue.put_nowait(
-            {
-                "epoch": order["epoch"],
-                "position": position,
-                "text": choose_word(order["prompt"], position),
-                "layers": trace,
-            }
-        )
-        if position == order["max_tokens"] - 1:
-            state.queue.put_nowait({"end": True, "load": self.load})
-
-    async def _pass_on(
-        self, state: StreamState, position: int, trace: list[list[int]]
-    ) -> bool:
-        following = state.order["chain"][state.index + 1]
-        activation = {
-            "order": state.order,
-            "index": state.index + 1,
-            "position": position,
-            "trace": trace,
-        }
-        return await self._post(following["address"], "/v1/activations", activation)
 
-    async def _post(self, address: str, path: str, body: dict[str, Any]) -> bool:
-        assert self._session is not None
-        try:
-            async with self._session.post(address + path, json=body) as response:
-                return response.status == 200
-        except aiohttp.ClientError:
-            return False
+def _parse_key(http: web.Request) -> Key:
+    return http.match_info["request"], int(http.match_info["epoch"])
 
 
 def _dump(value: object) -> str:
--- a/marigoldswitch/tools/bench/live.py
+++ b/marigoldswitch/tools/bench/live.py
@@ -19,7 +19,7 @@
 import yaml
 from result import Err, Ok
 
-from marigoldswitch.backends import ChainClient, ChainOrder, StreamEnd
+from marigoldswitch.chains import ChainClient, ChainOrder, StreamEnd
 from marigoldswitch.core.catalogue import LayerRange, Priority, Target
 from marigoldswitch.core.ids import (
     AccountId,
@@ -181,14 +181,16 @@
         match opened:
             case Err(miss):
                 raise AssertionError(miss)
-            case Ok(events):
-                async for event in events:
-                    match event:
-                        case Ok(StageToken()):
-                            first = first or time.perf_counter() - began
-                            tokens += 1
-                        case Ok(StreamEnd()):
-                            break
+            case Ok(stream):
+                ended = False
+                while not ended:
+                    for event in (await stream.read()).unwrap():
+                        match event:
+                            case StageToken():
+                                first = first or time.perf_counter() - began
+                                tokens += 1
+                            case StreamEnd():
+                                ended = True
     assert tokens == TOKENS, tokens
     return first
 
