--- a/marigoldswitch/core/membership.py
+++ b/marigoldswitch/core/membership.py
@@ -12,8 +12,6 @@
 from dataclasses import dataclass, field, replace
 from random import Random
 
-import xxhash
-
 from marigoldswitch.core.broadcasts import Broadcasts
 from marigoldswitch.core.datagrams import (
     MAX_PAYLOAD_BYTES,
@@ -29,7 +27,9 @@
     TargetMark,
     measure_delta,
 )
+from marigoldswitch.core.host_table import HostTable, Taken, digest_record
 from marigoldswitch.core.ids import HostId, Incarnation
+from marigoldswitch.core.introductions import Introductions
 from marigoldswitch.core.member_events import (
     Action,
     Changed,
@@ -48,7 +48,6 @@
     Tick,
 )
 from marigoldswitch.core.probes import Probe, ProbeOrder, Probes, Relay
-from marigoldswitch.core.suspicions import Suspicion
 
 HELPERS = 3
 """Hosts asked for an indirect probe; with 30 % loss one in two of them gets through."""
@@ -62,15 +61,8 @@
 two rounds of indirect ones, which at 30 % loss all fail in one probe of a hundred."""
 LOST_EVERY = 4
 """Every so many periods a lost host is tried, so that a healed cut is noticed."""
-FORGET_SECONDS = 3600.0
 JOINING_PERIODS = 20.0
 """Periods after the start in which an older process of our name is overtaken."""
-SYNC_SECONDS_PER_HOST = 0.1
-"""Whole tables are exchanged at most once in this time a live host: a table grows with
-the hosts, so its cost a second stays the same."""
-LEAST_SYNC_SECONDS = 1.0
-INTRODUCTIONS = 3
-"""Hosts of the host list that are not known yet and are addressed at one look."""
 HEADER_BYTES = 160
 """Room for a datagram's own fields."""
 
@@ -87,19 +79,16 @@
     random: Random
     period: float
     started: float
-    table: dict[HostId, MemberRecord] = field(default_factory=dict)
     counts: Counter[str] = field(default_factory=Counter)
-    _changed_at: dict[HostId, float] = field(default_factory=dict)
-    _suspicions: dict[HostId, Suspicion] = field(default_factory=dict)
+    _hosts: HostTable = field(default_factory=HostTable)
     _broadcasts: Broadcasts = field(default_factory=Broadcasts)
     _probes: Probes = field(default_factory=Probes)
     _order: ProbeOrder = field(default_factory=ProbeOrder)
     _seeds: tuple[str, ...] = ()
-    _synced: float = float("-inf")
+    _introductions: Introductions = field(default_factory=Introductions)
     _last_tick: float = 0.0
     _next_probe: float = 0.0
     _periods: int = 0
-    _digest: int | None = None
 
     def __post_init__(self) -> None:
         self._last_tick = self.started
@@ -132,9 +121,14 @@
             case Spread(marks=marks):
                 return self._push_urgent(marks)
 
+    @property
+    def table(self) -> dict[HostId, MemberRecord]:
+        """Return the newest record of each other host."""
+        return self._hosts.records
+
     def list_live(self) -> list[MemberRecord]:
         """Return the other hosts that count as live."""
-        return [item for item in self.table.values() if item.is_live]
+        return self._hosts.list_live()
 
     def export(self) -> tuple[MemberRecord, ...]:
         """Return the whole table with this host first."""
@@ -143,12 +137,7 @@
     @property
     def digest(self) -> int:
         """Return a digest of the live hosts, the same for equal tables."""
-        if self._digest is None:
-            self._digest = 0
-            for item in (self.own, *self.list_live()):
-                name = f"{item.host}/{item.run}/{item.incarnation}"
-                self._digest ^= xxhash.xxh3_64_intdigest(name.encode())
-        return self._digest
+        return self._hosts.digest ^ digest_record(self.own)
 
     # Time.
 
@@ -169,12 +158,12 @@
         """Hold nobody's silence against it while this process itself was paused."""
         self.counts["pauses"] += 1
         self._probes.clear()
-        for suspicion in self._suspicions.values():
-            suspicion.began += seconds
+        self._hosts.excuse(seconds)
 
     def _start_period(self, now: float) -> list[Action]:
         actions: list[Action] = []
-        probed = [host for host, item in self._suspicions.items() if item.probed]
+        suspicions = self._hosts.suspicions
+        probed = [host for host, item in suspicions.items() if item.probed]
         target = self._order.choose(self.own, self.list_live(), self.random)
         if target is not None and target not in probed:
             actions += self._probe(target, now)
@@ -189,19 +178,14 @@
         return [self._ping(self.table[host], number)]
 
     def _try_lost(self, now: float) -> list[Action]:
-        self._forget(now)
-        lost = [item for item in self.table.values() if item.status is Status.DEAD]
+        self._hosts.forget(now)
+        lost = self._hosts.list_lost()
         actions: list[Action] = []
         if lost:
             record = self.random.choice(lost)
             actions.append(self._ping(record, self._probes.take_number()))
         return actions + self._ping_seeds(now)
 
-    def _forget(self, now: float) -> None:
-        for host, changed in list(self._changed_at.items()):
-            if now - changed > FORGET_SECONDS and not self.table[host].is_live:
-                del self.table[host], self._changed_at[host]
-
     def _ping_seeds(self, now: float) -> list[Action]:
         known = {item.gossip for item in self.list_live()} | {self.own.gossip}
         number = self._probes.take_number()
@@ -241,25 +225,22 @@
 
     def _suspect(self, record: MemberRecord, now: float) -> list[Action]:
         self.counts["suspected"] += 1
-        known = self._suspicions.get(record.host)
+        known = self._hosts.suspicions.get(record.host)
         if known is not None:
             known.probed = True
             if self.own.host in known.confirmers:
                 return []
         suspect = replace(record, status=Status.SUSPECT, suspected_by=self.own.host)
         actions = self._take_record(suspect, now)
-        self._suspicions[record.host].probed = True
+        self._hosts.suspicions[record.host].probed = True
         return actions
 
     def _bury_suspects(self, now: float) -> list[Action]:
-        actions: list[Action] = []
-        hosts = len(self.list_live()) + 1 if self._suspicions else 0
-        for host, suspicion in list(self._suspicions.items()):
-            if now >= suspicion.find_deadline(self.period, hosts):
-                self.counts["found_dead"] += 1
-                dead = replace(self.table[host], status=Status.DEAD)
-                actions += self._take_record(dead, now)
-        return actions
+        if not self._hosts.suspicions:
+            return []
+        dead = self._hosts.list_overdue(now, self.period)
+        self.counts["found_dead"] += len(dead)
+        return self._take_records(dead, now)
 
     # Datagrams.
 
@@ -329,23 +310,15 @@
 
     def _sync(self, host: HostId, now: float) -> list[Action]:
         """Exchange whole tables where the digests differ, but not too often."""
-        known = self.table.get(host)
-        wait = SYNC_SECONDS_PER_HOST * (len(self.table) + 1)
-        if known is None or now - self._synced < max(LEAST_SYNC_SECONDS, wait):
+        hosts = len(self.table) + 1
+        if host not in self.table or not self._introductions.may_sync(hosts, now):
             return []
-        self._synced = now
         self.counts["syncs"] += 1
         return [Introduce(host, wants_reply=True)]
 
     def _meet_listed(self, hosts: tuple[HostId, ...]) -> list[Action]:
-        live = {item.host for item in self.list_live()} | {self.own.host}
-        missing = [
-            host
-            for host in hosts
-            if host not in live
-            and (host not in self.table or self.table[host].status is Status.DEAD)
-        ]
-        chosen = self.random.sample(missing, min(INTRODUCTIONS, len(missing)))
+        others = [host for host in hosts if host != self.own.host]
+        chosen = self._introductions.choose(others, self.table, self.random)
         return [Introduce(host, wants_reply=True) for host in chosen]
 
     # The table.
@@ -362,43 +335,16 @@
         if record.host == self.own.host:
             return self._defend(record, now)
         known = self.table.get(record.host)
-        if known is None:
-            return self._store(record, known, now) if record.is_live else []
-        if known.run != record.run:
-            if record.incarnation > known.incarnation:
-                return self._store(record, known, now)
-            self.counts["old_run"] += 1
-            return []
-        if record.overrides(known):
-            return self._store(record, known, now)
-        if record.status is Status.SUSPECT and (
-            record.incarnation == known.incarnation and known.status is Status.SUSPECT
-        ):
-            return self._confirm(record)
-        return []
-
-    def _store(
-        self, record: MemberRecord, known: MemberRecord | None, now: float
-    ) -> list[Action]:
-        self.table[record.host] = record
-        self._changed_at[record.host] = now
-        self._digest = None
-        if record.status is Status.SUSPECT:
-            suspicion = self._suspicions.setdefault(record.host, Suspicion(now))
-            suspicion.confirmers.add(record.suspected_by)
-        else:
-            self._suspicions.pop(record.host, None)
-        actions: list[Action] = [Changed(record)]
-        if _is_urgent(record, known):
-            return actions + self._push_urgent((record,))
-        self._broadcasts.add(record)
-        return actions
-
-    def _confirm(self, record: MemberRecord) -> list[Action]:
-        suspicion = self._suspicions[record.host]
-        if record.suspected_by not in suspicion.confirmers:
-            suspicion.confirmers.add(record.suspected_by)
-            self._broadcasts.add(record)
+        match self._hosts.take(record, now):
+            case Taken.STORED if _is_urgent(record, known):
+                return [Changed(record), *self._push_urgent((record,))]
+            case Taken.STORED:
+                self._broadcasts.add(record)
+                return [Changed(record)]
+            case Taken.CONFIRMED:
+                self._broadcasts.add(record)
+            case Taken.OLD_RUN:
+                self.counts["old_run"] += 1
         return []
 
     def _defend(self, record: MemberRecord, now: float) -> list[Action]:
@@ -425,7 +371,6 @@
             incarnation=incarnation,
             **changes,  # type: ignore[arg-type]
         )
-        self._digest = None
         return [Changed(self.own), *self._push_urgent((self.own,))]
 
     # Sending.
--- a/marigoldswitch/tools/soak.py
+++ b/marigoldswitch/tools/soak.py
@@ -18,6 +18,7 @@
 from marigoldswitch.tools.soak_checks import Checks, list_unrest
 from marigoldswitch.tools.soak_faults import FaultPlayer
 from marigoldswitch.tools.soak_load import Attempt, Caller, Load
+from marigoldswitch.tools.soak_recovery import Recoveries
 from marigoldswitch.tools.soak_report import Figures, print_report, print_trace
 
 CENTRES = (
@@ -69,6 +70,8 @@
         await self.deployment.roll_out(self.deployment.build_bundle())
         self.player = FaultPlayer(self.deployment)
         self.checks = Checks(self.deployment, self.player, POLL_SECONDS)
+        self.recoveries = Recoveries(self.deployment, self.player)
+        self.figures.recoveries = self.recoveries.seconds
         headers = {"Authorization": f"Bearer {self.deployment.caller_key}"}
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
         watch = asyncio.create_task(self._watch())
@@ -137,6 +140,7 @@
             self.figures.slowest_loop = max(self.figures.slowest_loop, late)
             looks += 1
             self.checks.look()
+            self.recoveries.look()
             if looks % COLLECT_EVERY == 0:
                 self.checks.collect()
             self._look_as_balancer()
