Tell every data centre at once of what is urgent

Change: the host where a change comes up tells one host of each other data centre; copies to other data centres are counted apart from those to neighbours.

--- a/marigoldswitch/core/membership.py
+++ b/marigoldswitch/core/membership.py
@@ -47,13 +47,17 @@
     Spread,
     Tick,
 )
-from marigoldswitch.core.probes import Probe, ProbeOrder, Probes, Relay
+from marigoldswitch.core.probes import (
+    Probe,
+    ProbeOrder,
+    Probes,
+    Relay,
+    split_by_centre,
+)
+from marigoldswitch.core.pushes import choose_receivers, is_urgent
 
 HELPERS = 3
 """Hosts asked for an indirect probe; with 30 % loss one in two of them gets through."""
-PUSH_PEERS = 3
-PUSH_REMOTE_SHARE = 0.25
-"""Share of urgent pushes that one goes to another data centre as well."""
 ACK_SHARE = 0.4
 """Part of a period after which a probe without an answer is tried again."""
 PROBE_PERIODS = 2.0
@@ -118,8 +122,8 @@
             case Leave(gone=gone):
                 status = Status.LEFT if gone else Status.ALIVE
                 return self._change_own(now, leaving=True, status=status)
-            case Spread(marks=marks):
-                return self._push_urgent(marks)
+            case Spread(marks=marks, ours=ours):
+                return self._push_urgent(marks, is_ours=ours)
 
     @property
     def table(self) -> dict[HostId, MemberRecord]:
@@ -336,7 +340,7 @@
             return self._defend(record, now)
         known = self.table.get(record.host)
         match self._hosts.take(record, now):
-            case Taken.STORED if _is_urgent(record, known):
+            case Taken.STORED if is_urgent(record, known):
                 return [Changed(record), *self._push_urgent((record,))]
             case Taken.STORED:
                 self._broadcasts.add(record)
@@ -371,7 +375,7 @@
             incarnation=incarnation,
             **changes,  # type: ignore[arg-type]
         )
-        return [Changed(self.own), *self._push_urgent((self.own,))]
+        return [Changed(self.own), *self._push_urgent((self.own,), is_ours=True)]
 
     # Sending.
 
@@ -394,29 +398,28 @@
         """Put the changes that wait into a datagram, as far as there is room."""
         room = MAX_PAYLOAD_BYTES - HEADER_BYTES
         room -= sum(measure_delta(item) for item in first)
-        hosts = len(self.list_live()) + 1
-        return replace(datagram, deltas=first + self._broadcasts.take(room, hosts))
+        near, far = split_by_centre(self.own, self.list_live())
+        receiver = self.table.get(datagram.to)
+        goes_far = receiver is not None and self._is_far(receiver)
+        waiting = self._broadcasts.take(room, len(near), len(far), goes_far)
+        return replace(datagram, deltas=first + waiting)
+
+    def _is_far(self, record: MemberRecord) -> bool:
+        return record.data_centre != self.own.data_centre
 
-    def _push_urgent(self, deltas: tuple[Delta, ...]) -> list[Action]:
+    def _push_urgent(
+        self, deltas: tuple[Delta, ...], is_ours: bool = False
+    ) -> list[Action]:
         """Pass changes on at once to a few hosts, and to the rest with the probes."""
         for delta in deltas:
             self._broadcasts.add(delta)
-        near, far = self._order.split(self.own, self.list_live())
-        chosen = self.random.sample(near, min(PUSH_PEERS, len(near)))
-        if far and (not near or self.random.random() < PUSH_REMOTE_SHARE):
-            chosen.append(self.random.choice(far))
+        receivers = choose_receivers(self.own, self.list_live(), self.random, is_ours)
         return [
-            self._send(record, Push(self._sender(), record.host)) for record in chosen
+            self._send(record, Push(self._sender(), record.host))
+            for record in receivers
         ]
 
 
-def _is_urgent(record: MemberRecord, known: MemberRecord | None) -> bool:
-    """Tell whether a change must reach all hosts within a second or two."""
-    if known is None or record.status in {Status.DEAD, Status.LEFT}:
-        return True
-    return record.leaving != known.leaving or record.bundle != known.bundle
-
-
 def _is_own_word(record: MemberRecord, own: MemberRecord) -> bool:
     """Tell whether a record of this host says just what this host itself has said."""
     alive = record.status is Status.ALIVE
--- a/marigoldswitch/gossip.py
+++ b/marigoldswitch/gossip.py
@@ -193,7 +193,8 @@
             case Introduce(host=host, wants_reply=wants_reply):
                 self._introduce(host, wants_reply)
             case MarksHeard(marks=marks):
-                self._spread(self._marks.merge(marks, self._clock.monotonic()))
+                fresh = self._marks.merge(marks, self._clock.monotonic())
+                self._spread(fresh, ours=False)
             case Changed(record=record):
                 logger.info(
                     "member_changed",
@@ -224,9 +225,9 @@
         sealed = seal(self._secrets[0], payload) + payload
         self._transport.sendto(sealed, (name, int(port)))
 
-    def _spread(self, fresh: list[TargetMark]) -> None:
+    def _spread(self, fresh: list[TargetMark], ours: bool = True) -> None:
         if fresh:
-            self._feed(Spread(tuple(fresh)))
+            self._feed(Spread(tuple(fresh), ours))
             self._tell_leaving()
 
     def _tell_leaving(self) -> None:
@@ -256,6 +257,7 @@
             self.counts["wrong_address"] += 1
             return
         self._feed(Introduced(message.members))
-        self._spread(self._marks.merge(message.marks, self._clock.monotonic()))
+        fresh = self._marks.merge(message.marks, self._clock.monotonic())
+        self._spread(fresh, ours=False)
         if message.wants_reply:
             self._introduce(sender, wants_reply=False)
