--- a/marigoldswitch/standins/deployment.py
+++ b/marigoldswitch/standins/deployment.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 from aiohttp import web
+from result import Err, Ok, Result
 
 from marigoldswitch.bundles import read_bundle
 from marigoldswitch.compose import compose_host
@@ -21,7 +22,7 @@
 from marigoldswitch.standins.journal import Journal
 from marigoldswitch.standins.platform import Platform
 from marigoldswitch.standins.service import PlainService
-from marigoldswitch.tools.admin_client import AdminClient
+from marigoldswitch.tools.admin_client import AdminClient, CallFault
 
 LOOPBACK = "127.0.0.1"
 LAYERS = 12
@@ -146,24 +147,64 @@
     ) -> dict[str, Any]:
         """Submit, review, sign off and accept a bundle as operators do.
 
-        :param address: a host's administration listener; any host's by default.
+        :param address: a host's administration listener; the first host's by default.
         """
-        if not address:
-            address = self.get_address(next(iter(self.hosts)), "administration")
+        address = address or self._administration
+        accepted = await self.try_roll_out(content, seen, address)
+        for host in self.hosts.values():
+            await host.parts.follower.look()
+        return accepted.unwrap()
+
+    async def try_roll_out(
+        self, content: bytes, seen: int, address: str
+    ) -> Result[dict[str, Any], CallFault]:
+        """Take a bundle through its life cycle; a step may be refused."""
+        prepared = await self._prepare(content, address)
+        if isinstance(prepared, Err):
+            return prepared
+        return await self._accept(prepared.ok_value, seen, address)
+
+    async def prepare(self, content: bytes) -> str:
+        """Take a bundle in YAML up to its sign-off; return its digest."""
+        return (await self._prepare(content, self._administration)).unwrap()
+
+    async def accept(self, digest: str, seen: int) -> dict[str, Any]:
+        """Put a prepared bundle in force."""
+        return (await self._accept(digest, seen, self._administration)).unwrap()
+
+    @property
+    def _administration(self) -> str:
+        return self.get_address(next(iter(self.hosts)), "administration")
+
+    async def _prepare(self, content: bytes, address: str) -> Result[str, CallFault]:
         canonical = read_bundle(content, "bundle").unwrap().content
+        why = "prepare"
         async with aiohttp.ClientSession() as session:
             ana, ben = (
-                AdminClient(session, address, key, self.signers[name])
-                for name, key in self.operator_keys.items()
+                self._build_client(session, name, address) for name in ("ana", "ben")
             )
-            why = "roll out"
-            draft = (await ana.submit(canonical, why)).unwrap()
-            (await ana.review(draft["digest"], why)).unwrap()
-            (await ben.sign_off(draft["digest"], why)).unwrap()
-            accepted = (await ben.accept(draft["digest"], seen, why)).unwrap()
-        for host in self.hosts.values():
-            await host.parts.follower.look()
-        return accepted
+            draft = await ana.submit(canonical, why)
+            if isinstance(draft, Err):
+                return draft
+            digest = str(draft.ok_value["digest"])
+            for step in (ana.review, ben.sign_off):
+                taken = await step(digest, why)
+                if isinstance(taken, Err):
+                    return taken
+        return Ok(digest)
+
+    async def _accept(
+        self, digest: str, seen: int, address: str
+    ) -> Result[dict[str, Any], CallFault]:
+        async with aiohttp.ClientSession() as session:
+            client = self._build_client(session, "ben", address)
+            return await client.accept(digest, seen, "roll out")
+
+    def _build_client(
+        self, session: aiohttp.ClientSession, operator: str, address: str
+    ) -> AdminClient:
+        key, signer = self.operator_keys[operator], self.signers[operator]
+        return AdminClient(session, address, key, signer)
 
     async def stop_target(self, name: str) -> None:
         """End a target abruptly; its connections break off."""
--- a/marigoldswitch/tools/bench/figures.py
+++ b/marigoldswitch/tools/bench/figures.py
@@ -9,11 +9,19 @@
 import numpy
 
 from marigoldswitch.tools.bench.baselines import BASELINES, Policy
-from marigoldswitch.tools.bench.plays import Arrivals, Play, Trouble, estimate_share
+from marigoldswitch.tools.bench.plays import (
+    REFUSAL_SECONDS,
+    Arrivals,
+    Play,
+    Trouble,
+    estimate_bound,
+    estimate_share,
+)
 from marigoldswitch.tools.bench.router import Ideas, Router
-from marigoldswitch.tools.bench.world import End, Job, ModelTarget, VirtualTime
+from marigoldswitch.tools.bench.virtual import VirtualTime
+from marigoldswitch.tools.bench.world import PLACES, End, Job, ModelTarget
 
-PERCENTILES = (50, 95, 99)
+PERCENTILES = (50, 95, 99, 100)
 
 
 @dataclass(slots=True)
@@ -37,6 +45,7 @@
     refused: int
     late: int
     failed: int
+    host_lost: int
     refused_at: float
     hottest: float
     extra: dict[str, float] = field(default_factory=dict)
@@ -59,6 +68,7 @@
     _arrive_next(time, iter(Arrivals(play, seed)), taker, jobs)
     time.after(play.trouble_at, lambda: _make_trouble(play, taker, targets))
     time.run(play.end)
+    time.close()
     return _reckon(play, jobs, targets)
 
 
@@ -72,6 +82,7 @@
             slots,
             0.25 if number < play.slow else 1.0,
             bound,
+            PLACES[number % play.places],
         )
         for number in range(play.targets)
     ]
@@ -110,11 +121,13 @@
                 for target in hit:
                     target.refuses = False
 
-            policy.time.after(10.0, heal)
+            policy.time.after(REFUSAL_SECONDS, heal)
         case Trouble.DISPATCHER_LOST if isinstance(policy, Router):
             policy.lose_dispatcher()
         case Trouble.HOSTS_LOST if isinstance(policy, Router):
-            policy.lose_hosts(policy.hosts[-(len(policy.hosts) // 3) :])
+            policy.lose_hosts(policy.play.hosts // 3)
+        case Trouble.SPLIT if isinstance(policy, Router):
+            policy.split()
         case _:
             pass
 
@@ -124,10 +137,7 @@
     ended = [job for job in jobs if job.ended is not None and job.ended >= play.warm]
     done = [job for job in ended if job.end is End.DONE]
     served = sum(job.work for job in done)
-    bound = min(
-        play.capacity * play.seconds,
-        sum(job.work for job in counted),
-    )
+    bound = estimate_bound(play, jobs)
     refused = [job for job in ended if job.end is End.REFUSED]
     spent = [
         ((job.ended or 0.0) - job.arrived) / (job.deadline - job.arrived)
@@ -145,6 +155,7 @@
         refused=len(refused),
         late=sum(job.end is End.LATE for job in ended),
         failed=sum(job.end is End.FAILED for job in ended),
+        host_lost=sum(job.end is End.HOST_LOST for job in ended),
         refused_at=float(numpy.median(spent)) if spent else 0.0,
         hottest=max(loads) / max(1e-9, fmean(loads)),
     )
--- a/marigoldswitch/tools/bench/plays.py
+++ b/marigoldswitch/tools/bench/plays.py
@@ -1,6 +1,5 @@
 """The plays: who asks for what when, and what fails meanwhile."""
 
-import math
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
@@ -13,6 +12,8 @@
 """Sigma of the log-normal work."""
 LONG_COST = 30.0
 ACCOUNTS = 10
+REFUSAL_SECONDS = 10.0
+"""Time for which targets refuse in the play of that name."""
 
 
 class Trouble(Enum):
@@ -36,7 +37,8 @@
     :param prefixes: number of prefixes that four fifths of the jobs share.
     :param slow: targets that are four times slower than the router is told.
     :param long_share: share of jobs that are long.
-    :param understated: slots that targets really have, over what the bundle says.
+    :param true_slots: slots that targets really have, over what the bundle says.
+    :param places: data centres that hosts and targets are in.
     """
 
     name: str
@@ -54,6 +56,7 @@
     targets: int = 30
     slots: int = 8
     hosts: int = 8
+    places: int = 1
 
     @property
     def capacity(self) -> float:
@@ -71,6 +74,35 @@
         """Return the instant at which something fails."""
         return self.warm + self.seconds / 3
 
+    def measure_capacity(self, now: float) -> float:
+        """Return seconds of work a second that targets can do at an instant."""
+        since = now - self.trouble_at
+        match self.trouble:
+            case Trouble.TARGET_LOST if since >= 0.0:
+                return self.capacity * (1.0 - 1.0 / self.targets)
+            case Trouble.TARGETS_REFUSE if 0.0 <= since < REFUSAL_SECONDS:
+                return self.capacity * (1.0 - (self.targets // 3) / self.targets)
+            case _:
+                return self.capacity
+
+
+def estimate_bound(play: Play, jobs: list[Job]) -> float:
+    """Return the work that the targets could do within the deadlines.
+
+    A fluid that takes what it can still end in time and loses nothing to the size of
+    jobs; only what is done after the warm-up counts.
+    """
+    backlog, now, served = 0.0, 0.0, 0.0
+    for job in jobs:
+        done = min(backlog, play.measure_capacity(now) * (job.arrived - now))
+        served += done if job.arrived > play.warm else 0.0
+        backlog -= done
+        now = job.arrived
+        room = play.measure_capacity(now) * (job.deadline - now - job.work)
+        if backlog + job.work <= room:
+            backlog += job.work
+    return served
+
 
 HEAVY = (10.0,) + (1.0,) * (ACCOUNTS - 1)
 FEW = (40.0, 40.0) + (2.5,) * (ACCOUNTS - 2)
@@ -87,14 +119,14 @@
     Play("few accounts", 1.2, shares=FEW),
     Play("few prefixes", 0.92, prefixes=5),
     Play("slow targets", 0.92, seconds=120.0, slow=3),
-    Play("short only", 0.92, seconds=200.0, deadline=30.0),
-    Play("long work", 0.92, seconds=200.0, deadline=30.0, long_share=0.05),
+    Play("short only", 0.92, seconds=300.0, warm=100.0, deadline=30.0),
+    Play("long work", 0.92, seconds=300.0, warm=100.0, deadline=30.0, long_share=0.05),
     Play("overstated slots", 0.92, true_slots=0.75),
     Play("targets refuse", 0.92, trouble=Trouble.TARGETS_REFUSE),
     Play("target lost", 0.92, trouble=Trouble.TARGET_LOST),
     Play("dispatcher lost", 0.92, trouble=Trouble.DISPATCHER_LOST),
     Play("hosts lost", 0.92, trouble=Trouble.HOSTS_LOST),
-    Play("split", 0.8, trouble=Trouble.SPLIT),
+    Play("split", 0.8, trouble=Trouble.SPLIT, places=3, hosts=9),
 )
 
 
@@ -164,8 +196,3 @@
         shares[first] = min(demands[first], equal)
         room -= shares[first]
     return shares
-
-
-def is_finite(value: float) -> bool:
-    """Tell whether a figure can be printed."""
-    return math.isfinite(value)
--- a/marigoldswitch/tools/soak_faults.py
+++ b/marigoldswitch/tools/soak_faults.py
@@ -10,13 +10,9 @@
 from random import Random
 from typing import Any
 
-import aiohttp
-
-from marigoldswitch.bundles import read_bundle
 from marigoldswitch.core.ids import HostId, TargetId
 from marigoldswitch.hosts import Host
 from marigoldswitch.standins.deployment import Deployment
-from marigoldswitch.tools.admin_client import AdminClient
 
 
 class FaultKind(Enum):
@@ -281,35 +277,20 @@
         seen = max(
             host.parts.adoption.version for host in self.deployment.hosts.values()
         )
-        async with aiohttp.ClientSession() as session:
-            with contextlib.suppress(KeyError):
-                won = await asyncio.gather(
-                    self._roll_out(session, hosts[0], seen),
-                    self._roll_out(session, hosts[-1], seen),
-                )
-                self.races.append(sum(won))
-
-    async def _roll_out(
-        self, session: aiohttp.ClientSession, host: str, seen: int
-    ) -> bool:
+        with contextlib.suppress(KeyError):
+            won = await asyncio.gather(
+                self._roll_out(hosts[0], seen), self._roll_out(hosts[-1], seen)
+            )
+            self.races.append(sum(won))
+
+    async def _roll_out(self, host: str, seen: int) -> bool:
         self._bundles += 1
         seconds = 0.0005 + self._bundles * 1e-6
         links = [{"between": ["hobart", "launceston"], "seconds": seconds}]
         content = self.deployment.build_bundle(links=links)
-        canonical = read_bundle(content, "bundle").unwrap().content
         address = self.deployment.get_address(host, "administration")
-        ana, ben = (
-            AdminClient(session, address, key, self.deployment.signers[name])
-            for name, key in self.deployment.operator_keys.items()
-        )
-        why = "race"
-        draft = await ana.submit(canonical, why)
-        if draft.is_err():
-            return False
-        digest = draft.unwrap()["digest"]
-        await ana.review(digest, why)
-        await ben.sign_off(digest, why)
-        return (await ben.accept(digest, seen, why)).is_ok()
+        accepted = await self.deployment.try_roll_out(content, seen, address)
+        return accepted.is_ok()
 
     async def _nothing(self, _: str) -> None:
         pass
