--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -100,7 +100,7 @@
         callers.middlewares.insert(0, self._count_busy)
         callers.on_response_prepare.append(self._close_when_draining)
         self.ports["callers"] = await self._listen(
-            callers, listen.callers, parts.tls.callers
+            callers, listen.callers, parts.tls.callers, cancels=True
         )
         administration = parts.administration.build_application()
         self.ports["administration"] = await self._listen(
@@ -238,13 +238,22 @@
             response.force_close()
 
     async def _listen(
-        self, application: web.Application, port: int, tls: ServerContext | None
+        self,
+        application: web.Application,
+        port: int,
+        tls: ServerContext | None,
+        cancels: bool = False,
     ) -> int:
+        """Listen and return the port.
+
+        :param cancels: whether a request is cancelled when its connection breaks.
+        """
         guard = build_guard(self.parts.settings.requests)
         application.middlewares.append(guard.build_middleware())
         runner = web.AppRunner(
             application,
             access_log=None,
+            handler_cancellation=cancels,
             shutdown_timeout=STOP_SECONDS,
             max_line_size=self.parts.settings.requests.header_bytes,
             max_field_size=self.parts.settings.requests.header_bytes,
--- a/marigoldswitch/settings.py
+++ b/marigoldswitch/settings.py
@@ -119,6 +119,11 @@
     longest_deadline: Seconds = Field(
         900.0, description="Longest deadline that a caller may name, in seconds."
     )
+    slow_caller: Seconds = Field(
+        30.0,
+        description="Seconds that one event may wait for a caller that does not read; "
+        "then the caller counts as gone and its work is cancelled.",
+    )
     held: int = Field(
         2000,
         gt=0,
