Look at the stages of a silent stream before it counts as stalled

A first stage that dies with a token in its hands breaks no connection that anyone holds: it was found by the stall floor alone.

--- a/marigoldswitch/model_runs.py
+++ b/marigoldswitch/model_runs.py
@@ -4,7 +4,7 @@
 import hashlib
 
 import structlog
-from result import Err
+from result import Err, Result
 
 from marigoldswitch.chains import (
     ChainOrder,
@@ -44,6 +44,8 @@
 class ModelRun(Run):
     """One request to a model service; a broken chain is replaced by a new one."""
 
+    open_chain: tuple[Target, ...] = ()
+    """The chain that is in use."""
     chain: tuple[Target, ...] = ()
     """The chain that broke last, whose KV cache may still be had."""
     _answering: frozenset[TargetId] = frozenset()
@@ -104,7 +106,7 @@
 
     async def _stream_once(self, grant: Grant) -> Miss | None:
         """Stream over one chain; return how it broke, if it did."""
-        chain = self.find_targets(grant)
+        chain = self.open_chain = self.find_targets(grant)
         resume = self.ledger.epoch
         await self._move_kv(chain, resume)
         epoch = self.ledger.open_epoch()
@@ -151,12 +153,9 @@
         """Pass tokens on to the caller until the stream ends or breaks."""
         heard = self.parts.clock.monotonic()
         while True:
-            waited = self.parts.clock.monotonic() - heard
-            try:
-                async with asyncio.timeout(max(0.0, self.progress.patience - waited)):
-                    read = await stream.read()
-            except TimeoutError:
-                return Miss(Delivery.MAY_HAVE_RUN, "stalled")
+            read = await self._read(stream, heard)
+            if isinstance(read, Miss):
+                return read
             if isinstance(read, Err):
                 return read.err_value
             had = self.ledger.next_position
@@ -169,6 +168,35 @@
             if self.ledger.next_position > had or _has_opened(read.ok_value):
                 heard = self.parts.clock.monotonic()
 
+    async def _read(
+        self, stream: EventStream, heard: float
+    ) -> Result[list[StageEvent], Miss] | Miss:
+        """Wait for the next events, but not for stages that are gone or stalled.
+
+        :param heard: instant of the last progress, monotonic seconds.
+        """
+        waited = self.parts.clock.monotonic() - heard
+        if waited < self.progress.doubt < self.progress.patience:
+            try:
+                async with asyncio.timeout(self.progress.doubt - waited):
+                    return await stream.read()
+            except TimeoutError:
+                if await self._misses_stage(self.progress.patience):
+                    return Miss(Delivery.MAY_HAVE_RUN, "a stage is gone")
+        waited = self.parts.clock.monotonic() - heard
+        try:
+            async with asyncio.timeout(max(0.0, self.progress.patience - waited)):
+                return await stream.read()
+        except TimeoutError:
+            return Miss(Delivery.MAY_HAVE_RUN, "stalled")
+
+    async def _misses_stage(self, seconds: float) -> bool:
+        """Tell whether some stage of the open chain does not answer any more."""
+        epoch = self.ledger.epoch
+        chains = self.parts.chains
+        found = await chains.inspect(self.open_chain, self.request.id, epoch, seconds)
+        return None in found
+
     async def _take(self, event: StageEvent) -> Miss | None:
         """Pass on what an event brings; return how the chain broke, if it did."""
         match event:
--- a/marigoldswitch/tests/test_fronts.py
+++ b/marigoldswitch/tests/test_fronts.py
@@ -120,7 +120,7 @@
         ]
         return Ok([*tokens, StreamEnd(None, TOKENS)])
 
-    async def inspect(self, targets, request, epoch):
+    async def inspect(self, targets, request, epoch, seconds=0.0):
         return [None for _ in targets]
 
     async def move_kv(self, *arguments):
--- /dev/null
+++ b/marigoldswitch/tests/test_recovery.py
@@ -0,0 +1,58 @@
+"""Which stages a broken chain loses, and when a silent stream counts as stalled."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from marigoldswitch.core.diagnosis import StageStatus, can_serve, find_suspects
+from marigoldswitch.core.progress import DOUBT_FLOOR, Progress
+from marigoldswitch.tests.helpers import BOOKINGS, DRAFTING, build_target
+
+CHAIN = ["a", "b", "c"]
+
+
+@pytest.mark.parametrize(
+    ("statuses", "suspects"),
+    [
+        ([(5, 5), None, (4, 4)], ("b",)),
+        ([None, (4, 4), None], ("a", "c")),
+        ([(5, 4), (4, 4), (4, 4)], ("a",)),
+        ([(5, 5), (5, 4), (4, 4)], ("b",)),
+        ([(5, 5), (5, 5), (5, 4)], ("c",)),
+        ([(5, 5), (4, 4), (4, 4)], ("a", "b")),
+        ([(5, 5), (5, 5), (4, 4)], ("b", "c")),
+        ([(5, 5), (5, 5), (5, 5)], ()),
+    ],
+)
+def test_suspects_are_the_stages_that_hold_the_token_up(statuses, suspects):
+    known = [StageStatus(*item) if item else None for item in statuses]
+    assert find_suspects(CHAIN, known) == suspects
+
+
+@pytest.mark.parametrize(
+    ("ranges", "serves"),
+    [
+        ([(0, 4), (4, 12)], True),
+        ([(4, 12), (0, 4)], True),
+        ([(0, 4), (5, 12)], False),
+        ([(0, 8), (4, 12)], False),
+        ([(0, 8), (4, 12), (0, 4)], True),
+        ([], False),
+    ],
+)
+def test_targets_serve_if_their_layers_can_be_chained(ranges, serves):
+    targets = [build_target(f"t{n}", pair) for n, pair in enumerate(ranges)]
+    assert can_serve(DRAFTING, targets) is serves
+    assert can_serve(BOOKINGS, targets) is bool(targets)
+
+
+@given(st.floats(0.001, 0.4), st.integers(2, 50))
+def test_patience_follows_the_usual_gap_between_its_bounds(gap, tokens):
+    progress = Progress(first=5.0, factor=10.0, floor=0.5)
+    assert progress.patience == progress.doubt == 5.0
+    for number in range(tokens):
+        progress.note(number * gap, 1)
+    assert progress.usual == pytest.approx(gap)
+    assert progress.patience == pytest.approx(min(5.0, max(0.5, 10.0 * gap)))
+    assert DOUBT_FLOOR <= progress.doubt <= progress.patience
+    progress.begin()
+    assert progress.patience == 5.0
