--- a/marigoldswitch/orderers.py
+++ b/marigoldswitch/orderers.py
@@ -119,8 +119,11 @@
             candidates the row is read by few.
         """
         while True:
-            if self.lease.holds or is_candidate():
-                await self.tick()
+            try:
+                if self.lease.holds or is_candidate():
+                    await self.tick()
+            except Exception:
+                logger.exception("orders_failed", region=self._region)
             await asyncio.sleep(self._settings.tick)
 
     async def tick(self) -> None:
@@ -158,7 +161,12 @@
         if isinstance(read, Err):
             return
         held = self.lease.holds
-        self.lease.see(read.ok_value, clock.monotonic())
+        try:
+            self.lease.see(read.ok_value, clock.monotonic())
+        except ValueError:
+            logger.error("lease_unreadable", region=self._region, table=LEASE_TABLE)
+            self.lease.give_up()
+            return
         if held and not self.lease.holds:
             logger.warning("lease_lost", region=self._region, holder=self.lease.holder)
         began = clock.monotonic()
--- a/marigoldswitch/tests/test_releases.py
+++ b/marigoldswitch/tests/test_releases.py
@@ -162,6 +162,17 @@
     assert [item.version for item in history] == [3, 2]
 
 
+def test_content_in_force_can_be_signed_anew():
+    async def work():
+        releases = build_releases(FakePlatform())
+        (await carry_through(releases, ONE, ANA, BEN)).unwrap()
+        return await carry_through(releases, ONE, BEN, ANA, seen=1)
+
+    record = play(work()).unwrap()
+    assert record.version == 2
+    assert record.endorsements[0].operator == "ben"
+
+
 def test_draft_of_an_operator_who_left_can_be_submitted_again():
     async def work():
         platform = FakePlatform()
