--- a/marigoldswitch/tests/test_administration.py
+++ b/marigoldswitch/tests/test_administration.py
@@ -248,6 +248,7 @@
 
     async def play():
         arguments = {"data_centres": ("hobart", "hobart"), "settings": settings}
+        arguments["quota"] = WIDE_QUOTA
         async with run_deployment(**arguments) as (deployment, session):
             address = deployment.get_address("host-0", "callers")
             deployment.quota = WIDE_QUOTA
