--- a/marigoldswitch/claiming.py
+++ b/marigoldswitch/claiming.py
@@ -99,7 +99,7 @@
         :param free: a claim that may be taken over.
         :param seconds: longest wait.
         """
-        if self.commits.is_out():
+        if not self.commits.may_try():
             return Fault(ErrorKind.CLAIMS_UNAVAILABLE, "the table service is out")
         if self.kept_bytes > self._settings.kept_bytes:
             logger.warning("answers_kept_in_memory", setting="claims.kept_bytes")
@@ -136,7 +136,7 @@
     ) -> Met | Ended | Fault | None:
         """Return what came of a key before, where that can be learned."""
         row = build_claim_key(request.account, key)
-        if self.commits.is_out():
+        if self.commits.is_out:
             return None
         found = await self._table.read(CLAIM_TABLE, row)
         if isinstance(found, Err) or found.ok_value is None:
--- a/marigoldswitch/fronts.py
+++ b/marigoldswitch/fronts.py
@@ -60,7 +60,9 @@
             self._cancelled.discard(request.id)
             self._drop(request.id, task)
             if run.remainder is not None and not run.remainder.done():
+                run.remainder.add_done_callback(_log_fault)
                 self._hold(request.id, run.remainder)
+            run.count_into(self._metrics)
             observe.count_end(run.life.stage.value)
 
     def cancel(self, request: RequestId) -> bool:
@@ -143,3 +145,9 @@
         if not run.life.ended:
             run.life.end_with(fault)
         await observe(fault)
+
+
+def _log_fault(task: "asyncio.Task[None]") -> None:
+    """Log a fault of our own in work that outlived its request."""
+    if not task.cancelled() and task.exception() is not None:
+        logger.error("internal_fault", exc_info=task.exception())
--- a/marigoldswitch/gauges.py
+++ b/marigoldswitch/gauges.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+from marigoldswitch.claiming import Claims
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.members import MemberView
@@ -19,16 +20,20 @@
         view: MemberView,
         network: PeerNetwork,
         dispatching: Dispatching,
+        claims: Claims,
     ) -> None:
         self._metrics = metrics
         self._adoption = adoption
         self._view = view
         self._network = network
         self._dispatching = dispatching
+        self._claims = claims
 
     def read(self) -> None:
         """Set every gauge."""
         self._metrics.bundle.set({}, self._adoption.version)
+        self._metrics.claims_open.set({}, len(self._claims.own))
+        self._metrics.answers_unstored.set({}, self._claims.kept_bytes)
         self._read_members()
         for what, count in self._network.counts.items():
             self._metrics.peer_messages.set({"what": what}, count)
--- a/marigoldswitch/metrics.py
+++ b/marigoldswitch/metrics.py
@@ -68,6 +68,34 @@
         "Requests that the host holds now.",
         "Near `requests.held`: add hosts or raise the setting.",
     ),
+    MetricRow(
+        "chains_broken_total",
+        Counter,
+        ("service",),
+        "Chains of engines that were lost while they had a request.",
+        "More than a few a minute: see the log's `chain_broken` lines for the stage.",
+    ),
+    MetricRow(
+        "stray_tokens_total",
+        Counter,
+        ("service", "what"),
+        "Tokens of old epochs or sent twice (dropped), and early ones (reordered).",
+        "Dropped grows without broken chains: an engine sends tokens twice.",
+    ),
+    MetricRow(
+        "claims_open",
+        Gauge,
+        (),
+        "Claims of this host that are taken, run or not yet marked as ended.",
+        "Stays above 0 without requests: the platform's table service is out.",
+    ),
+    MetricRow(
+        "answers_unstored_bytes",
+        Gauge,
+        (),
+        "Bytes of answers to non-idempotent requests that the platform lacks yet.",
+        "Near `claims.kept_bytes`: bring the platform back before replacing the host.",
+    ),
     MetricRow(
         "first_event_seconds",
         Histogram,
@@ -140,6 +168,10 @@
         self.faults: Counter = made["faults_total"]
         self.tokens: Counter = made["tokens_total"]
         self.held: Gauge = made["requests_held"]
+        self.chains_broken: Counter = made["chains_broken_total"]
+        self.stray_tokens: Counter = made["stray_tokens_total"]
+        self.claims_open: Gauge = made["claims_open"]
+        self.answers_unstored: Gauge = made["answers_unstored_bytes"]
         self.first_event: Histogram = made["first_event_seconds"]
         self.breaches: Counter = made["promises_broken_total"]
         self.bundle: Gauge = made["bundle_version"]
--- a/marigoldswitch/model_runs.py
+++ b/marigoldswitch/model_runs.py
@@ -14,7 +14,7 @@
     StageFailed,
     StreamEnd,
 )
-from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.catalogue import Bundle, Target
 from marigoldswitch.core.delivery import Delivery, Miss
 from marigoldswitch.core.diagnosis import find_suspects
 from marigoldswitch.core.errors import ErrorKind, Fault
@@ -23,8 +23,9 @@
 from marigoldswitch.core.lifecycle import Stage
 from marigoldswitch.core.messages import Grant, TargetReport
 from marigoldswitch.core.progress import Progress
-from marigoldswitch.core.requests import End, Token
-from marigoldswitch.runs import Run, describe_miss
+from marigoldswitch.core.requests import End, Request, Token
+from marigoldswitch.metrics import Metrics
+from marigoldswitch.runs import Emit, Parts, Run, describe_miss
 
 logger = structlog.get_logger(__name__)
 
@@ -51,16 +52,21 @@
     _answering: frozenset[TargetId] = frozenset()
     """Stages of it that answered after the break."""
 
-    ledger: Ledger
-    progress: Progress
+    _broken = 0
+    """Chains that this request lost."""
 
-    async def drive(self) -> None:
-        """Run the request to its one end and emit the whole answer."""
-        streams = self.parts.streams
+    def __init__(
+        self, parts: Parts, request: Request, bundle: Bundle, emit: Emit
+    ) -> None:
+        super().__init__(parts, request, bundle, emit)
+        streams = parts.streams
         self.ledger = Ledger(self.service.layers)
         self.progress = Progress(
             streams.first_token, streams.stall_factor, streams.stall_floor
         )
+
+    async def drive(self) -> None:
+        """Run the request to its one end and emit the whole answer."""
         while True:
             permit = await self.acquire()
             if isinstance(permit, Err):
@@ -84,6 +90,14 @@
                 await self.end_with(fault)
                 return
 
+    def count_into(self, metrics: Metrics) -> None:
+        """Count the broken chains and the tokens that came astray."""
+        labels = {"service": str(self.service.name)}
+        strays = {"dropped": self.ledger.dropped, "reordered": self.ledger.reordered}
+        metrics.chains_broken.add(labels, self._broken)
+        for what, count in strays.items():
+            metrics.stray_tokens.add({**labels, "what": what}, count)
+
     async def _end_answered(self) -> None:
         self.life.advance("answer")
         tokens = self.ledger.delivered
@@ -249,6 +263,7 @@
     def _note_break(
         self, miss: Miss, chain: tuple[Target, ...], suspects: tuple[TargetId, ...]
     ) -> None:
+        self._broken += 1
         self.chain = chain
         self.keep = tuple(item.id for item in chain if item.id not in suspects)
         self.shun(suspects)
--- a/marigoldswitch/runs.py
+++ b/marigoldswitch/runs.py
@@ -24,6 +24,7 @@
 from marigoldswitch.core.retries import GiveUp, HostRetries, Missed, Retry, is_not_run
 from marigoldswitch.dispatching import Dispatching
 from marigoldswitch.members import Member
+from marigoldswitch.metrics import Metrics
 from marigoldswitch.settings import StreamSettings
 
 logger = structlog.get_logger(__name__)
@@ -166,6 +167,9 @@
         """End the request without its whole answer."""
         await self.emit(self.life.end_with(fault))
 
+    def count_into(self, metrics: Metrics) -> None:
+        """Add what was seen of the targets to the host's metrics."""
+
     def abandon(self) -> None:
         """Settle what the request holds when it is broken off from outside."""
 
--- a/marigoldswitch/tests/test_bookings.py
+++ b/marigoldswitch/tests/test_bookings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldswitch.core.errors import ErrorKind
 from marigoldswitch.tests.helpers import (
     BOOKINGS_PATH,
     run_async,
@@ -216,3 +217,54 @@
     statuses, writes = play(work)
     assert statuses == [200] * 60
     assert writes <= 60
+
+
+def test_answer_is_fetched_by_its_own_client_account_only():
+    async def work(deployment, session):
+        await book(deployment, session, "host-0")
+        claims = deployment.hosts["host-1"].parts.claims
+        own = await claims.fetch("family", "k")
+        return own, await claims.fetch("another", "k")
+
+    own, other = play(work)
+    assert b"pickup" in own.unwrap()
+    assert other.unwrap_err().kind is ErrorKind.NO_ANSWER
+
+
+def test_booking_without_a_key_is_sent_once():
+    async def work(deployment, session):
+        deployment.services["desk-0"].faults.lose_answers = 1
+        end = await book(deployment, session, "host-0", key=None)
+        return end, count_runs(deployment)
+
+    (_, error), runs = play(work)
+    assert error["outcome"] == "may_have_run"
+    assert runs == 1
+
+
+def test_data_centre_cut_off_from_everything_never_runs_a_claimed_booking():
+    async def work(deployment, session):
+        desk = deployment.services["desk-0"]
+        desk.faults.delay = 0.4
+        call = asyncio.create_task(book(deployment, session, "host-0"))
+        await wait_until(lambda: desk.running == 1)
+        network = deployment.hosts["host-2"].parts.network
+        network.cut |= {"host-0", "host-1"}
+        cut = await book(deployment, session, "host-2")
+        deployment.platform.faults.cut.add("host-2")
+        alone = [await book(deployment, session, "host-2") for _ in range(2)]
+        first = await call
+        network.cut.clear()
+        deployment.platform.faults.cut.clear()
+        while (healed := await book(deployment, session, "host-2"))[0] == 503:
+            await asyncio.sleep(0.05)
+        return cut, alone, first, healed, count_runs(deployment)
+
+    cut, alone, first, healed, runs = play(work)
+    assert cut[0] in {200, 409}
+    assert {error["kind"] for _, error in alone} <= {
+        "claims_unavailable",
+        "outcome_unknown",
+    }
+    assert first[0] == healed[0] == 200
+    assert runs == 1
