--- a/marigoldswitch/tools/soak.py
+++ b/marigoldswitch/tools/soak.py
@@ -56,8 +56,7 @@
         self._rate = rate
         self._record = record
         self._ready: dict[str, float] = {}
-        self._slowest = 0.0
-        self._known: dict[str, int] = {}
+        self._began = 0.0
 
     async def run(self, minutes: float) -> bool:
         """Run for so long; return whether everything held."""
@@ -80,12 +79,14 @@
         ) as session:
             caller = Caller(session, self._find_address)
             self.load = Load(caller, self._random, self._list_ready, self._rate)
-            until = time.monotonic() + minutes * MINUTE
+            self._began = time.monotonic()
+            until = self._began + minutes * MINUTE
             while time.monotonic() < until and not self.checks.breaches:
                 left = until - time.monotonic()
                 await self._play_round(min(ROUND_SECONDS, max(2.0, left)))
         watch.cancel()
         await self.deployment.stop()
+        self._sort_record()
         print_report(self.seed, self.figures, self.checks.breaches)
         return not self.checks.breaches
 
@@ -113,7 +114,7 @@
         while time.monotonic() < until:
             fault = self.player.choose(self._random)
             if fault is not None:
-                self._write(fault.describe())
+                self._write(fault.describe(self._began))
                 self.figures.faults[fault.kind.value] += 1
                 tasks.append(asyncio.create_task(self.player.play(fault)))
             await asyncio.sleep(self._random.expovariate(1 / FAULT_SECONDS))
@@ -162,7 +163,14 @@
         for attempt in attempts:
             attempt.faults = self.player.list_active(attempt.began)
             self.figures.take(attempt, self.player)
-            self._write(attempt.describe())
+            self._write(attempt.record(self._began))
+
+    def _sort_record(self) -> None:
+        """Put the lines of a record in the order in which they began."""
+        if self._record is not None and self._record.exists():
+            lines = self._record.read_bytes().splitlines()
+            lines.sort(key=lambda line: orjson.loads(line)["at"])
+            self._record.write_bytes(b"\n".join(lines) + b"\n")
 
     def _write(self, line: dict[str, Any]) -> None:
         if self._record is not None:
