--- a/marigoldswitch/compose.py
+++ b/marigoldswitch/compose.py
@@ -103,7 +103,8 @@
     parts = Parts(clock, own, dispatching, claims, plain, chains, settings.streams)
     metrics = Metrics()
     front = Front(parts, metrics, settings.requests.held)
-    metrics.add_source(Gauges(metrics, adoption, view, network, dispatching).read)
+    gauges = Gauges(metrics, adoption, view, network, dispatching, gossip)
+    metrics.add_source(gauges.read)
     callers = CallerInterface(
         clock,
         settings.requests,
--- a/marigoldswitch/gauges.py
+++ b/marigoldswitch/gauges.py
@@ -4,6 +4,7 @@
 
 from marigoldswitch.core.adoption import Adoption
 from marigoldswitch.dispatching import Dispatching
+from marigoldswitch.gossip import Gossip
 from marigoldswitch.members import MemberView
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peers import PeerNetwork
@@ -19,12 +20,14 @@
         view: MemberView,
         network: PeerNetwork,
         dispatching: Dispatching,
+        gossip: Gossip,
     ) -> None:
         self._metrics = metrics
         self._adoption = adoption
         self._view = view
         self._network = network
         self._dispatching = dispatching
+        self._gossip = gossip
 
     def read(self) -> None:
         """Set every gauge."""
@@ -32,6 +35,8 @@
         self._read_members()
         for what, count in self._network.counts.items():
             self._metrics.peer_messages.set({"what": what}, count)
+        for what, count in self._gossip.count_all().items():
+            self._metrics.gossip.set({"what": what}, count)
         self._read_permits()
         self._read_dispatchers()
         self._read_queues()
--- a/marigoldswitch/gossip.py
+++ b/marigoldswitch/gossip.py
@@ -107,6 +107,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    def count_all(self) -> Counter[str]:
+        """Return what was counted of datagrams and of membership."""
+        known = self.membership.counts if self.membership else Counter[str]()
+        return self.counts + known
+
     # What the rest of the daemon says.
 
     def watch_leaving(self, listener: Callable[[frozenset[TargetId]], None]) -> None:
--- a/marigoldswitch/metrics.py
+++ b/marigoldswitch/metrics.py
@@ -96,6 +96,17 @@
         "Live hosts that this host sees.",
         "Fewer than the host list says: look at the network between data centres.",
     ),
+    MetricRow(
+        "gossip",
+        Gauge,
+        ("what",),
+        "Datagrams and events of membership since the start: sent, sent_bytes, "
+        "received, unauthenticated, garbage, oversized, wrong_address, "
+        "duplicate_name, suspected, refuted, found_dead, pauses, syncs.",
+        "Unauthenticated or garbage grows: a wrong shared key or a stranger on the "
+        "port. duplicate_name grows: two hosts have one name. pauses grows: the host "
+        "stalls.",
+    ),
     MetricRow(
         "peer_messages",
         Gauge,
@@ -145,6 +156,7 @@
         self.bundle: Gauge = made["bundle_version"]
         self.members: Gauge = made["members"]
         self.peer_messages: Gauge = made["peer_messages"]
+        self.gossip: Gauge = made["gossip"]
         self.permits: Gauge = made["permits_held"]
         self.waiting: Gauge = made["queue_waiting"]
         self.usable: Gauge = made["targets_usable"]
