--- a/marigoldswitch/core/leaving.py
+++ b/marigoldswitch/core/leaving.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
+import xxhash
+
 from marigoldswitch.core.datagrams import MarkSource, TargetMark
 from marigoldswitch.core.ids import TargetId
 
@@ -52,6 +54,16 @@
             if item.mark.leaving and item.until > now
         )
 
+    def digest(self, now: float) -> int:
+        """Return a digest of the marks that still hold, without their times."""
+        digest = 0
+        for item in self._held.values():
+            if item.until > now:
+                mark = item.mark
+                name = f"{mark.target}/{mark.source}/{mark.number}/{mark.leaving}"
+                digest ^= xxhash.xxh3_64_intdigest(name.encode())
+        return digest
+
     def export(self, now: float) -> tuple[TargetMark, ...]:
         """Return the marks that still hold, for a host that knows none."""
         return tuple(
--- a/marigoldswitch/tests/test_gossip.py
+++ b/marigoldswitch/tests/test_gossip.py
@@ -13,7 +13,7 @@
     Sender,
     encode_datagram,
 )
-from marigoldswitch.core.ids import HostId, Incarnation
+from marigoldswitch.core.ids import HostId, Incarnation, TargetId
 from marigoldswitch.core.leaving import LeavingMarks
 from marigoldswitch.gossip import Gossip
 from marigoldswitch.members import Member, MemberView
@@ -115,10 +115,12 @@
             host.network.cut.add(HostId(other))
         await wait_until(lambda: len(first.view.members) == 1)
         await wait_until(lambda: len(second.view.members) == 1)
+        first.gossip.drain_target(TargetId("desk-0"))
         for host in (first, second):
             host.gossip.cut.clear()
             host.network.cut.clear()
         await wait_until(lambda: len(first.view.members) == 2)
+        await wait_until(lambda: second.gossip.leaving == {"desk-0"})
         await second.stop()
         moved = GossipHost("host-1", seeds=seeds)
         await moved.start()
