Let only the source of a leaving mark take it back

Change: each source takes back its own mark only; the target's own is taken back by its state, which one host asks for every second.

--- a/marigoldswitch/core/leaving.py
+++ b/marigoldswitch/core/leaving.py
@@ -1,6 +1,7 @@
 """Which targets are leaving: a target leaves as soon as any source says so.
 
-Each source keeps one mark a target. A mark carries a number, which rises with each
+Each source keeps one mark a target, and only that source takes it back: an operator who
+undoes a drain does not speak for a target that shuts down by itself. A mark carries a number, which rises with each
 change, and a time after which it no longer holds, so that a mark that nobody takes back
 ends by itself.
 """
@@ -88,10 +89,9 @@
             if held is None or not held.mark.leaving or held.until - now < half:
                 fresh.append(self._set(target, MarkSource.HOST_LIST, True, now))
         for target in self._listed & live:
-            for source in (MarkSource.HOST_LIST, MarkSource.ANSWER):
-                held = self._held.get((target, source))
-                if held is not None and held.mark.leaving:
-                    fresh.append(self._set(target, source, False, now))
+            held = self._held.get((target, MarkSource.HOST_LIST))
+            if held is not None and held.mark.leaving:
+                fresh.append(self._set(target, MarkSource.HOST_LIST, False, now))
         self._listed = leaving | (self._listed - live)
         return fresh
 
@@ -122,8 +122,7 @@
         self, target: TargetId, leaving: bool, now: float
     ) -> list[TargetMark]:
         """Note that an operator drains a target, or takes that back."""
-        fresh = [self._set(target, MarkSource.ORDER, leaving, now)]
-        return fresh if leaving else fresh + self.take_state(target, now)
+        return [self._set(target, MarkSource.ORDER, leaving, now)]
 
     def take_drains(self, drained: frozenset[TargetId], now: float) -> list[TargetMark]:
         """Follow the drains that the platform keeps; each change is passed on once.
--- a/marigoldswitch/tests/test_membership.py
+++ b/marigoldswitch/tests/test_membership.py
@@ -254,7 +254,10 @@
     marks.take_host_list([], [ENGINE], 3.0)
     assert marks.list_leaving(3.0) == {ENGINE}
     marks.take_order(ENGINE, False, 4.0)
-    assert marks.list_leaving(4.0) == frozenset()
+    assert marks.list_leaving(4.0) == {ENGINE}
+    assert marks.list_answered(4.0) == [ENGINE]
+    marks.take_state(ENGINE, 5.0)
+    assert marks.list_leaving(5.0) == frozenset()
 
 
 def test_lagging_host_list_does_not_take_an_answer_back():
