--- a/marigoldswitch/tests/test_processes.py
+++ b/marigoldswitch/tests/test_processes.py
@@ -194,3 +194,38 @@
     assert set(ran.values()) == {1}
     answered = [item for item in [*attempts, *resent] if item.end is EndKind.ANSWERED]
     assert {item.subject for item in answered if item.kind == "booking"} <= set(ran)
+
+
+def test_second_sigterm_ends_a_daemon_that_waits_for_a_stalled_stream(tmp_path):
+    async def play():
+        async with run_processes(tmp_path, ["host-0"]) as (
+            processes,
+            deployment,
+            session,
+        ):
+            caller = Caller(session, processes.get_address)
+            balancer = Balancer(processes, session)
+            watch = asyncio.create_task(balancer.run())
+            await balancer.wait_for({"host-0"})
+            engine = deployment.addresses["engine-1"]
+            async with session.post(engine + "/control/faults", json={"stall": True}):
+                pass
+            held = asyncio.create_task(caller.draft("host-0", "held", 8))
+            metrics = processes.get_address("host-0") + "/metrics"
+            shown = ""
+            while "marigoldswitch_requests_held 1" not in shown:
+                async with session.get(metrics) as answer:
+                    shown = await answer.text()
+            daemon = processes.running["host-0"]
+            daemon.send_signal(signal.SIGTERM)
+            await balancer.wait_for(set())
+            assert daemon.returncode is None
+            assert not held.done()
+            daemon.send_signal(signal.SIGTERM)
+            status = await daemon.wait()
+            watch.cancel()
+            return status, await held
+
+    status, held = run_async(play())
+    assert status == 0
+    assert held.end is not EndKind.ANSWERED
--- a/marigoldswitch/tools/membership_bench.py
+++ b/marigoldswitch/tools/membership_bench.py
@@ -41,6 +41,8 @@
 OVERHEAD_BYTES = 32 + 28
 """Code of the datagram, and its UDP and IP headers."""
 SECRET = b"for-measuring"
+CUT_SECONDS = 40.0
+HEAL_SECONDS = 60.0
 BYTES_BUDGET = 2048.0
 CPU_BUDGET = 0.012
 
@@ -145,10 +147,11 @@
     detected: list[float]
     everywhere: list[float]
     leave: float
+    heal: float
 
 
 def measure(hosts: int, loss: float, seconds: float, seed: int) -> Result:
-    """Measure a quiet stretch, then deaths one after another, then a leave."""
+    """Measure a quiet stretch, then deaths, a leave, and a cut that heals."""
     network = Network(Random(seed), loss)
     for number in range(hosts):
         network.add(number, hosts)
@@ -164,6 +167,7 @@
     sent, remote = network.sent - sent, network.remote - remote
     detected, everywhere = _kill_some(network)
     leave = _leave_one(network)
+    heal = _cut_and_heal(network)
     return Result(
         hosts,
         loss,
@@ -175,6 +179,7 @@
         detected,
         everywhere,
         leave,
+        heal,
     )
 
 
@@ -213,6 +218,28 @@
     return max(known.values()) if whole else float("inf")
 
 
+def _cut_and_heal(network: Network) -> float:
+    """Cut one data centre off until it is lost; return the seconds to normal."""
+    live = [name for name in network.hosts if name not in network.down]
+    centres = {name: network.hosts[name].own.data_centre for name in live}
+    alone = min(centres.values())
+    network.cut = {
+        (one, two)
+        for one in live
+        for two in live
+        if (centres[one] == alone) != (centres[two] == alone)
+    }
+    network.run(network.now + CUT_SECONDS)
+    network.cut = set()
+    began = network.now
+    while network.now - began < HEAL_SECONDS:
+        network.run(network.now + 0.1)
+        tables = (network.hosts[name].list_live() for name in live)
+        if all(len(table) == len(live) - 1 for table in tables):
+            return network.now - began
+    return float("inf")
+
+
 def report(
     *, sizes: list[int] | None = None, seconds: float = 60.0, seed: int = 1
 ) -> int:
@@ -223,7 +250,8 @@
     :param seed: seed of loss and probe order.
     """
     print(
-        "hosts loss  B/s  remote B/s  core %  false  suspected  detect s  all s  leave"
+        "hosts loss  B/s  remote B/s  core %  false  suspected  detect s"
+        "  all s  leave  heal s"
     )
     fits = True
     for hosts in sizes or [8, 57, 400]:
@@ -234,7 +262,8 @@
                 f"{hosts:5} {loss:4.1f} {found.sent:4.0f} {found.remote:11.0f}"
                 f" {found.cpu * 100:7.3f} {found.false_dead:6} {found.suspected:10}"
                 f" {statistics.median(found.detected):9.1f}"
-                f" {max(found.everywhere):6.1f} {found.leave:6.2f}",
+                f" {max(found.everywhere):6.1f} {found.leave:6.2f}"
+                f" {found.heal:7.1f}",
                 flush=True,
             )
             fits &= found.sent <= BYTES_BUDGET and found.cpu <= CPU_BUDGET
