--- a/marigoldswitch/tools/soak.py
+++ b/marigoldswitch/tools/soak.py
@@ -187,7 +187,7 @@
 
 
 class _Unhandled(logging.Handler):
-    """Counts the errors that nobody handled, by their last line."""
+    """Counts the errors that nobody handled."""
 
     def __init__(self, counts: Counter[str]) -> None:
         super().__init__(logging.ERROR)
@@ -196,7 +196,8 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Count one error."""
         error = record.exc_info[1] if record.exc_info else None
-        self._counts[f"{record.getMessage()}: {error!r}"[:200]] += 1
+        what = repr(error) if error else record.getMessage()
+        self._counts[f"{record.name}: {what}"[:120]] += 1
 
 
 def soak(
