End the writers of peer streams even when their cancellation is swallowed

Cause: asyncio.wait_for in Python 3.11 drops a cancellation that meets the end of what it waits for; a writer that was connecting at that moment went on for ever, and the stop of its host with it (seen once in a full test run on a busy machine). Change: asyncio.timeout around the connect, and the writer looks whether it was stopped.

--- a/marigoldswitch/peers.py
+++ b/marigoldswitch/peers.py
@@ -122,7 +122,7 @@
     async def _write(self, host: HostId, queue: asyncio.Queue[Message]) -> None:
         connection: _Connection | None = None
         try:
-            while True:
+            while not self._stopped:
                 message = await queue.get()
                 connection = await self._send_once(host, connection, message)
                 if connection is None:
@@ -172,8 +172,8 @@
         if address is None:
             raise ConnectionError(f"no address of {host}")
         name, _, port = address.rpartition(":")
-        opening = asyncio.open_connection(name, int(port))
-        _, writer = await asyncio.wait_for(opening, CONNECT_SECONDS)
+        async with asyncio.timeout(CONNECT_SECONDS):
+            _, writer = await asyncio.open_connection(name, int(port))
         return _Connection(address, writer)
 
     def _frame(self, message: Message) -> bytes:
