--- a/marigoldswitch/tests/test_load.py
+++ b/marigoldswitch/tests/test_load.py
@@ -130,3 +130,19 @@
     name = play.offer_one(refused[-1].refused + wait, account="a", remaining=5.0)
     play.run(30.0)
     assert play.lives[name].in_time
+
+
+def test_pool_that_grows_slow_refuses_early_what_it_will_not_reach():
+    play = Play()
+    for number in range(10):
+        play.offer(2.0 * play.bound, 10.0, account=f"a{number}", remaining=20.0)
+    play.run(5.0)
+    play.mean *= 10.0
+    play.run(60.0)
+    lives = play.list_lives()
+    let_in = [life for life in lives if life.refused and life.refused > life.arrived]
+    left = [life.ask.remaining - (life.refused - life.arrived) for life in let_in]
+    assert let_in
+    assert get_quantile(left, 0.1) > 5.0
+    started = [life for life in lives if life.granted is not None]
+    assert sum(life.in_time for life in started) >= 0.9 * len(started)
--- a/marigoldswitch/tests/test_queueing.py
+++ b/marigoldswitch/tests/test_queueing.py
@@ -189,10 +189,13 @@
         cost = sum(item.ask.cost for item in self.model.values())
         assert self.queue.cost == pytest.approx(cost, abs=1e-6)
         pace = Pace(1.0, 1.0, self.now)
-        tails = {i.key for i, wait in self.queue.list_tails(pace) if wait >= 0.0}
+        tails = {item.key for item in self.queue.list_tails()}
         flows = {(i.ask.account, i.ask.priority, i.long) for i in self.model.values()}
         assert len(tails) == len(flows)
         assert tails <= set(self.model)
+        for key in tails:
+            assert self.queue.estimate_tail(self.model[key], pace) >= 0.0
+            assert self.queue.find_before(self.model[key]) is self.model[key]
 
     def teardown(self):
         drain(self.queue, 10_000)
