--- a/marigoldswitch/model_runs.py
+++ b/marigoldswitch/model_runs.py
@@ -73,6 +73,7 @@
                 return
             if self._may_recover(miss):
                 self.recoveries += 1
+                self.charge_recovery()
                 self.pause = 0.0
                 if self.ledger.next_position == had:
                     self.pause = min(LONGEST_PAUSE, self.left)
--- a/marigoldswitch/runs.py
+++ b/marigoldswitch/runs.py
@@ -143,6 +143,11 @@
         """Return the number of attempts that count, from 1."""
         return self.attempt - self.recoveries
 
+    def charge_recovery(self) -> None:
+        """Count a recovery in mid-stream among the retries of the service."""
+        now = self.parts.clock.monotonic()
+        self.parts.retries.get(self.service.name).budget.charge(now)
+
     def _choose_retry(self, miss: Miss) -> Retry | GiveUp:
         missed = Missed(
             miss,
--- a/marigoldswitch/tests/test_retries.py
+++ b/marigoldswitch/tests/test_retries.py
@@ -86,6 +86,15 @@
         assert len(recent) <= bound + earlier
 
 
+def test_recoveries_of_streams_go_on_but_leave_less_for_retries():
+    budget = RetryBudget()
+    for _ in range(int(BUDGET_FLOOR * BUDGET_WINDOW)):
+        budget.charge(1.0)
+    assert not budget.spend(1.0)
+    budget.charge(1.0)
+    assert budget.spend(2.0 + BUDGET_WINDOW)
+
+
 def test_a_dead_service_is_tried_a_bounded_number_of_times():
     """A thousand requests a second that all miss: retries stay at the floor."""
     retries = ServiceRetries(random.Random(1))
