--- a/marigoldswitch/core/outliers.py
+++ b/marigoldswitch/core/outliers.py
@@ -6,6 +6,7 @@
 the last targets would drown.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -14,6 +15,13 @@
 BLAME_LIMIT = 3.0
 """Failures in a row that eject: one may be the request's own fault, and a request has
 at most three attempts, each on another target."""
+CHANCE = 1e-4
+SHARE_WEIGHT = 0.05
+FEWEST_CALLS = 20
+"""Where requests fail by their own fault on all targets alike, a row of three says
+nothing. The row must then be so long that chance would bring it once in 10,000 times.
+What is usual is the failing share of the better quarter of the targets, each by a mean
+over some 20 calls: targets that are down don't count unless three quarters are."""
 REFUSAL_BLAME = 0.5
 """A refusal says that the target lives; six in a row say that it does no work."""
 FIRST_SECONDS = 5.0
@@ -45,6 +53,8 @@
     blame: float = 0.0
     ejections: int = 0
     until: float = 0.0
+    failing: float = 0.0
+    calls: int = 0
     succeeded: float | None = None
     refusing: bool = False
     """It was ejected for refusals, not for failures."""
@@ -55,6 +65,8 @@
 
     def __init__(self) -> None:
         self._records: dict[TargetId, _Record] = {}
+        self._row = BLAME_LIMIT
+        """Failures in a row that eject now."""
         self.out: set[TargetId] = set()
         """Targets that are not in use: ejected, resting or probed."""
         self.ejected: set[TargetId] = set()
@@ -83,6 +95,8 @@
         record = self._records[name]
         record.blame = 0.0
         record.succeeded = now
+        record.calls += 1
+        record.failing -= SHARE_WEIGHT * record.failing
         if record.health is not Health.PROBING:
             return False
         record.health = Health.IN_USE
@@ -109,13 +123,26 @@
     def _note(self, name: TargetId, blame: float, refused: bool, now: float) -> bool:
         record = self._records[name]
         record.refusing = refused
+        record.calls += 1
+        record.failing += SHARE_WEIGHT * (1.0 - record.failing)
         record.blame += blame
         if record.health is Health.PROBING:
             return self._eject(name, record, now)
-        if record.health is Health.EJECTED or record.blame < BLAME_LIMIT:
+        if record.health is Health.EJECTED or record.blame < self._row:
             return False
         return self._eject(name, record, now)
 
+    def learn_usual(self) -> None:
+        """Take in how often requests fail on any target."""
+        shares = sorted(
+            record.failing
+            for record in self._records.values()
+            if record.calls >= FEWEST_CALLS
+        )
+        usual = shares[len(shares) // 4] if shares else 0.0
+        row = math.log(CHANCE) / math.log(usual) if 0.0 < usual < 1.0 else 0.0
+        self._row = max(BLAME_LIMIT, row)
+
     def list_due(self, now: float) -> list[TargetId]:
         """Return the ejected targets that are to be probed from now on."""
         due = []
--- a/marigoldswitch/core/pool.py
+++ b/marigoldswitch/core/pool.py
@@ -191,17 +191,20 @@
     def take_reports(self, reports: Sequence[TargetReport], now: float) -> None:
         """Learn from how the targets of one request behaved.
 
-        Where several stages of a chain failed together, each is blamed in part.
+        Where several stages of a chain failed together, each is blamed in part. A
+        failure cuts the limit only of a target that is taken out: between answers it
+        may be the request's own fault, and would cut the limits of all.
         """
         failed = sum(report.failed for report in reports)
         for report in reports:
             state = self.states.get(report.target)
             if state is None:
                 continue
-            state.learn(report, now)
             state.leaving = state.leaving or report.leaving
             self._take_load(state, report)
             self._judge(state, report, 1.0 / max(1, failed), now)
+            if not report.failed or report.target in self.outliers.out:
+                state.learn(report, now)
             self._changed.add(report.target)
 
     def probe_limits(self) -> None:
@@ -253,6 +256,7 @@
     def refresh(self, now: float) -> None:
         """Let ejected targets be probed and slow starts go on."""
         self._refreshed = now
+        self.outliers.learn_usual()
         changed = {*self.outliers.list_due(now), *self.ramps.advance(now)}
         changed |= self._follow_unlisted(now)
         if now - self._forgot >= FORGET_SECONDS:
--- a/marigoldswitch/tests/test_bench_plays.py
+++ b/marigoldswitch/tests/test_bench_plays.py
@@ -74,6 +74,12 @@
     assert figures.failed <= 0.1 * figures.done
 
 
+def test_requests_that_fail_everywhere_do_not_take_the_targets_from_others():
+    figures = run(load=0.8, poison=0.2)
+    assert figures.goodput >= 0.97
+    assert figures.attempts <= 1.2
+
+
 def test_loss_of_the_dispatcher_adds_less_than_a_second_and_fails_nothing():
     calm = run(load=0.8)
     figures = run(load=0.8, trouble=Trouble.DISPATCHER_LOST)
--- a/marigoldswitch/tools/bench/plays.py
+++ b/marigoldswitch/tools/bench/plays.py
@@ -39,6 +39,8 @@
     :param slow: targets that are four times slower than the router is told.
     :param long_share: share of jobs that are long.
     :param true_slots: slots that targets really have, over what the bundle says.
+    :param poison: share of jobs that break off on every target, soon after the start.
+    :param classes: accounts are of high, normal and low priority in turn.
     :param places: data centres that hosts and targets are in.
     """
 
@@ -58,6 +60,8 @@
     slots: int = 8
     hosts: int = 8
     places: int = 1
+    classes: bool = False
+    poison: float = 0.0
 
     @property
     def capacity(self) -> float:
@@ -102,7 +106,7 @@
         backlog -= done
         now = job.arrived
         room = play.measure_capacity(now) * (job.deadline - now - job.work)
-        if backlog + job.work <= room:
+        if not job.poison and backlog + job.work <= room:
             backlog += job.work
     return served
 
@@ -120,6 +124,7 @@
     Play("burst", 0.7, burst=10.0),
     Play("heavy account", 2.0, shares=HEAVY),
     Play("few accounts", 1.2, shares=FEW),
+    Play("classes", 1.5, classes=True),
     Play("few prefixes", 0.92, prefixes=5),
     Play("slow targets", 0.92, seconds=120.0, slow=3),
     Play("short only", 0.92, seconds=300.0, warm=100.0, deadline=30.0),
@@ -127,6 +132,7 @@
     Play("overstated slots", 0.92, true_slots=0.75),
     Play("targets refuse", 0.92, trouble=Trouble.TARGETS_REFUSE),
     Play("targets fail", 0.92, trouble=Trouble.TARGETS_FAIL),
+    Play("poison", 0.8, poison=0.2),
     Play("target lost", 0.92, trouble=Trouble.TARGET_LOST),
     Play("dispatcher lost", 0.92, trouble=Trouble.DISPATCHER_LOST),
     Play("hosts lost", 0.92, trouble=Trouble.HOSTS_LOST),
@@ -167,16 +173,19 @@
         if play.prefixes:
             common = source.random() < 0.8
             prefix = source.randrange(play.prefixes) if common else number + 1000
+        priority = Priority(account % 3) if play.classes else Priority.NORMAL
+        kind = "long" if long else "short"
         return Job(
             number,
             f"account-{account}",
-            Priority.NORMAL,
-            "long" if long else "short",
+            priority,
+            priority.name.lower() if play.classes else kind,
             cost,
             cost * MEAN_SECONDS * noise,
             now,
             now + play.deadline * (10.0 if long else 1.0),
             prefix,
+            poison=play.poison > 0.0 and source.random() < play.poison,
         )
 
 
