--- a/marigoldswitch/hosts.py
+++ b/marigoldswitch/hosts.py
@@ -42,6 +42,10 @@
 
 logger = structlog.get_logger(__name__)
 
+LAST_TURNS = 20
+"""Turns of the loop in which connections already made are read before a stop."""
+LAST_TURN_SECONDS = 0.01
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 STOP_SECONDS = 2.0
@@ -109,7 +113,7 @@
         callers.middlewares.insert(0, self._count_busy)
         callers.on_response_prepare.append(self._close_when_draining)
         self.ports["callers"] = await self._listen(
-            callers, listen.callers, parts.tls.callers
+            callers, listen.callers, parts.tls.callers, cancels=True
         )
         administration = parts.administration.build_application()
         self.ports["administration"] = await self._listen(
@@ -140,6 +144,7 @@
         parts.state.accepting = False
         try:
             async with asyncio.timeout(drain.longest):
+                await _let_connections_speak()
                 await self._idle.wait()
                 await parts.front.wait_idle()
                 await parts.claims.flush()
@@ -254,13 +259,22 @@
             response.force_close()
 
     async def _listen(
-        self, application: web.Application, port: int, tls: ServerContext | None
+        self,
+        application: web.Application,
+        port: int,
+        tls: ServerContext | None,
+        cancels: bool = False,
     ) -> int:
+        """Listen and return the port.
+
+        :param cancels: whether a request is cancelled when its connection breaks.
+        """
         guard = build_guard(self.parts.settings.requests)
         application.middlewares.append(guard.build_middleware())
         runner = web.AppRunner(
             application,
             access_log=None,
+            handler_cancellation=cancels,
             shutdown_timeout=STOP_SECONDS,
             max_line_size=self.parts.settings.requests.header_bytes,
             max_field_size=self.parts.settings.requests.header_bytes,
@@ -293,3 +307,13 @@
         "orders": describe_lease(parts.orderer),
         "bundles_refused": parts.follower.refused,
     }
+
+
+async def _let_connections_speak() -> None:
+    """Let requests that the kernel has already taken reach their handlers.
+
+    Turns of the loop count here, not time: a host that was paused over the balancer's
+    lag finds its timer and the waiting connections ready in the same turn.
+    """
+    for _ in range(LAST_TURNS):
+        await asyncio.sleep(LAST_TURN_SECONDS)
