--- a/marigoldswitch/tests/test_administration.py
+++ b/marigoldswitch/tests/test_administration.py
@@ -15,6 +15,7 @@
 from marigoldswitch.signatures import format_private_key, parse_private_key
 from marigoldswitch.standins.deployment import digest_key
 from marigoldswitch.tests.helpers import (
+    BOOKINGS_PATH,
     LETTERS_PATH,
     run_async,
     run_deployment,
@@ -80,6 +81,20 @@
 
         return self.loop.run_until_complete(work())
 
+    def send(self, path, body, headers, key):
+        """Send a caller's request."""
+        address = self.deployment.get_address("host-0", "callers")
+        headers = headers | {"Authorization": f"Bearer {key}"}
+
+        async def work():
+            async with (
+                aiohttp.ClientSession(headers=headers) as session,
+                session.post(address + path, data=body) as response,
+            ):
+                return response.status, await response.json()
+
+        return self.loop.run_until_complete(work())
+
 
 @pytest.fixture(scope="module")
 def shared_host():
@@ -241,6 +256,49 @@
         self.deployment.platform.faults.out = False
 
 
+def test_request_in_flight_keeps_the_bundle_it_began_with():
+    """Its service is gone from the new bundle before it is answered."""
+
+    async def play():
+        async with run_deployment(data_centres=("hobart",)) as (deployment, session):
+            deployment.services["desk-0"].faults.delay = 0.5
+            address = deployment.get_address("host-0", "callers")
+            sending = asyncio.create_task(
+                session.post(address + BOOKINGS_PATH, json={"input": {}})
+            )
+            await wait_until(lambda: deployment.services["desk-0"].running == 1)
+            content = yaml.safe_load(deployment.build_bundle())
+            content["brands"]["dollhouse"]["applications"].pop("bookings")
+            for section, name in (
+                ("pipelines", "bookings"),
+                ("services", "bookings"),
+                ("targets", "desk-0"),
+            ):
+                content[section].pop(name)
+            await deployment.roll_out(write_document(content), seen=1)
+            assert deployment.services["desk-0"].running == 1
+            async with await sending as response:
+                first = response.status
+            async with session.post(
+                address + BOOKINGS_PATH, json={"input": {}}
+            ) as response:
+                return first, response.status
+
+    assert run_async(play()) == (200, 404)
+
+
+@given(
+    content=st.binary(max_size=60) | st.text(max_size=60).map(str.encode),
+    header=st.text(st.characters(min_codepoint=33, max_codepoint=126), max_size=20),
+)
+def test_callers_junk_is_refused_as_not_run(shared_host, content, header):
+    key = shared_host.deployment.caller_key
+    headers = {"Request-Timeout": header, "Idempotency-Key": header}
+    status, body = shared_host.send(LETTERS_PATH, content, headers, key)
+    assert status == 400
+    assert body["error"]["outcome"] == "not_run"
+
+
 def test_orders_reload_an_engine_while_requests_run():
     """A bundle adds an adapter: each engine is drained, ordered and taken back."""
     orders = {"tick": 0.05, "lease": 1.0, "margin": 0.2, "settle": 0.5, "loads": 99}
--- a/marigoldswitch/tests/test_security.py
+++ b/marigoldswitch/tests/test_security.py
@@ -214,6 +214,31 @@
     assert run_async(play()) == ["e0"]
 
 
+@pytest.mark.parametrize(
+    "junk",
+    [
+        b"\x00" * 4,
+        b"\xff" * 64,
+        b"GET / HTTP/1.1\r\n\r\n",
+        (100).to_bytes(4, "big") + b"\x00" * 100,
+    ],
+)
+def test_junk_on_the_peers_listener_ends_its_connection(junk):
+    async def play():
+        host = compose_host(build_settings())
+        await host.start()
+        reader, writer = await asyncio.open_connection(LOOPBACK, host.ports["peers"])
+        writer.write(junk)
+        with suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+        counts = host.parts.network.counts
+        await host.stop()
+        return counts["garbage"], counts["received"]
+
+    assert run_async(play(), 20.0) == (1, 0)
+
+
 class _Junk:
     """A platform that answers with junk."""
 
