--- a/marigoldswitch/tests/test_releases.py
+++ b/marigoldswitch/tests/test_releases.py
@@ -128,6 +128,32 @@
     assert "ben was faster: version 1" in refusal.lines[0]
 
 
+class TurnTakingPlatform(FakePlatform):
+    """Gives way before each call, so that operators' steps mix."""
+
+    async def read(self, table, key):
+        await asyncio.sleep(0)
+        return await super().read(table, key)
+
+    async def transact(self, puts):
+        await asyncio.sleep(0)
+        return await super().transact(puts)
+
+
+def test_of_two_who_accept_at_once_one_wins_and_one_is_told():
+    async def work():
+        platform = TurnTakingPlatform()
+        first, second = build_releases(platform), build_releases(platform)
+        return await asyncio.gather(
+            carry_through(first, ONE, ANA, BEN), carry_through(second, TWO, BEN, ANA)
+        )
+
+    results = play(work())
+    assert sorted(item.is_ok() for item in results) == [False, True]
+    loser = next(item for item in results if item.is_err()).unwrap_err()
+    assert loser.fault is ReleaseFault.CONFLICT
+
+
 def test_lost_answers_are_settled_by_reading_back():
     async def work():
         platform = FakePlatform()
