Test an older bundle verified beside a newer one

Cause: with the upward check of the adoption taken out all tests passed (trial): the follower's own check hid it. Change: a test of two adoptions that interleave. Figures: with the check out it fails.

--- a/marigoldswitch/tests/test_releases.py
+++ b/marigoldswitch/tests/test_releases.py
@@ -303,6 +303,22 @@
     assert fresh.adoption.version == 2
 
 
+def test_older_bundle_that_is_verified_at_the_same_time_does_not_win():
+    async def work():
+        platform, net = FakePlatform(), Net()
+        releases = build_releases(platform)
+        one = (await carry_through(releases, ONE, ANA, BEN)).unwrap()
+        two = (await carry_through(releases, TWO, ANA, BEN, seen=1)).unwrap()
+        follower = build_follower("h1", platform, net)
+        used = []
+        follower.watch_bundle(lambda bundle: used.append(bundle.version))
+        newer = follower.adopt(two, pack_content(TWO))
+        older = follower.adopt(one, pack_content(ONE))
+        return await asyncio.gather(newer, older), used
+
+    assert play(work()) == ([True, False], [2])
+
+
 def test_forged_bundles_are_refused_whoever_sends_them():
     platform, net = FakePlatform(), Net()
     follower = build_follower("h1", platform, net)
