--- a/marigoldswitch/tests/test_releases.py
+++ b/marigoldswitch/tests/test_releases.py
@@ -232,15 +232,19 @@
         self.followers = {}
         self.cut = set()
         self.queue = deque()
+        self.sent = []
 
     def sender(self, name):
         def send(host, message):
             self.queue.append((name, host, message))
+            if isinstance(message, BundleContent):
+                self.sent.append((name, host, message))
 
         return send
 
-    def deliver(self):
-        while self.queue:
+    def deliver(self, most=1_000_000):
+        """Deliver the oldest messages; those after them come late."""
+        for _ in range(min(most, len(self.queue))):
             sender, host, message = self.queue.popleft()
             if {sender, host} & self.cut or host not in self.followers:
                 continue
@@ -300,6 +304,7 @@
     for _ in range(10):
         fresh.ask_peers()
         net.deliver()
+        net.deliver()
     assert fresh.adoption.version == 2
 
 
@@ -342,6 +347,9 @@
     assert follower.adoption.version == 0
 
 
+HOSTS = ["h1", "h2", "h3", "h4"]
+
+
 class BundlesEverywhere(RuleBasedStateMachine):
     """Operators, hosts that restart, outages and lost answers, in any order."""
 
@@ -353,8 +361,9 @@
         self.accepted = {}
         self.count = 0
         self.contents = {}
-        for name in ("h1", "h2", "h3", "h4"):
+        for name in HOSTS:
             self.start_host(name)
+        self.change_in_peace(["h1"])
 
     def start_host(self, name):
         follower = build_follower(name, self.platform, self.net)
@@ -364,6 +373,16 @@
             self.used[name].append(seen)
             follower.watch_bundle(seen.append)
 
+    @rule(names=st.lists(st.sampled_from(HOSTS), max_size=2))
+    def change_in_peace(self, names):
+        """A change with the platform up, seen by some hosts; gets runs far."""
+        self.platform.out, self.platform.lose, self.platform.drop = False, 0, 0
+        self.roll_out((ANA, BEN), 0)
+        for name in names:
+            self.look(name)
+        self.spread()
+        self.net.deliver(2)
+
     @rule(who=st.sampled_from([(ANA, BEN), (BEN, ANA)]), behind=st.integers(0, 1))
     def roll_out(self, who, behind):
         """Take new content through; the operator may have seen an older version."""
@@ -410,25 +429,36 @@
     def switch_platform(self, out):
         self.platform.out = out
 
-    @rule(name=st.sampled_from(["h1", "h2", "h3", "h4"]))
+    @rule(name=st.sampled_from(HOSTS))
     def cut(self, name):
         self.net.cut ^= {name}
 
-    @rule(name=st.sampled_from(["h1", "h2", "h3", "h4"]))
+    @rule(name=st.sampled_from(HOSTS))
     def restart(self, name):
         self.start_host(name)
 
-    @rule(name=st.sampled_from(["h1", "h2", "h3", "h4"]))
+    @rule(name=st.sampled_from(HOSTS))
     def look(self, name):
         play(self.net.followers[name].look())
 
     @rule()
-    def ask(self):
+    def spread(self):
+        """Gossip tells of versions, and hosts ask each other."""
         show_members(self.net)
         for follower in self.net.followers.values():
             follower.ask_peers()
+
+    @precondition(lambda self: self.net.sent)
+    @rule(data=st.data())
+    def come_late(self, data):
+        """A bundle arrives again, long after it was sent."""
+        self.net.queue.append(data.draw(st.sampled_from(self.net.sent)))
         self.net.deliver()
 
+    @rule(most=st.integers(1, 12))
+    def deliver(self, most):
+        self.net.deliver(most)
+
     @invariant()
     def never_back_and_never_half(self):
         for name, listeners in self.used.items():
