--- a/marigoldswitch/tests/test_placement.py
+++ b/marigoldswitch/tests/test_placement.py
@@ -52,6 +52,7 @@
 TAS = Region("tas")
 LAYERS = 12
 HALVES = ((0, 6), (6, 12))
+THIRDS = ((0, 4), (4, 8), (8, 12))
 TERMS = LeaseTerms(10.0, 3.0)
 
 
@@ -218,9 +219,11 @@
 class FakeEngines:
     """Orders that are on their way for a while and may lose their answer."""
 
-    def __init__(self, engines, lost):
-        self.engines = engines
-        self.lost = lost
+    def __init__(self, world, holder):
+        self.world = world
+        self.holder = holder
+        self.engines = world.engines
+        self.lost = world.lost
         self.on_way = 0
 
     async def read_all(self, targets):
@@ -232,6 +235,9 @@
         }
 
     async def send(self, target, placement, fencing):
+        row = decode_lease(self.world.platform.rows["leases", TAS].value)
+        assert row.fencing == fencing, "sent without the lease"
+        assert self.world.numbers.setdefault(fencing, self.holder) is self.holder
         self.on_way += 1
         await Pause()
         self.on_way -= 1
@@ -269,7 +275,7 @@
     def __init__(self, world, name):
         self.adoption = Adoption()
         drains = Drains(world.platform)
-        self.engines = FakeEngines(world.engines, world.lost)
+        self.engines = FakeEngines(world, self)
         ports = OrdererPorts(
             world.clock,
             world.platform,
@@ -307,7 +313,9 @@
         self.clock = ManualClock()
         self.platform = SlowPlatform()
         self.lost = []
-        self.bundle = build_bundle()
+        self.numbers = {}
+        """The holder that used each fencing number."""
+        self.bundle = self.build(1)
         service = self.bundle.services["drafting"]
         self.engines = {
             name: FakeEngine(want_placement(service, target), self.checks)
@@ -319,6 +327,18 @@
         self.starts = 2
         self.healed = None
 
+    def build(self, version):
+        """Return a bundle in which both the floor and the limit of changes bind."""
+        return build_bundle(version, (f"a{version}",), floor=2, ranges=THIRDS)
+
+    @rule(which=st.integers(0, 1), ticks=st.integers(8, 14), steps=st.integers(1, 14))
+    def stand_still(self, which, ticks, steps):
+        """A host stands still within a tick while the other goes on."""
+        run_ticks(self, self.holders[which], ticks)
+        self.run(which, steps)
+        run_ticks(self, self.holders[1 - which], 15)
+        self.run(which, 20)
+
     @rule(which=st.integers(0, 1), count=st.integers(1, 40))
     def run(self, which, count):
         for _ in range(count):
@@ -345,7 +365,7 @@
     def change_bundle(self, which):
         """A new bundle, known to one host first."""
         version = self.bundle.version + 1
-        self.bundle = build_bundle(version, adapters=(f"a{version}",))
+        self.bundle = self.build(version)
         self.holders[which].adoption.adopt(self.bundle)
 
     @rule(which=st.integers(0, 1))
@@ -360,14 +380,15 @@
     def lose_store_answer(self):
         self.platform.lose = 1
 
-    @rule(name=st.sampled_from(["e0-0", "e0-1", "e0-2", "e1-0", "e1-1", "e1-2"]))
+    @rule(name=st.sampled_from([f"e{n % 3}-{n // 3}" for n in range(9)]))
     def end_load(self, name):
         self.engines[name].loaded = self.engines[name].wanted
 
-    @rule(name=st.sampled_from(["e0-0", "e0-1", "e0-2", "e1-0", "e1-1", "e1-2"]))
-    def send_request(self, name):
-        if ("drains", name) not in self.platform.rows:
-            self.engines[name].busy = 1
+    @rule()
+    def send_requests(self):
+        for name, engine in self.engines.items():
+            if ("drains", name) not in self.platform.rows:
+                engine.busy = 1
 
     @rule()
     def end_requests(self):
@@ -389,7 +410,7 @@
             for name, item in self.engines.items()
             if item.loaded and ("drains", name) not in self.platform.rows
         ]
-        assert count_chains(serving, LAYERS) >= 1
+        assert count_chains(serving, LAYERS) >= 2
         assert all(item.cut_off == 0 for item in self.engines.values())
 
     def heal(self):
