Raise the fencing number at every engine before anything else

Cause: order_runs 600 found a run in which the floor broke with engines that refuse old numbers: a successor ended a drain before the engine had seen its number, and the late order of the holder before was taken by an engine in service.

--- a/marigoldswitch/orderers.py
+++ b/marigoldswitch/orderers.py
@@ -140,6 +140,7 @@
         if not await self._ports.drains.look():
             return
         reports = await self._read_engines(bundle)
+        await self._fence_engines(bundle, reports)
         steps = plan_placement(
             bundle,
             self._region,
@@ -188,6 +189,24 @@
         targets = list_ordered(bundle, self._region)
         return await self._ports.engines.read_all(targets)
 
+    async def _fence_engines(
+        self, bundle: Bundle, reports: dict[TargetId, EngineReport]
+    ) -> None:
+        """Order engines that have not seen this holder's number to stay as they are.
+
+        Until an engine has seen it, an order of an earlier holder that is still on its
+        way would be taken. Such an engine is left out of this tick's plan, so that no
+        drain ends and nothing else is drained on its account before.
+        """
+        for target, report in list(reports.items()):
+            service = bundle.services[bundle.targets[target].service]
+            if not service.checks_fencing or not report.is_behind(self.lease.fencing):
+                continue
+            placement = report.wanted or report.loaded
+            if placement is not None:
+                del reports[target]
+                await self._send_order(bundle.targets[target], placement)
+
     def _date_drains(self) -> dict[TargetId, DrainMark]:
         now = self._ports.clock.monotonic()
         marked = self._ports.drains.marked
--- a/marigoldswitch/tests/test_placement.py
+++ b/marigoldswitch/tests/test_placement.py
@@ -229,7 +229,12 @@
     async def read_all(self, targets):
         await Pause()
         return {
-            target.id: EngineReport(item.wanted, item.loaded, item.busy)
+            target.id: EngineReport(
+                item.wanted,
+                item.loaded,
+                item.busy,
+                item.fencing if item.checks else None,
+            )
             for target in targets
             for item in [self.engines[target.id]]
         }
@@ -496,6 +501,20 @@
     assert lasted <= (0.0 if checks else settle + 3 * tick)
 
 
+def test_late_order_cannot_reach_an_engine_whose_drain_has_ended():
+    """Found by a long run: the successor ended a drain before it raised the number."""
+    world = TwoHolders()
+    world.start()
+    world.change_bundle(1)
+    world.send_requests()
+    world.stand_still(0, 8, 1)
+    world.stand_still(0, 8, 1)
+    world.end_requests()
+    world.stand_still(1, 11, 7)
+    world.few_change_and_the_floor_is_kept()
+    world.teardown()
+
+
 def run_ticks(world, holder, count):
     """Let a holder work for some seconds with engines that load in one."""
     for _ in range(count):
