--- a/marigoldswitch/tests/test_releases.py
+++ b/marigoldswitch/tests/test_releases.py
@@ -128,6 +128,32 @@
     assert "ben was faster: version 1" in refusal.lines[0]
 
 
+class TurnTakingPlatform(FakePlatform):
+    """Gives way before each call, so that operators' steps mix."""
+
+    async def read(self, table, key):
+        await asyncio.sleep(0)
+        return await super().read(table, key)
+
+    async def transact(self, puts):
+        await asyncio.sleep(0)
+        return await super().transact(puts)
+
+
+def test_of_two_who_accept_at_once_one_wins_and_one_is_told():
+    async def work():
+        platform = TurnTakingPlatform()
+        first, second = build_releases(platform), build_releases(platform)
+        return await asyncio.gather(
+            carry_through(first, ONE, ANA, BEN), carry_through(second, TWO, BEN, ANA)
+        )
+
+    results = play(work())
+    assert sorted(item.is_ok() for item in results) == [False, True]
+    loser = next(item for item in results if item.is_err()).unwrap_err()
+    assert loser.fault is ReleaseFault.CONFLICT
+
+
 def test_lost_answers_are_settled_by_reading_back():
     async def work():
         platform = FakePlatform()
@@ -206,15 +232,19 @@
         self.followers = {}
         self.cut = set()
         self.queue = deque()
+        self.sent = []
 
     def sender(self, name):
         def send(host, message):
             self.queue.append((name, host, message))
+            if isinstance(message, BundleContent):
+                self.sent.append((name, host, message))
 
         return send
 
-    def deliver(self):
-        while self.queue:
+    def deliver(self, most=1_000_000):
+        """Deliver the oldest messages; those after them come late."""
+        for _ in range(min(most, len(self.queue))):
             sender, host, message = self.queue.popleft()
             if {sender, host} & self.cut or host not in self.followers:
                 continue
@@ -274,9 +304,26 @@
     for _ in range(10):
         fresh.ask_peers()
         net.deliver()
+        net.deliver()
     assert fresh.adoption.version == 2
 
 
+def test_older_bundle_that_is_verified_at_the_same_time_does_not_win():
+    async def work():
+        platform, net = FakePlatform(), Net()
+        releases = build_releases(platform)
+        one = (await carry_through(releases, ONE, ANA, BEN)).unwrap()
+        two = (await carry_through(releases, TWO, ANA, BEN, seen=1)).unwrap()
+        follower = build_follower("h1", platform, net)
+        used = []
+        follower.watch_bundle(lambda bundle: used.append(bundle.version))
+        newer = follower.adopt(two, pack_content(TWO))
+        older = follower.adopt(one, pack_content(ONE))
+        return await asyncio.gather(newer, older), used
+
+    assert play(work()) == ([True, False], [2])
+
+
 def test_forged_bundles_are_refused_whoever_sends_them():
     platform, net = FakePlatform(), Net()
     follower = build_follower("h1", platform, net)
@@ -300,6 +347,9 @@
     assert follower.adoption.version == 0
 
 
+HOSTS = ["h1", "h2", "h3", "h4"]
+
+
 class BundlesEverywhere(RuleBasedStateMachine):
     """Operators, hosts that restart, outages and lost answers, in any order."""
 
@@ -311,8 +361,9 @@
         self.accepted = {}
         self.count = 0
         self.contents = {}
-        for name in ("h1", "h2", "h3", "h4"):
+        for name in HOSTS:
             self.start_host(name)
+        self.change_in_peace(["h1"])
 
     def start_host(self, name):
         follower = build_follower(name, self.platform, self.net)
@@ -322,6 +373,16 @@
             self.used[name].append(seen)
             follower.watch_bundle(seen.append)
 
+    @rule(names=st.lists(st.sampled_from(HOSTS), max_size=2))
+    def change_in_peace(self, names):
+        """A change with the platform up, seen by some hosts; gets runs far."""
+        self.platform.out, self.platform.lose, self.platform.drop = False, 0, 0
+        self.roll_out((ANA, BEN), 0)
+        for name in names:
+            self.look(name)
+        self.spread()
+        self.net.deliver(2)
+
     @rule(who=st.sampled_from([(ANA, BEN), (BEN, ANA)]), behind=st.integers(0, 1))
     def roll_out(self, who, behind):
         """Take new content through; the operator may have seen an older version."""
@@ -368,25 +429,36 @@
     def switch_platform(self, out):
         self.platform.out = out
 
-    @rule(name=st.sampled_from(["h1", "h2", "h3", "h4"]))
+    @rule(name=st.sampled_from(HOSTS))
     def cut(self, name):
         self.net.cut ^= {name}
 
-    @rule(name=st.sampled_from(["h1", "h2", "h3", "h4"]))
+    @rule(name=st.sampled_from(HOSTS))
     def restart(self, name):
         self.start_host(name)
 
-    @rule(name=st.sampled_from(["h1", "h2", "h3", "h4"]))
+    @rule(name=st.sampled_from(HOSTS))
     def look(self, name):
         play(self.net.followers[name].look())
 
     @rule()
-    def ask(self):
+    def spread(self):
+        """Gossip tells of versions, and hosts ask each other."""
         show_members(self.net)
         for follower in self.net.followers.values():
             follower.ask_peers()
+
+    @precondition(lambda self: self.net.sent)
+    @rule(data=st.data())
+    def come_late(self, data):
+        """A bundle arrives again, long after it was sent."""
+        self.net.queue.append(data.draw(st.sampled_from(self.net.sent)))
         self.net.deliver()
 
+    @rule(most=st.integers(1, 12))
+    def deliver(self, most):
+        self.net.deliver(most)
+
     @invariant()
     def never_back_and_never_half(self):
         for name, listeners in self.used.items():
