--- a/marigoldswitch/local.py
+++ b/marigoldswitch/local.py
@@ -5,9 +5,10 @@
 
 from marigoldswitch.core import dispatcher as core
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.chains import can_serve
 from marigoldswitch.core.ids import HostId, PermitId, TargetId
 from marigoldswitch.core.messages import Ask, Cancel, Holdings, Release
-from marigoldswitch.core.ownership import PoolKey, Topology, can_serve
+from marigoldswitch.core.ownership import PoolKey, Topology
 from marigoldswitch.core.shares import split_targets, take_least
 from marigoldswitch.dispatchers import DispatcherBuilder
 
--- a/marigoldswitch/runs.py
+++ b/marigoldswitch/runs.py
@@ -13,8 +13,8 @@
 from marigoldswitch.chains import ChainClient
 from marigoldswitch.claiming import Claims
 from marigoldswitch.core.catalogue import Bundle, Target
+from marigoldswitch.core.chains import can_serve
 from marigoldswitch.core.delivery import Delivery, Miss
-from marigoldswitch.core.diagnosis import can_serve
 from marigoldswitch.core.errors import Advice, ErrorKind, Fault
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.lifecycle import Lifecycle
--- a/marigoldswitch/tests/test_ownership.py
+++ b/marigoldswitch/tests/test_ownership.py
@@ -4,9 +4,10 @@
 from hypothesis import given, strategies as st
 
 from marigoldswitch.core.catalogue import Bundle
+from marigoldswitch.core.chains import can_serve
 from marigoldswitch.core.errors import ErrorKind
 from marigoldswitch.core.messages import Deny
-from marigoldswitch.core.ownership import PoolKey, Topology, assign_homes, can_serve
+from marigoldswitch.core.ownership import PoolKey, Topology, assign_homes
 from marigoldswitch.core.shares import split_targets
 from marigoldswitch.core.spill import SpillPlan, plan_spill
 from marigoldswitch.tests.helpers import BOOKINGS, DRAFTING, build_target
--- a/marigoldswitch/tests/test_recovery.py
+++ b/marigoldswitch/tests/test_recovery.py
@@ -3,7 +3,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from marigoldswitch.core.diagnosis import StageStatus, can_serve, find_suspects
+from marigoldswitch.core.chains import can_serve
+from marigoldswitch.core.diagnosis import StageStatus, find_suspects
 from marigoldswitch.core.progress import DOUBT_FLOOR, Progress
 from marigoldswitch.tests.helpers import BOOKINGS, DRAFTING, build_target
 
