--- a/marigoldswitch/tests/test_pool.py
+++ b/marigoldswitch/tests/test_pool.py
@@ -200,6 +200,21 @@
     assert pool.choose(ask, 0.0).targets == ("b", "d")
 
 
+def test_a_recovery_probes_the_only_other_stage_although_it_is_ejected():
+    pool = TargetPool(DRAFTING, {})
+    cuts = {"a": (0, 6), "b": (0, 6), "c": (6, 12), "d": (6, 12)}
+    pool.replace_targets([build_target(n, c) for n, c in cuts.items()], NONE, {})
+    fail(pool, "d", 1.0)
+    assert pool.choose(build_ask("q", avoid=("c",)), 1.0) is None
+    recovery = build_ask("r", avoid=("c",), keep=("b",))
+    route = pool.choose(recovery, 1.0)
+    assert route.targets == ("b", "d")
+    pool.hold(route.targets)
+    assert pool.choose(recovery, 1.0) is None
+    fail(pool, "d", 1.1, count=1)
+    assert pool.outliers.get_health("d") is Health.EJECTED
+
+
 @pytest.mark.parametrize("leaving", [NONE, frozenset({"t0"})])
 @given(
     items=st.lists(
