--- a/marigoldswitch/claiming.py
+++ b/marigoldswitch/claiming.py
@@ -1,17 +1,16 @@
 """Claims of this host: carries out the steps of the claim protocol."""
 
 import asyncio
-import hashlib
 import secrets
-from collections.abc import Callable, Coroutine, Generator, Iterable
-from typing import Any, Generic, TypeVar
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, TypeVar
 
 import structlog
 from result import Err, Ok, Result
 
+from marigoldswitch.answers import AnswerStore
+from marigoldswitch.claim_steps import Steps
 from marigoldswitch.core.claim_protocol import (
-    FIRST_PAUSE,
-    LONGEST_PAUSE,
     Effect,
     Ended,
     Free,
@@ -39,7 +38,7 @@
 from marigoldswitch.core.ids import AccountId, HostId, IdempotencyKey, Incarnation
 from marigoldswitch.core.messages import ClaimQuestion, ClaimReply, Message
 from marigoldswitch.core.own_claims import OwnClaims
-from marigoldswitch.core.ports import Clock, ObjectStore, Put, StoreFault, TableService
+from marigoldswitch.core.ports import Clock, ObjectStore, Put, TableService
 from marigoldswitch.core.requests import Request
 from marigoldswitch.group_commit import GroupCommit
 from marigoldswitch.peers import PeerNetwork
@@ -72,11 +71,11 @@
     ) -> None:
         self.own = OwnClaims()
         self.commits = GroupCommit(table, clock, settings.interval, settings.batch)
+        self.answers = AnswerStore(objects, settings.inline_bytes)
         self.late_answer = settings.late_answer
         self.kept_bytes = 0
         """Bytes of answers that the platform does not have yet."""
         self._table = table
-        self._objects = objects
         self._network = network
         self._clock = clock
         self._settings = settings
@@ -106,7 +105,7 @@
             return Fault(ErrorKind.CLAIMS_UNAVAILABLE, "too many answers not stored")
         row = build_claim_key(request.account, key)
         claim = self._build_claim(request)
-        steps = _Steps(take_claim(self.own, row, claim, free))
+        steps = Steps(take_claim(self.own, row, claim, free))
         taken: Held | Met | Ended | Fault | None = None
         try:
             async with asyncio.timeout(seconds):
@@ -129,7 +128,7 @@
             request.deadline,
             self._settings.owner_patience,
         )
-        return await self._carry_out(_Steps(steps), request.account, key)
+        return await self._carry_out(Steps(steps), request.account, key)
 
     async def look(
         self, request: Request, key: IdempotencyKey
@@ -175,18 +174,6 @@
         self.own.forfeit(held.claim.nonce)
         self._spawn(self._write_end(held.row, held.claim.forfeit(), held.version))
 
-    async def read_answer(self, ended: Ended) -> Result[bytes, Fault]:
-        """Return the answer that an ended claim names."""
-        claim = ended.claim
-        if not claim.stored:
-            return Ok(claim.answer)
-        match await self._objects.get(claim.answer.decode()):
-            case Err():
-                return Err(Fault(ErrorKind.ANSWER_UNAVAILABLE, "it ran before"))
-            case Ok(content) if content is not None:
-                return Ok(content)
-        return Err(Fault(ErrorKind.ANSWER_LOST))
-
     async def fetch(
         self, account: AccountId, key: IdempotencyKey
     ) -> Result[bytes, Fault]:
@@ -202,7 +189,7 @@
         claim = decode_claim(row.ok_value.value)
         match claim.state:
             case ClaimState.DONE:
-                return await self.read_answer(Ended(claim))
+                return await self.answers.read(claim)
             case ClaimState.FORFEITED:
                 return Err(Fault(ErrorKind.NO_ANSWER))
             case ClaimState.UNKNOWN:
@@ -262,7 +249,7 @@
         )
 
     async def _carry_out(
-        self, steps: "_Steps[T]", account: AccountId, key: IdempotencyKey
+        self, steps: "Steps[T]", account: AccountId, key: IdempotencyKey
     ) -> T:
         try:
             effect = steps.resume()
@@ -335,24 +322,14 @@
     async def _store_answer(self, held: Held, answer: bytes) -> None:
         """Store an answer, then mark its claim done."""
         try:
-            ended = held.claim.finish(answer, stored=False)
-            if len(answer) > self._settings.inline_bytes:
-                name = f"answers/{hashlib.sha256(answer).hexdigest()}"
-                await self._store_object(name, answer)
-                ended = held.claim.finish(name.encode(), stored=True)
+            ended = await self.answers.store(held.claim, answer)
             await self._write_end(held.row, ended, held.version)
         finally:
             self.kept_bytes -= len(answer)
             self.own.forget(held.claim.nonce)
 
-    async def _store_object(self, name: str, content: bytes) -> None:
-        pause = FIRST_PAUSE
-        while isinstance(await self._objects.put(name, content), Err):
-            await asyncio.sleep(pause)
-            pause = min(2 * pause, LONGEST_PAUSE)
-
     async def _write_end(self, row: str, ended: Claim, version: int | None) -> None:
-        steps = _Steps(finish_claim(row, ended, version))
+        steps = Steps(finish_claim(row, ended, version))
         account, key = AccountId(""), IdempotencyKey("")
         stands = await self._carry_out(steps, account, key)
         if not stands and ended.state is not ClaimState.FORFEITED:
@@ -365,40 +342,3 @@
         task = asyncio.create_task(work)
         self._finishing.add(task)
         task.add_done_callback(self._finishing.discard)
-
-
-class _Steps(Generic[T]):
-    """One generator of the claim protocol on its way.
-
-    :ivar may_land: whether a write whose reply was lost may still take effect.
-    """
-
-    def __init__(self, steps: Generator[Effect, Any, T]) -> None:
-        self.over = False
-        self.may_land = False
-        self._steps = steps
-        self._pending: Effect | None = None
-
-    @property
-    def result(self) -> T:
-        """Return what the generator returned."""
-        assert self.over
-        return self._result
-
-    def resume(self, reply: Any = None) -> Effect | None:
-        """Hand in what came of the last effect; return the next one."""
-        if isinstance(self._pending, Write) and reply is StoreFault.UNKNOWN:
-            self.may_land = True
-        try:
-            self._pending = self._steps.send(reply)
-        except StopIteration as stop:
-            self.over = True
-            self._pending = None
-            self._result: T = stop.value
-        return self._pending
-
-    def close(self) -> None:
-        """Break off, if it is not over."""
-        if isinstance(self._pending, Write):
-            self.may_land = True
-        self._steps.close()
--- a/marigoldswitch/runs.py
+++ b/marigoldswitch/runs.py
@@ -68,7 +68,7 @@
         self.avoid: tuple[TargetId, ...] = ()
         """Targets that have failed or refused this request."""
         self.recoveries = 0
-        """Attempts that do not count, since the one before them made progress."""
+        """Attempts that do not count: the answer had begun, or nothing was sent."""
         self.pause = 0.0
         """Seconds to wait before the next attempt."""
         self.keep: tuple[TargetId, ...] = ()
--- a/marigoldswitch/tests/test_bookings.py
+++ b/marigoldswitch/tests/test_bookings.py
@@ -116,6 +116,27 @@
     assert runs == 1
 
 
+def test_cancelling_a_booking_twice_does_not_break_it_off():
+    async def work(deployment, session):
+        desk = deployment.services["desk-0"]
+        desk.faults.delay = 0.3
+        call = asyncio.create_task(book(deployment, session, "host-0"))
+        await wait_until(lambda: desk.running == 1)
+        front = deployment.hosts["host-0"].parts.front
+        (request,) = front.held
+        told = [front.cancel(request), front.cancel(request)]
+        first = await call
+        told.append(front.cancel(request))
+        again = await book(deployment, session, "host-0")
+        return told, first, again, count_runs(deployment)
+
+    told, (_, error), again, runs = play(work)
+    assert told == [True, True, False]
+    assert (error["kind"], error["outcome"]) == ("cancelled", "may_have_run")
+    assert again == (200, {"confirmed": "pickup", "by": "desk-0"})
+    assert runs == 1
+
+
 def test_late_answer_is_kept_for_the_resend():
     async def work(deployment, session):
         deployment.services["desk-0"].faults.delay = 0.6
