--- a/marigoldswitch/claiming.py
+++ b/marigoldswitch/claiming.py
@@ -286,7 +286,8 @@
         question = ClaimQuestion(account, key, nonce, self._network.host)
         self._network.send(owner, question)
         try:
-            return await asyncio.wait_for(reply, ASK_SECONDS)
+            async with asyncio.timeout(ASK_SECONDS):
+                return await reply
         except TimeoutError:
             return None
         finally:
