--- a/marigoldswitch/model_runs.py
+++ b/marigoldswitch/model_runs.py
@@ -51,7 +51,6 @@
     """The chain that broke last, whose KV cache may still be had."""
     _answering: frozenset[TargetId] = frozenset()
     """Stages of it that answered after the break."""
-
     _broken = 0
     """Chains that this request lost."""
 
@@ -122,7 +121,6 @@
         """Stream over one chain; return how it broke, if it did."""
         chain = self.open_chain = self.find_targets(grant)
         resume = self.ledger.epoch
-        await self._move_kv(chain, resume)
         epoch = self.ledger.open_epoch()
         self.progress.begin()
         order = ChainOrder(
@@ -156,6 +154,7 @@
     async def _run_chain(self, order: ChainOrder) -> Miss | None:
         try:
             async with asyncio.timeout(self.left):
+                await self._move_kv(order.chain, order.resume)
                 async with self.parts.chains.open(order) as opened:
                     if isinstance(opened, Err):
                         return opened.err_value
--- a/marigoldswitch/runs.py
+++ b/marigoldswitch/runs.py
@@ -67,6 +67,8 @@
         self.attempt = 0
         self.avoid: tuple[TargetId, ...] = ()
         """Targets that have failed or refused this request."""
+        self.unknown: tuple[TargetId, ...] = ()
+        """Targets that a newer bundle has and this request's does not."""
         self.recoveries = 0
         """Attempts that do not count: the answer had begun, or nothing was sent."""
         self.pause = 0.0
@@ -93,9 +95,8 @@
         """Get a permit for the next attempt."""
         if self.pause > 0.0:
             await asyncio.sleep(self.pause)
-        self.attempt += 1
         self.life.advance("queue")
-        grant = await self.parts.dispatching.acquire(self._build_ask())
+        grant = await self._ask_for_known()
         if isinstance(grant, Ok):
             self.life.advance("permit")
             return grant
@@ -104,9 +105,27 @@
             return Err(Fault(ErrorKind.TARGET_LOST, detail))
         return grant
 
+    async def _ask_for_known(self) -> Result[Grant, Fault]:
+        """Ask until the targets are ones that the request's own bundle names.
+
+        A dispatcher may be a bundle ahead of a request that began before it.
+        """
+        while True:
+            self.attempt += 1
+            asked = await self.parts.dispatching.acquire(self._build_ask())
+            if isinstance(asked, Err):
+                return asked
+            named = asked.ok_value.targets
+            unknown = tuple(item for item in named if item not in self.bundle.targets)
+            if not unknown:
+                return asked
+            self.release(asked.ok_value, 0.0)
+            self.unknown += unknown
+            self.recoveries += 1
+
     def release(self, grant: Grant, seconds: float, *reports: TargetReport) -> None:
         """Give a permit back with what was seen of the targets."""
-        if reports and not any(item.refused or item.failed for item in reports):
+        if reports and all(_is_success(item) for item in reports):
             now = self.parts.clock.monotonic()
             self.parts.retries.get(self.service.name).note_success(now)
         self.parts.dispatching.release(grant, seconds, reports)
@@ -187,11 +206,15 @@
             cost=request.cost,
             remaining=self.left,
             prefix=request.prefix,
-            avoid=self.avoid,
+            avoid=self.avoid + self.unknown,
             keep=self.keep,
         )
 
 
+def _is_success(report: TargetReport) -> bool:
+    return report.seconds >= 0.0 and not report.refused and not report.failed
+
+
 def describe_miss(target: Target, miss: Miss) -> TargetReport:
     """Return what a miss says of a target."""
     refused = miss.delivery is Delivery.REFUSED
--- a/marigoldswitch/tests/test_bookings.py
+++ b/marigoldswitch/tests/test_bookings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldswitch.core.claims import ClaimState, decode_claim
 from marigoldswitch.core.errors import ErrorKind
 from marigoldswitch.tests.helpers import (
     BOOKINGS_PATH,
@@ -289,3 +290,26 @@
     }
     assert first[0] == healed[0] == 200
     assert runs == 1
+
+
+def test_answer_whose_claim_ends_while_it_is_fetched_is_found():
+    async def work(deployment, session):
+        claims = deployment.hosts["host-0"].parts.claims
+        await book(deployment, session, "host-0")
+        old = await claims._table.read("claims", "6:family/k")
+        await claims.flush()
+        table = claims._table
+        reads = iter([old])
+
+        class LateTable:
+            async def read(self, name, key):
+                return next(reads, None) or await table.read(name, key)
+
+        claims._table = LateTable()
+        found = await claims.fetch("family", "k")
+        claims._table = table
+        return old.unwrap(), found
+
+    old, found = play(work)
+    assert decode_claim(old.value).state is ClaimState.HELD
+    assert b"pickup" in found.unwrap()
--- a/marigoldswitch/tests/test_fronts.py
+++ b/marigoldswitch/tests/test_fronts.py
@@ -44,8 +44,11 @@
         self.granted = 0
         self.out = set()
         self.asked = []
+        self.asks = []
+        self.strangers = []
 
     async def acquire(self, ask):
+        self.asks.append(ask)
         asked = asyncio.get_running_loop().create_future()
         self.asked.append(asked)
         verdict = await asked
@@ -54,7 +57,7 @@
         self.granted += 1
         permit = f"p{self.granted}"
         self.out.add(permit)
-        targets = (self.target,)
+        targets = (self.strangers.pop() if self.strangers else self.target,)
         return Ok(
             Grant(ask.request, ask.attempt, permit, ask.service, "host-0", targets)
         )
@@ -269,3 +272,17 @@
         world.check(result)
 
     asyncio.run(run())
+
+
+def test_target_that_only_a_newer_bundle_has_is_given_back():
+    async def run():
+        world = World(BOOKINGS, 5.0)
+        world.dispatching.strangers = ["new"]
+        steps = [("grant", 20), ("grant", 20), ("answer", 20)]
+        (result,) = await world.play([("table", 1), *steps])
+        world.check(result)
+        return [ask.avoid for ask in world.dispatching.asks], world.events
+
+    avoided, events = asyncio.run(run())
+    assert avoided == [(), ("new",)]
+    assert isinstance(events[-1], End)
