--- a/marigoldswitch/tests/test_bookings.py
+++ b/marigoldswitch/tests/test_bookings.py
@@ -295,8 +295,12 @@
 def test_answer_whose_claim_ends_while_it_is_fetched_is_found():
     async def work(deployment, session):
         claims = deployment.hosts["host-0"].parts.claims
-        await book(deployment, session, "host-0")
+        desk = deployment.services["desk-0"]
+        desk.faults.delay = 0.2
+        call = asyncio.create_task(book(deployment, session, "host-0"))
+        await wait_until(lambda: desk.running == 1)
         old = await claims._table.read("claims", "6:family/k")
+        await call
         await claims.flush()
         table = claims._table
         reads = iter([old])
