--- a/marigoldswitch/tests/test_bookings.py
+++ b/marigoldswitch/tests/test_bookings.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from marigoldswitch.core.claims import ClaimState, decode_claim
 from marigoldswitch.core.errors import ErrorKind
 from marigoldswitch.tests.helpers import (
     BOOKINGS_PATH,
@@ -116,6 +117,27 @@
     assert runs == 1
 
 
+def test_cancelling_a_booking_twice_does_not_break_it_off():
+    async def work(deployment, session):
+        desk = deployment.services["desk-0"]
+        desk.faults.delay = 0.3
+        call = asyncio.create_task(book(deployment, session, "host-0"))
+        await wait_until(lambda: desk.running == 1)
+        front = deployment.hosts["host-0"].parts.front
+        (request,) = front.held
+        told = [front.cancel(request), front.cancel(request)]
+        first = await call
+        told.append(front.cancel(request))
+        again = await book(deployment, session, "host-0")
+        return told, first, again, count_runs(deployment)
+
+    told, (_, error), again, runs = play(work)
+    assert told == [True, True, False]
+    assert (error["kind"], error["outcome"]) == ("cancelled", "may_have_run")
+    assert again == (200, {"confirmed": "pickup", "by": "desk-0"})
+    assert runs == 1
+
+
 def test_late_answer_is_kept_for_the_resend():
     async def work(deployment, session):
         deployment.services["desk-0"].faults.delay = 0.6
@@ -268,3 +290,30 @@
     }
     assert first[0] == healed[0] == 200
     assert runs == 1
+
+
+def test_answer_whose_claim_ends_while_it_is_fetched_is_found():
+    async def work(deployment, session):
+        claims = deployment.hosts["host-0"].parts.claims
+        desk = deployment.services["desk-0"]
+        desk.faults.delay = 0.2
+        call = asyncio.create_task(book(deployment, session, "host-0"))
+        await wait_until(lambda: desk.running == 1)
+        old = await claims._table.read("claims", "6:family/k")
+        await call
+        await claims.flush()
+        table = claims._table
+        reads = iter([old])
+
+        class LateTable:
+            async def read(self, name, key):
+                return next(reads, None) or await table.read(name, key)
+
+        claims._table = LateTable()
+        found = await claims.fetch("family", "k")
+        claims._table = table
+        return old.unwrap(), found
+
+    old, found = play(work)
+    assert decode_claim(old.value).state is ClaimState.HELD
+    assert b"pickup" in found.unwrap()
