--- a/marigoldswitch/tests/test_membership.py
+++ b/marigoldswitch/tests/test_membership.py
@@ -223,8 +223,8 @@
     host = Membership(build_record("host-1"), Random(1), 0.5, 0.0)
     everyone = tuple(build_record(f"host-{n}", run=2**32 - 1) for n in range(2, 200))
     actions = host.handle(Introduced(everyone), 0.0)
-    for _ in range(40):
-        actions += host.handle(Tick(), host._last_tick + 0.1)
+    for tenth in range(1, 41):
+        actions += host.handle(Tick(), tenth / 10)
     sent = [item.datagram for item in actions if isinstance(item, SendDatagram)]
     assert max(len(encode_datagram(item)) for item in sent) <= MAX_PAYLOAD_BYTES
     assert all(decode_datagram(encode_datagram(item)).unwrap() == item for item in sent)
