--- a/marigoldswitch/tests/test_bench_plays.py
+++ b/marigoldswitch/tests/test_bench_plays.py
@@ -80,9 +80,10 @@
     assert figures.attempts <= 1.2
 
 
-def test_loss_of_the_dispatcher_adds_less_than_a_second_and_fails_nothing():
-    calm = run(load=0.8)
-    figures = run(load=0.8, trouble=Trouble.DISPATCHER_LOST)
+@pytest.mark.parametrize("seed", [1, 2, 5, 8])
+def test_loss_of_the_dispatcher_adds_less_than_a_second_and_fails_nothing(seed):
+    calm = run(load=0.8, seed=seed)
+    figures = run(load=0.8, seed=seed, trouble=Trouble.DISPATCHER_LOST)
     assert figures.failed == figures.refused == figures.late == 0
     added = figures.waits["short"][100] - calm.waits["short"][100]
     assert added < 1.0
--- a/marigoldswitch/tests/test_dispatching.py
+++ b/marigoldswitch/tests/test_dispatching.py
@@ -113,7 +113,7 @@
         return out, list_grants(asks)
 
     out, grants = run_async(play())
-    assert sum(out.values()) in (8, 9)  # Of 12, for two of three hosts.
+    assert sum(out.values()) == 12  # All: the lost host's part is shared out.
     assert all(count <= 2 for count in out.values())
     assert len(grants) == 40
 
