--- a/marigoldswitch/tests/test_streams.py
+++ b/marigoldswitch/tests/test_streams.py
@@ -202,3 +202,28 @@
     last = run_async(play()).strip().split("\n\n")[-1]
     assert last.startswith("event: error")
     assert '"kind":"cancelled"' in last
+
+
+def test_stream_opened_but_never_started_ends_with_its_reader():
+    """Found by the randomised run, seed 25: its host was killed between the two."""
+
+    async def play():
+        async with run_streams() as (deployment, session):
+            engine, address = "engine-2-0", deployment.addresses["engine-2-0"]
+            stage = {"target": engine, "address": address, "layers": [8, 12]}
+            order = {
+                "request": "r",
+                "epoch": 1,
+                "chain": [stage],
+                "prompt": PROMPT,
+                "delivered": [],
+                "from": 0,
+                "max_tokens": 4,
+            }
+            async with session.post(address + "/v1/streams", json=order) as response:
+                await response.content.readline()
+                assert deployment.engines[engine]._streams
+                response.close()
+            await wait_until(lambda: not deployment.engines[engine]._streams)
+
+    run_async(play())
