Read engines by turns while nothing is to be done

Change: ten engines a look while all is as wanted; all of them in the same tick in which anything is to be planned, so nothing is planned on an old report. Price: among 300 engines a wrong one is found within 30 s instead of 1 s; up to ten engines nothing changes.

--- a/marigoldswitch/tests/test_placement.py
+++ b/marigoldswitch/tests/test_placement.py
@@ -44,6 +44,7 @@
 from marigoldswitch.core.upgrades import find_upgrade_faults
 from marigoldswitch.drains import Drains
 from marigoldswitch.engine_orders import OrderEnd
+from marigoldswitch.engine_watch import PART
 from marigoldswitch.orderers import Orderer, OrdererPorts, OrderSwitch
 from marigoldswitch.settings import OrderSettings
 from marigoldswitch.tests.fakes import FakePlatform
@@ -515,6 +516,43 @@
     world.teardown()
 
 
+class ManyEngines(TwoHolders):
+    """Thirty engines of each range."""
+
+    def build(self, version):
+        return build_bundle(version, (f"a{version}",), replicas=30, floor=2)
+
+
+def test_many_engines_are_read_by_turns_until_something_is_to_be_done():
+    world = ManyEngines()
+    world.start()
+    holder = world.holders[0]
+    reads = []
+    read_all = holder.engines.read_all
+
+    async def count(targets):
+        reads.append([target.id for target in targets])
+        return await read_all(targets)
+
+    holder.engines.read_all = count
+    run_ticks(world, holder, 12)
+    reads.clear()
+    run_ticks(world, holder, 12)
+    assert {len(names) for names in reads} == {PART}
+    assert {name for names in reads for name in names} == set(world.engines)
+    wrong = world.engines["e1-29"]
+    wrong.loaded = wrong.wanted = hold(build_bundle(9, replicas=30), "e1-29").loaded
+    reads.clear()
+    while ("drains", "e1-29") not in world.platform.rows:
+        assert len(reads) <= 2 * len(world.engines) / PART
+        run_ticks(world, holder, 1)
+    assert len(reads[-1]) == len(world.engines), "planned on what was just read"
+    run_ticks(world, holder, 30)
+    assert ("drains", "e1-29") not in world.platform.rows
+    assert {item.loaded.adapters for item in world.engines.values()} == {("a1",)}
+    world.teardown()
+
+
 def run_ticks(world, holder, count):
     """Let a holder work for some seconds with engines that load in one."""
     for _ in range(count):
