--- a/marigoldswitch/tests/test_metrics.py
+++ b/marigoldswitch/tests/test_metrics.py
@@ -60,3 +60,21 @@
     assert list_names(text) <= NAMES | {name + "_sum" for name in NAMES} | {
         name + "_count" for name in NAMES
     }
+
+
+def test_leaving_and_ejected_targets_are_not_usable():
+    async def play():
+        async with run_deployment(data_centres=("hobart",)) as (deployment, session):
+            parts = deployment.hosts["host-0"].parts
+            (drafting,) = (
+                item
+                for key, item in parts.dispatching.dispatchers.owned.items()
+                if key.service == "drafting"
+            )
+            drafting.pool.states["engine-0-0"].leaving = True
+            drafting.pool.outliers.out.add("engine-1-0")
+            address = deployment.get_address("host-0", "callers")
+            async with session.get(address + "/metrics") as response:
+                return await response.text()
+
+    assert f'{PREFIX}targets_usable{{service="drafting"}} 4' in run_async(play())
