--- /dev/null
+++ b/marigoldswitch/tests/test_logs.py
@@ -0,0 +1,56 @@
+"""Logs name each routing decision and never a key, a prompt or an answer."""
+
+import io
+
+import orjson
+
+from marigoldswitch.logs import configure_logs
+from marigoldswitch.tests.helpers import (
+    BOOKINGS_PATH,
+    LETTERS_PATH,
+    run_async,
+    run_deployment,
+)
+
+PROMPT = "a letter about nobody-else-knows"
+REFERENCE = "pickup-at-a-secret-place"
+
+
+def test_each_request_has_its_routing_line_and_no_secret_is_logged():
+    stream = io.StringIO()
+    configure_logs("debug", stream)
+
+    async def play():
+        async with run_deployment(data_centres=("hobart", "hobart")) as (
+            deployment,
+            session,
+        ):
+            address = deployment.get_address("host-0", "callers")
+            requests = []
+            for path, body in (
+                (LETTERS_PATH, {"input": {"prompt": PROMPT}, "max_tokens": 3}),
+                (BOOKINGS_PATH, {"input": {"reference": REFERENCE}}),
+                (LETTERS_PATH, {"input": {"prompt": PROMPT}, "colour": PROMPT}),
+            ):
+                headers = {"Idempotency-Key": "secret-key-of-the-caller"}
+                async with session.post(
+                    address + path, json=body, headers=headers
+                ) as response:
+                    requests.append((await response.json()).get("request"))
+            secrets = [deployment.caller_key, *deployment.operator_keys.values()]
+        return requests[:2], [*secrets, PROMPT, REFERENCE, "secret-key-of-the-caller"]
+
+    try:
+        requests, secrets = run_async(play())
+    finally:
+        configure_logs("error")
+    text = stream.getvalue()
+    lines = [orjson.loads(line) for line in text.splitlines()]
+    routed = {
+        line["request"]: line for line in lines if line["event"] == "routing_decision"
+    }
+    assert set(requests) <= set(routed)
+    for name in requests:
+        assert routed[name]["targets"]
+        assert routed[name]["weighed"] > 0
+    assert not [secret for secret in secrets if secret in text]
