--- /dev/null
+++ b/marigoldswitch/core/models.py
@@ -0,0 +1,81 @@
+"""What a model needs of the accelerators that run it: memory and time."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from marigoldswitch.core.catalogue import LayerRange
+
+
+@dataclass(frozen=True, slots=True)
+class Accelerator:
+    """A kind of accelerator.
+
+    :param memory_mb: for weights and the KV cache of requests, in MB.
+    :param step_factor: time of a decode step over the reference kind's.
+    :param read_factor: time to read prompts over the reference kind's.
+    """
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+@dataclass(frozen=True, slots=True)
+class ModelSpec:
+    """A model whose layers are spread over engines.
+
+    Times are those of all layers on the reference accelerator.
+
+    :param layers: number of layers.
+    :param layer_mb: weights of one layer, in MB.
+    :param token_layer_mb: KV cache of one token in one layer, in MB.
+    :param step_seconds: decode step of an otherwise idle engine.
+    :param sequence_seconds: added to a step by each request that is decoded.
+    :param context_seconds: added to a step by each token of context.
+    :param read_seconds: time to read one token of a prompt.
+    :param load_seconds: time to load all layers.
+    :param loads_at_once: loads that don't slow each other down.
+    :param accelerators: by name.
+    """
+
+    layers: int
+    layer_mb: float
+    token_layer_mb: float
+    step_seconds: float
+    sequence_seconds: float
+    context_seconds: float
+    read_seconds: float
+    load_seconds: float = 0.0
+    loads_at_once: int = 1
+    accelerators: Mapping[str, Accelerator] = field(default_factory=dict)
+
+    def count_layers(self, accelerator: Accelerator, tokens: float) -> int:
+        """Return the layers that fit beside the KV cache of some tokens."""
+        each = self.layer_mb + tokens * self.token_layer_mb
+        return min(self.layers, int(accelerator.memory_mb / each))
+
+    def fits(self, accelerator: Accelerator, layers: LayerRange) -> bool:
+        """Tell whether the weights of some layers fit an accelerator at all."""
+        return (layers.end - layers.first) * self.layer_mb <= accelerator.memory_mb
+
+    def count_tokens(self, accelerator: Accelerator, layers: LayerRange) -> float:
+        """Return the tokens whose KV cache fits beside the layers held."""
+        count = layers.end - layers.first
+        left = accelerator.memory_mb - count * self.layer_mb
+        return max(0.0, left / (count * self.token_layer_mb))
+
+    def estimate_step(
+        self, accelerator: Accelerator, running: float, tokens: float
+    ) -> float:
+        """Return the seconds that one layer adds to a decode step.
+
+        :param running: requests that the engine decodes.
+        :param tokens: their contexts together.
+        """
+        whole = (
+            self.step_seconds
+            + self.sequence_seconds * running
+            + self.context_seconds * tokens
+        )
+        return accelerator.step_factor * whole / self.layers
--- /dev/null
+++ b/marigoldswitch/core/registry.py
@@ -0,0 +1,175 @@
+"""Which targets there are, from a feed of rows that lags and is at times cut off.
+
+Load it answers: a store outage. Entries lapse while the store is away although their
+targets live; were they dropped at once, its return would empty the pools. They are kept
+for a moment after the feed is back and dropped if they have not come back by then.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.ids import ServiceName, TargetId
+
+RETURN_SECONDS = 1.3
+"""How long an entry that lapsed during an outage may take to come back: targets write
+theirs within 2 s of the store's return, counted here from the first look that saw it
+gone; a leaving target may still get work for 2 s, so this stays below."""
+OUTAGE_SECONDS = 3.0
+"""A feed that was cut off this short a time ago may still tell of lapses."""
+
+
+class Change(Enum):
+    """What happened to a target."""
+
+    ADDED = "added"
+    UPDATED = "updated"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRow:
+    """A target as its row in the store has it.
+
+    :param leaving: it has said that it is shutting down.
+    :param revision: version of the row; the higher one is newer.
+    """
+
+    target: Target
+    leaving: bool
+    revision: int
+
+
+Listener = Callable[[Change, Target], None]
+
+
+class TargetRegistry:
+    """The targets by id, with who is leaving."""
+
+    def __init__(self) -> None:
+        self.targets: dict[TargetId, Target] = {}
+        """Those that may get new work."""
+        self.revision = 0
+        """Version of the newest row seen."""
+        self._rows: dict[TargetId, TargetRow] = {}
+        self._by_address: dict[str, TargetId] = {}
+        self._lapsed: dict[TargetId, float] = {}
+        self._broken_at: float | None = None
+        self._listeners: list[Listener] = []
+
+    def watch(self, listener: Listener) -> None:
+        """Call ``listener`` after each change of a target."""
+        self._listeners.append(listener)
+
+    @property
+    def rows(self) -> Mapping[TargetId, TargetRow]:
+        """Return all rows, leaving targets among them."""
+        return self._rows
+
+    def list_targets(self, service: ServiceName) -> list[Target]:
+        """Return the targets of a service that may get new work."""
+        return [item for item in self.targets.values() if item.service == service]
+
+    def find_by_address(self, address: str) -> Target | None:
+        """Return the newest target at an ``IP:port``."""
+        row = self._rows.get(self._by_address.get(address, TargetId("")))
+        return row.target if row else None
+
+    def note_outage(self, now: float) -> None:
+        """Learn that the feed was cut off just now."""
+        self._broken_at = now
+
+    def replace_all(
+        self,
+        rows: Iterable[TargetRow],
+        revision: int,
+        now: float,
+        settled: bool = False,
+    ) -> None:
+        """Take a whole list of rows; those that it lacks have been removed.
+
+        :param settled: the list is that of a host whose feed is not cut off, so that
+            what it lacks is gone.
+        """
+        names = set()
+        for row in rows:
+            names.add(row.target.id)
+            self.put(row)
+        for name in [name for name in self._rows if name not in names]:
+            if settled:
+                self._lapsed.pop(name, None)
+                self._drop(name)
+            else:
+                self.remove(name, now)
+        self.revision = max(self.revision, revision)
+
+    def put(self, row: TargetRow) -> None:
+        """Take a row; an older one than that known changes nothing."""
+        name = row.target.id
+        known = self._rows.get(name)
+        if known is not None and known.revision > row.revision:
+            return
+        self._lapsed.pop(name, None)
+        self.revision = max(self.revision, row.revision)
+        self._replace_predecessor(row)
+        self._rows[name] = row
+        self._by_address[row.target.address] = name
+        if row.leaving:
+            if self.targets.pop(name, None) is not None or known is None:
+                self._tell(Change.LEAVING, row.target)
+            return
+        changed = self.targets.get(name) != row.target
+        self.targets[name] = row.target
+        if known is None:
+            self._tell(Change.ADDED, row.target)
+        elif changed:
+            self._tell(Change.UPDATED, row.target)
+
+    def remove(self, name: TargetId, now: float) -> None:
+        """Take the removal of a row."""
+        if name not in self._rows or name in self._lapsed:
+            return
+        broken = self._broken_at
+        if broken is not None and now - broken < OUTAGE_SECONDS:
+            self._lapsed[name] = now + RETURN_SECONDS
+            return
+        self._drop(name)
+
+    def expire(self, now: float) -> None:
+        """Drop entries that lapsed in an outage and have not come back."""
+        for name in [name for name, end in self._lapsed.items() if end <= now]:
+            del self._lapsed[name]
+            self._drop(name)
+
+    def note_layers(self, name: TargetId, layers: LayerRange | None) -> None:
+        """Learn what an engine holds sooner than its row says so."""
+        row = self._rows.get(name)
+        if row is None or row.target.layers == layers:
+            return
+        target = replace(row.target, layers=layers)
+        self._rows[name] = replace(row, target=target)
+        if name in self.targets:
+            self.targets[name] = target
+            self._tell(Change.UPDATED, target)
+
+    def _replace_predecessor(self, row: TargetRow) -> None:
+        """Drop the target whose address a newer one has: it has been restarted."""
+        old = self._by_address.get(row.target.address)
+        if old is None or old == row.target.id or old not in self._rows:
+            return
+        if self._rows[old].revision < row.revision:
+            self._lapsed.pop(old, None)
+            self._drop(old)
+
+    def _drop(self, name: TargetId) -> None:
+        row = self._rows.pop(name)
+        self.targets.pop(name, None)
+        if self._by_address.get(row.target.address) == name:
+            del self._by_address[row.target.address]
+        self._tell(Change.GONE, row.target)
+
+    def _tell(self, change: Change, target: Target) -> None:
+        for listener in self._listeners:
+            listener(change, target)
--- /dev/null
+++ b/marigoldswitch/core/suspects.py
@@ -0,0 +1,84 @@
+"""Which targets are left out for a moment because they were found dead or refusing.
+
+Load it answers: an engine that dies. Its entry in the store lapses seconds later; until
+then each request that is sent its way loses seconds. One request's finding is enough to
+keep the others away. A refusal says that the target lives but has no room: it is left
+out for a much shorter time.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from marigoldswitch.core.ids import TargetId
+
+DEAD_SECONDS = 1.0
+"""First time out for a target that does not answer: about a heartbeat, after which a
+live one has shown itself."""
+REFUSED_SECONDS = 0.15
+"""First time out for a target that refuses: some tens of decode steps, in which it
+frees room."""
+LONGEST_SECONDS = 4.0
+"""Longest time out; the entry of a dead target has lapsed by then."""
+
+
+class Finding(Enum):
+    """What was found of a target."""
+
+    DEAD = "dead"
+    REFUSED = "refused"
+
+
+@dataclass(slots=True)
+class _Suspicion:
+    until: float
+    seconds: float
+    finding: Finding
+
+
+class Suspects:
+    """Targets that are left out, each until some moment."""
+
+    def __init__(self) -> None:
+        self._suspicions: dict[TargetId, _Suspicion] = {}
+        self._listeners: list[Callable[[TargetId], None]] = []
+
+    def watch(self, listener: Callable[[TargetId], None]) -> None:
+        """Call ``listener`` with each target that is newly found dead."""
+        self._listeners.append(listener)
+
+    def is_out(self, target: TargetId, now: float) -> bool:
+        """Tell whether a target is left out now."""
+        suspicion = self._suspicions.get(target)
+        return suspicion is not None and now < suspicion.until
+
+    def is_dead(self, target: TargetId, now: float) -> bool:
+        """Tell whether a target is left out because it does not answer."""
+        suspicion = self._suspicions.get(target)
+        return (
+            suspicion is not None
+            and now < suspicion.until
+            and suspicion.finding is Finding.DEAD
+        )
+
+    def note(self, target: TargetId, finding: Finding, now: float) -> None:
+        """Leave a target out; each time in a row for twice as long."""
+        known = self._suspicions.get(target)
+        if known is not None and now < known.until and known.finding is finding:
+            return
+        first = DEAD_SECONDS if finding is Finding.DEAD else REFUSED_SECONDS
+        seconds = first
+        if known is not None and known.finding is finding:
+            seconds = min(LONGEST_SECONDS, 2.0 * known.seconds)
+        self._suspicions[target] = _Suspicion(now + seconds, seconds, finding)
+        if finding is Finding.DEAD:
+            for listener in self._listeners:
+                listener(target)
+
+    def clear(self, target: TargetId) -> None:
+        """Take a target back: it has answered, or it is gone for good."""
+        self._suspicions.pop(target, None)
+
+    def list_dead(self, now: float) -> list[TargetId]:
+        """Return the targets that are out because they don't answer."""
+        return [name for name in self._suspicions if self.is_dead(name, now)]
--- /dev/null
+++ b/marigoldswitch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: callers' requests passed on to targets that a platform lists."""
--- /dev/null
+++ b/marigoldswitch/gateway/directory.py
@@ -0,0 +1,84 @@
+"""What this host knows of the platform's state: configuration and targets."""
+
+from collections.abc import Callable
+
+import structlog
+
+from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.ids import ServiceName
+from marigoldswitch.core.registry import Change, TargetRegistry
+from marigoldswitch.core.routes import RoutingTable, ServiceSpec
+from marigoldswitch.core.suspects import Suspects
+from marigoldswitch.gateway.ports import StoredConfiguration
+
+logger = structlog.get_logger(__name__)
+
+
+class Directory:
+    """The newest configuration and the targets; adopts upward only."""
+
+    def __init__(self) -> None:
+        self.registry = TargetRegistry()
+        self.suspects = Suspects()
+        self.stored: StoredConfiguration | None = None
+        self.has_targets = False
+        """A whole list of targets has been seen."""
+        self._listeners: list[Callable[[RoutingTable], None]] = []
+        self.registry.watch(self._note_change)
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """Return the configuration in force, if there is one."""
+        return self.stored.table if self.stored else None
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force; 0 where there is none."""
+        return self.stored.table.version if self.stored else 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether callers can be served."""
+        return self.stored is not None and self.has_targets
+
+    def watch(self, listener: Callable[[RoutingTable], None]) -> None:
+        """Call ``listener`` with each configuration that comes into force."""
+        self._listeners.append(listener)
+
+    def find_service(self, name: ServiceName) -> ServiceSpec | None:
+        """Return what the configuration says of a service."""
+        return self.table.services.get(name) if self.table else None
+
+    def adopt(self, stored: StoredConfiguration, source: str) -> bool:
+        """Put a configuration in force if it is newer; tell whether it was.
+
+        :param source: who told of it, for the log.
+        """
+        known = self.version
+        if stored.table.version <= known:
+            return False
+        self.stored = stored
+        logger.info(
+            "configuration_adopted",
+            version=stored.table.version,
+            replaced=known,
+            source=source,
+            routes=len(stored.table.routes),
+        )
+        for listener in self._listeners:
+            listener(stored.table)
+        return True
+
+    def _note_change(self, change: Change, target: Target) -> None:
+        if change is Change.GONE:
+            self.suspects.clear(target.id)
+        layers = target.layers
+        logger.info(
+            "target_changed",
+            change=change.value,
+            target=target.id,
+            service=target.service,
+            address=target.address,
+            layers=[layers.first, layers.end] if layers else None,
+            revision=self.registry.revision,
+        )
--- /dev/null
+++ b/marigoldswitch/gateway/exchanges.py
@@ -0,0 +1,147 @@
+"""One caller's request on its way through this host, and how it may end."""
+
+import random
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from marigoldswitch.core.errors import ErrorKind, Fault
+from marigoldswitch.core.ids import AccountId, ServiceName
+from marigoldswitch.core.loads import Loads
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.retries import RetryBudget
+from marigoldswitch.core.routes import Route, ServiceSpec
+from marigoldswitch.gateway.admission import Admission
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.planner import ChainPlanner
+from marigoldswitch.gateway.ports import Call, CallCodec, EngineControl
+from marigoldswitch.gateway.probing import EngineProbes
+from marigoldswitch.gateway.upstream import Upstream
+
+
+@dataclass(slots=True)
+class Exchange:
+    """A request with what was decided about it on arrival.
+
+    :param http: the server's side of it.
+    :param arrived: when its head had come, in monotonic seconds.
+    :param deadline: when its caller must have a final answer.
+    :param priority: rank; 0 comes first.
+    :param sent: times that it may have reached a target.
+    :param ran: those of them in which it may have run.
+    """
+
+    http: web.BaseRequest
+    call: Call
+    body: bytes
+    route: Route
+    service: ServiceSpec
+    account: AccountId | None
+    priority: int
+    arrived: float
+    deadline: float
+    sent: int = 0
+    ran: int = 0
+    response: web.StreamResponse | None = None
+    """The answer to the caller, once it has begun."""
+    trail: list[str] = field(default_factory=list)
+    """What was tried, for the log line of the end."""
+
+
+class Refused(Exception):
+    """The request ends with an answer of our own, before any byte of another."""
+
+    def __init__(self, fault: Fault) -> None:
+        super().__init__(fault.kind.value, fault.detail)
+        self.fault = fault
+
+
+class BrokenOff(Exception):
+    """An answer that had begun was broken off; nothing more can be said."""
+
+
+class CallerGone(Exception):
+    """The caller has closed its connection."""
+
+
+class Retries:
+    """The budgets of repeats, by service.
+
+    :param allowance: repeats a second that this host may always send.
+    :param share: repeats beyond these, over successes.
+    """
+
+    def __init__(self, allowance: float, share: float) -> None:
+        self.allowance = allowance
+        self._share = share
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+
+    def get(self, service: ServiceName) -> RetryBudget:
+        """Return what all requests of a service share."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(share=self._share, floor=self.allowance)
+            self._budgets[service] = budget
+        budget.floor = self.allowance
+        return budget
+
+
+@dataclass(slots=True)
+class HostState:
+    """What the listeners ask about this host.
+
+    :param draining: it is shutting down: connections end with the answer on them.
+    """
+
+    draining: bool = False
+
+
+@dataclass(slots=True)
+class RunParts:
+    """What runs of requests work with."""
+
+    state: HostState
+
+    clock: Clock
+    codec: CallCodec
+    upstream: Upstream
+    engines: EngineControl
+    directory: Directory
+    loads: Loads
+    planner: ChainPlanner
+    admission: Admission
+    probes: EngineProbes
+    retries: Retries
+    source: random.Random
+    home: str
+
+
+def may_claim_not_run(exchange: Exchange) -> bool:
+    """Tell whether the request has certainly not run."""
+    return exchange.ran == 0
+
+
+def describe_timeout(exchange: Exchange) -> Fault:
+    """Return the answer to a request whose time is up."""
+    if may_claim_not_run(exchange):
+        return Fault(ErrorKind.SATURATED, "no room before the deadline", 0.0)
+    return Fault(ErrorKind.DEADLINE_EXCEEDED, "the target took too long")
+
+
+def abort(exchange: Exchange) -> None:
+    """Break off an answer that has begun, so that it can't look complete."""
+    transport = exchange.http.transport
+    if transport is not None:
+        transport.abort()
+
+
+async def write(exchange: Exchange, content: bytes) -> None:
+    """Send bytes of an answer that has begun.
+
+    :raises CallerGone: if the caller has closed its connection.
+    """
+    assert exchange.response is not None
+    try:
+        await exchange.response.write(content)
+    except (ConnectionError, RuntimeError) as error:
+        raise CallerGone(str(error)) from error
--- /dev/null
+++ b/marigoldswitch/gateway/followers.py
@@ -0,0 +1,165 @@
+"""Follows the platform's feeds of the configuration and the targets."""
+
+import asyncio
+import random
+
+import structlog
+from result import Err, Ok
+
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.ports import FeedFault, PlatformFeeds, TargetChanges
+
+logger = structlog.get_logger(__name__)
+
+CONFIGURATION_WAIT = 2.0
+"""Seconds that a read of the configuration waits for news. A connection that has gone
+silent is noticed half a second later, which with the way to a new one stays below the
+3 s after which a host counts as in touch again; each read is paid for."""
+TARGETS_PERIOD = 0.6
+"""Seconds between two reads of the targets: a leaving target may get new work for 2 s,
+of which a read that is lost and repeated takes two periods and half a second."""
+STARTING_PERIOD = 0.3
+"""The same until all targets that start with the host can have entered themselves."""
+STARTING_SECONDS = 6.0
+RETRY_SECONDS = 0.25
+"""Pause after a read that failed; up to half as much is added at random, so that hosts
+don't return to a recovering store at the same moment."""
+OUTAGE_RETRY_SECONDS = 0.6
+"""Pause once three reads in a row have failed: calls are paid for and limited, also
+refused ones."""
+FAILURES_IN_OUTAGE = 3
+
+
+class Dependency:
+    """Whether the store answers one kind of read; logs when that changes."""
+
+    def __init__(self, name: str) -> None:
+        self.failures = 0
+        self._name = name
+
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the last read failed."""
+        return self.failures > 0
+
+    def note_success(self) -> None:
+        """Learn that a read was answered."""
+        if self.failures:
+            logger.info("dependency_back", what=self._name, failures=self.failures)
+        self.failures = 0
+
+    def note_failure(self, why: str) -> None:
+        """Learn that a read failed."""
+        if self.failures == 0:
+            logger.warning("dependency_lost", what=self._name, why=why)
+        self.failures += 1
+
+    def choose_pause(self, source: random.Random) -> float:
+        """Return the seconds until the next try."""
+        lasting = self.failures >= FAILURES_IN_OUTAGE
+        pause = OUTAGE_RETRY_SECONDS if lasting else RETRY_SECONDS
+        return pause * (1.0 + 0.5 * source.random())
+
+
+class ConfigurationFollower:
+    """Puts each new configuration of the store in force."""
+
+    def __init__(
+        self, feeds: PlatformFeeds, directory: Directory, source: random.Random
+    ) -> None:
+        self.dependency = Dependency("configuration feed")
+        self._feeds = feeds
+        self._directory = directory
+        self._source = source
+        self._revision = 0
+
+    async def run(self) -> None:
+        """Follow the feed until cancelled."""
+        while True:
+            await self.look()
+
+    async def look(self) -> None:
+        """Wait for one piece of news."""
+        read = await self._feeds.wait_configuration(self._revision, CONFIGURATION_WAIT)
+        match read:
+            case Ok((stored, revision)):
+                self.dependency.note_success()
+                self._revision = max(revision, self._revision)
+                if stored is not None:
+                    self._directory.adopt(stored, "store")
+                elif self._directory.stored is None:
+                    self._revision = 0
+                    await asyncio.sleep(RETRY_SECONDS)
+            case Err(FeedFault.HISTORY_GONE):
+                logger.info("history_gone", what="configuration feed")
+                self._revision = 0
+            case Err(fault):
+                self.dependency.note_failure(fault.value)
+                await asyncio.sleep(self.dependency.choose_pause(self._source))
+
+
+class TargetFollower:
+    """Keeps the registry of targets up to date with the store."""
+
+    def __init__(
+        self,
+        feeds: PlatformFeeds,
+        directory: Directory,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self.dependency = Dependency("targets feed")
+        self._feeds = feeds
+        self._directory = directory
+        self._clock = clock
+        self._source = source
+        self._revision = 0
+        self._started = clock.monotonic()
+
+    async def run(self) -> None:
+        """Follow the feed until cancelled."""
+        while True:
+            await self.look()
+            await asyncio.sleep(self._choose_pause())
+
+    async def look(self) -> None:
+        """Read once what has changed."""
+        read = await self._feeds.read_targets(self._revision)
+        now = self._clock.monotonic()
+        registry = self._directory.registry
+        match read:
+            case Ok(changes):
+                self.dependency.note_success()
+                self._revision = changes.revision
+                apply_changes(self._directory, changes, now)
+            case Err(FeedFault.HISTORY_GONE):
+                logger.info("history_gone", what="targets feed")
+                self._revision = 0
+            case Err(fault):
+                registry.note_outage(now)
+                self.dependency.note_failure(fault.value)
+        registry.expire(now)
+
+    def _choose_pause(self) -> float:
+        if self.dependency.is_lost:
+            return self.dependency.choose_pause(self._source)
+        if self._revision == 0:
+            return 0.0
+        if self._clock.monotonic() - self._started < STARTING_SECONDS:
+            return STARTING_PERIOD
+        return TARGETS_PERIOD * (0.9 + 0.2 * self._source.random())
+
+
+def apply_changes(directory: Directory, changes: TargetChanges, now: float) -> None:
+    """Take rows of targets into the registry."""
+    registry = directory.registry
+    if changes.is_whole:
+        registry.replace_all(changes.rows, changes.revision, now)
+        directory.has_targets = True
+        return
+    for row in changes.rows:
+        registry.put(row)
+    for name in changes.removed:
+        registry.remove(name, now)
+    registry.revision = max(registry.revision, changes.revision)
--- /dev/null
+++ b/marigoldswitch/gateway/hosts.py
@@ -0,0 +1,200 @@
+"""One gateway host: its listeners and its work, from start to planned stop."""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+from aiohttp import web
+from result import Err, Ok
+
+from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.ids import TargetId
+from marigoldswitch.core.registry import Change
+from marigoldswitch.core.routes import RoutingTable
+from marigoldswitch.gateway.exchanges import HostState, RunParts
+from marigoldswitch.gateway.followers import ConfigurationFollower, TargetFollower
+from marigoldswitch.gateway.fronts import Front
+from marigoldswitch.gateway.orderer import LayerOrderer
+from marigoldswitch.gateway.ports import HostDirectory, HostRecord, HostSettings
+from marigoldswitch.gateway.spread import Spread
+from marigoldswitch.metrics import Metrics
+from marigoldswitch.peers import PeerNetwork
+
+logger = structlog.get_logger(__name__)
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted: one that finds no place is tried again only
+seconds later."""
+IDLE_SLACK_SECONDS = 5.0
+"""Time that a connection is kept beyond the callers' longest idle time, so that no
+request meets its end."""
+HEAD_BYTES = 65_536
+"""Longest line of a request's head, above what any configuration allows."""
+BALANCER_SECONDS = 3.0
+"""Time from the signal to stop in which the balancer may still send new connections: it
+asks each second and takes a host out after two misses."""
+LAST_SECONDS = 0.4
+"""Part of the time to stop that is kept for closing what is left."""
+ENTER_SECONDS = 1.0
+"""Pause between two tries to write this host's row."""
+METRICS_PATH = "/metrics"
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayParts:
+    """The parts of a host, as the composition root has wired them."""
+
+    settings: HostSettings
+    state: HostState
+    runs: RunParts
+    front: Front
+    metrics: Metrics
+    network: PeerNetwork
+    spread: Spread
+    configuration: ConfigurationFollower
+    targets: TargetFollower
+    orderer: LayerOrderer
+    hosts: HostDirectory
+
+
+class GatewayHost:
+    """Starts, runs and stops one host."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self.parts = parts
+        identity = parts.settings.identity
+        self._record = HostRecord(identity.host, identity.data_centre)
+        self._runners: list[web.ServerRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        directory = parts.runs.directory
+        directory.registry.watch(self._note_target)
+        directory.suspects.watch(parts.front.alarm_streams)
+        directory.watch(self._use_limits)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers here."""
+        return self.parts.runs.directory.is_complete and not self.parts.state.draining
+
+    async def start(self) -> None:
+        """Open the listeners and begin the background work."""
+        parts, addresses = self.parts, self.parts.settings.addresses
+        host, port = split_address(addresses.peers)
+        await parts.network.start(host, port)
+        await self._listen(addresses.callers, parts.front.handle)
+        await self._listen(addresses.readiness, self._answer_readiness)
+        if addresses.metrics:
+            await self._listen(addresses.metrics, self._answer_readiness)
+        for seed in parts.settings.seeds:
+            parts.spread.meet(HostRecord(seed, ""))
+        parts.spread.greet()
+        self._spawn(parts.configuration.run())
+        self._spawn(parts.targets.run())
+        self._spawn(self._run_spread())
+        self._spawn(self._enter())
+        self._spawn(parts.orderer.run())
+        logger.info(
+            "host_started",
+            host=parts.settings.identity.name,
+            data_centre=parts.settings.identity.data_centre,
+            callers=addresses.callers,
+        )
+
+    async def drain(self) -> None:
+        """Stop as planned: no request under way is cut off."""
+        parts = self.parts
+        logger.info("host_draining", busy=parts.front.busy)
+        parts.state.draining = True
+        parts.spread.leaving = True
+        longest = parts.settings.stop_seconds - LAST_SECONDS
+        try:
+            async with asyncio.timeout(longest):
+                await asyncio.sleep(min(BALANCER_SECONDS, longest))
+                await parts.front.wait_idle()
+        except TimeoutError:
+            logger.warning("drain_cut_short", busy=parts.front.busy)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        parts = self.parts
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        left = await parts.hosts.leave(self._record)
+        if isinstance(left, Err):
+            logger.info("host_row_left", why=left.err_value.value)
+        for runner in self._runners:
+            await runner.cleanup()
+        await parts.network.stop()
+        await parts.runs.upstream.close()
+        logger.info("host_stopped", host=parts.settings.identity.name)
+
+    async def _listen(self, address: str, handler: Any) -> None:
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=self._idle_seconds(),
+            max_line_size=HEAD_BYTES,
+            max_field_size=HEAD_BYTES,
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=LAST_SECONDS / 2)
+        await runner.setup()
+        host, port = split_address(address)
+        await web.TCPSite(runner, host, port, backlog=BACKLOG).start()
+        self._runners.append(runner)
+
+    def _idle_seconds(self) -> float:
+        table = self.parts.runs.directory.table
+        idle = table.limits.idle_seconds if table else 0.0
+        return max(idle, 15.0) + IDLE_SLACK_SECONDS
+
+    def _use_limits(self, table: RoutingTable) -> None:
+        """Let new connections follow the limits of a configuration."""
+        for runner in self._runners:
+            if runner.server is not None:
+                runner.server._kwargs["keepalive_timeout"] = self._idle_seconds()
+
+    async def _answer_readiness(self, http: web.BaseRequest) -> web.StreamResponse:
+        if http.path == METRICS_PATH:
+            return await self.parts.metrics.show(http)  # type: ignore[arg-type]
+        return web.Response(status=200 if self.is_ready else 503)
+
+    async def _run_spread(self) -> None:
+        while True:
+            try:
+                self.parts.spread.tick()
+            except Exception:
+                logger.exception("spread_failed")
+            await asyncio.sleep(self.parts.spread.period)
+
+    async def _enter(self) -> None:
+        """Write this host's row and learn of the others, until that has worked."""
+        parts = self.parts
+        entered = False
+        while True:
+            entered = entered or (await parts.hosts.enter(self._record)).is_ok()
+            listed = await parts.hosts.list_hosts() if entered else None
+            if isinstance(listed, Ok):
+                break
+            await asyncio.sleep(ENTER_SECONDS)
+        for record in listed.ok_value:
+            parts.spread.meet(record)
+        parts.spread.greet()
+        logger.info("hosts_met", hosts=len(parts.spread.peers))
+
+    def _note_target(self, change: Change, target: Target) -> None:
+        if change in (Change.LEAVING, Change.GONE):
+            self.parts.front.alarm_streams(TargetId(target.id))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(work))
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and the port of ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/marigoldswitch/gateway/orderer.py
@@ -0,0 +1,265 @@
+"""Orders engines to hold layers, as the one host that may.
+
+Any host may be the holder of the lease, a row of the platform's table service. A holder
+keeps nothing of its own: the targets' rows say what engines hold, and each order names
+the engine's own count of orders, so that an order that is carried out late, after a
+newer one, is refused by the engine.
+"""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+
+import structlog
+from result import Err, Ok
+
+from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.ids import HostId, TargetId
+from marigoldswitch.core.layouts import EngineSlot, plan_layout
+from marigoldswitch.core.leases import LEASE_TABLE, Lease, LeaseTerms, encode_lease
+from marigoldswitch.core.models import ModelSpec
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.registry import Change
+from marigoldswitch.core.routes import ServiceSpec
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.ports import (
+    EngineControl,
+    EngineStatus,
+    OrderResult,
+    VersionedTable,
+)
+from marigoldswitch.gateway.probing import EngineProbes
+from marigoldswitch.gateway.spread import Spread
+
+logger = structlog.get_logger(__name__)
+
+TERMS = LeaseTerms(seconds=2.4, margin=0.4)
+"""The lease: renewed every 0.6 s, so that three lost renewals are borne; the longer it
+is, the longer a hole stays open after the loss of its holder. The margin is longer than
+a read and an order take."""
+TICK_SECONDS = 0.25
+LOOK_SECONDS = 0.6
+"""Least time between two reads of the lease by a host that does not hold it."""
+SETTLE_SECONDS = 1.3
+"""A first layout waits until no engine has entered itself for this long, which is a
+heartbeat: the large ones must be placed first."""
+READ_SECONDS = 0.3
+FIRST_CHECK_SECONDS = 0.4
+"""Time after an order in which nothing can have been loaded yet."""
+LAPSE_SECONDS = 1.5
+"""Time after which an engine that is neither busy nor as ordered has not taken the
+order, for its own report is a few hundred milliseconds old."""
+GIVE_UP_SECONDS = 20.0
+"""Time after which an order is forgotten, longer than loading a whole model."""
+
+
+@dataclass(frozen=True, slots=True)
+class PendingOrder:
+    """An order that is not known to be carried out yet."""
+
+    layers: LayerRange
+    sent: float
+
+
+class LayerOrderer:
+    """Holds or watches the lease; as its holder brings engines to the layout."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        table: VersionedTable,
+        engines: EngineControl,
+        directory: Directory,
+        probes: EngineProbes,
+        spread: Spread,
+        host: HostId,
+        region: str,
+    ) -> None:
+        self.lease = Lease(host, secrets.token_hex(4), TERMS)
+        self._clock = clock
+        self._table = table
+        self._engines = engines
+        self._directory = directory
+        self._probes = probes
+        self._spread = spread
+        self._region = region
+        self._pending: dict[TargetId, PendingOrder] = {}
+        self._changed_at = clock.monotonic()
+        self._looked = float("-inf")
+        directory.registry.watch(self._note_change)
+
+    async def run(self) -> None:
+        """Keep the lease and the layout until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            try:
+                await self.tick()
+            except Exception:
+                logger.exception("orders_failed", region=self._region)
+
+    async def tick(self) -> None:
+        """Look at the lease if that is due and, as its holder, take the next steps."""
+        await self._keep_lease()
+        if self._may_order():
+            await self._follow_pending()
+            await self._place()
+
+    def _note_change(self, change: Change, target: Target) -> None:
+        if change is Change.ADDED:
+            self._changed_at = self._clock.monotonic()
+        if change is Change.GONE:
+            self._pending.pop(target.id, None)
+            self._probes.forget(target.id)
+
+    def _may_order(self) -> bool:
+        return self.lease.may_order(self._clock.monotonic())
+
+    # The lease.
+
+    async def _keep_lease(self) -> None:
+        now = self._clock.monotonic()
+        if not self.lease.holds:
+            waits = self._spread.hears_orderer or now - self._looked < LOOK_SECONDS
+            if waits or not await self._look_at_lease():
+                return
+        claim = self.lease.plan_claim(self._clock.monotonic())
+        if claim is None:
+            return
+        began = self._clock.monotonic()
+        written = await self._table.write(
+            LEASE_TABLE, self._region, encode_lease(claim.row), claim.expect
+        )
+        match written:
+            case Ok(version):
+                if not self.lease.holds:
+                    logger.info("lease_taken", fencing=claim.row.fencing)
+                self.lease.note_written(claim, began, self._clock.monotonic(), version)
+            case Err(fault):
+                logger.info("lease_not_written", why=fault.value)
+                if not await self._look_at_lease():
+                    return
+
+    async def _look_at_lease(self) -> bool:
+        """Read the lease's row; tell whether it was read."""
+        self._looked = self._clock.monotonic()
+        held = self.lease.holds
+        read = await self._table.read(LEASE_TABLE, self._region)
+        if isinstance(read, Err):
+            if held and not self._may_order():
+                logger.warning("lease_lapsed", why=read.err_value.value)
+                self.lease.give_up()
+            return False
+        try:
+            self.lease.see(read.ok_value, self._clock.monotonic())
+        except ValueError:
+            logger.error("lease_unreadable", table=LEASE_TABLE, key=self._region)
+            self.lease.give_up()
+            return False
+        if held and not self.lease.holds:
+            logger.warning("lease_lost", holder=self.lease.holder)
+            self._pending.clear()
+        return True
+
+    # The layout.
+
+    async def _place(self) -> None:
+        table = self._directory.table
+        if table is None:
+            return
+        for service in table.services.values():
+            if service.model is not None:
+                await self._place_service(service, service.model)
+
+    async def _place_service(self, service: ServiceSpec, model: ModelSpec) -> None:
+        targets = self._directory.registry.list_targets(service.name)
+        engines = [self._describe(item) for item in targets]
+        if not self._is_settled(engines):
+            return
+        wanted = plan_layout(model, engines)
+        by_id = {item.id: item for item in targets}
+        orders = [
+            self._order(by_id[name], layers, model)
+            for name, layers in wanted.items()
+            if name not in self._pending
+        ]
+        await asyncio.gather(*orders)
+
+    def _describe(self, target: Target) -> EngineSlot:
+        pending = self._pending.get(target.id)
+        layers = pending.layers if pending else target.layers
+        return EngineSlot(target.id, target.data_centre, target.accelerator, layers)
+
+    def _is_settled(self, engines: list[EngineSlot]) -> bool:
+        """Tell whether the layout may be planned now."""
+        if any(item.layers is not None for item in engines):
+            return True
+        return self._clock.monotonic() - self._changed_at >= SETTLE_SECONDS
+
+    async def _order(
+        self, target: Target, layers: LayerRange, model: ModelSpec
+    ) -> None:
+        accelerator = model.accelerators.get(target.accelerator)
+        if accelerator is None or not model.fits(accelerator, layers):
+            logger.error("order_too_large", target=target.id, layers=_show(layers))
+            return
+        status = await self._engines.read(target.address, READ_SECONDS)
+        if status is None or status.is_busy:
+            return
+        if status.layers == layers:
+            self._note_done(target.id, layers, status)
+            return
+        if not self._may_order():
+            logger.warning("order_held_back", target=target.id, why="lease")
+            return
+        sent = self._clock.monotonic()
+        reply = await self._engines.place(target.address, layers, status.sequence)
+        if reply.result is not OrderResult.CONFLICT:
+            self._pending[target.id] = PendingOrder(layers, sent)
+        logger.info(
+            "order_sent",
+            target=target.id,
+            address=target.address,
+            layers=_show(layers),
+            held=_show(status.layers),
+            sequence=status.sequence,
+            result=reply.result.value,
+            fencing=self.lease.fencing,
+            revision=self._directory.registry.revision,
+        )
+
+    async def _follow_pending(self) -> None:
+        now = self._clock.monotonic()
+        due = [
+            (name, order)
+            for name, order in self._pending.items()
+            if now - order.sent >= FIRST_CHECK_SECONDS
+        ]
+        await asyncio.gather(*(self._follow(name, order) for name, order in due))
+
+    async def _follow(self, name: TargetId, order: PendingOrder) -> None:
+        """Look whether an order has been carried out."""
+        target = self._directory.registry.targets.get(name)
+        now = self._clock.monotonic()
+        if target is None or now - order.sent > GIVE_UP_SECONDS:
+            self._pending.pop(name, None)
+            return
+        status = await self._engines.read(target.address, READ_SECONDS)
+        if status is None:
+            return
+        if status.layers == order.layers:
+            self._note_done(name, order.layers, status)
+        elif not status.is_busy and now - order.sent > LAPSE_SECONDS:
+            logger.info("order_not_taken", target=name, layers=_show(order.layers))
+            self._pending.pop(name, None)
+
+    def _note_done(
+        self, name: TargetId, layers: LayerRange, status: EngineStatus
+    ) -> None:
+        self._pending.pop(name, None)
+        self._probes.note_status(name, status)
+        self._directory.registry.note_layers(name, layers)
+        self._spread.recent_layers[name] = (self._clock.monotonic(), layers)
+
+
+def _show(layers: LayerRange | None) -> list[int] | None:
+    return [layers.first, layers.end] if layers else None
--- /dev/null
+++ b/marigoldswitch/gateway/probing.py
@@ -0,0 +1,84 @@
+"""Looks at engines that a request waits for, once for all that wait."""
+
+import asyncio
+
+import structlog
+
+from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.ids import TargetId
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.suspects import Finding
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.planner import ChainPlanner
+from marigoldswitch.gateway.ports import EngineControl, EngineStatus
+
+logger = structlog.get_logger(__name__)
+
+PROBE_SECONDS = 0.1
+"""Longest time for an answer: live engines take 2 to 6 ms, and what waits is late after
+200 ms."""
+PAUSE_SECONDS = 0.15
+"""A probe that took longer than this was held up by a pause of this host; it says
+nothing of the engine."""
+FRESH_SECONDS = 0.1
+"""Time for which an answer also serves others that ask: dozens of streams pass through
+an engine and notice its silence together."""
+SLOW_FACTOR = 1.3
+"""Slowness from which an engine counts as slow: below it is noise."""
+
+
+class EngineProbes:
+    """Reads engines on suspicion and keeps what they said for a moment."""
+
+    def __init__(
+        self,
+        engines: EngineControl,
+        directory: Directory,
+        planner: ChainPlanner,
+        clock: Clock,
+    ) -> None:
+        self._engines = engines
+        self._directory = directory
+        self._planner = planner
+        self._clock = clock
+        self._running: dict[TargetId, asyncio.Task[EngineStatus | None]] = {}
+        self._seen: dict[TargetId, tuple[float, EngineStatus | None]] = {}
+
+    async def check(self, target: Target) -> EngineStatus | None:
+        """Return what an engine says; one that says nothing becomes a suspect."""
+        seen = self._seen.get(target.id)
+        if seen is not None and self._clock.monotonic() - seen[0] < FRESH_SECONDS:
+            return seen[1]
+        task = self._running.get(target.id)
+        if task is None:
+            task = asyncio.create_task(self._probe(target))
+            self._running[target.id] = task
+            task.add_done_callback(lambda _: self._running.pop(target.id, None))
+        return await asyncio.shield(task)
+
+    def forget(self, target: TargetId) -> None:
+        """Forget an engine that is gone."""
+        self._seen.pop(target, None)
+        self._planner.slowness.pop(target, None)
+
+    async def _probe(self, target: Target) -> EngineStatus | None:
+        began = self._clock.monotonic()
+        status = await self._engines.read(target.address, PROBE_SECONDS)
+        now = self._clock.monotonic()
+        if status is None and now - began > PAUSE_SECONDS:
+            logger.info("probe_inconclusive", target=target.id, took=now - began)
+            return EngineStatus(target.layers, False, 0)
+        self._seen[target.id] = (now, status)
+        if status is None:
+            logger.warning("engine_silent", target=target.id, address=target.address)
+            self._directory.suspects.note(target.id, Finding.DEAD, now)
+        else:
+            self.note_status(target.id, status)
+        return status
+
+    def note_status(self, target: TargetId, status: EngineStatus) -> None:
+        """Take what an engine has said."""
+        if status.slowness >= SLOW_FACTOR:
+            self._planner.slowness[target] = status.slowness
+        else:
+            self._planner.slowness.pop(target, None)
--- /dev/null
+++ b/marigoldswitch/gateway/spread.py
@@ -0,0 +1,339 @@
+"""What the hosts of a gateway tell each other: loads, findings, and news.
+
+Each host reads the store by itself. A host that the store turns away takes the
+configuration and the targets from those that can read them. Nothing is agreed here: a
+version or a revision that is higher is newer, whoever tells of it.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+from result import Err, Ok
+
+from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.ids import DataCentre, HostId, TargetId
+from marigoldswitch.core.loads import Loads, Usage
+from marigoldswitch.core.messages import (
+    ConfigurationContent,
+    FetchConfiguration,
+    FetchTargets,
+    HeldLayers,
+    LoadDigest,
+    Message,
+    SlowTarget,
+    TargetNote,
+    TargetsContent,
+    TargetUsage,
+)
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.registry import TargetRow
+from marigoldswitch.core.suspects import Finding
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.followers import ConfigurationFollower, TargetFollower
+from marigoldswitch.gateway.planner import ChainPlanner
+from marigoldswitch.gateway.ports import HostRecord, Identity, PlatformFeeds
+from marigoldswitch.peers import PeerNetwork
+
+logger = structlog.get_logger(__name__)
+
+LEAST_PERIOD = 0.1
+"""Seconds between two digests: a few requests arrive at a data centre meanwhile."""
+PERIOD_A_PEER = 0.025
+"""The same for each near peer where there are many, so that a host takes 40 digests a
+second at the most: 2 ms of processor time."""
+FAR_PEERS = 2
+"""Hosts of other data centres that each digest goes to, drawn anew each time: news
+reaches all of 400 hosts in some ten rounds."""
+QUIET_PERIODS = 5
+"""Periods in which an unchanged digest is left out."""
+SILENT_SECONDS = 3.0
+"""A host that was not heard for this long gets only every tenth digest."""
+FORGET_SECONDS = 120.0
+"""A host that was not heard for this long is forgotten; it announces itself if it
+lives."""
+FETCH_SECONDS = 0.4
+"""Least time between two requests for news; also how long news may be missed by the
+store's own feed before it is asked for."""
+ORDERER_SECONDS = 1.2
+"""Time for which the word of the host that holds the orderer's lease stands."""
+
+
+@dataclass(slots=True)
+class PeerState:
+    """What is known of another host."""
+
+    data_centre: DataCentre
+    heard: float
+    version: int = 0
+    revision: int = 0
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class _News:
+    """How far this host is behind in one kind of news."""
+
+    since: float | None = None
+    asked: float = field(default=float("-inf"))
+
+    def should_ask(self, behind: bool, cut_off: bool, now: float) -> bool:
+        """Tell whether to ask a peer now."""
+        if not behind:
+            self.since = None
+            return False
+        if self.since is None:
+            self.since = now
+        waited = cut_off or now - self.since >= FETCH_SECONDS
+        if not waited or now - self.asked < FETCH_SECONDS:
+            return False
+        self.asked = now
+        return True
+
+
+@dataclass(slots=True)
+class SpreadParts:
+    """What the spread reads and feeds."""
+
+    clock: Clock
+    network: PeerNetwork
+    directory: Directory
+    loads: Loads
+    planner: ChainPlanner
+    feeds: PlatformFeeds
+    configuration: ConfigurationFollower
+    targets: TargetFollower
+    identity: Identity
+    source: random.Random
+
+
+class Spread:
+    """Exchanges digests with the other hosts."""
+
+    def __init__(self, parts: SpreadParts) -> None:
+        self.peers: dict[HostId, PeerState] = {}
+        self.leaving = False
+        self.holds_orders: Callable[[], bool] = lambda: False
+        self.recent_layers: dict[TargetId, tuple[float, LayerRange]] = {}
+        """What the orderer has just seen engines to hold."""
+        self._parts = parts
+        self._own = HostId(parts.identity.host)
+        self._orderer_heard = float("-inf")
+        self._configuration = _News()
+        self._targets = _News()
+        self._round = 0
+        self._last: LoadDigest | None = None
+        handlers: dict[type[Message], Callable[..., None]] = {
+            LoadDigest: self._take_digest,
+            FetchConfiguration: self._tell_configuration,
+            ConfigurationContent: self._take_configuration,
+            FetchTargets: self._tell_targets,
+            TargetsContent: self._take_targets,
+        }
+        for kind, handler in handlers.items():
+            parts.network.register(kind, handler)
+
+    @property
+    def hears_orderer(self) -> bool:
+        """Tell whether another host has lately said that it orders the engines."""
+        now = self._parts.clock.monotonic()
+        return now - self._orderer_heard < ORDERER_SECONDS
+
+    @property
+    def period(self) -> float:
+        """Return the seconds between two digests."""
+        near = sum(1 for item in self.peers.values() if self._is_near(item))
+        return max(LEAST_PERIOD, PERIOD_A_PEER * near)
+
+    def meet(self, record: HostRecord) -> None:
+        """Learn of a host from the store or the settings."""
+        host = HostId(record.address)
+        if host != self._own and host not in self.peers:
+            now = self._parts.clock.monotonic()
+            self.peers[host] = PeerState(DataCentre(record.data_centre), now)
+
+    def greet(self) -> None:
+        """Tell all known hosts of this one."""
+        digest = self._build_digest()
+        for host in self.peers:
+            self._parts.network.send(host, digest)
+
+    def tick(self) -> None:
+        """Send what is due."""
+        now = self._parts.clock.monotonic()
+        self._round += 1
+        self._parts.loads.expire(now)
+        self._forget(now)
+        digest = self._build_digest()
+        if digest == self._last and self._round % QUIET_PERIODS:
+            return
+        self._last = digest
+        for host in self._choose_receivers(now):
+            self._parts.network.send(host, digest)
+
+    def _choose_receivers(self, now: float) -> list[HostId]:
+        heard = {
+            host: item
+            for host, item in self.peers.items()
+            if now - item.heard < SILENT_SECONDS or self._round % 10 == 0
+        }
+        near = [host for host, item in heard.items() if self._is_near(item)]
+        far = [host for host in heard if host not in near]
+        chosen = self._parts.source.sample(far, min(FAR_PEERS, len(far)))
+        return near + chosen
+
+    def _is_near(self, peer: PeerState) -> bool:
+        return peer.data_centre == self._parts.identity.data_centre
+
+    def _forget(self, now: float) -> None:
+        silent = [
+            host
+            for host, item in self.peers.items()
+            if now - item.heard > FORGET_SECONDS
+        ]
+        for host in silent:
+            del self.peers[host]
+
+    def _build_digest(self) -> LoadDigest:
+        parts = self._parts
+        now = parts.clock.monotonic()
+        usages = tuple(
+            TargetUsage(name, usage.requests, usage.tokens)
+            for name, usage in sorted(parts.loads.own.items())
+        )
+        slow = tuple(
+            SlowTarget(name, factor)
+            for name, factor in sorted(parts.planner.slowness.items())
+        )
+        self.recent_layers = {
+            name: (at, layers)
+            for name, (at, layers) in self.recent_layers.items()
+            if now - at < SILENT_SECONDS
+        }
+        return LoadDigest(
+            DataCentre(parts.identity.data_centre),
+            parts.directory.version,
+            parts.directory.registry.revision,
+            usages,
+            tuple(parts.directory.suspects.list_dead(now)),
+            slow if self.holds_orders() else (),
+            tuple(
+                HeldLayers(name, layers.first, layers.end)
+                for name, (_, layers) in self.recent_layers.items()
+            ),
+            self.holds_orders(),
+            self.leaving,
+        )
+
+    # Digests of others.
+
+    def _take_digest(self, sender: HostId, digest: LoadDigest) -> None:
+        parts = self._parts
+        now = parts.clock.monotonic()
+        is_new = sender not in self.peers
+        self.peers[sender] = PeerState(
+            digest.data_centre, now, digest.version, digest.revision, digest.leaving
+        )
+        if is_new:
+            parts.network.send(sender, self._build_digest())
+        usages = {
+            item.target: Usage(item.requests, item.tokens) for item in digest.usages
+        }
+        parts.loads.hear(sender, usages, now)
+        for target in digest.dead:
+            if target in parts.directory.registry.targets:
+                parts.directory.suspects.note(target, Finding.DEAD, now)
+        if digest.orders:
+            self._take_orderer(digest, now)
+        self._ask_for_news(sender, digest, now)
+
+    def _take_orderer(self, digest: LoadDigest, now: float) -> None:
+        """Take what only the host that orders the engines knows."""
+        parts = self._parts
+        self._orderer_heard = now
+        parts.planner.slowness.clear()
+        for slow in digest.slow:
+            parts.planner.slowness[slow.target] = slow.factor
+        for held in digest.layers:
+            layers = LayerRange(held.first, held.end)
+            parts.directory.registry.note_layers(held.target, layers)
+
+    def _ask_for_news(self, sender: HostId, digest: LoadDigest, now: float) -> None:
+        parts = self._parts
+        version, registry = parts.directory.version, parts.directory.registry
+        lost = parts.configuration.dependency.is_lost
+        behind = digest.version > version
+        if self._configuration.should_ask(behind, lost, now):
+            parts.network.send(sender, FetchConfiguration(version))
+        cut_off = parts.targets.dependency.is_lost
+        if cut_off and self._targets.should_ask(
+            digest.revision > registry.revision, cut_off, now
+        ):
+            parts.network.send(sender, FetchTargets(registry.revision))
+
+    # News.
+
+    def _tell_configuration(self, sender: HostId, request: FetchConfiguration) -> None:
+        stored = self._parts.directory.stored
+        if stored is not None and stored.table.version > request.version:
+            content = ConfigurationContent(stored.table.version, stored.content)
+            self._parts.network.send(sender, content)
+
+    def _take_configuration(self, sender: HostId, news: ConfigurationContent) -> None:
+        if news.version <= self._parts.directory.version:
+            return
+        match self._parts.feeds.decode_configuration(news.content):
+            case Ok(stored):
+                self._parts.directory.adopt(stored, str(sender))
+            case Err(why):
+                logger.warning("configuration_refused", sender=sender, why=why)
+
+    def _tell_targets(self, sender: HostId, request: FetchTargets) -> None:
+        parts = self._parts
+        registry = parts.directory.registry
+        if parts.targets.dependency.is_lost or registry.revision <= request.revision:
+            return
+        notes = tuple(_write_note(row) for row in registry.rows.values())
+        parts.network.send(sender, TargetsContent(registry.revision, notes))
+
+    def _take_targets(self, sender: HostId, news: TargetsContent) -> None:
+        parts = self._parts
+        registry = parts.directory.registry
+        if not parts.targets.dependency.is_lost or news.revision <= registry.revision:
+            return
+        now = parts.clock.monotonic()
+        rows = [_read_note(item) for item in news.targets]
+        registry.replace_all(rows, news.revision, now, settled=True)
+        parts.directory.has_targets = True
+        logger.info("targets_taken", sender=sender, revision=news.revision)
+
+
+def _write_note(row: TargetRow) -> TargetNote:
+    target = row.target
+    layers = (target.layers.first, target.layers.end) if target.layers else ()
+    return TargetNote(
+        target.id,
+        target.service,
+        target.data_centre,
+        target.address,
+        target.slots,
+        target.accelerator,
+        row.leaving,
+        row.revision,
+        layers,
+    )
+
+
+def _read_note(note: TargetNote) -> TargetRow:
+    layers = LayerRange(*note.layers) if len(note.layers) == 2 else None
+    target = Target(
+        note.target,
+        note.service,
+        note.data_centre,
+        note.address,
+        note.slots,
+        layers,
+        note.accelerator,
+    )
+    return TargetRow(target, note.leaving, note.revision)
--- /dev/null
+++ b/marigoldswitch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: it translates and decides nothing."""
--- /dev/null
+++ b/marigoldswitch/platform/compose.py
@@ -0,0 +1,110 @@
+"""Composition root of a gateway host on the users' platform."""
+
+import random
+
+import aiohttp
+
+from marigoldswitch.clocks import SystemClock
+from marigoldswitch.core.ids import DataCentre, HostId
+from marigoldswitch.core.loads import Loads
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.gateway.admission import Admission
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.exchanges import HostState, Retries, RunParts
+from marigoldswitch.gateway.followers import ConfigurationFollower, TargetFollower
+from marigoldswitch.gateway.fronts import Front
+from marigoldswitch.gateway.hosts import GatewayHost, GatewayParts
+from marigoldswitch.gateway.metrics import GatewayMetrics
+from marigoldswitch.gateway.orderer import LayerOrderer
+from marigoldswitch.gateway.planner import ChainPlanner
+from marigoldswitch.gateway.ports import HostSettings
+from marigoldswitch.gateway.probing import EngineProbes
+from marigoldswitch.gateway.spread import Spread, SpreadParts
+from marigoldswitch.gateway.upstream import Upstream, open_session
+from marigoldswitch.metrics import Metrics
+from marigoldswitch.peers import PeerNetwork
+from marigoldswitch.platform.engines import EngineClient
+from marigoldswitch.platform.headers import HeaderCodec
+from marigoldswitch.platform.store import PlatformStore
+
+PEER_SECRET = "marigoldswitch"
+"""Keeps messages of other programs out; the platform's network keeps out the rest, and
+gives hosts no secret to share."""
+
+
+def compose_gateway(
+    settings: HostSettings,
+    store_address: str,
+    clock: Clock | None = None,
+    source: random.Random | None = None,
+) -> GatewayHost:
+    """Wire one host; it must be called with a loop running."""
+    clock = clock or SystemClock()
+    source = source or random.Random()
+    identity = settings.identity
+    home = DataCentre(identity.data_centre)
+    session: aiohttp.ClientSession = open_session(keeps_connections=True)
+    store, engines = PlatformStore(session, store_address), EngineClient(session)
+    codec = HeaderCodec()
+    directory, loads, state = Directory(), Loads(), HostState()
+    planner = ChainPlanner(directory, loads, clock, home, source)
+    probes = EngineProbes(engines, directory, planner, clock)
+    runs = RunParts(
+        state,
+        clock,
+        codec,
+        Upstream(codec),
+        engines,
+        directory,
+        loads,
+        planner,
+        Admission(planner, clock),
+        probes,
+        Retries(settings.retry_allowance, settings.retry_share),
+        source,
+        identity.data_centre,
+    )
+    metrics = Metrics()
+    network = PeerNetwork(HostId(identity.host), [PEER_SECRET], lambda host: host)
+    configuration = ConfigurationFollower(store, directory, source)
+    targets = TargetFollower(store, directory, clock, source)
+    spread = Spread(
+        SpreadParts(
+            clock,
+            network,
+            directory,
+            loads,
+            planner,
+            store,
+            configuration,
+            targets,
+            identity,
+            source,
+        )
+    )
+    orderer = LayerOrderer(
+        clock,
+        store,
+        engines,
+        directory,
+        probes,
+        spread,
+        HostId(identity.host),
+        identity.region,
+    )
+    spread.holds_orders = lambda: orderer.lease.holds
+    return GatewayHost(
+        GatewayParts(
+            settings,
+            state,
+            runs,
+            Front(runs, GatewayMetrics(metrics)),
+            metrics,
+            network,
+            spread,
+            configuration,
+            targets,
+            orderer,
+            store,
+        )
+    )
--- /dev/null
+++ b/marigoldswitch/platform/configuration.py
@@ -0,0 +1,178 @@
+"""The operator's configuration and the targets' rows, decoded into product types."""
+
+from typing import Any
+
+import orjson
+from result import Err, Ok, Result
+
+from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.ids import AccountId, DataCentre, ServiceName, TargetId
+from marigoldswitch.core.models import Accelerator, ModelSpec
+from marigoldswitch.core.registry import TargetRow
+from marigoldswitch.core.routes import (
+    ClientLimits,
+    Route,
+    RoutedAccount,
+    RouteKind,
+    RoutingTable,
+    ServiceSpec,
+    WeightedService,
+)
+from marigoldswitch.gateway.ports import StoredConfiguration
+
+MILLISECONDS = 1000.0
+THOUSAND = 1000.0
+MEGABYTE = 1e6
+
+ROUTE_KINDS = {
+    "safe": RouteKind.IDEMPOTENT,
+    "unsafe": RouteKind.NON_IDEMPOTENT,
+    "stream": RouteKind.STREAM,
+}
+LEAVING = "draining"
+
+
+def decode_configuration(content: bytes) -> Result[StoredConfiguration, str]:
+    """Return the configuration that some bytes hold, or what is wrong with them."""
+    try:
+        document = orjson.loads(content)
+        return Ok(StoredConfiguration(_read_table(document), content))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(f"{type(error).__name__}: {error}")
+
+
+def decode_target(key: str, content: bytes, revision: int) -> Result[TargetRow, str]:
+    """Return the target that a row holds.
+
+    :param key: the target's id, which stands nowhere else.
+    """
+    try:
+        row = orjson.loads(content)
+        return Ok(_read_target(key, row, revision))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(f"{type(error).__name__}: {error}")
+
+
+def _read_target(key: str, row: dict[str, Any], revision: int) -> TargetRow:
+    target = Target(
+        TargetId(key),
+        ServiceName(row["service"]),
+        DataCentre(row["zone"]),
+        str(row["address"]),
+        int(row.get("slots", 0)),
+        read_layers(row.get("layers")),
+        # The kind of accelerator; for routes the same name says what may be repeated.
+        str(row.get("route_type") or ""),
+    )
+    return TargetRow(target, row.get("phase") == LEAVING, revision)
+
+
+def read_layers(layers: Any) -> LayerRange | None:
+    """Return a range of layers; ``target`` is the layer after the last."""
+    if not layers or layers.get("target") is None:
+        return None
+    found = LayerRange(int(layers["from"]), int(layers["target"]))
+    return found if found.end > found.first else None
+
+
+def _read_table(document: dict[str, Any]) -> RoutingTable:
+    return RoutingTable(
+        int(document["version"]),
+        tuple(_read_route(item) for item in document["routes"]),
+        {
+            ServiceName(item["name"]): _read_service(item)
+            for item in document["services"]
+        },
+        _read_accounts(document.get("tenants") or []),
+        _read_limits(document.get("limits") or {}),
+    )
+
+
+def _read_route(item: dict[str, Any]) -> Route:
+    return Route(
+        str(item.get("name", "")),
+        str(item["host"]),
+        str(item["prefix"]),
+        ROUTE_KINDS[item["route_type"]],
+        float(item["timeout_ms"]) / MILLISECONDS,
+        int(item.get("priority", 0)),
+        _read_services(item),
+        max(1, int(item.get("max_attempts", 1))),
+        bool(item.get("public", False)),
+        bool(item.get("resumable", False)),
+        float(item.get("target_gap_ms") or 0.0) / MILLISECONDS,
+        float(item.get("target_latency_ms") or 500.0) / MILLISECONDS,
+    )
+
+
+def _read_services(item: dict[str, Any]) -> tuple[WeightedService, ...]:
+    """Return who answers a route: one service, or several that share it by weight."""
+    shared = item.get("backends")
+    if not shared:
+        return (WeightedService(ServiceName(item["service"]), 1.0),)
+    return tuple(
+        WeightedService(ServiceName(part["service"]), float(part["weight"]))
+        for part in shared
+        if float(part["weight"]) > 0.0
+    )
+
+
+def _read_service(item: dict[str, Any]) -> ServiceSpec:
+    engine: dict[str, Any] = item.get("engine") or {}
+    layered = engine.get("layers") is not None
+    return ServiceSpec(
+        ServiceName(item["name"]),
+        int(item.get("max_conns", 0)),
+        _read_model(engine) if layered else None,
+    )
+
+
+def _read_model(engine: dict[str, Any]) -> ModelSpec:
+    layers = int(engine["layers"])
+    models = engine.get("models") or [{}]
+    return ModelSpec(
+        layers,
+        float(engine["layer_mb"]),
+        float(engine["kv_bytes"]) / layers / MEGABYTE,
+        float(engine["step_ms"]) / MILLISECONDS,
+        float(engine.get("per_seq_ms", 0.0)) / MILLISECONDS,
+        # Milliseconds for a thousand tokens of context.
+        float(engine.get("context_per_k", 0.0)) / MILLISECONDS / THOUSAND,
+        1.0 / float(engine["read_per_s"]),
+        float(models[0].get("load_s", 0.0)),
+        int(engine.get("loads_at_once") or 1),
+        {item["name"]: _read_accelerator(item) for item in engine["kinds"]},
+    )
+
+
+def _read_accelerator(item: dict[str, Any]) -> Accelerator:
+    return Accelerator(
+        str(item["name"]),
+        float(item["size_mb"]),
+        float(item["pace"]),
+        float(item["read_factor"]),
+    )
+
+
+def _read_accounts(tenants: list[dict[str, Any]]) -> dict[str, RoutedAccount]:
+    accounts = {}
+    for item in tenants:
+        priority = item.get("priority")
+        account = RoutedAccount(
+            AccountId(item["name"]), None if priority is None else int(priority)
+        )
+        for key in item.get("api_keys") or []:
+            accounts[str(key)] = account
+    return accounts
+
+
+def _read_limits(item: dict[str, Any]) -> ClientLimits:
+    usual = ClientLimits()
+    return ClientLimits(
+        int(item.get("max_header_bytes", usual.header_bytes)),
+        int(item.get("max_body_bytes", usual.body_bytes)),
+        float(item.get("header_timeout_ms", usual.header_seconds * MILLISECONDS))
+        / MILLISECONDS,
+        float(item.get("idle_timeout_ms", usual.idle_seconds * MILLISECONDS))
+        / MILLISECONDS,
+    )
--- /dev/null
+++ b/marigoldswitch/platform/daemon.py
@@ -0,0 +1,85 @@
+"""The daemon on the users' platform: one gateway host in one process."""
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+import structlog
+from result import Err, Ok
+
+from marigoldswitch.gateway.ports import HostSettings
+from marigoldswitch.logs import configure_logs
+from marigoldswitch.platform.compose import compose_gateway
+from marigoldswitch.platform.settings import FILE_VARIABLE, read_settings
+
+logger = structlog.get_logger(__name__)
+
+WRONG_SETTINGS_STATUS = 2
+
+
+def serve(
+    *, settings_file: Path | None = None, check: bool = False, log_level: str = "info"
+) -> int:
+    """Run one gateway host until SIGTERM or SIGINT.
+
+    :param settings_file: the platform's settings; by default the file that the
+        environment variable MARIGOLDSWITCH_CONFIG names.
+    :param check: only check the settings.
+    :param log_level: least level of the lines that are logged.
+    """
+    path = settings_file or Path(os.environ.get(FILE_VARIABLE, ""))
+    match read_settings(path):
+        case Err(faults):
+            print(faults, file=sys.stderr)
+            return WRONG_SETTINGS_STATUS
+        case Ok((settings, store)):
+            pass
+    if check:
+        print(f"{path}: fine")
+        return 0
+    configure_logs(log_level, sys.stdout)
+    asyncio.run(_run(path, settings, store))
+    return 0
+
+
+async def _run(path: Path, settings: HostSettings, store: str) -> None:
+    """Run a host; a first signal drains it, a second one stops it at once."""
+    first, second = asyncio.Event(), asyncio.Event()
+
+    def take_signal() -> None:
+        (second if first.is_set() else first).set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, take_signal)
+    host = compose_gateway(settings, store)
+    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(path, settings))
+    await host.start()
+    await first.wait()
+    drained = asyncio.create_task(host.drain())
+    hurried = asyncio.create_task(second.wait())
+    await asyncio.wait([drained, hurried], return_when=asyncio.FIRST_COMPLETED)
+    drained.cancel()
+    hurried.cancel()
+    await host.stop()
+
+
+def _reload(path: Path, settings: HostSettings) -> None:
+    """Read the settings again; what differs needs a restart, and is logged."""
+    match read_settings(path):
+        case Err(faults):
+            logger.error("settings_refused", why=faults)
+        case Ok((fresh, _)):
+            logger.info("settings_read", changed=fresh != settings)
+
+
+def main() -> None:
+    """Entry point."""
+    sys.exit(defopt.run(serve))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/marigoldswitch/platform/store.py
@@ -0,0 +1,249 @@
+"""Client of the platform's store: rows, feeds of them, and the rows of our own."""
+
+import base64
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import msgpack
+import orjson
+import structlog
+from result import Err, Ok, Result
+
+from marigoldswitch.core.ids import TargetId
+from marigoldswitch.core.ports import Row, StoreFault
+from marigoldswitch.gateway.ports import (
+    FeedFault,
+    HostRecord,
+    StoredConfiguration,
+    TargetChanges,
+)
+from marigoldswitch.platform.configuration import decode_configuration, decode_target
+
+logger = structlog.get_logger(__name__)
+
+CALL_SECONDS = 0.6
+"""Longest time for a call: the store takes some 4 ms, a slow one up to 60 times that;
+what takes longer is as good as lost for beliefs that must hold within 2 s."""
+WAIT_SLACK_SECONDS = 0.5
+"""Time beyond the one that a feed may wait."""
+PAGE_ROWS = 500
+"""Rows of one answer, as many as the store gives."""
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+TARGETS_TABLE = "servers"
+HOSTS_TABLE = "hosts"
+
+HTTP_OK = 200
+HTTP_GONE = 410
+HTTP_CONFLICT = 412
+NOT_DONE = frozenset({429, 503})
+
+Fields = dict[str, Any]
+
+
+class PlatformStore:
+    """Speaks the store's calls; keeps nothing but connections."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+
+    # Feeds.
+
+    async def wait_configuration(
+        self, revision: int, seconds: float
+    ) -> Result[tuple[StoredConfiguration | None, int], FeedFault]:
+        """Return the configuration once it is newer than a revision."""
+        if revision == 0:
+            answer = await self._get_rows(OPERATOR_TABLE)
+        else:
+            answer = await self._feed(OPERATOR_TABLE, revision, seconds)
+        if isinstance(answer, Err):
+            return answer
+        rows, newest = answer.ok_value
+        for row in reversed(rows):
+            if row["key"] != CONFIGURATION_KEY or row.get("deleted"):
+                continue
+            match decode_configuration(_read_value(row)):
+                case Ok(stored):
+                    return Ok((stored, newest))
+                case Err(why):
+                    logger.error("configuration_unreadable", why=why)
+                    return Err(FeedFault.MALFORMED)
+        return Ok((None, newest))
+
+    def decode_configuration(self, content: bytes) -> Result[StoredConfiguration, str]:
+        """Return a configuration that a peer has passed on."""
+        return decode_configuration(content)
+
+    async def read_targets(self, revision: int) -> Result[TargetChanges, FeedFault]:
+        """Return what has changed of the targets since a revision."""
+        whole = revision == 0
+        if whole:
+            answer = await self._get_rows(TARGETS_TABLE)
+        else:
+            answer = await self._feed(TARGETS_TABLE, revision, 0.0)
+        if isinstance(answer, Err):
+            return answer
+        rows, newest = answer.ok_value
+        latest: dict[str, Fields] = {row["key"]: row for row in rows}
+        found, removed = [], []
+        for key, row in latest.items():
+            if row.get("deleted"):
+                removed.append(TargetId(key))
+                continue
+            match decode_target(key, _read_value(row), int(row["row_version"])):
+                case Ok(target):
+                    found.append(target)
+                case Err(why):
+                    logger.error("target_unreadable", target=key, why=why)
+        return Ok(TargetChanges(found, removed, newest, whole))
+
+    # Single rows.
+
+    async def read(self, table: str, key: str) -> Result[Row | None, StoreFault]:
+        """Return one row, or ``None`` where there is none."""
+        query = {"table": table, "part": "", "from": key, "limit": "1"}
+        answer = await self._call("GET", "/rows-get", query)
+        if isinstance(answer, Err):
+            return answer
+        status, fields = answer.ok_value
+        if status != HTTP_OK:
+            return Err(_judge(status))
+        for row in fields["rows"]:
+            if row["key"] == key:
+                return Ok(Row(_read_value(row), int(row["row_version"])))
+        return Ok(None)
+
+    async def write(
+        self, table: str, key: str, value: bytes, expect: int
+    ) -> Result[int, StoreFault]:
+        """Write a row that has a version still and return its new one."""
+        guard = [{"table": table, "part": "", "key": key, "row_version": expect}]
+        return await self._transact(guard, [_write_row(table, key, value)], [])
+
+    async def enter(self, record: HostRecord) -> Result[None, StoreFault]:
+        """Write this host's row."""
+        value = bytes(msgpack.packb(record.data_centre))
+        put = _write_row(HOSTS_TABLE, record.address, value)
+        written = await self._transact([], [put], [])
+        return Err(written.err_value) if isinstance(written, Err) else Ok(None)
+
+    async def leave(self, record: HostRecord) -> Result[None, StoreFault]:
+        """Delete a host's row."""
+        name = {"table": HOSTS_TABLE, "part": "", "key": record.address}
+        written = await self._transact([], [], [name])
+        return Err(written.err_value) if isinstance(written, Err) else Ok(None)
+
+    async def list_hosts(self) -> Result[Sequence[HostRecord], StoreFault]:
+        """Return the rows of all hosts."""
+        answer = await self._get_rows(HOSTS_TABLE)
+        if isinstance(answer, Err):
+            return Err(StoreFault.UNAVAILABLE)
+        records = []
+        for row in answer.ok_value[0]:
+            try:
+                centre = str(msgpack.unpackb(_read_value(row)))
+            except (ValueError, msgpack.UnpackException) as error:
+                logger.error("host_unreadable", host=row["key"], why=str(error))
+                continue
+            records.append(HostRecord(row["key"], centre))
+        return Ok(records)
+
+    # Calls.
+
+    async def _get_rows(
+        self, table: str
+    ) -> Result[tuple[list[Fields], int], FeedFault]:
+        """Return all rows of a table, and the version up to which they are complete."""
+        rows: list[Fields] = []
+        revision = 0
+        begin = ""
+        while True:
+            query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
+            if begin:
+                query["from"] = begin
+            answer = await self._call("GET", "/rows-get", query)
+            if isinstance(answer, Err) or answer.ok_value[0] != HTTP_OK:
+                return Err(FeedFault.UNAVAILABLE)
+            fields = answer.ok_value[1]
+            rows += fields["rows"]
+            # The first page is the oldest: what came since, the feed tells.
+            revision = revision or int(fields["row_version"])
+            if not fields.get("has_more"):
+                return Ok((rows, revision))
+            begin = rows[-1]["key"] + "\0"
+
+    async def _feed(
+        self, table: str, revision: int, seconds: float
+    ) -> Result[tuple[list[Fields], int], FeedFault]:
+        query = {
+            "table": table,
+            "since_rev": str(revision),
+            "wait_ms": str(int(seconds * 1000)),
+        }
+        limit = seconds + WAIT_SLACK_SECONDS if seconds else CALL_SECONDS
+        answer = await self._call("GET", "/rows-feed", query, limit=limit)
+        if isinstance(answer, Err):
+            return Err(FeedFault.UNAVAILABLE)
+        status, fields = answer.ok_value
+        if status == HTTP_GONE:
+            return Err(FeedFault.HISTORY_GONE)
+        if status != HTTP_OK:
+            return Err(FeedFault.UNAVAILABLE)
+        return Ok((fields["rows"], int(fields["row_version"])))
+
+    async def _transact(
+        self, guard: list[Fields], puts: list[Fields], removed: list[Fields]
+    ) -> Result[int, StoreFault]:
+        body = {"expected_rev": guard, "puts": puts, "remove": removed}
+        answer = await self._call("POST", "/rows-tx", {}, orjson.dumps(body))
+        if isinstance(answer, Err):
+            return answer
+        status, fields = answer.ok_value
+        if status != HTTP_OK:
+            return Err(_judge(status))
+        return Ok(int(fields["row_version"]))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes | None = None,
+        limit: float = CALL_SECONDS,
+    ) -> Result[tuple[int, Fields], StoreFault]:
+        """Make a call and return its status and fields."""
+        headers = {"Content-Type": "application/json"} if body else None
+        try:
+            async with self._session.request(
+                method,
+                self._base + path,
+                params=query,
+                data=body,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=limit, sock_connect=CALL_SECONDS),
+            ) as response:
+                content = await response.read()
+                if response.status != HTTP_OK:
+                    return Ok((response.status, {}))
+                return Ok((response.status, orjson.loads(content)))
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            logger.debug("store_call_failed", path=path, why=repr(error))
+            return Err(StoreFault.UNKNOWN)
+
+
+def _judge(status: int) -> StoreFault:
+    if status == HTTP_CONFLICT:
+        return StoreFault.CONFLICT
+    return StoreFault.UNAVAILABLE if status in NOT_DONE else StoreFault.UNKNOWN
+
+
+def _read_value(row: Fields) -> bytes:
+    return base64.b64decode(row["value"])
+
+
+def _write_row(table: str, key: str, value: bytes) -> Fields:
+    encoded = base64.b64encode(value).decode()
+    return {"table": table, "part": "", "key": key, "value": encoded}
