Keep chains inside a data centre, verify findings of peers, close holes first

Ruled out: memory for requests (25 of 28 engines had room). Change: chains within one data centre first, a budget of pipe seconds for crossings; what a peer finds dead is looked at before it is believed; single segments first where a data centre lacks some; the lease is told among hosts and given up at once; streams in flight end before a stop takes new ones.

--- a/marigoldswitch/core/layouts.py
+++ b/marigoldswitch/core/layouts.py
@@ -15,7 +15,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.ids import DataCentre, TargetId
@@ -84,22 +84,39 @@
         self._engines = engines
         self._near: Counter[tuple[DataCentre, int]] = Counter()
         self._all: Counter[int] = Counter()
+        self._is_first = all(item.layers is None for item in engines)
         for engine in engines:
             if engine.layers is not None:
                 self._count(engine.data_centre, engine.layers, 1)
 
     def plan(self) -> dict[TargetId, LayerRange]:
-        empty = [item for item in self._engines if item.layers is None]
-        empty.sort(key=lambda item: (-self._size(item), item.target))
         changes: dict[TargetId, LayerRange] = {}
-        for engine in empty:
-            wanted = self._choose(engine, self._size(engine))
-            if wanted is not None:
+        for engine in self._list_unfilled():
+            wanted = self._choose(engine)
+            if wanted is not None and wanted != engine.layers:
+                if engine.layers is not None:
+                    self._count(engine.data_centre, engine.layers, -1)
                 changes[engine.target] = wanted
                 self._count(engine.data_centre, wanted, 1)
         changes |= self._fill_holes(set(changes))
         return changes
 
+    def _list_unfilled(self) -> list[EngineSlot]:
+        """Return the engines that have memory for more: empty ones, large ones first.
+
+        Those that hold something come last, as others may close a hole at once.
+        """
+        found = [
+            item
+            for item in self._engines
+            if item.layers is None
+            or 0 < len(self._list_segments(item.layers)) < self._size(item)
+        ]
+        found.sort(
+            key=lambda item: (item.layers is not None, -self._size(item), item.target)
+        )
+        return found
+
     def _size(self, engine: EngineSlot) -> int:
         """Return the segments that an engine should hold."""
         kind = self._model.accelerators.get(engine.accelerator)
@@ -111,18 +128,41 @@
         )
         return self._model.count_layers(kind, TOKENS) // longest
 
-    def _choose(self, engine: EngineSlot, size: int) -> LayerRange | None:
-        """Return the run of segments that is needed most."""
+    def _choose(self, engine: EngineSlot) -> LayerRange | None:
+        """Return the run of segments that is needed most of an engine.
+
+        While its data centre lacks segments, an empty engine takes just one: it is
+        loaded in a third of the time that a large accelerator takes for its fill, and
+        widened later.
+        """
         count = len(self._cuts) - 1
-        size = min(size, count)
+        size = min(self._size(engine), count)
         if size == 0:
             return None
-        starts = range(count - size + 1)
-        start = max(
-            starts, key=lambda item: self._weigh(engine.data_centre, item, size)
-        )
+        centre = engine.data_centre
+        if engine.layers is None and not self._is_first and self._has_hole(centre):
+            size = 1
+        starts = [
+            start
+            for start in range(count - size + 1)
+            if self._contains(start, size, engine.layers)
+        ]
+        if not starts:
+            return None
+        start = max(starts, key=lambda item: self._weigh(centre, item, size))
         return LayerRange(self._cuts[start], self._cuts[start + size])
 
+    def _has_hole(self, centre: DataCentre) -> bool:
+        segments = range(len(self._cuts) - 1)
+        return any(self._near[centre, item] == 0 for item in segments)
+
+    def _contains(self, start: int, size: int, layers: LayerRange | None) -> bool:
+        """Tell whether a run of segments contains some layers."""
+        if layers is None:
+            return True
+        first, end = self._cuts[start], self._cuts[start + size]
+        return first <= layers.first and layers.end <= end
+
     def _weigh(self, centre: DataCentre, start: int, size: int) -> float:
         return sum(
             self._need(centre, segment) for segment in range(start, start + size)
@@ -143,8 +183,7 @@
                     if donor is None or donor.layers is None:
                         break
                     self._count(centre, donor.layers, -1)
-                    size = self._size(donor)
-                    wanted = self._choose(donor, size)
+                    wanted = self._choose(replace(donor, layers=None))
                     assert wanted is not None
                     self._count(centre, wanted, 1)
                     moves[donor.target] = wanted
--- a/marigoldswitch/core/models.py
+++ b/marigoldswitch/core/models.py
@@ -36,6 +36,7 @@
     :param read_seconds: time to read one token of a prompt.
     :param load_seconds: time to load all layers.
     :param loads_at_once: loads that don't slow each other down.
+    :param crossing_seconds: that a token keeps the pipe between data centres busy.
     :param accelerators: by name.
     """
 
@@ -48,6 +49,7 @@
     read_seconds: float
     load_seconds: float = 0.0
     loads_at_once: int = 1
+    crossing_seconds: float = 0.0
     accelerators: Mapping[str, Accelerator] = field(default_factory=dict)
 
     def count_layers(self, accelerator: Accelerator, tokens: float) -> int:
--- a/marigoldswitch/core/paths.py
+++ b/marigoldswitch/core/paths.py
@@ -26,9 +26,11 @@
 HOP_SECONDS = 0.0003
 """Cost of one more stage for each token: a link's delay and the wait for its turn."""
 CROSSING_SECONDS = 0.004
-"""Cost of a link between data centres for each token. Its delay is 0.5 ms; but the
-links carry some 25 crossings a second in all, as a prompt's activations are some 70 MB,
-so that a chain crosses only where its own data centre lacks layers or room."""
+"""Cost of a link between data centres for each token: its delay is 0.5 ms, the rest is
+for what others wait meanwhile."""
+FAR_FACTOR = 1.3
+"""Cost of a chain in another data centre than the caller's host: it is preferred only
+where that has a third more room, as a cut between the two would break its streams."""
 MOST_STAGES = 32
 """Longest chain that engines take."""
 
@@ -45,6 +47,27 @@
     layers: LayerRange
 
 
+@dataclass(frozen=True, slots=True)
+class Chain:
+    """Stages that run all layers once, in order.
+
+    :param cost: seconds for a token, with what is added for engines that fill up.
+    :param crossings: links between data centres that it passes.
+    """
+
+    stages: tuple[Stage, ...]
+    cost: float
+    crossings: int
+
+
+@dataclass(frozen=True, slots=True)
+class FirstStage:
+    """The stage that must come first, whatever room it has, and where it ends."""
+
+    offer: "StageOffer"
+    end: int
+
+
 @dataclass(frozen=True, slots=True)
 class StageOffer:
     """An engine that may take part in a chain.
@@ -88,47 +111,41 @@
 
 
 def find_chain(
-    offers: Iterable[StageOffer],
+    offers: Sequence[StageOffer],
     layers: int,
-    home: DataCentre,
     source: random.Random,
-    first: StageOffer | None = None,
-    first_end: int = 0,
-) -> list[Stage] | None:
+    first: FirstStage | None = None,
+) -> Chain | None:
     """Return the cheapest chain with room over all layers, or ``None``.
 
     :param layers: number of layers of the model.
-    :param home: data centre in which the chain should begin.
-    :param first: the stage that must come first, up to ``first_end``, whatever room it
-        has; for a chain that is changed under way.
+    :param first: the stage that a chain keeps that is changed under way.
     """
     usable = [item for item in offers if item.has_room]
-    costs = {id(item): item.cost * _draw_jitter(source) for item in usable}
+    if first is not None:
+        usable = [item for item in usable if item.target != first.offer.target]
+    costs = {item.target: item.cost * _draw_jitter(source) for item in usable}
     cuts = _list_cuts(usable, layers)
-    begin: _Node = (0, home)
+    best = dict.fromkeys(_list_begins(usable, first), 0.0)
     steps: dict[_Node, _Step] = {}
-    if first is not None:
-        begin = (first_end, first.data_centre)
-    best: dict[_Node, float] = {begin: 0.0}
-    heap: list[tuple[float, int, DataCentre]] = [(0.0, *begin)]
+    heap = [(0.0, *node) for node in best]
+    heapq.heapify(heap)
     while heap:
         cost, start, centre = heapq.heappop(heap)
         if cost > best[(start, centre)]:
             continue
         if start == layers:
-            return _trace(steps, begin, (start, centre), first, first_end)
+            return _trace(steps, (start, centre), cost, first)
         for offer in usable:
             if not offer.layers.first <= start < offer.layers.end:
                 continue
-            if first is not None and offer.target == first.target:
-                continue
             entry = cost + HOP_SECONDS
             if offer.data_centre != centre:
                 entry += CROSSING_SECONDS
             for end in cuts:
                 if not start < end <= offer.layers.end:
                     continue
-                total = entry + (end - start) * costs[id(offer)]
+                total = entry + (end - start) * costs[offer.target]
                 node = (end, offer.data_centre)
                 if total < best.get(node, float("inf")):
                     best[node] = total
@@ -137,6 +154,28 @@
     return None
 
 
+def find_near_chain(
+    offers: Iterable[StageOffer],
+    layers: int,
+    home: DataCentre,
+    source: random.Random,
+) -> Chain | None:
+    """Return the cheapest chain with room inside one data centre, or ``None``."""
+    grouped: dict[DataCentre, list[StageOffer]] = {}
+    for item in offers:
+        grouped.setdefault(item.data_centre, []).append(item)
+    best: Chain | None = None
+    best_cost = float("inf")
+    for centre, items in grouped.items():
+        chain = find_chain(items, layers, source)
+        if chain is None:
+            continue
+        cost = chain.cost if centre == home else chain.cost * FAR_FACTOR
+        if cost < best_cost:
+            best, best_cost = chain, cost
+    return best
+
+
 def has_chain(ranges: Sequence[LayerRange], layers: int) -> bool:
     """Tell whether some layer ranges cover a whole model among them."""
     reached = 0
@@ -158,25 +197,29 @@
     return sorted(cuts)
 
 
+def _list_begins(offers: Iterable[StageOffer], first: FirstStage | None) -> list[_Node]:
+    if first is not None:
+        return [(first.end, first.offer.data_centre)]
+    return [(0, centre) for centre in sorted({item.data_centre for item in offers})]
+
+
 def _trace(
-    steps: dict[_Node, _Step],
-    begin: _Node,
-    node: _Node,
-    first: StageOffer | None,
-    first_end: int,
-) -> list[Stage] | None:
+    steps: dict[_Node, _Step], node: _Node, cost: float, first: FirstStage | None
+) -> Chain | None:
     """Return the stages that led to a node; no engine may come twice."""
     stages: list[Stage] = []
-    while node != begin:
+    crossings = 0
+    while node in steps:
         step = steps[node]
         layers = LayerRange(step.start, node[0])
         stages.append(Stage(step.offer.target, step.offer.address, layers))
+        crossings += step.data_centre != step.offer.data_centre
         node = (step.start, step.data_centre)
     if first is not None:
-        layers = LayerRange(0, first_end)
-        stages.append(Stage(first.target, first.address, layers))
+        offer = first.offer
+        stages.append(Stage(offer.target, offer.address, LayerRange(0, first.end)))
     stages.reverse()
-    names = [item.target for item in stages]
-    if len(set(names)) < len(names) or len(stages) > MOST_STAGES:
+    names = {item.target for item in stages}
+    if len(names) < len(stages) or len(stages) > MOST_STAGES:
         return None
-    return stages
+    return Chain(tuple(stages), cost, crossings)
--- a/marigoldswitch/gateway/admission.py
+++ b/marigoldswitch/gateway/admission.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from marigoldswitch.core.ids import ServiceName
-from marigoldswitch.core.paths import Stage
+from marigoldswitch.core.paths import Chain
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.core.waiting import Ticket, WaitingLine
@@ -21,7 +21,7 @@
 @dataclass(slots=True)
 class _Line:
     line: WaitingLine
-    waiters: dict[int, asyncio.Future[list[Stage]]]
+    waiters: dict[int, asyncio.Future[Chain]]
     service: ServiceSpec
     task: asyncio.Task[None] | None = None
 
@@ -40,7 +40,7 @@
 
     async def acquire(
         self, service: ServiceSpec, tokens: int, priority: int, patience: float
-    ) -> list[Stage] | None:
+    ) -> Chain | None:
         """Return a chain that is counted as held, or ``None`` if none is free in time.
 
         :param patience: longest wait in seconds.
@@ -58,8 +58,8 @@
 
     async def _wait(
         self, state: _Line, ticket: Ticket, patience: float
-    ) -> list[Stage] | None:
-        future: asyncio.Future[list[Stage]]
+    ) -> Chain | None:
+        future: asyncio.Future[Chain]
         future = asyncio.get_running_loop().create_future()
         state.line.join(ticket)
         state.waiters[ticket.number] = future
@@ -73,7 +73,7 @@
             return future.result() if granted else None
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
-                self._planner.release(future.result(), ticket.tokens)
+                self._planner.release(future.result().stages, ticket.tokens)
             raise
         finally:
             state.line.leave(ticket)
@@ -101,10 +101,10 @@
             state.line.leave(ticket)
             waiter.set_result(chain)
 
-    def _try(self, state: _Line, ticket: Ticket) -> list[Stage] | None:
+    def _try(self, state: _Line, ticket: Ticket) -> Chain | None:
         chain = self._planner.find(state.service, ticket.tokens)
         if chain is not None:
-            self._planner.hold(chain, ticket.tokens)
+            self._planner.hold(chain.stages, ticket.tokens)
             state.line.note_admitted(self._clock.monotonic())
         return chain
 
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -91,9 +91,11 @@
     """What the listeners ask about this host.
 
     :param draining: it is shutting down: connections end with the answer on them.
+    :param accepting: new requests are still taken.
     """
 
     draining: bool = False
+    accepting: bool = True
 
 
 @dataclass(slots=True)
--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -12,16 +12,14 @@
 
 logger = structlog.get_logger(__name__)
 
-CONFIGURATION_WAIT = 2.0
-"""Seconds that a read of the configuration waits for news. A connection that has gone
-silent is noticed half a second later, which with the way to a new one stays below the
-3 s after which a host counts as in touch again; each read is paid for."""
-TARGETS_PERIOD = 0.6
-"""Seconds between two reads of the targets: a leaving target may get new work for 2 s,
-of which a read that is lost and repeated takes two periods and half a second."""
-STARTING_PERIOD = 0.3
-"""The same until all targets that start with the host can have entered themselves."""
-STARTING_SECONDS = 6.0
+NEWS_WAIT = 2.0
+"""Seconds that a read waits for news. A connection that has gone silent is noticed half
+a second later, which with the way to a new one stays below the 3 s after which a host
+counts as in touch again. Each read is paid for: waiting reads of the targets took 0.5
+calls a second and host where reads every 0.6 s took 1.7."""
+TARGETS_PAUSE = 0.15
+"""Seconds between two reads of the targets, so that changes that come in series, as at
+a start, are read together."""
 RETRY_SECONDS = 0.25
 """Pause after a read that failed; up to half as much is added at random, so that hosts
 don't return to a recovering store at the same moment."""
@@ -81,7 +79,7 @@
 
     async def look(self) -> None:
         """Wait for one piece of news."""
-        read = await self._feeds.wait_configuration(self._revision, CONFIGURATION_WAIT)
+        read = await self._feeds.wait_configuration(self._revision, NEWS_WAIT)
         match read:
             case Ok((stored, revision)):
                 self.dependency.note_success()
@@ -115,7 +113,6 @@
         self._clock = clock
         self._source = source
         self._revision = 0
-        self._started = clock.monotonic()
 
     async def run(self) -> None:
         """Follow the feed until cancelled."""
@@ -125,7 +122,7 @@
 
     async def look(self) -> None:
         """Read once what has changed."""
-        read = await self._feeds.read_targets(self._revision)
+        read = await self._feeds.wait_targets(self._revision, NEWS_WAIT)
         now = self._clock.monotonic()
         registry = self._directory.registry
         match read:
@@ -144,11 +141,7 @@
     def _choose_pause(self) -> float:
         if self.dependency.is_lost:
             return self.dependency.choose_pause(self._source)
-        if self._revision == 0:
-            return 0.0
-        if self._clock.monotonic() - self._started < STARTING_SECONDS:
-            return STARTING_PERIOD
-        return TARGETS_PERIOD * (0.9 + 0.2 * self._source.random())
+        return TARGETS_PAUSE if self._revision else 0.0
 
 
 def apply_changes(directory: Directory, changes: TargetChanges, now: float) -> None:
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -56,7 +56,7 @@
     def alarm_streams(self, target: str) -> None:
         """Have all streams through an engine look after their chains."""
         for run in self.streams:
-            if any(item.target == target for item in run.chain):
+            if any(item.target == target for item in run.stages):
                 run.alarm()
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
@@ -106,6 +106,8 @@
 
         :raises Refused: if it has no place in it.
         """
+        if not self._parts.state.accepting:
+            raise Refused(Fault(ErrorKind.DRAINING))
         table = self._parts.directory.table
         if table is None:
             raise Refused(Fault(ErrorKind.NO_BUNDLE, "", 1.0))
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -32,9 +32,10 @@
 request meets its end."""
 HEAD_BYTES = 65_536
 """Longest line of a request's head, above what any configuration allows."""
-BALANCER_SECONDS = 3.0
-"""Time from the signal to stop in which the balancer may still send new connections: it
-asks each second and takes a host out after two misses."""
+BALANCER_SECONDS = 2.4
+"""Time from the signal to stop in which new requests are still taken: the balancer asks
+each second and takes a host out after two misses. What is taken later has no time to
+end: a stream lives up to 5 s, and the process is killed after 8 s."""
 LAST_SECONDS = 0.4
 """Part of the time to stop that is kept for closing what is left."""
 ENTER_SECONDS = 1.0
@@ -108,10 +109,13 @@
         logger.info("host_draining", busy=parts.front.busy)
         parts.state.draining = True
         parts.spread.leaving = True
+        parts.orderer.retire()
+        parts.spread.greet()
         longest = parts.settings.stop_seconds - LAST_SECONDS
         try:
             async with asyncio.timeout(longest):
                 await asyncio.sleep(min(BALANCER_SECONDS, longest))
+                self._close_idle()
                 await parts.front.wait_idle()
         except TimeoutError:
             logger.warning("drain_cut_short", busy=parts.front.busy)
@@ -131,6 +135,16 @@
         await parts.runs.upstream.close()
         logger.info("host_stopped", host=parts.settings.identity.name)
 
+    def _close_idle(self) -> None:
+        """Close connections on which nothing runs, and the others after their answer.
+
+        A request that still comes is refused as not run.
+        """
+        self.parts.state.accepting = False
+        server = self._runners[0].server
+        if server is not None:
+            server.pre_shutdown()
+
     async def _listen(self, address: str, handler: Any) -> None:
         server = web.Server(
             handler,
--- a/marigoldswitch/gateway/orderer.py
+++ b/marigoldswitch/gateway/orderer.py
@@ -37,6 +37,9 @@
 """The lease: renewed every 0.6 s, so that three lost renewals are borne; the longer it
 is, the longer a hole stays open after the loss of its holder. The margin is longer than
 a read and an order take."""
+HOPELESS_SECONDS = 1.2
+"""Time without a renewal after which a holder that the store turns away gives the lease
+up and says so: two renewals have failed, and another host can take over at once."""
 TICK_SECONDS = 0.25
 LOOK_SECONDS = 0.6
 """Least time between two reads of the lease by a host that does not hold it."""
@@ -86,6 +89,7 @@
         self._pending: dict[TargetId, PendingOrder] = {}
         self._changed_at = clock.monotonic()
         self._looked = float("-inf")
+        self._retired = False
         directory.registry.watch(self._note_change)
 
     async def run(self) -> None:
@@ -99,11 +103,18 @@
 
     async def tick(self) -> None:
         """Look at the lease if that is due and, as its holder, take the next steps."""
+        if self._retired:
+            return
         await self._keep_lease()
         if self._may_order():
             await self._follow_pending()
             await self._place()
 
+    def retire(self) -> None:
+        """Order nothing from now on, and let another host take over at once."""
+        self._retired = True
+        self.lease.give_up()
+
     def _note_change(self, change: Change, target: Target) -> None:
         if change is Change.ADDED:
             self._changed_at = self._clock.monotonic()
@@ -145,8 +156,8 @@
         held = self.lease.holds
         read = await self._table.read(LEASE_TABLE, self._region)
         if isinstance(read, Err):
-            if held and not self._may_order():
-                logger.warning("lease_lapsed", why=read.err_value.value)
+            if held and self.lease.age(self._clock.monotonic()) > HOPELESS_SECONDS:
+                logger.warning("lease_given_up", why=read.err_value.value)
                 self.lease.give_up()
             return False
         try:
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -1,12 +1,22 @@
 """Finds chains of engines for requests, with what this host knows of their loads."""
 
 import random
+from collections.abc import Callable, Sequence
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.crossings import CrossingBudget
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads, Usage
 from marigoldswitch.core.models import ModelSpec
-from marigoldswitch.core.paths import Stage, StageOffer, find_chain
+from marigoldswitch.core.paths import (
+    Chain,
+    FirstStage,
+    Stage,
+    StageOffer,
+    find_chain,
+    find_near_chain,
+    has_chain,
+)
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.gateway.directory import Directory
@@ -30,43 +40,75 @@
         self._clock = clock
         self._home = home
         self._source = source
+        self._crossings = CrossingBudget()
+        self.count_hosts: Callable[[], int] = lambda: 1
+        """Live hosts, this one among them."""
 
-    def find(self, service: ServiceSpec, tokens: int) -> list[Stage] | None:
+    def find(self, service: ServiceSpec, tokens: int) -> Chain | None:
         """Return the chain for a request, or ``None`` where there is no room."""
         model = service.model
         if model is None:
             return None
         offers = self._list_offers(service, model, tokens)
-        return find_chain(offers, model.layers, self._home, self._source)
+        near = find_near_chain(offers, model.layers, self._home, self._source)
+        if near is not None:
+            return near
+        return self._cross(
+            find_chain(offers, model.layers, self._source), model, tokens
+        )
 
     def find_detour(
-        self, service: ServiceSpec, tokens: int, chain: list[Stage]
-    ) -> list[Stage] | None:
+        self, service: ServiceSpec, tokens: int, stages: Sequence[Stage]
+    ) -> Chain | None:
         """Return a chain with the same first stage for a request under way."""
         model = service.model
-        first = self._directory.registry.rows.get(chain[0].target)
-        if model is None or first is None:
-            return None
-        offer = self._offer(first.target, model, tokens)
-        if offer is None:
+        row = self._directory.registry.rows.get(stages[0].target)
+        offer = self._offer(row.target, model, tokens) if row and model else None
+        if model is None or offer is None:
             return None
+        first = FirstStage(offer, stages[0].layers.end)
         offers = self._list_offers(service, model, tokens)
-        return find_chain(
-            offers,
-            model.layers,
-            self._home,
-            self._source,
-            offer,
-            chain[0].layers.end,
-        )
+        inside = [item for item in offers if item.data_centre == offer.data_centre]
+        near = find_chain(inside, model.layers, self._source, first)
+        if near is not None:
+            return near
+        wide = find_chain(offers, model.layers, self._source, first)
+        return self._cross(wide, model, tokens)
+
+    def describe_shortage(self, service: ServiceSpec, tokens: int) -> dict[str, object]:
+        """Return why there is no chain, for the log: layers or memory."""
+        if service.model is None:
+            return {}
+        offers = self._list_offers(service, service.model, tokens)
+        ranges = [item.layers for item in offers]
+        free = [item.layers for item in offers if item.has_room]
+        layers = service.model.layers
+        return {
+            "engines": len(offers),
+            "covered": has_chain(ranges, layers),
+            "covered_with_room": has_chain(free, layers),
+            "with_room": len(free),
+        }
+
+    def _cross(
+        self, chain: Chain | None, model: ModelSpec, tokens: int
+    ) -> Chain | None:
+        """Return a chain if there is room for it between the data centres."""
+        if chain is None:
+            return None
+        seconds = chain.crossings * tokens * model.crossing_seconds
+        now = self._clock.monotonic()
+        if not self._crossings.take(seconds, self.count_hosts(), now):
+            return None
+        return chain
 
-    def hold(self, chain: list[Stage], tokens: int) -> None:
+    def hold(self, stages: Sequence[Stage], tokens: int) -> None:
         """Count a request at the stages of its chain."""
-        self._loads.hold((item.target for item in chain), Usage(1, tokens))
+        self._loads.hold((item.target for item in stages), Usage(1, tokens))
 
-    def release(self, chain: list[Stage], tokens: int) -> None:
+    def release(self, stages: Sequence[Stage], tokens: int) -> None:
         """Count a request as ended."""
-        self._loads.release((item.target for item in chain), Usage(1, tokens))
+        self._loads.release((item.target for item in stages), Usage(1, tokens))
 
     def _list_offers(
         self, service: ServiceSpec, model: ModelSpec, tokens: int
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -241,10 +241,12 @@
         """
         ...
 
-    async def read_targets(self, revision: int) -> Result[TargetChanges, FeedFault]:
-        """Return what has changed of the targets since a revision.
+    async def wait_targets(
+        self, revision: int, seconds: float
+    ) -> Result[TargetChanges, FeedFault]:
+        """Return what has changed of the targets since a revision, or after a time.
 
-        :param revision: 0 to read them all.
+        :param revision: 0 to read them all at once.
         """
         ...
 
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -14,10 +14,10 @@
 
 logger = structlog.get_logger(__name__)
 
-PROBE_SECONDS = 0.1
+PROBE_SECONDS = 0.05
 """Longest time for an answer: live engines take 2 to 6 ms, and what waits is late after
 200 ms."""
-PAUSE_SECONDS = 0.15
+PAUSE_SECONDS = 0.08
 """A probe that took longer than this was held up by a pause of this host; it says
 nothing of the engine."""
 FRESH_SECONDS = 0.1
@@ -42,6 +42,7 @@
         self._planner = planner
         self._clock = clock
         self._running: dict[TargetId, asyncio.Task[EngineStatus | None]] = {}
+        self._checks: dict[TargetId, asyncio.Future[EngineStatus | None]] = {}
         self._seen: dict[TargetId, tuple[float, EngineStatus | None]] = {}
 
     async def check(self, target: Target) -> EngineStatus | None:
@@ -56,6 +57,13 @@
             task.add_done_callback(lambda _: self._running.pop(target.id, None))
         return await asyncio.shield(task)
 
+    def check_later(self, target: Target) -> None:
+        """Look at an engine of which a peer says that it is silent."""
+        if target.id not in self._checks:
+            task = asyncio.ensure_future(self.check(target))
+            self._checks[target.id] = task
+            task.add_done_callback(lambda _: self._checks.pop(target.id, None))
+
     def forget(self, target: TargetId) -> None:
         """Forget an engine that is gone."""
         self._seen.pop(target, None)
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -14,12 +14,14 @@
 
 from marigoldswitch.core.catalogue import LayerRange, Target
 from marigoldswitch.core.ids import DataCentre, HostId, TargetId
+from marigoldswitch.core.leases import Lease, encode_lease
 from marigoldswitch.core.loads import Loads, Usage
 from marigoldswitch.core.messages import (
     ConfigurationContent,
     FetchConfiguration,
     FetchTargets,
     HeldLayers,
+    LeaseNote,
     LoadDigest,
     Message,
     SlowTarget,
@@ -27,13 +29,13 @@
     TargetsContent,
     TargetUsage,
 )
-from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.ports import Clock, Row
 from marigoldswitch.core.registry import TargetRow
-from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.followers import ConfigurationFollower, TargetFollower
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import HostRecord, Identity, PlatformFeeds
+from marigoldswitch.gateway.probing import EngineProbes
 from marigoldswitch.peers import PeerNetwork
 
 logger = structlog.get_logger(__name__)
@@ -101,6 +103,7 @@
     directory: Directory
     loads: Loads
     planner: ChainPlanner
+    probes: EngineProbes
     feeds: PlatformFeeds
     configuration: ConfigurationFollower
     targets: TargetFollower
@@ -114,11 +117,13 @@
     def __init__(self, parts: SpreadParts) -> None:
         self.peers: dict[HostId, PeerState] = {}
         self.leaving = False
-        self.holds_orders: Callable[[], bool] = lambda: False
+        self.lease: Lease | None = None
+        """The lease of the engines' orderer, as this host sees it."""
         self.recent_layers: dict[TargetId, tuple[float, LayerRange]] = {}
         """What the orderer has just seen engines to hold."""
         self._parts = parts
         self._own = HostId(parts.identity.host)
+        self._orderer: HostId | None = None
         self._orderer_heard = float("-inf")
         self._configuration = _News()
         self._targets = _News()
@@ -146,6 +151,14 @@
         near = sum(1 for item in self.peers.values() if self._is_near(item))
         return max(LEAST_PERIOD, PERIOD_A_PEER * near)
 
+    def count_live(self) -> int:
+        """Return the hosts that were heard lately, this one among them."""
+        now = self._parts.clock.monotonic()
+        heard = [
+            item for item in self.peers.values() if now - item.heard < SILENT_SECONDS
+        ]
+        return 1 + len(heard)
+
     def meet(self, record: HostRecord) -> None:
         """Learn of a host from the store or the settings."""
         host = HostId(record.address)
@@ -159,6 +172,13 @@
         for host in self.peers:
             self._parts.network.send(host, digest)
 
+    def tell_now(self) -> None:
+        """Tell the near hosts at once of what was found."""
+        now = self._parts.clock.monotonic()
+        digest = self._last = self._build_digest()
+        for host in self._choose_receivers(now):
+            self._parts.network.send(host, digest)
+
     def tick(self) -> None:
         """Send what is due."""
         now = self._parts.clock.monotonic()
@@ -198,6 +218,7 @@
     def _build_digest(self) -> LoadDigest:
         parts = self._parts
         now = parts.clock.monotonic()
+        held = self.lease.show_row() if self.lease else None
         usages = tuple(
             TargetUsage(name, usage.requests, usage.tokens)
             for name, usage in sorted(parts.loads.own.items())
@@ -217,12 +238,12 @@
             parts.directory.registry.revision,
             usages,
             tuple(parts.directory.suspects.list_dead(now)),
-            slow if self.holds_orders() else (),
+            slow if held else (),
             tuple(
                 HeldLayers(name, layers.first, layers.end)
                 for name, (_, layers) in self.recent_layers.items()
             ),
-            self.holds_orders(),
+            LeaseNote(encode_lease(held[0]), held[1]) if held else None,
             self.leaving,
         )
 
@@ -241,17 +262,36 @@
             item.target: Usage(item.requests, item.tokens) for item in digest.usages
         }
         parts.loads.hear(sender, usages, now)
-        for target in digest.dead:
-            if target in parts.directory.registry.targets:
-                parts.directory.suspects.note(target, Finding.DEAD, now)
-        if digest.orders:
-            self._take_orderer(digest, now)
+        for name in digest.dead:
+            target = parts.directory.registry.targets.get(name)
+            if target is not None and not parts.directory.suspects.is_out(name, now):
+                # What a peer can't reach may well be alive: the peer may be cut off.
+                parts.probes.check_later(target)
+        if digest.lease is not None:
+            self._take_orderer(sender, digest.lease, digest, now)
+        elif sender == self._orderer:
+            self._forget_orderer(now)
         self._ask_for_news(sender, digest, now)
 
-    def _take_orderer(self, digest: LoadDigest, now: float) -> None:
+    def _forget_orderer(self, now: float) -> None:
+        """Learn that the host that ordered the engines does so no more."""
+        self._orderer = None
+        self._orderer_heard = float("-inf")
+        if self.lease is not None:
+            self.lease.note_released(now)
+
+    def _take_orderer(
+        self, sender: HostId, note: LeaseNote, digest: LoadDigest, now: float
+    ) -> None:
         """Take what only the host that orders the engines knows."""
         parts = self._parts
+        self._orderer = sender
         self._orderer_heard = now
+        if self.lease is not None and not self.lease.holds:
+            try:
+                self.lease.see(Row(note.value, note.version), now)
+            except ValueError as error:
+                logger.warning("lease_note_unreadable", sender=sender, why=str(error))
         parts.planner.slowness.clear()
         for slow in digest.slow:
             parts.planner.slowness[slow.target] = slow.factor
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -18,7 +18,7 @@
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.event_stream import Event, EventSplitter, EventTooLong
 from marigoldswitch.core.ids import TargetId
-from marigoldswitch.core.paths import Stage
+from marigoldswitch.core.paths import Chain, Stage
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.exchanges import (
     BrokenOff,
@@ -36,10 +36,10 @@
 FIRST_GAP = 0.25
 """Seconds without the head of an answer after which the chain is looked at: half of
 the time in which a first event is worth most, several times the usual 45 ms."""
-LEAST_GAP = 0.08
-"""The same between events: callers count pauses over 200 ms as late, and a detour takes
-some 50 ms."""
-GAP_FACTOR = 4.0
+LEAST_GAP = 0.06
+"""The same between events: callers count pauses over 200 ms as late, of which a look at
+a silent engine takes 50 ms and a detour some 30 ms."""
+GAP_FACTOR = 2.5
 """A gap this many times the usual one is looked at."""
 LONGEST_GAP = 0.6
 GAP_WEIGHT = 0.2
@@ -85,7 +85,7 @@
     """One stream from its first wait to its end."""
 
     def __init__(self, parts: RunParts, exchange: Exchange) -> None:
-        self.chain: list[Stage] = []
+        self.stages: tuple[Stage, ...] = ()
         """Stages that the request passes through now."""
         self._parts = parts
         self._exchange = exchange
@@ -108,7 +108,7 @@
             chain = await self._acquire()
             if chain is None:
                 return self._give_up(ErrorKind.SATURATED, "no chain with room")
-            self.chain = chain
+            self.stages = chain.stages
             try:
                 end = await self._follow()
             except ChainBroken as broken:
@@ -116,18 +116,18 @@
                 self._check_repeat(str(broken))
                 continue
             finally:
-                self._parts.planner.release(self.chain, self._exchange.call.tokens)
-                self.chain = []
+                self._parts.planner.release(self.stages, self._exchange.call.tokens)
+                self.stages = ()
             match end:
                 case Finished():
                     assert self._exchange.response is not None
                     return self._exchange.response
                 case TurnedAway(at_fault):
-                    self._note_refusal(chain, at_fault)
+                    self._note_refusal(chain.stages, at_fault)
 
     # Waiting and repeating.
 
-    async def _acquire(self) -> list[Stage] | None:
+    async def _acquire(self) -> Chain | None:
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
         patience = RESUME_SECONDS
@@ -141,14 +141,21 @@
             "chain_chosen" if chain else "chain_missing",
             request=exchange.call.id,
             service=exchange.service.name,
-            stages=_describe(chain) if chain else None,
+            stages=_describe(chain.stages) if chain else None,
             waited=round(parts.clock.monotonic() - now, 4),
             waiting=parts.admission.count_waiting(),
             revision=parts.directory.registry.revision,
             after=self._last_id,
+            **(self._describe_shortage() if chain is None else {}),
         )
         return chain
 
+    def _describe_shortage(self) -> dict[str, object]:
+        exchange = self._exchange
+        return self._parts.planner.describe_shortage(
+            exchange.service, exchange.call.tokens
+        )
+
     def _check_repeat(self, why: str) -> None:
         """Go on only if the request may be sent once more.
 
@@ -166,26 +173,26 @@
         elif not budget.spend(now):
             self._give_up(ErrorKind.TARGET_LOST, f"{why}; no repeat left")
 
-    def _note_refusal(self, chain: list[Stage], at_fault: str | None) -> None:
+    def _note_refusal(self, stages: Sequence[Stage], at_fault: str | None) -> None:
         """Take a refusal; the engine that is to blame is left out for a moment."""
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
         exchange.ran -= 1
         self._refusals += 1
-        exchange.trail.append(f"refused by {at_fault or chain[0].address}")
+        exchange.trail.append(f"refused by {at_fault or stages[0].address}")
         parts.directory.suspects.note(
-            self._find_stage(chain, at_fault), Finding.REFUSED, now
+            self._find_stage(stages, at_fault), Finding.REFUSED, now
         )
         if self._refusals >= MOST_REFUSALS:
             self._give_up(ErrorKind.TARGET_REFUSED, "the engines have no room")
         if not parts.retries.get(exchange.service.name).spend(now):
             self._give_up(ErrorKind.TARGET_REFUSED, "no repeat left")
 
-    def _find_stage(self, chain: list[Stage], address: str | None) -> TargetId:
-        for stage in chain:
+    def _find_stage(self, stages: Sequence[Stage], address: str | None) -> TargetId:
+        for stage in stages:
             if stage.address == address:
                 return stage.target
-        return chain[0].target
+        return stages[0].target
 
     def _give_up(self, kind: ErrorKind, detail: str) -> web.StreamResponse:
         """End the request: break off its answer, or say why there is none."""
@@ -209,7 +216,7 @@
         :raises ChainBroken: if the chain fails before the answer is whole.
         """
         exchange, parts = self._exchange, self._parts
-        first = parts.directory.registry.rows.get(self.chain[0].target)
+        first = parts.directory.registry.rows.get(self.stages[0].target)
         if first is None:
             raise ChainBroken("its first engine has just gone")
         exchange.sent += 1
@@ -220,7 +227,7 @@
             exchange.deadline - now,
             exchange.account,
             exchange.priority,
-            tuple(self.chain),
+            self.stages,
             self._last_id,
         )
         self._gap = 0.0
@@ -379,10 +386,27 @@
         """Go round the engines of the chain that are dead or leaving."""
         parts = self._parts
         now = parts.clock.monotonic()
-        if parts.directory.suspects.is_dead(self.chain[0].target, now):
+        if parts.directory.suspects.is_dead(self.stages[0].target, now):
             raise ChainBroken("its first engine is dead")
-        if any(self._is_lost(item) for item in self.chain[1:]):
-            await self._detour()
+        await self._leave_lost_stages()
+
+    async def _leave_lost_stages(self) -> None:
+        """Go round the stages that are dead or leaving.
+
+        :raises ChainBroken: if there is no way round a dead one from the first stage,
+            and another chain has room.
+        """
+        exchange, parts = self._exchange, self._parts
+        if not any(self._is_lost(item) for item in self.stages[1:]):
+            return
+        if await self._detour() or exchange.ran >= exchange.route.most_targets:
+            return
+        now = parts.clock.monotonic()
+        suspects = parts.directory.suspects
+        if not any(suspects.is_dead(item.target, now) for item in self.stages[1:]):
+            return
+        if parts.planner.find(exchange.service, exchange.call.tokens) is not None:
+            raise ChainBroken("no way round a dead engine")
 
     def _is_lost(self, stage: Stage) -> bool:
         """Tell whether a stage is dead, leaving or gone."""
@@ -394,67 +418,67 @@
         """Find out which engine of the chain holds the answer up."""
         parts = self._parts
         rows = parts.directory.registry.rows
-        chain = list(self.chain)
-        known = [rows[item.target].target for item in chain if item.target in rows]
+        stages = self.stages
+        known = [rows[item.target].target for item in stages if item.target in rows]
         checks = (parts.probes.check(item) for item in known)
         found = dict(
             zip((item.id for item in known), await asyncio.gather(*checks), strict=True)
         )
-        first = found.get(chain[0].target)
+        first = found.get(stages[0].target)
         if first is None:
             raise ChainBroken("its first engine does not answer")
-        self._blame_stalled(first, chain)
-        if any(self._is_lost(item) for item in self.chain[1:]):
-            await self._detour()
+        self._blame_stalled(first)
+        await self._leave_lost_stages()
 
-    def _blame_stalled(self, first: EngineStatus, chain: list[Stage]) -> None:
+    def _blame_stalled(self, first: EngineStatus) -> None:
         """Suspect the engine that the first one says it waits for."""
         parts = self._parts
         now = parts.clock.monotonic()
         for item in first.stalled:
             if item.request != self._exchange.call.id:
                 continue
-            for stage in chain[1:]:
+            for stage in self.stages[1:]:
                 if stage.address == item.address:
                     parts.directory.suspects.note(stage.target, Finding.DEAD, now)
 
-    async def _detour(self) -> None:
-        """Have the first engine go on over others."""
+    async def _detour(self) -> bool:
+        """Have the first engine go on over others; tell whether it does."""
         exchange, parts = self._exchange, self._parts
         tokens = exchange.call.tokens
         for _ in range(DETOURS):
-            chain = parts.planner.find_detour(exchange.service, tokens, self.chain)
+            chain = parts.planner.find_detour(exchange.service, tokens, self.stages)
             if chain is None:
                 logger.info("detour_missing", request=exchange.call.id)
-                return
+                return False
             reply = await parts.engines.reroute(
-                chain[0].address, exchange.call.id, chain
+                chain.stages[0].address, exchange.call.id, chain.stages
             )
             logger.info(
                 "detour_ordered",
                 request=exchange.call.id,
-                stages=_describe(chain),
-                replaced=_describe(self.chain),
+                stages=_describe(chain.stages),
+                replaced=_describe(self.stages),
                 result=reply.result.value,
                 at_fault=reply.at_fault,
                 after=self._last_id,
             )
             match reply.result:
                 case OrderResult.BEGUN | OrderResult.DONE:
-                    parts.planner.hold(chain, tokens)
-                    parts.planner.release(self.chain, tokens)
-                    self.chain = chain
-                    return
+                    parts.planner.hold(chain.stages, tokens)
+                    parts.planner.release(self.stages, tokens)
+                    self.stages = chain.stages
+                    return True
                 case OrderResult.CONFLICT if reply.at_fault:
-                    stage = self._find_stage(chain, reply.at_fault)
+                    stage = self._find_stage(chain.stages, reply.at_fault)
                     now = parts.clock.monotonic()
                     parts.directory.suspects.note(stage, Finding.REFUSED, now)
                 case _:
-                    return
+                    return False
+        return False
 
 
-def _describe(chain: list[Stage]) -> list[str]:
+def _describe(stages: Sequence[Stage]) -> list[str]:
     return [
         f"{item.target}@{item.address}={item.layers.first}-{item.layers.end}"
-        for item in chain
+        for item in stages
     ]
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -75,6 +75,7 @@
             directory,
             loads,
             planner,
+            probes,
             store,
             configuration,
             targets,
@@ -92,7 +93,9 @@
         HostId(identity.host),
         identity.region,
     )
-    spread.holds_orders = lambda: orderer.lease.holds
+    planner.count_hosts = spread.count_live
+    spread.lease = orderer.lease
+    directory.suspects.watch(lambda _: spread.tell_now())
     return GatewayHost(
         GatewayParts(
             settings,
--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -23,6 +23,7 @@
 MILLISECONDS = 1000.0
 THOUSAND = 1000.0
 MEGABYTE = 1e6
+BITS = 8
 
 ROUTE_KINDS = {
     "safe": RouteKind.IDEMPOTENT,
@@ -141,10 +142,19 @@
         1.0 / float(engine["read_per_s"]),
         float(models[0].get("load_s", 0.0)),
         int(engine.get("loads_at_once") or 1),
+        _read_crossing(engine),
         {item["name"]: _read_accelerator(item) for item in engine["kinds"]},
     )
 
 
+def _read_crossing(engine: dict[str, Any]) -> float:
+    """Return the seconds that a token's activations take of the pipe between zones."""
+    pipe = float(engine.get("pipe_mbps") or 0.0)
+    if pipe <= 0.0:
+        return 0.0
+    return float(engine.get("activation_bytes", 0.0)) * BITS / MEGABYTE / pipe
+
+
 def _read_accelerator(item: dict[str, Any]) -> Accelerator:
     return Accelerator(
         str(item["name"]),
--- a/marigoldswitch/platform/store.py
+++ b/marigoldswitch/platform/store.py
@@ -77,13 +77,15 @@
         """Return a configuration that a peer has passed on."""
         return decode_configuration(content)
 
-    async def read_targets(self, revision: int) -> Result[TargetChanges, FeedFault]:
-        """Return what has changed of the targets since a revision."""
+    async def wait_targets(
+        self, revision: int, seconds: float
+    ) -> Result[TargetChanges, FeedFault]:
+        """Return what has changed of the targets since a revision, or after a time."""
         whole = revision == 0
         if whole:
             answer = await self._get_rows(TARGETS_TABLE)
         else:
-            answer = await self._feed(TARGETS_TABLE, revision, 0.0)
+            answer = await self._feed(TARGETS_TABLE, revision, seconds)
         if isinstance(answer, Err):
             return answer
         rows, newest = answer.ok_value
@@ -183,7 +185,7 @@
             "since_rev": str(revision),
             "wait_ms": str(int(seconds * 1000)),
         }
-        limit = seconds + WAIT_SLACK_SECONDS if seconds else CALL_SECONDS
+        limit = seconds + WAIT_SLACK_SECONDS
         answer = await self._call("GET", "/rows-feed", query, limit=limit)
         if isinstance(answer, Err):
             return Err(FeedFault.UNAVAILABLE)
