--- a/marigoldswitch/core/layouts.py
+++ b/marigoldswitch/core/layouts.py
@@ -131,17 +131,18 @@
     def _choose(self, engine: EngineSlot) -> LayerRange | None:
         """Return the run of segments that is needed most of an engine.
 
-        While its data centre lacks segments, an empty engine takes just one: it is
-        loaded in a third of the time that a large accelerator takes for its fill, and
-        widened later.
+        Once a layout stands, an engine takes one segment after the other: the first
+        serves after a third of the time that a large accelerator needs for its fill,
+        and each can still go where a loss meanwhile has left a hole.
         """
         count = len(self._cuts) - 1
         size = min(self._size(engine), count)
         if size == 0:
             return None
         centre = engine.data_centre
-        if engine.layers is None and not self._is_first and self._has_hole(centre):
-            size = 1
+        if not self._is_first:
+            held = self._list_segments(engine.layers) if engine.layers else []
+            size = len(held) + 1
         starts = [
             start
             for start in range(count - size + 1)
@@ -152,10 +153,6 @@
         start = max(starts, key=lambda item: self._weigh(centre, item, size))
         return LayerRange(self._cuts[start], self._cuts[start + size])
 
-    def _has_hole(self, centre: DataCentre) -> bool:
-        segments = range(len(self._cuts) - 1)
-        return any(self._near[centre, item] == 0 for item in segments)
-
     def _contains(self, start: int, size: int, layers: LayerRange | None) -> bool:
         """Tell whether a run of segments contains some layers."""
         if layers is None:
--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -56,6 +56,8 @@
         self._rows: dict[TargetId, TargetRow] = {}
         self._by_address: dict[str, TargetId] = {}
         self._lapsed: dict[TargetId, float] = {}
+        self._leaving: dict[TargetId, float] = {}
+        """When each leaving target was seen to leave."""
         self._broken_at: float | None = None
         self._listeners: list[Listener] = []
 
@@ -72,6 +74,15 @@
         """Return the targets of a service that may get new work."""
         return [item for item in self.targets.values() if item.service == service]
 
+    def list_leaving(self, service: ServiceName, since: float) -> list[Target]:
+        """Return the targets of a service that were seen to leave after a moment."""
+        return [
+            row.target
+            for name, row in self._rows.items()
+            if self._leaving.get(name, float("-inf")) > since
+            and row.target.service == service
+        ]
+
     def find_by_address(self, address: str) -> Target | None:
         """Return the newest target at an ``IP:port``."""
         row = self._rows.get(self._by_address.get(address, TargetId("")))
@@ -96,7 +107,7 @@
         names = set()
         for row in rows:
             names.add(row.target.id)
-            self.put(row)
+            self.put(row, now)
         for name in [name for name in self._rows if name not in names]:
             if settled:
                 self._lapsed.pop(name, None)
@@ -105,7 +116,7 @@
                 self.remove(name, now)
         self.revision = max(self.revision, revision)
 
-    def put(self, row: TargetRow) -> None:
+    def put(self, row: TargetRow, now: float) -> None:
         """Take a row; an older one than that known changes nothing."""
         name = row.target.id
         known = self._rows.get(name)
@@ -117,6 +128,7 @@
         self._rows[name] = row
         self._by_address[row.target.address] = name
         if row.leaving:
+            self._leaving.setdefault(name, now)
             if self.targets.pop(name, None) is not None or known is None:
                 self._tell(Change.LEAVING, row.target)
             return
@@ -165,6 +177,7 @@
 
     def _drop(self, name: TargetId) -> None:
         row = self._rows.pop(name)
+        self._leaving.pop(name, None)
         self.targets.pop(name, None)
         if self._by_address.get(row.target.address) == name:
             del self._by_address[row.target.address]
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -44,6 +44,10 @@
     ran: int = 0
     response: web.StreamResponse | None = None
     """The answer to the caller, once it has begun."""
+    first_event: float | None = None
+    """Seconds from its arrival to the first event passed on."""
+    longest_gap: float = 0.0
+    """Longest pause between two events passed on, in seconds."""
     trail: list[str] = field(default_factory=list)
     """What was tried, for the log line of the end."""
 
--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -152,7 +152,7 @@
         directory.has_targets = True
         return
     for row in changes.rows:
-        registry.put(row)
+        registry.put(row, now)
     for name in changes.removed:
         registry.remove(name, now)
     registry.revision = max(registry.revision, changes.revision)
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -232,12 +232,18 @@
             end=end,
             retry_after=fault.wait if fault else None,
             took=round(took, 4),
+            first_event=_round(exchange.first_event),
+            longest_gap=_round(exchange.longest_gap),
             sent=exchange.sent,
             tried=exchange.trail,
             version=self._parts.directory.version,
         )
 
 
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
+
+
 def _find_account(
     table: RoutingTable, route: Route, call: Call
 ) -> RoutedAccount | None:
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -36,6 +36,10 @@
 """Time from the signal to stop in which new requests are still taken: the balancer asks
 each second and takes a host out after two misses. What is taken later has no time to
 end: a stream lives up to 5 s, and the process is killed after 8 s."""
+ALARM_SECONDS = (1.2, 1.5, 1.8, 2.4, 3.2)
+"""When streams go round an engine after it was seen to leave: it serves for 2 s and at
+times a little longer. Most streams end before; those that find no way round at first
+look again."""
 LAST_SECONDS = 0.4
 """Part of the time to stop that is kept for closing what is left."""
 ENTER_SECONDS = 1.0
@@ -201,8 +205,12 @@
         logger.info("hosts_met", hosts=len(parts.spread.peers))
 
     def _note_target(self, change: Change, target: Target) -> None:
+        loop = asyncio.get_running_loop()
         if change in (Change.LEAVING, Change.GONE):
-            self.parts.front.alarm_streams(TargetId(target.id))
+            for seconds in ALARM_SECONDS:
+                loop.call_later(
+                    seconds, self.parts.front.alarm_streams, TargetId(target.id)
+                )
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -21,6 +21,11 @@
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.gateway.directory import Directory
 
+LEAVING_SECONDS = 0.8
+"""Time for which an engine that leaves may still get work where a data centre has no
+chain without it: it serves for 2 s after the store knows that it leaves, which this
+host learns up to half a second later, and a new holder of its layers needs 1.5 s."""
+
 
 class ChainPlanner:
     """Chooses chains and counts what they hold."""
@@ -51,6 +56,10 @@
             return None
         offers = self._list_offers(service, model, tokens)
         near = find_near_chain(offers, model.layers, self._home, self._source)
+        if near is not None:
+            return near
+        offers += self._list_leaving(service, model, tokens)
+        near = find_near_chain(offers, model.layers, self._home, self._source)
         if near is not None:
             return near
         return self._cross(
@@ -124,6 +133,19 @@
                 offers.append(offer)
         return offers
 
+    def _list_leaving(
+        self, service: ServiceSpec, model: ModelSpec, tokens: int
+    ) -> list[StageOffer]:
+        """Return what engines offer that have just begun to leave."""
+        now = self._clock.monotonic()
+        registry, suspects = self._directory.registry, self._directory.suspects
+        offers = [
+            self._offer(target, model, tokens)
+            for target in registry.list_leaving(service.name, now - LEAVING_SECONDS)
+            if not suspects.is_out(target.id, now)
+        ]
+        return [item for item in offers if item is not None]
+
     def _offer(
         self, target: Target, model: ModelSpec, tokens: int
     ) -> StageOffer | None:
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -28,7 +28,12 @@
     abort,
     write,
 )
-from marigoldswitch.gateway.ports import EngineStatus, OrderResult, Sending
+from marigoldswitch.gateway.ports import (
+    EngineStatus,
+    OrderReply,
+    OrderResult,
+    Sending,
+)
 from marigoldswitch.gateway.upstream import EndWatch, Lost, NotSent
 
 logger = structlog.get_logger(__name__)
@@ -91,7 +96,8 @@
         self._exchange = exchange
         self._alarm = asyncio.Event()
         self._last_id: str | None = exchange.call.last_event
-        self._events = 0
+        self._passed_on: float | None = None
+        """When the last event was passed on."""
         self._gap = 0.0
         self._refusals = 0
 
@@ -328,9 +334,19 @@
                 self._last_id = event.id
             fresh.append(event.content)
         if fresh:
-            self._events += len(fresh)
+            self._note_gap()
             await write(self._exchange, b"".join(fresh))
 
+    def _note_gap(self) -> None:
+        """Keep the pauses that the caller sees, for the log line of the end."""
+        exchange, now = self._exchange, self._parts.clock.monotonic()
+        if self._passed_on is None:
+            exchange.first_event = now - exchange.arrived
+        else:
+            gap = now - self._passed_on
+            exchange.longest_gap = max(exchange.longest_gap, gap)
+        self._passed_on = now
+
     def _is_old(self, event: Event) -> bool:
         """Tell whether the caller has an event already."""
         last = self._last_id
@@ -450,23 +466,19 @@
             if chain is None:
                 logger.info("detour_missing", request=exchange.call.id)
                 return False
-            reply = await parts.engines.reroute(
-                chain.stages[0].address, exchange.call.id, chain.stages
-            )
+            replaced = self.stages
+            reply = await self._order_detour(chain)
             logger.info(
                 "detour_ordered",
                 request=exchange.call.id,
                 stages=_describe(chain.stages),
-                replaced=_describe(self.stages),
+                replaced=_describe(replaced),
                 result=reply.result.value,
                 at_fault=reply.at_fault,
                 after=self._last_id,
             )
             match reply.result:
                 case OrderResult.BEGUN | OrderResult.DONE:
-                    parts.planner.hold(chain.stages, tokens)
-                    parts.planner.release(self.stages, tokens)
-                    self.stages = chain.stages
                     return True
                 case OrderResult.CONFLICT if reply.at_fault:
                     stage = self._find_stage(chain.stages, reply.at_fault)
@@ -476,6 +488,25 @@
                     return False
         return False
 
+    async def _order_detour(self, chain: Chain) -> OrderReply:
+        """Order one detour; counted from now on, so that others choose other engines.
+
+        Thirty streams that lost an engine together read their prompts anew on its
+        stand-in; uncounted, they would all choose the same one.
+        """
+        parts, tokens = self._parts, self._exchange.call.tokens
+        parts.planner.hold(chain.stages, tokens)
+        dropped = chain.stages
+        try:
+            reply = await parts.engines.reroute(
+                chain.stages[0].address, self._exchange.call.id, chain.stages
+            )
+            if reply.result in (OrderResult.BEGUN, OrderResult.DONE):
+                self.stages, dropped = chain.stages, self.stages
+        finally:
+            parts.planner.release(dropped, tokens)
+        return reply
+
 
 def _describe(stages: Sequence[Stage]) -> list[str]:
     return [
