Move streams off leaving engines one after the other; fewer looks at slow chains

Cause: streams went round an engine the moment it began to leave, all together, and read their prompts anew at one stand-in (pauses of 300 ms); a slow chain was looked at again and again.

--- a/marigoldswitch/core/paths.py
+++ b/marigoldswitch/core/paths.py
@@ -8,7 +8,7 @@
 
 import heapq
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from marigoldswitch.core.catalogue import LayerRange
@@ -60,14 +60,6 @@
     crossings: int
 
 
-@dataclass(frozen=True, slots=True)
-class FirstStage:
-    """The stage that must come first, whatever room it has, and where it ends."""
-
-    offer: "StageOffer"
-    end: int
-
-
 @dataclass(frozen=True, slots=True)
 class StageOffer:
     """An engine that may take part in a chain.
@@ -112,21 +104,22 @@
 
 def find_chain(
     offers: Sequence[StageOffer],
-    layers: int,
+    span: LayerRange,
     source: random.Random,
-    first: FirstStage | None = None,
+    centre_before: DataCentre | None = None,
 ) -> Chain | None:
-    """Return the cheapest chain with room over all layers, or ``None``.
+    """Return the cheapest chain with room over some layers, or ``None``.
 
-    :param layers: number of layers of the model.
-    :param first: the stage that a chain keeps that is changed under way.
+    :param span: the layers that it must run.
+    :param centre_before: data centre of the stage before it, if there is one.
     """
     usable = [item for item in offers if item.has_room]
-    if first is not None:
-        usable = [item for item in usable if item.target != first.offer.target]
     costs = {item.target: item.cost * _draw_jitter(source) for item in usable}
-    cuts = _list_cuts(usable, layers)
-    best = dict.fromkeys(_list_begins(usable, first), 0.0)
+    cuts = _list_cuts(usable, span)
+    begins = {item.data_centre for item in usable}
+    if centre_before is not None:
+        begins = {centre_before}
+    best = {(span.first, centre): 0.0 for centre in sorted(begins)}
     steps: dict[_Node, _Step] = {}
     heap = [(0.0, *node) for node in best]
     heapq.heapify(heap)
@@ -134,8 +127,8 @@
         cost, start, centre = heapq.heappop(heap)
         if cost > best[(start, centre)]:
             continue
-        if start == layers:
-            return _trace(steps, (start, centre), cost, first)
+        if start == span.end:
+            return _trace(steps, (start, centre), cost)
         for offer in usable:
             if not offer.layers.first <= start < offer.layers.end:
                 continue
@@ -154,6 +147,43 @@
     return None
 
 
+def mend_chain(
+    stages: Sequence[Stage],
+    lost: Collection[TargetId],
+    offers: Sequence[StageOffer],
+    centres: Mapping[TargetId, DataCentre],
+    source: random.Random,
+) -> Chain | None:
+    """Return a chain in which others take the place of lost stages, or ``None``.
+
+    The stages that stay keep what they have read of the request; those that come in
+    read it anew, so that as few as can be are replaced.
+
+    :param lost: targets to do without; the first stage must not be among them.
+    :param centres: data centre of each target of the chain.
+    """
+    kept = {item.target for item in stages if item.target not in lost}
+    fresh = [item for item in offers if item.target not in kept]
+    mended: list[Stage] = []
+    cost = 0.0
+    for stage in _join_lost(stages, lost):
+        if stage.target not in lost:
+            mended.append(stage)
+            continue
+        before = _find_centre(mended[-1].target, centres, offers)
+        part = find_chain(fresh, stage.layers, source, before)
+        if part is None:
+            return None
+        mended += part.stages
+        cost += part.cost
+        taken = {item.target for item in part.stages}
+        fresh = [item for item in fresh if item.target not in taken]
+    if len(mended) > MOST_STAGES:
+        return None
+    homes = [_find_centre(item.target, centres, offers) for item in mended]
+    return Chain(tuple(mended), cost, count_crossings(homes))
+
+
 def find_near_chain(
     offers: Iterable[StageOffer],
     layers: int,
@@ -167,7 +197,7 @@
     best: Chain | None = None
     best_cost = float("inf")
     for centre, items in grouped.items():
-        chain = find_chain(items, layers, source)
+        chain = find_chain(items, LayerRange(0, layers), source)
         if chain is None:
             continue
         cost = chain.cost if centre == home else chain.cost * FAR_FACTOR
@@ -190,36 +220,56 @@
     return 1.0 + JITTER * source.random()
 
 
-def _list_cuts(offers: Iterable[StageOffer], layers: int) -> list[int]:
-    cuts = {layers}
+def _list_cuts(offers: Iterable[StageOffer], span: LayerRange) -> list[int]:
+    cuts = {span.end}
     for item in offers:
         cuts |= {item.layers.first, item.layers.end}
-    return sorted(cuts)
+    return sorted(cut for cut in cuts if span.first < cut <= span.end)
 
 
-def _list_begins(offers: Iterable[StageOffer], first: FirstStage | None) -> list[_Node]:
-    if first is not None:
-        return [(first.end, first.offer.data_centre)]
-    return [(0, centre) for centre in sorted({item.data_centre for item in offers})]
-
-
-def _trace(
-    steps: dict[_Node, _Step], node: _Node, cost: float, first: FirstStage | None
-) -> Chain | None:
+def _trace(steps: dict[_Node, _Step], node: _Node, cost: float) -> Chain | None:
     """Return the stages that led to a node; no engine may come twice."""
     stages: list[Stage] = []
-    crossings = 0
+    centres: list[DataCentre] = []
     while node in steps:
         step = steps[node]
         layers = LayerRange(step.start, node[0])
         stages.append(Stage(step.offer.target, step.offer.address, layers))
-        crossings += step.data_centre != step.offer.data_centre
+        centres.append(step.offer.data_centre)
         node = (step.start, step.data_centre)
-    if first is not None:
-        offer = first.offer
-        stages.append(Stage(offer.target, offer.address, LayerRange(0, first.end)))
     stages.reverse()
     names = {item.target for item in stages}
     if len(names) < len(stages) or len(stages) > MOST_STAGES:
         return None
-    return Chain(tuple(stages), cost, crossings)
+    return Chain(tuple(stages), cost, count_crossings(centres))
+
+
+def count_crossings(centres: Sequence[DataCentre]) -> int:
+    """Return how often neighbours of a chain are in different data centres."""
+    return sum(
+        before != after for before, after in zip(centres, centres[1:], strict=False)
+    )
+
+
+def _find_centre(
+    target: TargetId,
+    centres: Mapping[TargetId, DataCentre],
+    offers: Iterable[StageOffer],
+) -> DataCentre:
+    for item in offers:
+        if item.target == target:
+            return item.data_centre
+    return centres[target]
+
+
+def _join_lost(stages: Sequence[Stage], lost: Collection[TargetId]) -> list[Stage]:
+    """Return the stages, with neighbours that are lost joined to one."""
+    joined: list[Stage] = []
+    for stage in stages:
+        last = joined[-1] if joined else None
+        if last is not None and last.target in lost and stage.target in lost:
+            layers = LayerRange(last.layers.first, stage.layers.end)
+            joined[-1] = Stage(last.target, last.address, layers)
+        else:
+            joined.append(stage)
+    return joined
--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -20,6 +20,12 @@
 """A feed that was cut off this short a time ago may still tell of lapses."""
 
 
+ENDING_SECONDS = 0.75
+"""Time after which work in flight is moved away from a leaving target: it serves for
+2 s and little longer, half of the streams through it end before by themselves, and the
+others need some time to move one after the other."""
+
+
 class Change(Enum):
     """What happened to a target."""
 
@@ -83,6 +89,13 @@
             and row.target.service == service
         ]
 
+    def is_ending(self, name: TargetId, now: float) -> bool:
+        """Tell whether a target is gone, or has been leaving for a while."""
+        if name not in self._rows:
+            return True
+        since = self._leaving.get(name)
+        return since is not None and now - since >= ENDING_SECONDS
+
     def find_by_address(self, address: str) -> Target | None:
         """Return the newest target at an ``IP:port``."""
         row = self._rows.get(self._by_address.get(address, TargetId("")))
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -55,9 +55,16 @@
 
     def alarm_streams(self, target: str) -> None:
         """Have all streams through an engine look after their chains."""
-        for run in self.streams:
-            if any(item.target == target for item in run.stages):
-                run.alarm()
+        for run in self.list_streams(target):
+            run.alarm()
+
+    def list_streams(self, target: str) -> list[StreamRun]:
+        """Return the streams through an engine."""
+        return [
+            run
+            for run in self.streams
+            if any(item.target == target for item in run.stages)
+        ]
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -36,10 +36,12 @@
 """Time from the signal to stop in which new requests are still taken: the balancer asks
 each second and takes a host out after two misses. What is taken later has no time to
 end: a stream lives up to 5 s, and the process is killed after 8 s."""
-ALARM_SECONDS = (1.2, 1.5, 1.8, 2.4, 3.2)
+ALARM_SECONDS = (0.8, 1.4, 2.0, 2.6, 3.2)
 """When streams go round an engine after it was seen to leave: it serves for 2 s and at
-times a little longer. Most streams end before; those that find no way round at first
+times a little longer. Many streams end before; those that find no way round at first
 look again."""
+ALARM_SPREAD = 0.6
+"""Seconds over which the streams of one host do so."""
 LAST_SECONDS = 0.4
 """Part of the time to stop that is kept for closing what is left."""
 ENTER_SECONDS = 1.0
@@ -208,9 +210,17 @@
         loop = asyncio.get_running_loop()
         if change in (Change.LEAVING, Change.GONE):
             for seconds in ALARM_SECONDS:
-                loop.call_later(
-                    seconds, self.parts.front.alarm_streams, TargetId(target.id)
-                )
+                loop.call_later(seconds, self._alarm_some, TargetId(target.id))
+
+    def _alarm_some(self, target: TargetId) -> None:
+        """Have streams go round an engine, spread over a while.
+
+        Those that come in read whole prompts: together they would wait for each other.
+        """
+        loop = asyncio.get_running_loop()
+        for run in self.parts.front.list_streams(target):
+            delay = self.parts.runs.source.uniform(0.0, ALARM_SPREAD)
+            loop.call_later(delay, run.alarm)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
--- a/marigoldswitch/gateway/orderer.py
+++ b/marigoldswitch/gateway/orderer.py
@@ -226,6 +226,9 @@
         reply = await self._engines.place(target.address, layers, status.sequence)
         if reply.result is not OrderResult.CONFLICT:
             self._pending[target.id] = PendingOrder(layers, sent)
+            if status.layers is not None and not _contains(layers, status.layers):
+                # It takes nothing new for the layers that it gives up.
+                self._note_layers(target.id, None)
         logger.info(
             "order_sent",
             target=target.id,
@@ -268,8 +271,17 @@
     ) -> None:
         self._pending.pop(name, None)
         self._probes.note_status(name, status)
+        self._note_layers(name, layers)
+
+    def _note_layers(self, name: TargetId, layers: LayerRange | None) -> None:
+        """Tell all hosts what an engine holds, sooner than its row does."""
         self._directory.registry.note_layers(name, layers)
         self._spread.recent_layers[name] = (self._clock.monotonic(), layers)
+        self._spread.tell_now()
+
+
+def _contains(outer: LayerRange, inner: LayerRange) -> bool:
+    return outer.first <= inner.first and inner.end <= outer.end
 
 
 def _show(layers: LayerRange | None) -> list[int] | None:
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -1,21 +1,22 @@
 """Finds chains of engines for requests, with what this host knows of their loads."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
-from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.catalogue import LayerRange, Target
 from marigoldswitch.core.crossings import CrossingBudget
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads, Usage
 from marigoldswitch.core.models import ModelSpec
 from marigoldswitch.core.paths import (
     Chain,
-    FirstStage,
     Stage,
     StageOffer,
+    count_crossings,
     find_chain,
     find_near_chain,
     has_chain,
+    mend_chain,
 )
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.routes import ServiceSpec
@@ -62,27 +63,53 @@
         near = find_near_chain(offers, model.layers, self._home, self._source)
         if near is not None:
             return near
-        return self._cross(
-            find_chain(offers, model.layers, self._source), model, tokens
-        )
+        wide = find_chain(offers, LayerRange(0, model.layers), self._source)
+        if wide is None or not self._may_cross(wide.crossings, model, tokens):
+            return None
+        return wide
 
     def find_detour(
-        self, service: ServiceSpec, tokens: int, stages: Sequence[Stage]
+        self,
+        service: ServiceSpec,
+        tokens: int,
+        stages: Sequence[Stage],
+        lost: Collection[TargetId],
     ) -> Chain | None:
-        """Return a chain with the same first stage for a request under way."""
+        """Return a chain round some engines for a request under way.
+
+        Its first stage stays. The others stay as well if there is a way; else they are
+        sought anew, inside the data centre of the first and then beyond it.
+
+        :param lost: engines to do without.
+        """
         model = service.model
-        row = self._directory.registry.rows.get(stages[0].target)
-        offer = self._offer(row.target, model, tokens) if row and model else None
-        if model is None or offer is None:
+        if model is None:
             return None
-        first = FirstStage(offer, stages[0].layers.end)
+        centres = self._list_centres(stages)
+        home = centres.get(stages[0].target)
         offers = self._list_offers(service, model, tokens)
-        inside = [item for item in offers if item.data_centre == offer.data_centre]
-        near = find_chain(inside, model.layers, self._source, first)
-        if near is not None:
-            return near
-        wide = find_chain(offers, model.layers, self._source, first)
-        return self._cross(wide, model, tokens)
+        near = [item for item in offers if item.data_centre == home]
+        rest = {item.target for item in stages[1:]}
+        ways = ((lost, near), (lost, offers), (rest, near), (rest, offers))
+        old = count_crossings([centres[item.target] for item in stages])
+        for without, among in ways:
+            chain = mend_chain(stages, without, among, centres, self._source)
+            if chain is None:
+                continue
+            added = max(0, chain.crossings - old)
+            if self._may_cross(added, model, tokens):
+                return chain
+        return None
+
+    def _list_centres(self, stages: Sequence[Stage]) -> dict[TargetId, DataCentre]:
+        """Return where the engines of a chain are; one that is gone counts as here."""
+        rows = self._directory.registry.rows
+        return {
+            item.target: rows[item.target].target.data_centre
+            if item.target in rows
+            else self._home
+            for item in stages
+        }
 
     def describe_shortage(self, service: ServiceSpec, tokens: int) -> dict[str, object]:
         """Return why there is no chain, for the log: layers or memory."""
@@ -99,17 +126,11 @@
             "with_room": len(free),
         }
 
-    def _cross(
-        self, chain: Chain | None, model: ModelSpec, tokens: int
-    ) -> Chain | None:
-        """Return a chain if there is room for it between the data centres."""
-        if chain is None:
-            return None
-        seconds = chain.crossings * tokens * model.crossing_seconds
+    def _may_cross(self, crossings: int, model: ModelSpec, tokens: int) -> bool:
+        """Tell whether there is room for a chain between the data centres."""
+        seconds = crossings * tokens * model.crossing_seconds
         now = self._clock.monotonic()
-        if not self._crossings.take(seconds, self.count_hosts(), now):
-            return None
-        return chain
+        return self._crossings.take(seconds, self.count_hosts(), now)
 
     def hold(self, stages: Sequence[Stage], tokens: int) -> None:
         """Count a request at the stages of its chain."""
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -14,7 +14,7 @@
 
 logger = structlog.get_logger(__name__)
 
-PROBE_SECONDS = 0.05
+PROBE_SECONDS = 0.04
 """Longest time for an answer: live engines take 2 to 6 ms, and what waits is late after
 200 ms."""
 PAUSE_SECONDS = 0.08
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -119,7 +119,7 @@
         self.leaving = False
         self.lease: Lease | None = None
         """The lease of the engines' orderer, as this host sees it."""
-        self.recent_layers: dict[TargetId, tuple[float, LayerRange]] = {}
+        self.recent_layers: dict[TargetId, tuple[float, LayerRange | None]] = {}
         """What the orderer has just seen engines to hold."""
         self._parts = parts
         self._own = HostId(parts.identity.host)
@@ -241,6 +241,8 @@
             slow if held else (),
             tuple(
                 HeldLayers(name, layers.first, layers.end)
+                if layers
+                else HeldLayers(name, 0, 0)
                 for name, (_, layers) in self.recent_layers.items()
             ),
             LeaseNote(encode_lease(held[0]), held[1]) if held else None,
@@ -296,7 +298,7 @@
         for slow in digest.slow:
             parts.planner.slowness[slow.target] = slow.factor
         for held in digest.layers:
-            layers = LayerRange(held.first, held.end)
+            layers = LayerRange(held.first, held.end) if held.end else None
             parts.directory.registry.note_layers(held.target, layers)
 
     def _ask_for_news(self, sender: HostId, digest: LoadDigest, now: float) -> None:
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -41,12 +41,16 @@
 FIRST_GAP = 0.25
 """Seconds without the head of an answer after which the chain is looked at: half of
 the time in which a first event is worth most, several times the usual 45 ms."""
-LEAST_GAP = 0.06
+LEAST_GAP = 0.05
 """The same between events: callers count pauses over 200 ms as late, of which a look at
-a silent engine takes 50 ms and a detour some 30 ms."""
-GAP_FACTOR = 2.5
+a silent engine takes 40 ms, and reading the prompt elsewhere 30 to 100 ms."""
+GAP_FACTOR = 2.0
 """A gap this many times the usual one is looked at."""
 LONGEST_GAP = 0.6
+CAUTION_STEP = 1.4
+MOST_CAUTION = 4.0
+"""A look that found nothing makes the stream wait this much longer for the next one, as
+each costs the engines a probe; without it a slow chain was looked at ten times."""
 GAP_WEIGHT = 0.2
 """Weight of the newest gap in the mean."""
 WAIT_SHARE = 0.6
@@ -99,6 +103,7 @@
         self._passed_on: float | None = None
         """When the last event was passed on."""
         self._gap = 0.0
+        self._caution = 1.0
         self._refusals = 0
 
     def alarm(self) -> None:
@@ -389,6 +394,7 @@
                 else:
                     await self._look_after_chain()
                     patience = min(LONGEST_GAP, 2.0 * patience)
+                    self._caution = min(MOST_CAUTION, CAUTION_STEP * self._caution)
         finally:
             if not task.done():
                 task.cancel()
@@ -396,7 +402,8 @@
     def _choose_gap(self) -> float:
         if self._gap == 0.0:
             return FIRST_GAP
-        return min(LONGEST_GAP, max(LEAST_GAP, GAP_FACTOR * self._gap))
+        gap = max(LEAST_GAP, GAP_FACTOR * self._gap)
+        return min(LONGEST_GAP, self._caution * gap)
 
     async def _answer_alarm(self) -> None:
         """Go round the engines of the chain that are dead or leaving."""
@@ -413,9 +420,10 @@
             and another chain has room.
         """
         exchange, parts = self._exchange, self._parts
-        if not any(self._is_lost(item) for item in self.stages[1:]):
+        lost = {item.target for item in self.stages[1:] if self._is_lost(item)}
+        if not lost:
             return
-        if await self._detour() or exchange.ran >= exchange.route.most_targets:
+        if await self._detour(lost) or exchange.ran >= exchange.route.most_targets:
             return
         now = parts.clock.monotonic()
         suspects = parts.directory.suspects
@@ -425,10 +433,11 @@
             raise ChainBroken("no way round a dead engine")
 
     def _is_lost(self, stage: Stage) -> bool:
-        """Tell whether a stage is dead, leaving or gone."""
+        """Tell whether a stage is dead, gone, or about to end as it leaves."""
         directory, now = self._parts.directory, self._parts.clock.monotonic()
-        gone = stage.target not in directory.registry.targets
-        return gone or directory.suspects.is_dead(stage.target, now)
+        if directory.suspects.is_dead(stage.target, now):
+            return True
+        return directory.registry.is_ending(stage.target, now)
 
     async def _look_after_chain(self) -> None:
         """Find out which engine of the chain holds the answer up."""
@@ -457,12 +466,14 @@
                 if stage.address == item.address:
                     parts.directory.suspects.note(stage.target, Finding.DEAD, now)
 
-    async def _detour(self) -> bool:
-        """Have the first engine go on over others; tell whether it does."""
+    async def _detour(self, lost: set[TargetId]) -> bool:
+        """Have the first engine go on without some others; tell whether it does."""
         exchange, parts = self._exchange, self._parts
         tokens = exchange.call.tokens
         for _ in range(DETOURS):
-            chain = parts.planner.find_detour(exchange.service, tokens, self.stages)
+            chain = parts.planner.find_detour(
+                exchange.service, tokens, self.stages, lost
+            )
             if chain is None:
                 logger.info("detour_missing", request=exchange.call.id)
                 return False
@@ -484,6 +495,7 @@
                     stage = self._find_stage(chain.stages, reply.at_fault)
                     now = parts.clock.monotonic()
                     parts.directory.suspects.note(stage, Finding.REFUSED, now)
+                    lost = lost | {stage}
                 case _:
                     return False
         return False
