--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -9,7 +9,13 @@
 from result import Err, Ok
 
 from marigoldswitch.core.errors import ErrorKind, Fault
-from marigoldswitch.core.routes import Route, RoutedAccount, RouteKind, RoutingTable
+from marigoldswitch.core.routes import (
+    ClientLimits,
+    Route,
+    RoutedAccount,
+    RouteKind,
+    RoutingTable,
+)
 from marigoldswitch.gateway.exchanges import (
     BrokenOff,
     CallerGone,
@@ -40,14 +46,19 @@
         self._parts = parts
         self._metrics = metrics
         self._selectors = PlainSelectors(parts)
-        self._busy = 0
+        self._connections: set[object] = set()
+        """Connections with a request under way; each has one at a time."""
         self._idle = asyncio.Event()
         self._idle.set()
 
     @property
     def busy(self) -> int:
         """Return the requests under way."""
-        return self._busy
+        return len(self._connections)
+
+    def is_busy(self, connection: object) -> bool:
+        """Tell whether a request is under way on a connection."""
+        return connection in self._connections
 
     async def wait_idle(self) -> None:
         """Wait until no request is under way."""
@@ -68,13 +79,13 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        self._busy += 1
+        self._connections.add(http.protocol)
         self._idle.clear()
         try:
             response = await self._answer(http)
         finally:
-            self._busy -= 1
-            if self._busy == 0:
+            self._connections.discard(http.protocol)
+            if not self._connections:
                 self._idle.set()
         if self._parts.state.draining and not response.prepared:
             response.force_close()
@@ -113,16 +124,17 @@
 
         :raises Refused: if it has no place in it.
         """
+        table = self._parts.directory.table
+        # Read before any answer: bytes left unread would reset the connection under it.
+        body = await self._read_body(http, table.limits if table else ClientLimits())
         if not self._parts.state.accepting:
             raise Refused(Fault(ErrorKind.DRAINING))
-        table = self._parts.directory.table
         if table is None:
             raise Refused(Fault(ErrorKind.NO_BUNDLE, "", 1.0))
         route = table.find_route(call.host, call.path.partition("?")[0])
         if route is None:
             raise Refused(Fault(ErrorKind.UNKNOWN_ROUTE))
         account = _find_account(table, route, call)
-        body = await self._read_body(http, table)
         service_name = route.choose_service(self._parts.source)
         service = table.services.get(service_name)
         if service is None:
@@ -143,16 +155,16 @@
             arrived + wait,
         )
 
-    async def _read_body(self, http: web.BaseRequest, table: RoutingTable) -> bytes:
+    async def _read_body(self, http: web.BaseRequest, limits: ClientLimits) -> bytes:
         if not http.can_read_body:
             return b""
         try:
             async with asyncio.timeout(BODY_SECONDS):
-                body = await http.content.read(table.limits.body_bytes + 1)
+                body = await http.content.read(limits.body_bytes + 1)
                 while not http.content.at_eof():
-                    more = await http.content.read(table.limits.body_bytes)
+                    more = await http.content.read(limits.body_bytes)
                     body += more
-                    if len(body) > table.limits.body_bytes:
+                    if len(body) > limits.body_bytes:
                         raise Refused(Fault(ErrorKind.TOO_LARGE))
         except TimeoutError:
             raise Refused(
@@ -160,7 +172,7 @@
             ) from None
         except web.RequestPayloadError as error:
             raise Refused(Fault(ErrorKind.MALFORMED, str(error))) from error
-        if len(body) > table.limits.body_bytes:
+        if len(body) > limits.body_bytes:
             raise Refused(Fault(ErrorKind.TOO_LARGE))
         return body
 
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import aiohttp
 import structlog
 from aiohttp import web
 from result import Err, Ok
@@ -64,6 +65,7 @@
     targets: TargetFollower
     orderer: LayerOrderer
     hosts: HostDirectory
+    session: aiohttp.ClientSession
 
 
 class GatewayHost:
@@ -139,6 +141,7 @@
             await runner.cleanup()
         await parts.network.stop()
         await parts.runs.upstream.close()
+        await parts.session.close()
         logger.info("host_stopped", host=parts.settings.identity.name)
 
     def _close_idle(self) -> None:
@@ -148,8 +151,12 @@
         """
         self.parts.state.accepting = False
         server = self._runners[0].server
-        if server is not None:
-            server.pre_shutdown()
+        for connection in server.connections if server is not None else ():
+            if self.parts.front.is_busy(connection):
+                connection.close()
+            else:
+                # The server's own way leaves idle ones open and unread.
+                connection.force_close()
 
     async def _listen(self, address: str, handler: Any) -> None:
         server = web.Server(
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -109,5 +109,6 @@
             targets,
             orderer,
             store,
+            session,
         )
     )
