Test the gateway's decisions, its adapter and the whole path on stand-ins

The stand-ins speak the platform's published protocol: a store with rows, feeds and its faults; layered engines that forward among themselves, stall on a dead one and record which layers ran for each token; a plain service.

--- a/marigoldswitch/core/layouts.py
+++ b/marigoldswitch/core/layouts.py
@@ -14,17 +14,18 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.models import Accelerator, ModelSpec
 
-TOKENS = 30_000.0
+TOKENS = (30_000.0, 15_000.0, 7_500.0, 3_000.0, 1_000.0)
 """Context tokens that an engine should have memory for beside its layers: some 30
 requests of 900 tokens. At 20,000 the heaviest day was worth 0.07 less in a trial, at
-40,000 0.02 more with fewer whole models."""
+40,000 0.02 more with fewer whole models. Less only where all engines together could
+not hold the model otherwise."""
 SEGMENT_COST = 0.02
 """Worth of one more cut, as a share of the memory used: each costs a hop a token."""
 HOLE_WEIGHT = 100.0
@@ -50,13 +51,25 @@
     layers: LayerRange | None
 
 
-def cut_segments(model: ModelSpec) -> list[int]:
+def choose_tokens(model: ModelSpec, engines: Iterable[EngineSlot]) -> float:
+    """Return the context tokens that each engine keeps memory for."""
+    kinds = [model.accelerators.get(item.accelerator) for item in engines]
+    for tokens in TOKENS:
+        fits = (model.count_layers(kind, tokens) for kind in kinds if kind)
+        if sum(fits) >= model.layers:
+            return tokens
+    return TOKENS[-1]
+
+
+def cut_segments(model: ModelSpec, tokens: float = TOKENS[0]) -> list[int]:
     """Return the boundaries of the segments, from 0 to the number of layers.
 
     The size of a segment is the one that leaves least memory unused on the kinds of
-    accelerators that there are; it depends on nothing that changes in a day.
+    accelerators that there are; it hardly depends on what changes in a day.
+
+    :param tokens: context tokens that each engine keeps memory for.
     """
-    fits = [model.count_layers(kind, TOKENS) for kind in model.accelerators.values()]
+    fits = [model.count_layers(kind, tokens) for kind in model.accelerators.values()]
     best_size, best_worth = 1, float("-inf")
     for size in range(1, model.layers + 1):
         used = sum(count // size * size for count in fits)
@@ -80,7 +93,8 @@
 
     def __init__(self, model: ModelSpec, engines: Sequence[EngineSlot]) -> None:
         self._model = model
-        self._cuts = cut_segments(model)
+        self._tokens = choose_tokens(model, engines)
+        self._cuts = cut_segments(model, self._tokens)
         self._engines = engines
         self._near: Counter[tuple[DataCentre, int]] = Counter()
         self._all: Counter[int] = Counter()
@@ -126,7 +140,7 @@
         longest = max(
             end - start for start, end in zip(self._cuts, self._cuts[1:], strict=False)
         )
-        return self._model.count_layers(kind, TOKENS) // longest
+        return self._model.count_layers(kind, self._tokens) // longest
 
     def _choose(self, engine: EngineSlot) -> LayerRange | None:
         """Return the run of segments that is needed most of an engine.
@@ -223,14 +237,3 @@
         for segment in self._list_segments(layers):
             self._near[centre, segment] += copies
             self._all[segment] += copies
-
-
-def count_copies(
-    model: ModelSpec, held: Mapping[TargetId, LayerRange]
-) -> tuple[int, ...]:
-    """Return how many engines hold each segment."""
-    cuts = cut_segments(model)
-    return tuple(
-        sum(1 for item in held.values() if item.first <= start and end <= item.end)
-        for start, end in zip(cuts, cuts[1:], strict=False)
-    )
--- /dev/null
+++ b/marigoldswitch/standins/platform_store.py
@@ -0,0 +1,177 @@
+"""Stand-in of the users' platform's store: rows, feeds of them, and its faults."""
+
+import asyncio
+import base64
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+Fields = dict[str, Any]
+RowKey = tuple[str, str, str]
+"""Table, part and key."""
+
+
+class StoreStandin:
+    """Keeps rows in memory and answers the store's calls.
+
+    :ivar refuse: status with which every call is turned away, if any.
+    :ivar silent: calls get no answer at all.
+    :ivar lose_writes: writes are done and not answered.
+    """
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.refuse: int | None = None
+        self.silent = False
+        self.lose_writes = False
+        self.calls: list[str] = []
+        self._rows: dict[RowKey, Fields] = {}
+        self._history: list[Fields] = []
+        self._oldest = 0
+        self._version = 1
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a port of the kernel's choice."""
+        application = web.Application()
+        application.router.add_post("/rows-tx", self._transact)
+        application.router.add_get("/rows-get", self._get)
+        application.router.add_get("/rows-feed", self._feed)
+        self._runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        assert self._runner is not None
+        await self._runner.cleanup()
+
+    def put(self, table: str, key: str, value: Any) -> int:
+        """Write a row as the operator or a target does; return its version."""
+        content = base64.b64encode(orjson.dumps(value)).decode()
+        self._write(table, "", key, content)
+        return self._version
+
+    def drop(self, table: str, key: str) -> None:
+        """Delete a row."""
+        self._delete(table, "", key)
+
+    def read(self, table: str, key: str) -> bytes | None:
+        """Return the value of a row."""
+        row = self._rows.get((table, "", key))
+        return base64.b64decode(row["value"]) if row else None
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._history.clear()
+        self._oldest = self._version
+
+    def _write(self, table: str, part: str, key: str, value: str) -> None:
+        self._version += 1
+        row = {
+            "table": table,
+            "part": part,
+            "key": key,
+            "value": value,
+            "row_version": self._version,
+        }
+        self._rows[table, part, key] = row
+        self._note(row)
+
+    def _delete(self, table: str, part: str, key: str) -> None:
+        if self._rows.pop((table, part, key), None) is None:
+            return
+        self._version += 1
+        self._note(
+            {
+                "table": table,
+                "part": part,
+                "key": key,
+                "deleted": True,
+                "row_version": self._version,
+            }
+        )
+
+    def _note(self, row: Fields) -> None:
+        self._history.append(row)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _gate(self, http: web.Request) -> web.Response | None:
+        """Return the answer of a store that is out of order."""
+        self.calls.append(http.path)
+        if self.silent:
+            await asyncio.sleep(3600)
+        if self.refuse is not None:
+            return web.Response(status=self.refuse)
+        return None
+
+    async def _transact(self, http: web.Request) -> web.Response:
+        refusal = await self._gate(http)
+        if refusal is not None:
+            return refusal
+        body = orjson.loads(await http.read())
+        for guard in body["expected_rev"]:
+            row = self._rows.get(_get_key(guard))
+            if (row["row_version"] if row else 0) != guard["row_version"]:
+                return _answer({"rows": [row] if row else []}, self._version, 412)
+        for put in body["puts"]:
+            self._write(*_get_key(put), put["value"])
+        for name in body["remove"]:
+            self._delete(*_get_key(name))
+        if self.lose_writes:
+            await asyncio.sleep(3600)
+        return _answer({}, self._version)
+
+    async def _get(self, http: web.Request) -> web.Response:
+        refusal = await self._gate(http)
+        if refusal is not None:
+            return refusal
+        query = http.query
+        names = sorted(
+            name
+            for name in self._rows
+            if name[:2] == (query["table"], query.get("part", ""))
+            and name[2] >= query.get("from", "")
+        )
+        limit = int(query.get("limit", "500"))
+        rows = [self._rows[name] for name in names[:limit]]
+        fields = {"rows": rows, "has_more": len(names) > limit}
+        return _answer(fields, self._version)
+
+    async def _feed(self, http: web.Request) -> web.Response:
+        refusal = await self._gate(http)
+        if refusal is not None:
+            return refusal
+        table, since = http.query["table"], int(http.query["since_rev"])
+        if since < self._oldest:
+            return web.Response(status=410)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + int(http.query.get("wait_ms", "0")) / 1000.0
+        while not (rows := self._list_changes(table, since)) and loop.time() < end:
+            changed = asyncio.ensure_future(self._changed.wait())
+            await asyncio.wait({changed}, timeout=end - loop.time())
+            changed.cancel()
+        if since < self._oldest:
+            return web.Response(status=410)
+        return _answer({"rows": rows}, self._version)
+
+    def _list_changes(self, table: str, since: int) -> list[Fields]:
+        return [
+            row
+            for row in self._history
+            if row["table"] == table and row["row_version"] > since
+        ]
+
+
+def _get_key(fields: Fields) -> RowKey:
+    return fields["table"], fields.get("part", ""), fields["key"]
+
+
+def _answer(fields: Fields, version: int, status: int = 200) -> web.Response:
+    body = orjson.dumps({**fields, "row_version": version, "now_ms": 0})
+    return web.Response(status=status, body=body, content_type="application/json")
--- /dev/null
+++ b/marigoldswitch/tests/gateway_site.py
@@ -0,0 +1,215 @@
+"""A small platform of stand-ins with gateway hosts on it, for tests."""
+
+import asyncio
+import contextlib
+import random
+import socket
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from marigoldswitch.gateway.hosts import GatewayHost
+from marigoldswitch.gateway.ports import Addresses, HostSettings, Identity
+from marigoldswitch.platform.compose import compose_gateway
+from marigoldswitch.standins.platform_engines import (
+    EngineSite,
+    EngineStandin,
+    PlainStandin,
+    TargetStandin,
+)
+from marigoldswitch.standins.platform_store import StoreStandin
+
+LAYERS = 8
+KEY = "key-of-a-workshop"
+ACCOUNT = "workshop"
+CENTRES = ("north", "south")
+
+
+def build_configuration(version=1, timeout_ms=5_000, attempts=2, keys=(KEY,)):
+    """Return a configuration with a stream, an idempotent and a one-time route."""
+
+    def route(prefix, kind, service, **fields):
+        return {
+            "name": prefix,
+            "host": "drafts.example",
+            "prefix": prefix,
+            "route_type": kind,
+            "timeout_ms": timeout_ms,
+            "target_latency_ms": 500,
+            "priority": 1,
+            "service": service,
+            "max_attempts": attempts,
+            **fields,
+        }
+
+    engine = {
+        "slots": 96,
+        "kv_bytes": 800_000,
+        "step_ms": 1.0,
+        "per_seq_ms": 0.01,
+        "context_per_k": 0.02,
+        "read_per_s": 100_000.0,
+        "models": [{"name": "m", "load_s": 0.1}],
+        "loads_at_once": 5,
+        "layers": LAYERS,
+        "layer_mb": 100.0,
+        "activation_bytes": 1000,
+        "pipe_mbps": 18_000.0,
+        "kinds": [
+            {"name": "card", "size_mb": 13_000.0, "pace": 2.0, "read_factor": 2.0}
+        ],
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("/draft/", "stream", "model", resumable=True, target_gap_ms=200),
+            route("/once/", "unsafe", "desk"),
+            route("/look/", "safe", "desk"),
+        ],
+        "services": [{"name": "model", "engine": engine}, {"name": "desk"}],
+        "tenants": [{"name": ACCOUNT, "api_keys": list(keys), "priority": 1}],
+        "limits": {"max_body_bytes": 10_000, "idle_timeout_ms": 15_000},
+    }
+
+
+class Site:
+    """Store, targets and hosts on loopback."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandin()
+        self.engines = EngineSite(LAYERS)
+        self.desks: list[PlainStandin] = []
+        self.hosts: list[GatewayHost] = []
+        self.client = aiohttp.ClientSession()
+
+    async def start(self, engines: int, desks: int, hosts: int) -> None:
+        """Start everything and wait until callers can be served."""
+        await self.store.start()
+        self.store.put("op", "config", build_configuration())
+        for index in range(engines):
+            await self.add_engine(f"e{index}", CENTRES[index % len(CENTRES)])
+        for index in range(desks):
+            desk = PlainStandin(f"d{index}")
+            await desk.start()
+            self.desks.append(desk)
+            self.enter(desk, "desk", CENTRES[index % len(CENTRES)])
+        for index in range(hosts):
+            await self.add_host(f"h{index}", CENTRES[index % len(CENTRES)])
+        await self.wait(lambda: all(host.is_ready for host in self.hosts))
+
+    async def add_engine(
+        self, name: str, centre: str, held: tuple[int, int] | None = None
+    ) -> EngineStandin:
+        """Start an engine and enter it in the store."""
+        engine = EngineStandin(name, self.engines)
+        engine.held = held
+        await engine.start()
+        self.enter(engine, "model", centre)
+        return engine
+
+    def enter(
+        self, target: TargetStandin, service: str, centre: str, phase: str = "ready"
+    ) -> None:
+        """Write a target's row."""
+        held = getattr(target, "held", None)
+        row = {
+            "service": service,
+            "address": target.address,
+            "zone": centre,
+            "slots": 96,
+            "phase": phase,
+            "route_type": "card" if service == "model" else "",
+            "layers": {"from": held[0], "target": held[1]} if held else None,
+        }
+        self.store.put("servers", target.name, row)
+
+    async def add_host(self, name: str, centre: str) -> GatewayHost:
+        """Start a gateway host."""
+        ports = _find_ports(3)
+        callers, readiness, peers = (f"127.0.0.1:{port}" for port in ports)
+        settings = HostSettings(
+            Identity(peers, name, centre, "isle"),
+            Addresses(callers, readiness, peers),
+            stop_seconds=3.0,
+        )
+        host = compose_gateway(settings, self.store.address, source=random.Random(7))
+        await host.start()
+        self.hosts.append(host)
+        return host
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for host in self.hosts:
+            await host.stop()
+        await self.client.close()
+        for target in [*self.engines.engines.values(), *self.desks]:
+            await target.stop()
+        await self.store.stop()
+
+    async def wait(self, condition, seconds: float = 10.0) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def wait_for_layout(self) -> None:
+        """Wait until all hosts know engines for every layer."""
+        await self.wait(
+            lambda: all(
+                all(item.layers is not None for item in _list_engines(host))
+                for host in self.hosts
+            )
+        )
+
+    def call(self, path: str, number: int, host: int = 0, **fields):
+        """Begin a caller's request; to be used as a context."""
+        headers = {
+            "Host": "drafts.example",
+            "Attempt-Id": f"try-{number}",
+            "Authorization": f"Token {KEY}",
+            "Deadline-Ms": "4000",
+            "Token-Usage": "100,50",
+            **fields.pop("headers", {}),
+        }
+        address = self.hosts[host].parts.settings.addresses.callers
+        return self.client.request(
+            fields.pop("method", "POST"),
+            f"http://{address}{path}",
+            headers=headers,
+            **{"data": b"{}", **fields},
+        )
+
+
+def _list_engines(host: GatewayHost):
+    targets = host.parts.runs.directory.registry.targets.values()
+    return [item for item in targets if item.service == "model"]
+
+
+def _find_ports(count: int) -> list[int]:
+    """Return ports that the kernel has free."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@contextlib.asynccontextmanager
+async def run_site(
+    engines: int = 0, desks: int = 0, hosts: int = 1
+) -> AsyncIterator[Site]:
+    """Run a platform with hosts on it."""
+    site = Site()
+    try:
+        await site.start(engines, desks, hosts)
+        yield site
+    finally:
+        await site.stop()
+
+
+def list_ids(body: bytes) -> list[int]:
+    """Return the ids of the events of a stream."""
+    lines = body.decode().splitlines()
+    return [int(line[4:]) for line in lines if line.startswith("id: ")]
--- /dev/null
+++ b/marigoldswitch/tests/test_gateway.py
@@ -0,0 +1,395 @@
+"""The whole path on stand-ins: callers, hosts, store, engines and a plain service."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from marigoldswitch.tests.gateway_site import (
+    ACCOUNT,
+    LAYERS,
+    build_configuration,
+    list_ids,
+    run_site,
+)
+
+ALL_EVENTS = list(range(1, 21))
+
+
+def run(scenario):
+    asyncio.run(scenario)
+
+
+def check_layers(site):
+    """Every token ran every layer once, in order."""
+    for record in site.engines.streams:
+        for layers in record.passed:
+            assert layers == list(range(LAYERS))
+
+
+def test_engines_are_placed_and_streams_pass():
+    async def scenario():
+        async with run_site(engines=4, hosts=2) as site:
+            await site.wait_for_layout()
+            for number in range(4):
+                async with site.call("/draft/a?b=%20", number, number % 2) as answer:
+                    assert answer.status == 200
+                    assert answer.headers["Replica-Signature"].startswith("signed-by-")
+                    assert list_ids(await answer.read()) == ALL_EVENTS
+            check_layers(site)
+            head = site.engines.streams[0]
+            first = site.engines.engines[head.path[0][0]]
+            assert first.paths[-1] == "/draft/a?b=%20"
+            assert first.heads[-1]["Tenant"] == ACCOUNT
+            assert "Authorization" not in first.heads[-1]
+            # One host ordered, and each engine only as often as it was loaded.
+            for engine in site.engines.engines.values():
+                assert len(engine.orders) == engine.sequence
+
+    run(scenario())
+
+
+def test_engine_that_dies_in_the_chain_is_gone_round():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            first = await site.add_engine("first", "north", (0, 4))
+            second = await site.add_engine("second", "north", (4, 8))
+            await site.add_engine("spare", "north", (4, 8))
+            await site.wait_for_layout()
+            await site.wait(lambda: len(_targets(site)) == 3)
+            first.events = 60
+            async with site.call("/draft/", 1) as answer:
+                await answer.content.readany()
+                victim = site.engines.streams[0].path[1][0]
+                await site.engines.engines[victim].stop()
+                body = await answer.read()
+            assert list_ids(body)[-1] == 60
+            assert first.runs["try-1"] == 1
+            assert any(order["op"] == "repath" for order in first.orders)
+            check_layers(site)
+            assert second.sequence == 0
+
+    run(scenario())
+
+
+def _targets(site):
+    return site.hosts[0].parts.runs.directory.registry.targets
+
+
+def test_stream_goes_on_elsewhere_when_its_first_engine_dies():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            for name in ("x", "y"):
+                engine = await site.add_engine(name, "north", (0, 8))
+                engine.events = 60
+            await site.wait(lambda: len(_targets(site)) == 2)
+            async with site.call("/draft/", 1) as answer:
+                signature = answer.headers["Replica-Signature"]
+                head = await answer.content.readany()
+                victim = site.engines.streams[0].path[0][0]
+                await site.engines.engines[victim].stop()
+                body = head + await answer.read()
+            assert list_ids(body) == list(range(1, 61))
+            assert signature == f"signed-by-{site.engines.engines[victim].name}"
+            check_layers(site)
+
+    run(scenario())
+
+
+def test_event_that_breaks_off_is_asked_for_again():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            for name in ("x", "y"):
+                engine = await site.add_engine(name, "north", (0, 8))
+                engine.cut_after = 5
+            await site.wait(lambda: len(_targets(site)) == 2)
+            site.engines.engines[_find(site, "y")].cut_after = None
+            site.engines.engines[_find(site, "x")].cut_after = 5
+            for number in range(4):
+                async with site.call("/draft/", number) as answer:
+                    assert list_ids(await answer.read()) == ALL_EVENTS
+
+    run(scenario())
+
+
+def _find(site, name):
+    return next(
+        address
+        for address, engine in site.engines.engines.items()
+        if engine.name == name
+    )
+
+
+def test_stream_that_can_not_go_on_does_not_look_complete():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            engine = await site.add_engine("x", "north", (0, 8))
+            await site.wait(lambda: len(_targets(site)) == 1)
+            engine.events = 60
+            async with site.call("/draft/", 1) as answer:
+                await answer.content.readany()
+                await engine.stop()
+                with pytest.raises(aiohttp.ClientError):
+                    await answer.read()
+
+    run(scenario())
+
+
+def test_request_without_a_chain_is_refused_at_once_as_not_run():
+    async def scenario():
+        async with (
+            run_site(hosts=1, desks=1) as site,
+            site.call("/draft/", 1) as answer,
+        ):
+            assert answer.status == 503
+            assert float(answer.headers["Retry-After"]) > 0.0
+
+    run(scenario())
+
+
+def test_one_time_request_runs_once_whatever_happens():
+    async def scenario():
+        async with run_site(desks=2) as site:
+            for desk in site.desks:
+                desk.cuts = 1
+            async with site.call("/once/", 1) as answer:
+                assert answer.status in (502, 504)
+            assert sum(desk.runs["try-1"] for desk in site.desks) == 1
+
+    run(scenario())
+
+
+def test_refusal_of_a_one_time_request_is_true():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            site.desks[0].refusals = 5
+            async with site.call("/once/", 1) as answer:
+                assert answer.status == 503
+                assert "Retry-After" in answer.headers
+            assert site.desks[0].runs["try-1"] == 0
+
+    run(scenario())
+
+
+def test_status_that_callers_take_as_not_run_is_not_passed_on():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            site.desks[0].statuses = [503]
+            async with site.call("/once/", 1) as answer:
+                assert answer.status == 502
+                assert "Replica-Signature" not in answer.headers
+
+    run(scenario())
+
+
+def test_idempotent_request_is_tried_elsewhere():
+    async def scenario():
+        async with run_site(desks=2) as site:
+            for number, fault in enumerate(("statuses", "cuts", "hangs")):
+                for desk in site.desks:
+                    setattr(desk, fault, [500] if fault == "statuses" else 1)
+                    break
+                async with site.call("/look/", number, method="GET", data=None) as got:
+                    assert got.status == 200
+                    assert await got.read()
+
+    run(scenario())
+
+
+def test_failure_of_the_target_is_passed_on_as_it_is():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            site.desks[0].statuses = [500]
+            async with site.call("/once/", 1) as answer:
+                assert answer.status == 500
+                assert answer.headers["Replica-Signature"] == "signed-by-d0"
+                assert await answer.read() == b"d0 ran try-1"
+
+    run(scenario())
+
+
+def test_final_answer_comes_at_the_timeout_of_the_route():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            site.store.put("op", "config", build_configuration(2, timeout_ms=200))
+            await site.wait(lambda: site.hosts[0].parts.runs.directory.version == 2)
+            site.desks[0].hangs = 1
+            async with site.call("/once/", 1) as answer:
+                assert answer.status == 504
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/unknown/", {}, 404),
+        ("/look/", {"Host": "other.example"}, 404),
+        ("/look/", {"Authorization": "Token wrong"}, 401),
+        ("/look/", {"Deadline-Ms": "soon"}, 400),
+    ],
+)
+def test_requests_that_the_configuration_does_not_allow(path, headers, status):
+    async def scenario():
+        async with run_site(desks=1) as site:
+            async with site.call(path, 1, headers=headers) as answer:
+                assert answer.status == status
+            assert not site.desks[0].runs
+
+    run(scenario())
+
+
+def test_body_over_the_limit_is_refused():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            async with site.call("/once/", 1, data=b"x" * 10_001) as answer:
+                assert answer.status == 413
+            assert not site.desks[0].runs
+
+    run(scenario())
+
+
+def test_address_that_another_target_has_now_runs_nothing():
+    async def scenario():
+        async with run_site(desks=2) as site:
+            site.desks[0].name = "newcomer"
+            for number in range(6):
+                async with site.call("/look/", number, method="GET", data=None) as got:
+                    assert got.status == 200
+            assert not site.desks[0].runs
+
+    run(scenario())
+
+
+def test_newer_configuration_is_in_force_and_never_reverts():
+    async def scenario():
+        async with run_site(desks=1, hosts=2) as site:
+            site.store.put("op", "config", build_configuration(5, keys=("fresh",)))
+            await site.wait(
+                lambda: all(
+                    host.parts.runs.directory.version == 5 for host in site.hosts
+                )
+            )
+            site.store.put("op", "config", build_configuration(4))
+            for host in range(2):
+                async with site.call("/once/", host, host) as answer:
+                    assert answer.status == 401
+
+    run(scenario())
+
+
+def test_host_that_the_store_turns_away_learns_from_its_peers():
+    async def scenario():
+        async with run_site(desks=1, hosts=2) as site:
+            await site.wait(lambda: len(site.hosts[0].parts.spread.peers) == 1)
+            cut = site.hosts[0].parts
+            # The port of no listener: its calls are refused at once.
+            cut.configuration._feeds._base = "http://127.0.0.1:9"
+            site.store.put("op", "config", build_configuration(6))
+            site.enter(site.desks[0], "desk", "north", phase="draining")
+            await site.wait(lambda: cut.runs.directory.version == 6)
+            await site.wait(lambda: not cut.runs.directory.registry.targets)
+
+    run(scenario())
+
+
+def test_targets_and_configuration_outlive_the_store():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            site.store.refuse = 503
+            follower = site.hosts[0].parts.targets
+            await site.wait(lambda: follower.dependency.is_lost)
+            async with site.call("/once/", 1) as answer:
+                assert answer.status == 200
+            site.store.refuse = None
+            await site.wait(lambda: not follower.dependency.is_lost)
+
+    run(scenario())
+
+
+def test_history_that_is_gone_is_read_anew():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            directory = site.hosts[0].parts.runs.directory
+            site.store.refuse = 503
+            await site.wait(lambda: site.hosts[0].parts.targets.dependency.is_lost)
+            site.store.put("op", "config", build_configuration(3))
+            site.store.drop("servers", "d0")
+            site.store.compact()
+            site.store.refuse = None
+            await site.wait(lambda: directory.version == 3)
+            await site.wait(lambda: not directory.registry.rows)
+
+    run(scenario())
+
+
+def test_planned_stop_ends_what_is_under_way_and_says_so():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            engine = await site.add_engine("x", "north", (0, 8))
+            await site.wait(lambda: len(_targets(site)) == 1)
+            engine.events = 60
+            host = site.hosts[0]
+            async with site.call("/draft/", 1) as answer:
+                await answer.content.readany()
+                stopping = asyncio.create_task(host.drain())
+                await site.wait(lambda: not host.is_ready)
+                async with site.call("/draft/", 2) as late:
+                    assert late.headers["Connection"] == "close"
+                    assert list_ids(await late.read())[-1] == 60
+                assert list_ids(await answer.read())[-1] == 60
+            await stopping
+            await site.client.close()
+            site.client = aiohttp.ClientSession()
+            async with site.call("/draft/", 3) as refused:
+                assert refused.status == 503
+
+    run(scenario())
+
+
+def test_caller_who_leaves_stops_the_work():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            engine = await site.add_engine("x", "north", (0, 8))
+            await site.wait(lambda: len(_targets(site)) == 1)
+            engine.events = 2000
+            answer = await site.call("/draft/", 1)
+            await answer.content.readany()
+            answer.close()
+            await site.wait(lambda: not engine._own)
+            assert not site.hosts[0].parts.runs.loads.own
+
+    run(scenario())
+
+
+def test_layout_is_mended_when_an_engine_is_gone():
+    async def scenario():
+        async with run_site(engines=4, hosts=1) as site:
+            await site.wait_for_layout()
+            victim = next(
+                item for item in site.engines.engines.values() if item.held is not None
+            )
+            await victim.stop()
+            site.store.drop("servers", victim.name)
+            fresh = await site.add_engine("fresh", "north")
+            await site.wait(lambda: fresh.held is not None)
+            assert fresh.orders[0]["expected_rev"] == 0
+
+    run(scenario())
+
+
+def test_second_host_takes_the_lease_over_at_once_from_one_that_stops():
+    async def scenario():
+        async with run_site(engines=2, hosts=2) as site:
+            await site.wait_for_layout()
+            orderers = [host.parts.orderer for host in site.hosts]
+            holder = next(item for item in orderers if item.lease.holds)
+            other = next(item for item in orderers if item is not holder)
+            for host in site.hosts:
+                if host.parts.orderer is holder:
+                    host.parts.orderer.retire()
+                    host.parts.spread.greet()
+            await site.wait(lambda: other.lease.holds)
+            assert not holder.lease.holds
+
+    run(scenario())
--- /dev/null
+++ b/marigoldswitch/tests/test_paths.py
@@ -0,0 +1,153 @@
+"""Chains run every layer once and in order, among engines with room."""
+
+import random
+
+from hypothesis import given, strategies as st
+
+from marigoldswitch.core.catalogue import LayerRange
+from marigoldswitch.core.ids import DataCentre, TargetId
+from marigoldswitch.core.paths import (
+    FULL_SHARE,
+    Stage,
+    StageOffer,
+    find_chain,
+    find_near_chain,
+    has_chain,
+    mend_chain,
+)
+
+LAYERS = 8
+SPAN = LayerRange(0, LAYERS)
+
+
+def offer(name, first, end, centre="a", seconds=0.001, used=0.0, need=0.1):
+    return StageOffer(
+        TargetId(name),
+        f"{name}:80",
+        DataCentre(centre),
+        LayerRange(first, end),
+        seconds,
+        used,
+        need,
+    )
+
+
+def list_layers(stages):
+    return [
+        layer for item in stages for layer in range(item.layers.first, item.layers.end)
+    ]
+
+
+OFFERS = st.lists(
+    st.builds(
+        lambda index, first, length, centre, used: offer(
+            f"e{index}", first, min(LAYERS, first + length), centre, used=used
+        ),
+        st.integers(0, 30),
+        st.integers(0, LAYERS - 1),
+        st.integers(1, LAYERS),
+        st.sampled_from(["a", "b"]),
+        st.floats(0.0, 1.0),
+    ),
+    max_size=12,
+    unique_by=lambda item: item.target,
+)
+
+
+@given(OFFERS, st.integers(0, 1000))
+def test_chain_runs_every_layer_once_in_order(offers, seed):
+    chain = find_chain(offers, SPAN, random.Random(seed))
+    free = [item.layers for item in offers if item.has_room]
+    if chain is None:
+        assert not has_chain(free, LAYERS)
+        return
+    assert list_layers(chain.stages) == list(range(LAYERS))
+    by_name = {item.target: item for item in offers}
+    for stage in chain.stages:
+        held = by_name[stage.target].layers
+        assert held.first <= stage.layers.first < stage.layers.end <= held.end
+        assert by_name[stage.target].has_room
+
+
+@given(OFFERS, st.integers(0, 1000))
+def test_near_chain_stays_in_one_data_centre(offers, seed):
+    chain = find_near_chain(offers, LAYERS, DataCentre("a"), random.Random(seed))
+    if chain is not None:
+        by_name = {item.target: item.data_centre for item in offers}
+        assert len({by_name[item.target] for item in chain.stages}) == 1
+        assert chain.crossings == 0
+
+
+@given(OFFERS, st.integers(0, 1000), st.data())
+def test_mended_chain_keeps_what_is_not_lost(offers, seed, data):
+    source = random.Random(seed)
+    chain = find_chain(offers, SPAN, source)
+    if chain is None or len(chain.stages) < 2:
+        return
+    names = [item.target for item in chain.stages[1:]]
+    lost = data.draw(st.sets(st.sampled_from(names), min_size=1))
+    centres = {item.target: item.data_centre for item in offers}
+    left = [item for item in offers if item.target not in lost]
+    mended = mend_chain(chain.stages, lost, left, centres, source)
+    if mended is None:
+        return
+    assert list_layers(mended.stages) == list(range(LAYERS))
+    assert mended.stages[0] == chain.stages[0]
+    kept = [item for item in chain.stages if item.target not in lost]
+    assert [item for item in mended.stages if item in kept] == kept
+    assert not lost & {item.target for item in mended.stages}
+    assert len({item.target for item in mended.stages}) == len(mended.stages)
+
+
+def test_full_engines_are_passed_by():
+    full = offer("full", 0, LAYERS, used=FULL_SHARE)
+    slow = offer("slow", 0, LAYERS, seconds=0.009)
+    chain = find_chain([full, slow], SPAN, random.Random(1))
+    assert [item.target for item in chain.stages] == ["slow"]
+
+
+def test_quick_engine_is_filled_before_a_slow_one():
+    offers = [
+        offer("quick", 0, LAYERS, seconds=0.001, used=0.5),
+        offer("slow", 0, LAYERS, seconds=0.004),
+    ]
+    chain = find_chain(offers, SPAN, random.Random(1))
+    assert chain.stages[0].target == "quick"
+
+
+def test_requests_spread_over_like_engines_as_they_fill():
+    used = {"x": 0.0, "y": 0.0}
+    source = random.Random(1)
+    for _ in range(100):
+        offers = [offer(name, 0, LAYERS, used=part) for name, part in used.items()]
+        chain = find_chain(offers, SPAN, source)
+        used[chain.stages[0].target] += 0.005
+    assert abs(used["x"] - used["y"]) < 0.15
+
+
+def test_hole_in_one_data_centre_is_passed_over_a_link():
+    offers = [offer("a1", 0, 4, "a"), offer("b1", 4, 8, "b"), offer("a2", 0, 4, "a")]
+    assert find_near_chain(offers, LAYERS, DataCentre("a"), random.Random(1)) is None
+    assert find_chain(offers, SPAN, random.Random(1)).crossings == 1
+
+
+def test_home_is_preferred_among_equals():
+    offers = [offer("a1", 0, 8, "a"), offer("b1", 0, 8, "b")]
+    for seed in range(20):
+        chain = find_near_chain(offers, LAYERS, DataCentre("b"), random.Random(seed))
+        assert chain.stages[0].target == "b1"
+
+
+def test_lost_neighbours_are_replaced_together():
+    stages = [
+        Stage(TargetId("e0"), "e0:80", LayerRange(0, 2)),
+        Stage(TargetId("e1"), "e1:80", LayerRange(2, 5)),
+        Stage(TargetId("e2"), "e2:80", LayerRange(5, 8)),
+    ]
+    centres = {item.target: DataCentre("a") for item in stages}
+    wide = offer("wide", 2, 8)
+    chain = mend_chain(stages, {"e1", "e2"}, [wide], centres, random.Random(1))
+    assert [(item.target, item.layers) for item in chain.stages] == [
+        ("e0", LayerRange(0, 2)),
+        ("wide", LayerRange(2, 8)),
+    ]
--- /dev/null
+++ b/marigoldswitch/tests/test_platform_configuration.py
@@ -0,0 +1,79 @@
+"""The operator's configuration and the targets' rows, decoded."""
+
+import orjson
+import pytest
+from result import Err
+
+from marigoldswitch.core.catalogue import LayerRange
+from marigoldswitch.core.routes import RouteKind
+from marigoldswitch.platform.configuration import decode_configuration, decode_target
+from marigoldswitch.tests.gateway_site import KEY, build_configuration
+
+ROW = {
+    "service": "model",
+    "address": "10.1.0.9:8080",
+    "zone": "north",
+    "slots": 96,
+    "phase": "ready",
+    "route_type": "l4",
+    "layers": {"from": 8, "target": 16},
+}
+
+
+def decode(document):
+    return decode_configuration(orjson.dumps(document))
+
+
+def test_configuration_says_what_its_fields_hold():
+    table = decode(build_configuration(7)).unwrap().table
+    assert table.version == 7
+    kinds = {route.prefix: route.kind for route in table.routes}
+    assert kinds == {
+        "/draft/": RouteKind.STREAM,
+        "/once/": RouteKind.NON_IDEMPOTENT,
+        "/look/": RouteKind.IDEMPOTENT,
+    }
+    assert table.routes[0].timeout == 5.0
+    assert table.routes[0].longest_gap == 0.2
+    assert table.accounts[KEY].id == "workshop"
+    model = table.services["model"].model
+    assert model.layers == 8
+    assert model.token_layer_mb == pytest.approx(0.1)
+    assert model.crossing_seconds == pytest.approx(1000 * 8 / 18e9)
+    assert table.services["desk"].model is None
+
+
+def test_shared_route_leaves_out_services_without_a_share():
+    document = build_configuration()
+    route = document["routes"][1]
+    del route["service"]
+    route["backends"] = [
+        {"service": "desk", "weight": 90},
+        {"service": "old", "weight": 0},
+    ]
+    found = decode(document).unwrap().table.routes[1]
+    assert [item.service for item in found.services] == ["desk"]
+
+
+@pytest.mark.parametrize(
+    "content", [b"", b"[]", b"{}", b'{"version": "x", "routes": [], "services": []}']
+)
+def test_configuration_that_is_none_is_refused(content):
+    assert isinstance(decode_configuration(content), Err)
+
+
+def test_row_of_an_engine():
+    row = decode_target("i-1", orjson.dumps(ROW), 12).unwrap()
+    assert row.target.accelerator == "l4"
+    assert row.target.layers == LayerRange(8, 16)
+    assert not row.leaving and row.revision == 12
+
+
+def test_row_of_a_leaving_empty_engine():
+    fields = {**ROW, "phase": "draining", "layers": None}
+    row = decode_target("i-1", orjson.dumps(fields), 12).unwrap()
+    assert row.leaving and row.target.layers is None
+
+
+def test_row_that_is_none_is_refused():
+    assert isinstance(decode_target("i-1", b'{"zone": 1}', 1), Err)
--- /dev/null
+++ b/marigoldswitch/tests/test_platform_settings.py
@@ -0,0 +1,63 @@
+"""The platform's settings file, checked and decoded."""
+
+import orjson
+import pytest
+from result import Err
+
+from marigoldswitch.platform.settings import read_settings
+
+FIELDS = {
+    "node_name": "edge-north-1",
+    "ip": "10.1.0.40",
+    "zone": "north",
+    "region": "isle",
+    "listen": {
+        "frontend": "10.1.0.40:8227",
+        "ready": "10.1.0.40:8220",
+        "control_plane": "10.1.0.40:8229",
+    },
+    "port_range": [7340, 7355],
+    "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
+    "bounds": {"grace_s": 9, "retry_allowance": 200, "budget_window_s": 10},
+    "platform": {"address": "10.200.1.7:8223"},
+    "something_new": 1,
+}
+
+
+def write(tmp_path, fields):
+    path = tmp_path / "boot.json"
+    path.write_bytes(orjson.dumps(fields))
+    return path
+
+
+def test_settings_of_a_host(tmp_path):
+    settings, store = read_settings(write(tmp_path, FIELDS)).unwrap()
+    assert store == "10.200.1.7:8223"
+    assert settings.identity.host == "10.1.0.40:8229"
+    assert settings.identity.data_centre == "north"
+    assert settings.addresses.callers == "10.1.0.40:8227"
+    assert settings.seeds == ("10.2.0.29:8229",)
+    assert settings.stop_seconds == 9.0
+    assert settings.retry_allowance == 20.0
+
+
+@pytest.mark.parametrize(
+    ("change", "name"),
+    [
+        ({"zone": ""}, "zone"),
+        ({"listen": {"frontend": "10.1.0.40"}}, "listen.frontend"),
+        ({"platform": None}, "platform"),
+        ({"port_range": "7340"}, "port_range"),
+    ],
+)
+def test_faults_name_the_field(tmp_path, change, name):
+    read = read_settings(write(tmp_path, {**FIELDS, **change}))
+    assert isinstance(read, Err)
+    assert f"{name}: must be" in read.err_value
+
+
+def test_file_that_is_missing_or_no_json_is_named(tmp_path):
+    path = tmp_path / "none.json"
+    assert str(path) in read_settings(path).err_value
+    path.write_bytes(b"{")
+    assert "no JSON" in read_settings(path).err_value
--- /dev/null
+++ b/marigoldswitch/tests/test_registry.py
@@ -0,0 +1,123 @@
+"""Targets leave at once when they say so, and outlive an outage of the store."""
+
+from hypothesis import given, strategies as st
+
+from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.ids import DataCentre, ServiceName, TargetId
+from marigoldswitch.core.registry import (
+    ENDING_SECONDS,
+    RETURN_SECONDS,
+    Change,
+    TargetRegistry,
+    TargetRow,
+)
+
+NAME = TargetId("i-1")
+
+
+def build_row(name="i-1", revision=1, leaving=False, address="10.1.0.1:80"):
+    target = Target(TargetId(name), ServiceName("s"), DataCentre("a"), address, 4)
+    return TargetRow(target, leaving, revision)
+
+
+def watch(registry):
+    seen = []
+    registry.watch(lambda change, target: seen.append((change, target.id)))
+    return seen
+
+
+def test_leaving_target_gets_no_new_work():
+    registry = TargetRegistry()
+    seen = watch(registry)
+    registry.put(build_row(), 0.0)
+    registry.put(build_row(revision=2, leaving=True), 1.0)
+    assert not registry.targets
+    assert seen == [(Change.ADDED, NAME), (Change.LEAVING, NAME)]
+
+
+def test_work_in_flight_stays_a_while_at_a_leaving_target():
+    registry = TargetRegistry()
+    registry.put(build_row(), 0.0)
+    assert not registry.is_ending(NAME, 0.5)
+    registry.put(build_row(revision=2, leaving=True), 1.0)
+    assert not registry.is_ending(NAME, 1.0 + ENDING_SECONDS / 2)
+    assert registry.is_ending(NAME, 1.0 + ENDING_SECONDS)
+
+
+def test_older_row_changes_nothing():
+    registry = TargetRegistry()
+    registry.put(build_row(revision=5, leaving=True), 0.0)
+    registry.put(build_row(revision=4), 0.1)
+    assert not registry.targets
+
+
+def test_removed_row_is_gone_at_once_in_calm_times():
+    registry = TargetRegistry()
+    registry.put(build_row(), 0.0)
+    registry.remove(NAME, 10.0)
+    assert not registry.rows
+
+
+def test_row_that_lapsed_in_an_outage_may_come_back():
+    registry = TargetRegistry()
+    registry.put(build_row(), 0.0)
+    registry.note_outage(10.0)
+    registry.remove(NAME, 10.5)
+    registry.expire(10.6)
+    assert NAME in registry.targets
+    registry.put(build_row(revision=2), 11.0)
+    registry.expire(20.0)
+    assert NAME in registry.targets
+
+
+def test_row_that_stays_away_after_an_outage_is_gone():
+    registry = TargetRegistry()
+    registry.put(build_row(), 0.0)
+    registry.note_outage(10.0)
+    registry.remove(NAME, 10.5)
+    registry.expire(10.5 + RETURN_SECONDS)
+    assert not registry.rows
+
+
+def test_list_of_a_host_in_touch_is_believed_at_once():
+    registry = TargetRegistry()
+    registry.put(build_row(), 0.0)
+    registry.note_outage(10.0)
+    registry.replace_all([], 7, 10.1, settled=True)
+    assert not registry.rows
+
+
+def test_new_incarnation_replaces_the_one_at_its_address():
+    registry = TargetRegistry()
+    registry.put(build_row(), 0.0)
+    registry.put(build_row("i-2", revision=2), 1.0)
+    assert list(registry.targets) == ["i-2"]
+    assert registry.find_by_address("10.1.0.1:80").id == "i-2"
+
+
+def test_layers_seen_by_the_orderer_come_before_the_row():
+    registry = TargetRegistry()
+    registry.put(build_row(), 0.0)
+    registry.note_layers(NAME, LayerRange(0, 8))
+    assert registry.targets[NAME].layers == LayerRange(0, 8)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["i-1", "i-2"]), st.sampled_from(["put", "leave", "drop"])
+        ),
+        max_size=20,
+    )
+)
+def test_usable_targets_are_known_and_not_leaving(steps):
+    registry = TargetRegistry()
+    for number, (name, step) in enumerate(steps, 1):
+        now = float(number)
+        if step == "drop":
+            registry.remove(TargetId(name), now)
+        else:
+            address = f"10.1.0.{name[-1]}:80"
+            registry.put(build_row(name, number, step == "leave", address), now)
+        for target in registry.targets:
+            assert not registry.rows[target].leaving
--- /dev/null
+++ b/marigoldswitch/tests/test_suspects.py
@@ -0,0 +1,55 @@
+"""Targets found dead are left out for longer each time, refusing ones but shortly."""
+
+from marigoldswitch.core.ids import TargetId
+from marigoldswitch.core.suspects import (
+    DEAD_SECONDS,
+    LONGEST_SECONDS,
+    REFUSED_SECONDS,
+    Finding,
+    Suspects,
+)
+
+NAME = TargetId("i-1")
+
+
+def test_dead_target_is_left_out_and_told():
+    suspects, told = Suspects(), []
+    suspects.watch(told.append)
+    suspects.note(NAME, Finding.DEAD, 0.0)
+    assert suspects.is_dead(NAME, DEAD_SECONDS / 2)
+    assert not suspects.is_out(NAME, DEAD_SECONDS)
+    assert told == [NAME]
+
+
+def test_refusing_target_is_back_soon_and_not_called_dead():
+    suspects = Suspects()
+    suspects.note(NAME, Finding.REFUSED, 0.0)
+    assert suspects.is_out(NAME, REFUSED_SECONDS / 2)
+    assert not suspects.is_dead(NAME, REFUSED_SECONDS / 2)
+    assert not suspects.is_out(NAME, REFUSED_SECONDS)
+
+
+def test_time_out_doubles_up_to_a_bound():
+    suspects, now = Suspects(), 0.0
+    for _ in range(6):
+        suspects.note(NAME, Finding.DEAD, now)
+        now += LONGEST_SECONDS
+    now -= LONGEST_SECONDS
+    assert suspects.is_out(NAME, now + LONGEST_SECONDS - 0.1)
+    assert not suspects.is_out(NAME, now + LONGEST_SECONDS)
+
+
+def test_findings_that_come_together_count_once():
+    suspects, told = Suspects(), []
+    suspects.watch(told.append)
+    for moment in (0.0, 0.01, 0.02):
+        suspects.note(NAME, Finding.DEAD, moment)
+    assert told == [NAME]
+    assert not suspects.is_out(NAME, DEAD_SECONDS)
+
+
+def test_target_that_has_answered_is_taken_back():
+    suspects = Suspects()
+    suspects.note(NAME, Finding.DEAD, 0.0)
+    suspects.clear(NAME)
+    assert not suspects.is_out(NAME, 0.1)
--- /dev/null
+++ b/marigoldswitch/tests/test_waiting.py
@@ -0,0 +1,47 @@
+"""The line is ordered, and closed to those who would wait too long."""
+
+from marigoldswitch.core.waiting import ALWAYS_WAITING, WaitingLine
+
+
+def test_urgent_requests_come_first_and_equals_in_order():
+    line = WaitingLine()
+    tickets = [line.make_ticket(priority, 1) for priority in (2, 1, 1, 0)]
+    for ticket in tickets:
+        line.join(ticket)
+    assert line.tickets == [tickets[3], tickets[1], tickets[2], tickets[0]]
+
+
+def test_burst_beyond_the_rate_is_told_at_once():
+    line = WaitingLine()
+    for moment in range(10):
+        line.note_admitted(10.0 + moment / 10.0)
+    for _ in range(6):
+        line.join(line.make_ticket(1, 1))
+    late = line.make_ticket(1, 1)
+    # Five a second are let in, so that the seventh waits 1.4 s.
+    assert 1.2 < line.estimate_wait(late, 11.0) < 1.6
+
+
+def test_urgent_request_does_not_wait_for_those_behind_it():
+    line = WaitingLine()
+    for _ in range(20):
+        line.join(line.make_ticket(2, 1))
+    assert line.estimate_wait(line.make_ticket(0, 1), 0.0) == 0.0
+
+
+def test_a_few_may_wait_after_a_calm_time():
+    line = WaitingLine()
+    for _ in range(ALWAYS_WAITING):
+        assert line.estimate_wait(line.make_ticket(1, 1), 0.0) == 0.0
+        line.join(line.make_ticket(1, 1))
+    assert line.estimate_wait(line.make_ticket(1, 1), 0.0) == float("inf")
+
+
+def test_ticket_that_left_is_not_waited_for():
+    line = WaitingLine()
+    tickets = [line.make_ticket(1, 1) for _ in range(3)]
+    for ticket in tickets:
+        line.join(ticket)
+    line.leave(tickets[0])
+    line.leave(tickets[0])
+    assert line.tickets == tickets[1:]
