--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -106,7 +106,6 @@
         self._spawn(parts.orderer.run())
         logger.info(
             "host_started",
-            host=parts.settings.identity.name,
             data_centre=parts.settings.identity.data_centre,
             callers=addresses.callers,
         )
@@ -142,7 +141,7 @@
         await parts.network.stop()
         await parts.runs.upstream.close()
         await parts.session.close()
-        logger.info("host_stopped", host=parts.settings.identity.name)
+        logger.info("host_stopped")
 
     def _close_idle(self) -> None:
         """Close connections on which nothing runs, and the others after their answer.
--- a/marigoldswitch/platform/daemon.py
+++ b/marigoldswitch/platform/daemon.py
@@ -41,6 +41,7 @@
         print(f"{path}: fine")
         return 0
     configure_logs(log_level, sys.stdout)
+    structlog.contextvars.bind_contextvars(host=settings.identity.name)
     asyncio.run(_run(path, settings, store))
     return 0
 
