--- a/marigoldswitch/core/waiting.py
+++ b/marigoldswitch/core/waiting.py
@@ -11,6 +11,7 @@
 import itertools
 from dataclasses import dataclass, field
 
+from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.retries import RecentCount
 
 RATE_SECONDS = 2.0
@@ -25,11 +26,13 @@
 
     :param priority: rank; 0 comes first.
     :param number: order of arrival among equals.
+    :param avoid: targets that have just failed it.
     """
 
     priority: int
     number: int
     tokens: int = field(compare=False)
+    avoid: frozenset[TargetId] = field(default=frozenset(), compare=False)
 
 
 class WaitingLine:
@@ -40,9 +43,11 @@
         self._numbers = itertools.count()
         self._admitted = RecentCount(RATE_SECONDS)
 
-    def make_ticket(self, priority: int, tokens: int) -> Ticket:
+    def make_ticket(
+        self, priority: int, tokens: int, avoid: frozenset[TargetId] = frozenset()
+    ) -> Ticket:
         """Return a ticket that is not in the line yet."""
-        return Ticket(priority, next(self._numbers), tokens)
+        return Ticket(priority, next(self._numbers), tokens, avoid)
 
     def estimate_wait(self, ticket: Ticket, now: float) -> float:
         """Return the seconds that a ticket would wait at its place in the line."""
--- a/marigoldswitch/gateway/admission.py
+++ b/marigoldswitch/gateway/admission.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from marigoldswitch.core.ids import ServiceName
+from marigoldswitch.core.ids import ServiceName, TargetId
 from marigoldswitch.core.paths import Chain
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.routes import ServiceSpec
@@ -39,15 +39,21 @@
         return sum(len(item.waiters) for item in self._lines.values())
 
     async def acquire(
-        self, service: ServiceSpec, tokens: int, priority: int, patience: float
+        self,
+        service: ServiceSpec,
+        tokens: int,
+        priority: int,
+        patience: float,
+        avoid: frozenset[TargetId] = frozenset(),
     ) -> Chain | None:
         """Return a chain that is counted as held, or ``None`` if none is free in time.
 
         :param patience: longest wait in seconds.
+        :param avoid: targets that have just failed the request.
         """
         state = self._get_line(service)
         now = self._clock.monotonic()
-        ticket = state.line.make_ticket(priority, tokens)
+        ticket = state.line.make_ticket(priority, tokens, avoid)
         if not state.line.tickets:
             chain = self._try(state, ticket)
             if chain is not None:
@@ -102,7 +108,7 @@
             waiter.set_result(chain)
 
     def _try(self, state: _Line, ticket: Ticket) -> Chain | None:
-        chain = self._planner.find(state.service, ticket.tokens)
+        chain = self._planner.find(state.service, ticket.tokens, ticket.avoid)
         if chain is not None:
             self._planner.hold(chain.stages, ticket.tokens)
             state.line.note_admitted(self._clock.monotonic())
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -50,12 +50,21 @@
         self.count_hosts: Callable[[], int] = lambda: 1
         """Live hosts, this one among them."""
 
-    def find(self, service: ServiceSpec, tokens: int) -> Chain | None:
-        """Return the chain for a request, or ``None`` where there is no room."""
+    def find(
+        self,
+        service: ServiceSpec,
+        tokens: int,
+        avoid: frozenset[TargetId] = frozenset(),
+    ) -> Chain | None:
+        """Return the chain for a request, or ``None`` where there is no room.
+
+        :param avoid: targets that have just failed it.
+        """
         model = service.model
         if model is None:
             return None
         offers = self._list_offers(service, model, tokens)
+        offers = [item for item in offers if item.target not in avoid]
         near = find_near_chain(offers, model.layers, self._home, self._source)
         if near is not None:
             return near
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -102,6 +102,8 @@
         self._last_id: str | None = exchange.call.last_event
         self._passed_on: float | None = None
         """When the last event was passed on."""
+        self._failed: set[TargetId] = set()
+        """First engines of chains that broke: the next one begins elsewhere."""
         self._gap = 0.0
         self._caution = 1.0
         self._refusals = 0
@@ -124,6 +126,7 @@
                 end = await self._follow()
             except ChainBroken as broken:
                 self._exchange.trail.append(f"broken: {broken}")
+                self._failed.add(chain.stages[0].target)
                 self._check_repeat(str(broken))
                 continue
             finally:
@@ -146,7 +149,11 @@
             target = exchange.route.latency_target
             patience = max(0.0, WAIT_SHARE * target - (now - exchange.arrived))
         chain = await parts.admission.acquire(
-            exchange.service, exchange.call.tokens, exchange.priority, patience
+            exchange.service,
+            exchange.call.tokens,
+            exchange.priority,
+            patience,
+            frozenset(self._failed),
         )
         logger.info(
             "chain_chosen" if chain else "chain_missing",
@@ -253,6 +260,7 @@
                 parts.directory.suspects.note(first.target.id, Finding.DEAD, now)
                 raise ChainBroken(f"not sent: {why}")
             case Lost(why):
+                parts.probes.check_later(first.target)
                 self._forgive_dead(first.target)
                 raise ChainBroken(f"no answer: {why}")
         try:
--- a/marigoldswitch/tests/test_gateway.py
+++ b/marigoldswitch/tests/test_gateway.py
@@ -411,3 +411,26 @@
                 assert answer.status == 200
 
     run(scenario())
+
+
+def test_stream_is_not_sent_again_to_the_engine_that_has_just_lost_it():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            for name in ("x", "y"):
+                engine = await site.add_engine(name, "north", (0, 8))
+                engine.events = 60
+            await site.wait(lambda: len(_targets(site)) == 2)
+            for number in range(8):
+                for engine in site.engines.engines.values():
+                    engine.cut_after = 3
+                async with site.call("/draft/", number) as answer:
+                    await answer.content.readany()
+                    first = site.engines.streams[-1].path[0][0]
+                    for address, engine in site.engines.engines.items():
+                        if address != first:
+                            engine.cut_after = None
+                    assert list_ids(await answer.read())[-1] == 60
+                for engine in site.engines.engines.values():
+                    assert engine.runs[f"try-{number}"] == 1
+
+    run(scenario())
