--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -48,8 +48,11 @@
 
     async def check(self, target: Target) -> EngineStatus | None:
         """Return what an engine says; one that says nothing becomes a suspect."""
+        now = self._clock.monotonic()
+        if self._directory.suspects.is_dead(target.id, now):
+            return None
         seen = self._seen.get(target.id)
-        if seen is not None and self._clock.monotonic() - seen[0] < FRESH_SECONDS:
+        if seen is not None and now - seen[0] < FRESH_SECONDS:
             return seen[1]
         task = self._running.get(target.id)
         if task is None:
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -94,16 +94,17 @@
     Requests that may not run twice get a connection of their own: on a kept one a
     request that meets its end can't be told from one that has run. The others share
     kept connections, as new ones cost targets time.
+
+    :param kept: session with the kept connections; its owner closes it.
     """
 
-    def __init__(self, codec: CallCodec) -> None:
+    def __init__(self, codec: CallCodec, kept: aiohttp.ClientSession) -> None:
         self._codec = codec
-        self._kept = open_session(keeps_connections=True)
+        self._kept = kept
         self._fresh = open_session(keeps_connections=False)
 
     async def close(self) -> None:
-        """Close all connections."""
-        await self._kept.close()
+        """Close the connections that no other part uses."""
         await self._fresh.close()
 
     async def open(
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -53,7 +53,7 @@
         state,
         clock,
         codec,
-        Upstream(codec),
+        Upstream(codec, session),
         engines,
         directory,
         loads,
