Let three hosts of a data centre follow the store for the others

Change: the first three hosts of a data centre read; the others take news from them and read by themselves as soon as fewer than three are heard to. Sites of three hosts a data centre are as before.

--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import structlog
 from result import Err, Ok
@@ -32,6 +33,10 @@
 FAILURES_IN_OUTAGE = 3
 
 
+IDLE_SECONDS = 0.2
+"""Pause between two looks whether this host must read by itself again."""
+
+
 class Dependency:
     """Whether the store answers one kind of read; logs when that changes."""
 
@@ -64,12 +69,16 @@
 
 
 class ConfigurationFollower:
-    """Puts each new configuration of the store in force."""
+    """Puts each new configuration of the store in force.
+
+    :ivar is_needed: whether this host must read by itself.
+    """
 
     def __init__(
         self, feeds: PlatformFeeds, directory: Directory, source: random.Random
     ) -> None:
         self.dependency = Dependency("configuration feed")
+        self.is_needed: Callable[[], bool] = lambda: True
         self._feeds = feeds
         self._directory = directory
         self._source = source
@@ -78,7 +87,10 @@
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
-            await self.look()
+            if self.is_needed():
+                await self.look()
+            else:
+                await asyncio.sleep(IDLE_SECONDS)
 
     async def look(self) -> None:
         """Wait for one piece of news."""
@@ -101,7 +113,10 @@
 
 
 class TargetFollower:
-    """Keeps the registry of targets up to date with the store."""
+    """Keeps the registry of targets up to date with the store.
+
+    :ivar is_needed: whether this host must read by itself.
+    """
 
     def __init__(
         self,
@@ -111,6 +126,7 @@
         source: random.Random,
     ) -> None:
         self.dependency = Dependency("targets feed")
+        self.is_needed: Callable[[], bool] = lambda: True
         self._feeds = feeds
         self._directory = directory
         self._clock = clock
@@ -120,8 +136,12 @@
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
-            await self.look()
-            await asyncio.sleep(self._choose_pause())
+            if self.is_needed():
+                await self.look()
+                await asyncio.sleep(self._choose_pause())
+            else:
+                self._directory.registry.expire(self._clock.monotonic())
+                await asyncio.sleep(IDLE_SECONDS)
 
     async def look(self) -> None:
         """Read once what has changed."""
@@ -158,4 +178,6 @@
         registry.put(row, now)
     for name in changes.removed:
         registry.remove(name, now)
-    registry.revision = max(registry.revision, changes.revision)
+    if changes.rows or changes.removed:
+        # Not for changes elsewhere in the store, which would make peers fetch.
+        registry.revision = max(registry.revision, changes.revision)
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -58,6 +58,13 @@
 FETCH_SECONDS = 0.4
 """Least time between two requests for news; also how long news may be missed by the
 store's own feed before it is asked for."""
+READERS = 3
+"""Hosts of a data centre that follow the store by themselves. Its calls are paid for
+and limited; the others take the news from these, a digest and a message later. One
+reader may be lost and one turned away at the same time."""
+READER_SECONDS = 1.5
+"""Time for which the word of a reader stands: several of its digests, and half of the
+time in which a configuration must be in force."""
 ORDERER_SECONDS = 1.2
 """Time for which the word of the host that holds the orderer's lease stands."""
 
@@ -71,6 +78,7 @@
     version: int = 0
     revision: int = 0
     leaving: bool = False
+    reads: bool = False
 
 
 @dataclass(slots=True)
@@ -145,6 +153,32 @@
         now = self._parts.clock.monotonic()
         return now - self._orderer_heard < ORDERER_SECONDS
 
+    def must_read(self) -> bool:
+        """Tell whether this host must follow the store by itself.
+
+        The first hosts of a data centre do, in order of their addresses, as long as the
+        store answers them.
+        """
+        now = self._parts.clock.monotonic()
+        readers = sum(
+            1
+            for host, item in self.peers.items()
+            if item.reads
+            and host < self._own
+            and self._is_near(item)
+            and now - item.heard < READER_SECONDS
+        )
+        return readers < READERS
+
+    @property
+    def _reads(self) -> bool:
+        """Tell whether this host follows the store, and the store answers."""
+        parts = self._parts
+        lost = (
+            parts.configuration.dependency.is_lost or parts.targets.dependency.is_lost
+        )
+        return self.must_read() and not lost and parts.directory.is_complete
+
     @property
     def period(self) -> float:
         """Return the seconds between two digests."""
@@ -257,6 +291,7 @@
             ),
             LeaseNote(encode_lease(held[0]), held[1]) if held else None,
             self.leaving,
+            self._reads,
         )
 
     # Digests of others.
@@ -266,7 +301,12 @@
         now = parts.clock.monotonic()
         is_new = sender not in self.peers
         self.peers[sender] = PeerState(
-            digest.data_centre, now, digest.version, digest.revision, digest.leaving
+            digest.data_centre,
+            now,
+            digest.version,
+            digest.revision,
+            digest.leaving,
+            digest.reads,
         )
         if is_new:
             parts.network.send(sender, self._build_digest())
@@ -314,11 +354,12 @@
     def _ask_for_news(self, sender: HostId, digest: LoadDigest, now: float) -> None:
         parts = self._parts
         version, registry = parts.directory.version, parts.directory.registry
-        lost = parts.configuration.dependency.is_lost
+        idle = not self.must_read()
+        lost = parts.configuration.dependency.is_lost or idle
         behind = digest.version > version
         if self._configuration.should_ask(behind, lost, now):
             parts.network.send(sender, FetchConfiguration(version))
-        cut_off = parts.targets.dependency.is_lost
+        cut_off = parts.targets.dependency.is_lost or idle
         if cut_off and self._targets.should_ask(
             digest.revision > registry.revision, cut_off, now
         ):
@@ -344,7 +385,7 @@
     def _tell_targets(self, sender: HostId, request: FetchTargets) -> None:
         parts = self._parts
         registry = parts.directory.registry
-        if parts.targets.dependency.is_lost or registry.revision <= request.revision:
+        if not self._reads or registry.revision <= request.revision:
             return
         notes = tuple(_write_note(row) for row in registry.rows.values())
         parts.network.send(sender, TargetsContent(registry.revision, notes))
@@ -352,7 +393,8 @@
     def _take_targets(self, sender: HostId, news: TargetsContent) -> None:
         parts = self._parts
         registry = parts.directory.registry
-        if not parts.targets.dependency.is_lost or news.revision <= registry.revision:
+        reads = self.must_read() and not parts.targets.dependency.is_lost
+        if reads or news.revision <= registry.revision:
             return
         now = parts.clock.monotonic()
         rows = [_read_note(item) for item in news.targets]
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -94,6 +94,7 @@
         identity.region,
     )
     planner.count_hosts = spread.count_live
+    configuration.is_needed = targets.is_needed = spread.must_read
     planner.count_near = spread.count_near
     spread.lease = orderer.lease
     directory.suspects.watch(lambda _: spread.tell_now())
--- a/marigoldswitch/tests/test_gateway.py
+++ b/marigoldswitch/tests/test_gateway.py
@@ -434,3 +434,46 @@
                     assert engine.runs[f"try-{number}"] == 1
 
     run(scenario())
+
+
+def test_hosts_beyond_the_first_take_the_news_from_these():
+    async def scenario():
+        async with run_site(desks=1, hosts=9) as site:
+            north = [
+                host.parts
+                for host in site.hosts
+                if host.parts.settings.identity.data_centre == "north"
+            ]
+            await site.wait(lambda: sum(item.spread.must_read() for item in north) == 3)
+            idle = [item for item in north if not item.spread.must_read()]
+            assert len(idle) == 2
+            site.store.put("op", "config", build_configuration(9))
+            site.enter(site.desks[0], "desk", "north", phase="draining")
+            for item in idle:
+                await site.wait(lambda item=item: item.runs.directory.version == 9)
+                await site.wait(
+                    lambda item=item: not item.runs.directory.registry.targets
+                )
+
+    run(scenario())
+
+
+def test_idle_host_reads_by_itself_when_the_readers_are_cut_off():
+    async def scenario():
+        async with run_site(desks=1, hosts=7) as site:
+            north = [
+                host.parts
+                for host in site.hosts
+                if host.parts.settings.identity.data_centre == "north"
+            ]
+            await site.wait(lambda: sum(item.spread.must_read() for item in north) == 3)
+            for item in north:
+                if item.spread.must_read():
+                    item.configuration._feeds._base = "http://127.0.0.1:9"
+            idle = next(item for item in north if not item.spread.must_read())
+            await site.wait(idle.spread.must_read)
+            site.store.put("op", "config", build_configuration(9))
+            for item in north:
+                await site.wait(lambda item=item: item.runs.directory.version == 9)
+
+    run(scenario())
