Split the stream run and the spread by their jobs; drop what nothing uses

Behaviour as before: detours and the watch over a chain stand in detours, the passing on of configuration and targets in news. The tests of the gateway pass unchanged, but for one assertion on a lookup that is gone, replaced by one on the rows themselves.

--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -96,11 +96,6 @@
         since = self._leaving.get(name)
         return since is not None and now - since >= ENDING_SECONDS
 
-    def find_by_address(self, address: str) -> Target | None:
-        """Return the newest target at an ``IP:port``."""
-        row = self._rows.get(self._by_address.get(address, TargetId("")))
-        return row.target if row else None
-
     def note_outage(self, now: float) -> None:
         """Learn that the feed was cut off just now."""
         self._broken_at = now
--- /dev/null
+++ b/marigoldswitch/gateway/detours.py
@@ -0,0 +1,259 @@
+"""Looks after the chain of one request, and goes round engines that fail it.
+
+Load it answers: an engine that dies, leaves or is moved while dozens of streams pass
+through it. The engines themselves notice after 2 s, when callers have left. A stream's
+own silence is noticed sooner: all its engines are looked at, and those that are lost
+are replaced in the chain, the others keep what they have read of the request.
+"""
+
+import asyncio
+from collections.abc import Coroutine, Sequence
+from typing import Any, TypeVar
+
+import structlog
+
+from marigoldswitch.core.ids import TargetId
+from marigoldswitch.core.paths import Chain, Stage
+from marigoldswitch.core.suspects import Finding
+from marigoldswitch.gateway.exchanges import Exchange, RunParts
+from marigoldswitch.gateway.ports import EngineStatus, OrderReply, OrderResult
+
+logger = structlog.get_logger(__name__)
+
+FIRST_GAP = 0.25
+"""Seconds without the head of an answer after which the chain is looked at: half of
+the time in which a first event is worth most, several times the usual 45 ms."""
+LEAST_GAP = 0.05
+"""The same between events: callers count pauses over 200 ms as late, of which a look at
+a silent engine takes 40 ms, and reading the prompt elsewhere 30 to 100 ms."""
+GAP_FACTOR = 2.0
+"""A gap this many times the usual one is looked at."""
+LONGEST_GAP = 0.6
+CAUTION_STEP = 1.4
+MOST_CAUTION = 4.0
+"""A look that found nothing makes the stream wait this much longer for the next one, as
+each costs the engines a probe; without it a slow chain was looked at ten times."""
+GAP_WEIGHT = 0.2
+"""Weight of the newest gap in the mean."""
+DETOURS = 3
+"""Chains tried for one detour: each is refused by another engine."""
+
+T = TypeVar("T")
+
+
+class ChainBroken(Exception):
+    """The chain brings nothing more."""
+
+
+class ChainWatch:
+    """The chain that one request passes through now.
+
+    :ivar stages: its stages; empty between two chains.
+    :ivar last_event: id of the last event that the caller has, for the log.
+    """
+
+    def __init__(self, parts: RunParts, exchange: Exchange) -> None:
+        self.stages: tuple[Stage, ...] = ()
+        self.last_event: str | None = exchange.call.last_event
+        self._parts = parts
+        self._exchange = exchange
+        self._alarm = asyncio.Event()
+        self._gap = 0.0
+        self._caution = 1.0
+
+    def begin(self, stages: tuple[Stage, ...]) -> None:
+        """Take a chain that is counted as held."""
+        self.stages = stages
+        self._gap = 0.0
+
+    def end(self) -> None:
+        """Let go of the chain."""
+        self._parts.planner.release(self.stages, self._exchange.call.tokens)
+        self.stages = ()
+
+    def alarm(self) -> None:
+        """Look after the chain at once: one of its engines is dead or leaving."""
+        self._alarm.set()
+
+    def learn_gap(self, gap: float) -> None:
+        """Learn what pause between events is usual.
+
+        :param gap: seconds between the last two.
+        """
+        if self._gap == 0.0:
+            self._gap = gap
+        self._gap += GAP_WEIGHT * (gap - self._gap)
+
+    async def watch(self, work: Coroutine[Any, Any, T]) -> T:
+        """Await something of the engines; look after them when it doesn't come.
+
+        :raises ChainBroken: if they will bring nothing more.
+        """
+        task = asyncio.ensure_future(work)
+        patience = self._choose_gap()
+        try:
+            while True:
+                alarm = asyncio.ensure_future(self._alarm.wait())
+                try:
+                    await asyncio.wait(
+                        {task, alarm},
+                        timeout=patience,
+                        return_when=asyncio.FIRST_COMPLETED,
+                    )
+                finally:
+                    alarm.cancel()
+                if task.done():
+                    return task.result()
+                if self._alarm.is_set():
+                    self._alarm.clear()
+                    await self._answer_alarm()
+                else:
+                    await self._look_after_chain()
+                    patience = min(LONGEST_GAP, 2.0 * patience)
+                    self._caution = min(MOST_CAUTION, CAUTION_STEP * self._caution)
+        finally:
+            if not task.done():
+                task.cancel()
+
+    def _choose_gap(self) -> float:
+        if self._gap == 0.0:
+            return FIRST_GAP
+        gap = max(LEAST_GAP, GAP_FACTOR * self._gap)
+        return min(LONGEST_GAP, self._caution * gap)
+
+    async def _answer_alarm(self) -> None:
+        """Go round the engines of the chain that are dead or leaving."""
+        parts = self._parts
+        now = parts.clock.monotonic()
+        if parts.directory.suspects.is_dead(self.stages[0].target, now):
+            raise ChainBroken("its first engine is dead")
+        await self._leave_lost_stages()
+
+    async def _leave_lost_stages(self) -> None:
+        """Go round the stages that are dead or leaving.
+
+        :raises ChainBroken: if there is no way round a dead one from the first stage,
+            and another chain has room.
+        """
+        exchange, parts = self._exchange, self._parts
+        lost = {item.target for item in self.stages[1:] if self._is_lost(item)}
+        if not lost:
+            return
+        if await self._detour(lost) or exchange.ran >= exchange.route.most_targets:
+            return
+        now = parts.clock.monotonic()
+        suspects = parts.directory.suspects
+        if not any(suspects.is_dead(item.target, now) for item in self.stages[1:]):
+            return
+        if parts.planner.find(exchange.service, exchange.call.tokens) is not None:
+            raise ChainBroken("no way round a dead engine")
+
+    def _is_lost(self, stage: Stage) -> bool:
+        """Tell whether a stage is dead, about to end, or gives its layers up.
+
+        An engine that is ordered to hold others waits for what passes through it: while
+        streams stayed, one took over 8 s to begin to load what was missing elsewhere.
+        """
+        directory, now = self._parts.directory, self._parts.clock.monotonic()
+        if directory.suspects.is_dead(stage.target, now):
+            return True
+        if directory.registry.is_ending(stage.target, now):
+            return True
+        held = directory.registry.rows[stage.target].target.layers
+        return held is None or not held.contains(stage.layers)
+
+    async def _look_after_chain(self) -> None:
+        """Find out which engine of the chain holds the answer up."""
+        parts = self._parts
+        rows = parts.directory.registry.rows
+        stages = self.stages
+        known = [rows[item.target].target for item in stages if item.target in rows]
+        checks = (parts.probes.check(item) for item in known)
+        found = dict(
+            zip((item.id for item in known), await asyncio.gather(*checks), strict=True)
+        )
+        first = found.get(stages[0].target)
+        if first is None:
+            raise ChainBroken("its first engine does not answer")
+        self._blame_stalled(first)
+        await self._leave_lost_stages()
+
+    def _blame_stalled(self, first: EngineStatus) -> None:
+        """Suspect the engine that the first one says it waits for."""
+        parts = self._parts
+        now = parts.clock.monotonic()
+        for item in first.stalled:
+            if item.request != self._exchange.call.id:
+                continue
+            for stage in self.stages[1:]:
+                if stage.address == item.address:
+                    parts.directory.suspects.note(stage.target, Finding.DEAD, now)
+
+    async def _detour(self, lost: set[TargetId]) -> bool:
+        """Have the first engine go on without some others; tell whether it does."""
+        exchange, parts = self._exchange, self._parts
+        tokens = exchange.call.tokens
+        for _ in range(DETOURS):
+            chain = parts.planner.find_detour(
+                exchange.service, tokens, self.stages, lost
+            )
+            if chain is None:
+                logger.info("detour_missing", request=exchange.call.id)
+                return False
+            replaced = self.stages
+            reply = await self._order_detour(chain)
+            logger.info(
+                "detour_ordered",
+                request=exchange.call.id,
+                stages=describe_stages(chain.stages),
+                replaced=describe_stages(replaced),
+                result=reply.result.value,
+                at_fault=reply.at_fault,
+                after=self.last_event,
+            )
+            match reply.result:
+                case OrderResult.BEGUN | OrderResult.DONE:
+                    return True
+                case OrderResult.CONFLICT if reply.at_fault:
+                    stage = find_stage(chain.stages, reply.at_fault)
+                    now = parts.clock.monotonic()
+                    parts.directory.suspects.note(stage, Finding.REFUSED, now)
+                    lost = lost | {stage}
+                case _:
+                    return False
+        return False
+
+    async def _order_detour(self, chain: Chain) -> OrderReply:
+        """Order one detour; counted from now on, so that others choose other engines.
+
+        Thirty streams that lost an engine together read their prompts anew on its
+        stand-in; uncounted, they would all choose the same one.
+        """
+        parts, tokens = self._parts, self._exchange.call.tokens
+        parts.planner.hold(chain.stages, tokens)
+        dropped = chain.stages
+        try:
+            reply = await parts.engines.reroute(
+                chain.stages[0].address, self._exchange.call.id, chain.stages
+            )
+            if reply.result in (OrderResult.BEGUN, OrderResult.DONE):
+                self.stages, dropped = chain.stages, self.stages
+        finally:
+            parts.planner.release(dropped, tokens)
+        return reply
+
+
+def find_stage(stages: Sequence[Stage], address: str | None) -> TargetId:
+    """Return the target at an address of a chain; the first where it is not named."""
+    for stage in stages:
+        if stage.address == address:
+            return stage.target
+    return stages[0].target
+
+
+def describe_stages(stages: Sequence[Stage]) -> list[str]:
+    """Return the stages of a chain, for the log."""
+    return [
+        f"{item.target}@{item.address}={item.layers.first}-{item.layers.end}"
+        for item in stages
+    ]
--- a/marigoldswitch/gateway/directory.py
+++ b/marigoldswitch/gateway/directory.py
@@ -5,9 +5,8 @@
 import structlog
 
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.ids import ServiceName
 from marigoldswitch.core.registry import Change, TargetRegistry
-from marigoldswitch.core.routes import RoutingTable, ServiceSpec
+from marigoldswitch.core.routes import RoutingTable
 from marigoldswitch.core.suspects import Suspects
 from marigoldswitch.gateway.ports import StoredConfiguration
 
@@ -45,10 +44,6 @@
         """Call ``listener`` with each configuration that comes into force."""
         self._listeners.append(listener)
 
-    def find_service(self, name: ServiceName) -> ServiceSpec | None:
-        """Return what the configuration says of a service."""
-        return self.table.services.get(name) if self.table else None
-
     def adopt(self, stored: StoredConfiguration, source: str) -> bool:
         """Put a configuration in force if it is newer; tell whether it was.
 
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -67,14 +67,14 @@
     def alarm_streams(self, target: str) -> None:
         """Have all streams through an engine look after their chains."""
         for run in self.list_streams(target):
-            run.alarm()
+            run.chain.alarm()
 
     def list_streams(self, target: str) -> list[StreamRun]:
         """Return the streams through an engine."""
         return [
             run
             for run in self.streams
-            if any(item.target == target for item in run.stages)
+            if any(item.target == target for item in run.chain.stages)
         ]
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -182,6 +182,7 @@
         """Let new connections follow the limits of a configuration."""
         for runner in self._runners:
             if runner.server is not None:
+                # The server has no other way to change this for connections to come.
                 runner.server._kwargs["keepalive_timeout"] = self._idle_seconds()
 
     async def _answer_readiness(self, http: web.BaseRequest) -> web.StreamResponse:
@@ -228,7 +229,7 @@
         loop = asyncio.get_running_loop()
         for run in self.parts.front.list_streams(target):
             delay = self.parts.runs.source.uniform(0.0, ALARM_SPREAD)
-            loop.call_later(delay, run.alarm)
+            loop.call_later(delay, run.chain.alarm)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(work))
--- /dev/null
+++ b/marigoldswitch/gateway/news.py
@@ -0,0 +1,186 @@
+"""The configuration and the targets, passed between hosts.
+
+A host that the store turns away, or that leaves reading to others, takes them from a
+host that has read them. A version or a revision that is higher is newer, whoever tells
+of it.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+from result import Err, Ok
+
+from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.ids import HostId
+from marigoldswitch.core.loads import Loads
+from marigoldswitch.core.messages import (
+    ConfigurationContent,
+    FetchConfiguration,
+    FetchTargets,
+    LoadDigest,
+    Message,
+    TargetNote,
+    TargetsContent,
+)
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.registry import TargetRow
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.followers import ConfigurationFollower, TargetFollower
+from marigoldswitch.gateway.planner import ChainPlanner
+from marigoldswitch.gateway.ports import Identity, PlatformFeeds
+from marigoldswitch.gateway.probing import EngineProbes
+from marigoldswitch.peers import PeerNetwork
+
+logger = structlog.get_logger(__name__)
+
+FETCH_SECONDS = 0.4
+"""Least time between two requests for news; also how long news may be missed by the
+store's own feed before it is asked for."""
+
+
+@dataclass(slots=True)
+class SpreadParts:
+    """What the spread reads and feeds."""
+
+    clock: Clock
+    network: PeerNetwork
+    directory: Directory
+    loads: Loads
+    planner: ChainPlanner
+    probes: EngineProbes
+    feeds: PlatformFeeds
+    configuration: ConfigurationFollower
+    targets: TargetFollower
+    identity: Identity
+    source: random.Random
+
+
+@dataclass(slots=True)
+class _Lag:
+    """How far this host is behind in one kind of news."""
+
+    since: float | None = None
+    asked: float = field(default=float("-inf"))
+
+    def should_ask(self, behind: bool, cut_off: bool, now: float) -> bool:
+        """Tell whether to ask a peer now."""
+        if not behind:
+            self.since = None
+            return False
+        if self.since is None:
+            self.since = now
+        waited = cut_off or now - self.since >= FETCH_SECONDS
+        if not waited or now - self.asked < FETCH_SECONDS:
+            return False
+        self.asked = now
+        return True
+
+
+class News:
+    """Asks for what this host lacks and tells what it has.
+
+    :param must_read: whether this host must follow the store by itself.
+    :param reads: whether it does, and the store answers.
+    """
+
+    def __init__(
+        self,
+        parts: SpreadParts,
+        must_read: Callable[[], bool],
+        reads: Callable[[], bool],
+    ) -> None:
+        self._parts = parts
+        self._must_read = must_read
+        self._reads = reads
+        self._configuration = _Lag()
+        self._targets = _Lag()
+        handlers: dict[type[Message], Callable[..., None]] = {
+            FetchConfiguration: self._tell_configuration,
+            ConfigurationContent: self._take_configuration,
+            FetchTargets: self._tell_targets,
+            TargetsContent: self._take_targets,
+        }
+        for kind, handler in handlers.items():
+            parts.network.register(kind, handler)
+
+    def ask(self, sender: HostId, digest: LoadDigest, now: float) -> None:
+        """Ask a peer for what it has and this host lacks."""
+        parts = self._parts
+        version, registry = parts.directory.version, parts.directory.registry
+        idle = not self._must_read()
+        lost = parts.configuration.dependency.is_lost or idle
+        behind = digest.version > version
+        if self._configuration.should_ask(behind, lost, now):
+            parts.network.send(sender, FetchConfiguration(version))
+        cut_off = parts.targets.dependency.is_lost or idle
+        if cut_off and self._targets.should_ask(
+            digest.revision > registry.revision, cut_off, now
+        ):
+            parts.network.send(sender, FetchTargets(registry.revision))
+
+    def _tell_configuration(self, sender: HostId, request: FetchConfiguration) -> None:
+        stored = self._parts.directory.stored
+        if stored is not None and stored.table.version > request.version:
+            content = ConfigurationContent(stored.table.version, stored.content)
+            self._parts.network.send(sender, content)
+
+    def _take_configuration(self, sender: HostId, news: ConfigurationContent) -> None:
+        if news.version <= self._parts.directory.version:
+            return
+        match self._parts.feeds.decode_configuration(news.content):
+            case Ok(stored):
+                self._parts.directory.adopt(stored, str(sender))
+            case Err(why):
+                logger.warning("configuration_refused", sender=sender, why=why)
+
+    def _tell_targets(self, sender: HostId, request: FetchTargets) -> None:
+        parts = self._parts
+        registry = parts.directory.registry
+        if not self._reads() or registry.revision <= request.revision:
+            return
+        notes = tuple(_write_note(row) for row in registry.rows.values())
+        parts.network.send(sender, TargetsContent(registry.revision, notes))
+
+    def _take_targets(self, sender: HostId, news: TargetsContent) -> None:
+        parts = self._parts
+        registry = parts.directory.registry
+        reads = self._must_read() and not parts.targets.dependency.is_lost
+        if reads or news.revision <= registry.revision:
+            return
+        now = parts.clock.monotonic()
+        rows = [_read_note(item) for item in news.targets]
+        registry.replace_all(rows, news.revision, now, settled=True)
+        parts.directory.has_targets = True
+        logger.info("targets_taken", sender=sender, revision=news.revision)
+
+
+def _write_note(row: TargetRow) -> TargetNote:
+    target = row.target
+    layers = (target.layers.first, target.layers.end) if target.layers else ()
+    return TargetNote(
+        target.id,
+        target.service,
+        target.data_centre,
+        target.address,
+        target.slots,
+        target.accelerator,
+        row.leaving,
+        row.revision,
+        layers,
+    )
+
+
+def _read_note(note: TargetNote) -> TargetRow:
+    layers = LayerRange(*note.layers) if len(note.layers) == 2 else None
+    target = Target(
+        note.target,
+        note.service,
+        note.data_centre,
+        note.address,
+        note.slots,
+        layers,
+        note.accelerator,
+    )
+    return TargetRow(target, note.leaving, note.revision)
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -3,8 +3,8 @@
 An adapter implements these; nothing here knows a name of the platform's protocol.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
@@ -339,9 +339,3 @@
     stop_seconds: float = 8.0
     retry_allowance: float = 5.0
     retry_share: float = 0.1
-    extra: Mapping[str, str] = field(default_factory=dict)
-
-
-def list_headers(items: Iterable[tuple[str, str]]) -> CIMultiDict[str]:
-    """Return headers in the order given."""
-    return CIMultiDict(items)
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -1,42 +1,28 @@
-"""What the hosts of a gateway tell each other: loads, findings, and news.
+"""What the hosts of a gateway tell each other every so often: loads and findings.
 
-Each host reads the store by itself. A host that the store turns away takes the
-configuration and the targets from those that can read them. Nothing is agreed here: a
-version or a revision that is higher is newer, whoever tells of it.
+Nothing is agreed here, and nothing waits for an answer: a digest that is lost is made
+up for by the next one.
 """
 
-import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import structlog
-from result import Err, Ok
 
-from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.ids import DataCentre, HostId, TargetId
 from marigoldswitch.core.leases import Lease, encode_lease
-from marigoldswitch.core.loads import Loads, Usage
+from marigoldswitch.core.loads import Usage
 from marigoldswitch.core.messages import (
-    ConfigurationContent,
-    FetchConfiguration,
-    FetchTargets,
     HeldLayers,
     LeaseNote,
     LoadDigest,
-    Message,
     SlowTarget,
-    TargetNote,
-    TargetsContent,
     TargetUsage,
 )
-from marigoldswitch.core.ports import Clock, Row
-from marigoldswitch.core.registry import TargetRow
-from marigoldswitch.gateway.directory import Directory
-from marigoldswitch.gateway.followers import ConfigurationFollower, TargetFollower
-from marigoldswitch.gateway.planner import ChainPlanner
-from marigoldswitch.gateway.ports import HostRecord, Identity, PlatformFeeds
-from marigoldswitch.gateway.probing import EngineProbes
-from marigoldswitch.peers import PeerNetwork
+from marigoldswitch.core.ports import Row
+from marigoldswitch.gateway.news import News, SpreadParts
+from marigoldswitch.gateway.ports import HostRecord
 
 logger = structlog.get_logger(__name__)
 
@@ -55,9 +41,6 @@
 FORGET_SECONDS = 120.0
 """A host that was not heard for this long is forgotten; it announces itself if it
 lives."""
-FETCH_SECONDS = 0.4
-"""Least time between two requests for news; also how long news may be missed by the
-store's own feed before it is asked for."""
 READERS = 3
 """Hosts of a data centre that follow the store by themselves. Its calls are paid for
 and limited; the others take the news from these, a digest and a message later. One
@@ -81,44 +64,6 @@
     reads: bool = False
 
 
-@dataclass(slots=True)
-class _News:
-    """How far this host is behind in one kind of news."""
-
-    since: float | None = None
-    asked: float = field(default=float("-inf"))
-
-    def should_ask(self, behind: bool, cut_off: bool, now: float) -> bool:
-        """Tell whether to ask a peer now."""
-        if not behind:
-            self.since = None
-            return False
-        if self.since is None:
-            self.since = now
-        waited = cut_off or now - self.since >= FETCH_SECONDS
-        if not waited or now - self.asked < FETCH_SECONDS:
-            return False
-        self.asked = now
-        return True
-
-
-@dataclass(slots=True)
-class SpreadParts:
-    """What the spread reads and feeds."""
-
-    clock: Clock
-    network: PeerNetwork
-    directory: Directory
-    loads: Loads
-    planner: ChainPlanner
-    probes: EngineProbes
-    feeds: PlatformFeeds
-    configuration: ConfigurationFollower
-    targets: TargetFollower
-    identity: Identity
-    source: random.Random
-
-
 class Spread:
     """Exchanges digests with the other hosts."""
 
@@ -133,19 +78,11 @@
         self._own = HostId(parts.identity.host)
         self._orderer: HostId | None = None
         self._orderer_heard = float("-inf")
-        self._configuration = _News()
-        self._targets = _News()
+        self._news = News(parts, self.must_read, lambda: self._reads)
         self._round = 0
         self._last: LoadDigest | None = None
-        handlers: dict[type[Message], Callable[..., None]] = {
-            LoadDigest: self._take_digest,
-            FetchConfiguration: self._tell_configuration,
-            ConfigurationContent: self._take_configuration,
-            FetchTargets: self._tell_targets,
-            TargetsContent: self._take_targets,
-        }
-        for kind, handler in handlers.items():
-            parts.network.register(kind, handler)
+        take_digest: Callable[..., None] = self._take_digest
+        parts.network.register(LoadDigest, take_digest)
 
     @property
     def hears_orderer(self) -> bool:
@@ -323,7 +260,7 @@
             self._take_orderer(sender, digest.lease, digest, now)
         elif sender == self._orderer:
             self._forget_orderer(now)
-        self._ask_for_news(sender, digest, now)
+        self._news.ask(sender, digest, now)
 
     def _forget_orderer(self, now: float) -> None:
         """Learn that the host that ordered the engines does so no more."""
@@ -350,84 +287,3 @@
         for held in digest.layers:
             layers = LayerRange(held.first, held.end) if held.end else None
             parts.directory.registry.note_layers(held.target, layers)
-
-    def _ask_for_news(self, sender: HostId, digest: LoadDigest, now: float) -> None:
-        parts = self._parts
-        version, registry = parts.directory.version, parts.directory.registry
-        idle = not self.must_read()
-        lost = parts.configuration.dependency.is_lost or idle
-        behind = digest.version > version
-        if self._configuration.should_ask(behind, lost, now):
-            parts.network.send(sender, FetchConfiguration(version))
-        cut_off = parts.targets.dependency.is_lost or idle
-        if cut_off and self._targets.should_ask(
-            digest.revision > registry.revision, cut_off, now
-        ):
-            parts.network.send(sender, FetchTargets(registry.revision))
-
-    # News.
-
-    def _tell_configuration(self, sender: HostId, request: FetchConfiguration) -> None:
-        stored = self._parts.directory.stored
-        if stored is not None and stored.table.version > request.version:
-            content = ConfigurationContent(stored.table.version, stored.content)
-            self._parts.network.send(sender, content)
-
-    def _take_configuration(self, sender: HostId, news: ConfigurationContent) -> None:
-        if news.version <= self._parts.directory.version:
-            return
-        match self._parts.feeds.decode_configuration(news.content):
-            case Ok(stored):
-                self._parts.directory.adopt(stored, str(sender))
-            case Err(why):
-                logger.warning("configuration_refused", sender=sender, why=why)
-
-    def _tell_targets(self, sender: HostId, request: FetchTargets) -> None:
-        parts = self._parts
-        registry = parts.directory.registry
-        if not self._reads or registry.revision <= request.revision:
-            return
-        notes = tuple(_write_note(row) for row in registry.rows.values())
-        parts.network.send(sender, TargetsContent(registry.revision, notes))
-
-    def _take_targets(self, sender: HostId, news: TargetsContent) -> None:
-        parts = self._parts
-        registry = parts.directory.registry
-        reads = self.must_read() and not parts.targets.dependency.is_lost
-        if reads or news.revision <= registry.revision:
-            return
-        now = parts.clock.monotonic()
-        rows = [_read_note(item) for item in news.targets]
-        registry.replace_all(rows, news.revision, now, settled=True)
-        parts.directory.has_targets = True
-        logger.info("targets_taken", sender=sender, revision=news.revision)
-
-
-def _write_note(row: TargetRow) -> TargetNote:
-    target = row.target
-    layers = (target.layers.first, target.layers.end) if target.layers else ()
-    return TargetNote(
-        target.id,
-        target.service,
-        target.data_centre,
-        target.address,
-        target.slots,
-        target.accelerator,
-        row.leaving,
-        row.revision,
-        layers,
-    )
-
-
-def _read_note(note: TargetNote) -> TargetRow:
-    layers = LayerRange(*note.layers) if len(note.layers) == 2 else None
-    target = Target(
-        note.target,
-        note.service,
-        note.data_centre,
-        note.address,
-        note.slots,
-        layers,
-        note.accelerator,
-    )
-    return TargetRow(target, note.leaving, note.revision)
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -5,10 +5,8 @@
 engine that takes over, and none is passed on twice.
 """
 
-import asyncio
-from collections.abc import Coroutine, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Any, TypeVar
 
 import aiohttp
 import structlog
@@ -20,6 +18,12 @@
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.paths import Chain, Stage
 from marigoldswitch.core.suspects import Finding
+from marigoldswitch.gateway.detours import (
+    ChainBroken,
+    ChainWatch,
+    describe_stages,
+    find_stage,
+)
 from marigoldswitch.gateway.exchanges import (
     BrokenOff,
     Exchange,
@@ -28,38 +32,16 @@
     abort,
     write,
 )
-from marigoldswitch.gateway.ports import (
-    EngineStatus,
-    OrderReply,
-    OrderResult,
-    Sending,
-)
+from marigoldswitch.gateway.ports import Sending
 from marigoldswitch.gateway.upstream import EndWatch, Lost, NotSent
 
 logger = structlog.get_logger(__name__)
 
-FIRST_GAP = 0.25
-"""Seconds without the head of an answer after which the chain is looked at: half of
-the time in which a first event is worth most, several times the usual 45 ms."""
-LEAST_GAP = 0.05
-"""The same between events: callers count pauses over 200 ms as late, of which a look at
-a silent engine takes 40 ms, and reading the prompt elsewhere 30 to 100 ms."""
-GAP_FACTOR = 2.0
-"""A gap this many times the usual one is looked at."""
-LONGEST_GAP = 0.6
-CAUTION_STEP = 1.4
-MOST_CAUTION = 4.0
-"""A look that found nothing makes the stream wait this much longer for the next one, as
-each costs the engines a probe; without it a slow chain was looked at ten times."""
-GAP_WEIGHT = 0.2
-"""Weight of the newest gap in the mean."""
 WAIT_SHARE = 0.6
 """Share of the latency target that a request may wait for room; the rest is for the
 engines to read its prompt."""
 RESUME_SECONDS = 1.0
 """Longest wait for room of a stream that has begun: callers leave after 2 s."""
-DETOURS = 3
-"""Chains tried for one detour: each is refused by another engine."""
 MOST_REFUSALS = 4
 """Sendings that engines may refuse before the caller is told to come back."""
 RETURN_SECONDS = (0.8, 2.4)
@@ -68,8 +50,6 @@
 once."""
 MOST_FAULT_BYTES = 1024 * 1024
 
-T = TypeVar("T")
-
 
 @dataclass(frozen=True, slots=True)
 class Finished:
@@ -86,32 +66,20 @@
     at_fault: str | None
 
 
-class ChainBroken(Exception):
-    """The chain brings nothing more."""
-
-
 class StreamRun:
     """One stream from its first wait to its end."""
 
     def __init__(self, parts: RunParts, exchange: Exchange) -> None:
-        self.stages: tuple[Stage, ...] = ()
-        """Stages that the request passes through now."""
+        self.chain = ChainWatch(parts, exchange)
         self._parts = parts
         self._exchange = exchange
-        self._alarm = asyncio.Event()
         self._last_id: str | None = exchange.call.last_event
         self._passed_on: float | None = None
         """When the last event was passed on."""
         self._failed: set[TargetId] = set()
         """First engines of chains that broke: the next one begins elsewhere."""
-        self._gap = 0.0
-        self._caution = 1.0
         self._refusals = 0
 
-    def alarm(self) -> None:
-        """Look after the chain at once: one of its engines is dead or leaving."""
-        self._alarm.set()
-
     async def drive(self) -> web.StreamResponse:
         """Run the request to its end.
 
@@ -121,7 +89,7 @@
             chain = await self._acquire()
             if chain is None:
                 return self._give_up(ErrorKind.SATURATED, "no chain with room")
-            self.stages = chain.stages
+            self.chain.begin(chain.stages)
             try:
                 end = await self._follow()
             except ChainBroken as broken:
@@ -130,8 +98,7 @@
                 self._check_repeat(str(broken))
                 continue
             finally:
-                self._parts.planner.release(self.stages, self._exchange.call.tokens)
-                self.stages = ()
+                self.chain.end()
             match end:
                 case Finished():
                     assert self._exchange.response is not None
@@ -159,7 +126,7 @@
             "chain_chosen" if chain else "chain_missing",
             request=exchange.call.id,
             service=exchange.service.name,
-            stages=_describe(chain.stages) if chain else None,
+            stages=describe_stages(chain.stages) if chain else None,
             waited=round(parts.clock.monotonic() - now, 4),
             waiting=parts.admission.count_waiting(),
             revision=parts.directory.registry.revision,
@@ -199,19 +166,13 @@
         self._refusals += 1
         exchange.trail.append(f"refused by {at_fault or stages[0].address}")
         parts.directory.suspects.note(
-            self._find_stage(stages, at_fault), Finding.REFUSED, now
+            find_stage(stages, at_fault), Finding.REFUSED, now
         )
         if self._refusals >= MOST_REFUSALS:
             self._give_up(ErrorKind.TARGET_REFUSED, "the engines have no room")
         if not parts.retries.get(exchange.service.name).spend(now):
             self._give_up(ErrorKind.TARGET_REFUSED, "no repeat left")
 
-    def _find_stage(self, stages: Sequence[Stage], address: str | None) -> TargetId:
-        for stage in stages:
-            if stage.address == address:
-                return stage.target
-        return stages[0].target
-
     def _give_up(self, kind: ErrorKind, detail: str) -> web.StreamResponse:
         """End the request: break off its answer, or say why there is none."""
         exchange = self._exchange
@@ -234,7 +195,7 @@
         :raises ChainBroken: if the chain fails before the answer is whole.
         """
         exchange, parts = self._exchange, self._parts
-        first = parts.directory.registry.rows.get(self.stages[0].target)
+        first = parts.directory.registry.rows.get(self.chain.stages[0].target)
         if first is None:
             raise ChainBroken("its first engine has just gone")
         exchange.sent += 1
@@ -245,11 +206,10 @@
             exchange.deadline - now,
             exchange.account,
             exchange.priority,
-            self.stages,
+            self.chain.stages,
             self._last_id,
         )
-        self._gap = 0.0
-        opened = await self._watch(
+        opened = await self.chain.watch(
             parts.upstream.open(
                 first.target, exchange.call, exchange.body, sending, False
             )
@@ -325,11 +285,11 @@
         clock = self._parts.clock
         splitter, watch = EventSplitter(), EndWatch(opened)
         before = clock.monotonic()
-        while content := await self._watch(opened.content.readany()):
+        while content := await self.chain.watch(opened.content.readany()):
             now = clock.monotonic()
             events = splitter.feed(content)
             if events:
-                self._learn_gap(now - before)
+                self.chain.learn_gap(now - before)
                 before = now
                 await self._write_new(events)
         if splitter.has_remainder:
@@ -344,7 +304,7 @@
             if self._is_old(event):
                 continue
             if event.id is not None:
-                self._last_id = event.id
+                self._last_id = self.chain.last_event = event.id
             fresh.append(event.content)
         if fresh:
             self._note_gap()
@@ -368,175 +328,3 @@
         if event.id.isdigit() and last.isdigit():
             return int(event.id) <= int(last)
         return event.id == last
-
-    def _learn_gap(self, gap: float) -> None:
-        if self._gap == 0.0:
-            self._gap = gap
-        self._gap += GAP_WEIGHT * (gap - self._gap)
-
-    # Looking after the chain.
-
-    async def _watch(self, work: Coroutine[Any, Any, T]) -> T:
-        """Await something of the engines; look after them when it doesn't come.
-
-        :raises ChainBroken: if they will bring nothing more.
-        """
-        task = asyncio.ensure_future(work)
-        patience = self._choose_gap()
-        try:
-            while True:
-                alarm = asyncio.ensure_future(self._alarm.wait())
-                try:
-                    await asyncio.wait(
-                        {task, alarm},
-                        timeout=patience,
-                        return_when=asyncio.FIRST_COMPLETED,
-                    )
-                finally:
-                    alarm.cancel()
-                if task.done():
-                    return task.result()
-                if self._alarm.is_set():
-                    self._alarm.clear()
-                    await self._answer_alarm()
-                else:
-                    await self._look_after_chain()
-                    patience = min(LONGEST_GAP, 2.0 * patience)
-                    self._caution = min(MOST_CAUTION, CAUTION_STEP * self._caution)
-        finally:
-            if not task.done():
-                task.cancel()
-
-    def _choose_gap(self) -> float:
-        if self._gap == 0.0:
-            return FIRST_GAP
-        gap = max(LEAST_GAP, GAP_FACTOR * self._gap)
-        return min(LONGEST_GAP, self._caution * gap)
-
-    async def _answer_alarm(self) -> None:
-        """Go round the engines of the chain that are dead or leaving."""
-        parts = self._parts
-        now = parts.clock.monotonic()
-        if parts.directory.suspects.is_dead(self.stages[0].target, now):
-            raise ChainBroken("its first engine is dead")
-        await self._leave_lost_stages()
-
-    async def _leave_lost_stages(self) -> None:
-        """Go round the stages that are dead or leaving.
-
-        :raises ChainBroken: if there is no way round a dead one from the first stage,
-            and another chain has room.
-        """
-        exchange, parts = self._exchange, self._parts
-        lost = {item.target for item in self.stages[1:] if self._is_lost(item)}
-        if not lost:
-            return
-        if await self._detour(lost) or exchange.ran >= exchange.route.most_targets:
-            return
-        now = parts.clock.monotonic()
-        suspects = parts.directory.suspects
-        if not any(suspects.is_dead(item.target, now) for item in self.stages[1:]):
-            return
-        if parts.planner.find(exchange.service, exchange.call.tokens) is not None:
-            raise ChainBroken("no way round a dead engine")
-
-    def _is_lost(self, stage: Stage) -> bool:
-        """Tell whether a stage is dead, about to end, or gives its layers up.
-
-        An engine that is ordered to hold others waits for what passes through it: while
-        streams stayed, one took over 8 s to begin to load what was missing elsewhere.
-        """
-        directory, now = self._parts.directory, self._parts.clock.monotonic()
-        if directory.suspects.is_dead(stage.target, now):
-            return True
-        if directory.registry.is_ending(stage.target, now):
-            return True
-        held = directory.registry.rows[stage.target].target.layers
-        return held is None or not held.contains(stage.layers)
-
-    async def _look_after_chain(self) -> None:
-        """Find out which engine of the chain holds the answer up."""
-        parts = self._parts
-        rows = parts.directory.registry.rows
-        stages = self.stages
-        known = [rows[item.target].target for item in stages if item.target in rows]
-        checks = (parts.probes.check(item) for item in known)
-        found = dict(
-            zip((item.id for item in known), await asyncio.gather(*checks), strict=True)
-        )
-        first = found.get(stages[0].target)
-        if first is None:
-            raise ChainBroken("its first engine does not answer")
-        self._blame_stalled(first)
-        await self._leave_lost_stages()
-
-    def _blame_stalled(self, first: EngineStatus) -> None:
-        """Suspect the engine that the first one says it waits for."""
-        parts = self._parts
-        now = parts.clock.monotonic()
-        for item in first.stalled:
-            if item.request != self._exchange.call.id:
-                continue
-            for stage in self.stages[1:]:
-                if stage.address == item.address:
-                    parts.directory.suspects.note(stage.target, Finding.DEAD, now)
-
-    async def _detour(self, lost: set[TargetId]) -> bool:
-        """Have the first engine go on without some others; tell whether it does."""
-        exchange, parts = self._exchange, self._parts
-        tokens = exchange.call.tokens
-        for _ in range(DETOURS):
-            chain = parts.planner.find_detour(
-                exchange.service, tokens, self.stages, lost
-            )
-            if chain is None:
-                logger.info("detour_missing", request=exchange.call.id)
-                return False
-            replaced = self.stages
-            reply = await self._order_detour(chain)
-            logger.info(
-                "detour_ordered",
-                request=exchange.call.id,
-                stages=_describe(chain.stages),
-                replaced=_describe(replaced),
-                result=reply.result.value,
-                at_fault=reply.at_fault,
-                after=self._last_id,
-            )
-            match reply.result:
-                case OrderResult.BEGUN | OrderResult.DONE:
-                    return True
-                case OrderResult.CONFLICT if reply.at_fault:
-                    stage = self._find_stage(chain.stages, reply.at_fault)
-                    now = parts.clock.monotonic()
-                    parts.directory.suspects.note(stage, Finding.REFUSED, now)
-                    lost = lost | {stage}
-                case _:
-                    return False
-        return False
-
-    async def _order_detour(self, chain: Chain) -> OrderReply:
-        """Order one detour; counted from now on, so that others choose other engines.
-
-        Thirty streams that lost an engine together read their prompts anew on its
-        stand-in; uncounted, they would all choose the same one.
-        """
-        parts, tokens = self._parts, self._exchange.call.tokens
-        parts.planner.hold(chain.stages, tokens)
-        dropped = chain.stages
-        try:
-            reply = await parts.engines.reroute(
-                chain.stages[0].address, self._exchange.call.id, chain.stages
-            )
-            if reply.result in (OrderResult.BEGUN, OrderResult.DONE):
-                self.stages, dropped = chain.stages, self.stages
-        finally:
-            parts.planner.release(dropped, tokens)
-        return reply
-
-
-def _describe(stages: Sequence[Stage]) -> list[str]:
-    return [
-        f"{item.target}@{item.address}={item.layers.first}-{item.layers.end}"
-        for item in stages
-    ]
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -22,8 +22,6 @@
 cut sends no reset."""
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that the client library would add and that the caller has not sent."""
-MOST_BODY_BYTES = 64 * 1024 * 1024
-"""Largest answer that is held whole, far above what targets send."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -15,11 +15,12 @@
 from marigoldswitch.gateway.fronts import Front
 from marigoldswitch.gateway.hosts import GatewayHost, GatewayParts
 from marigoldswitch.gateway.metrics import GatewayMetrics
+from marigoldswitch.gateway.news import SpreadParts
 from marigoldswitch.gateway.orderer import LayerOrderer
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import HostSettings
 from marigoldswitch.gateway.probing import EngineProbes
-from marigoldswitch.gateway.spread import Spread, SpreadParts
+from marigoldswitch.gateway.spread import Spread
 from marigoldswitch.gateway.upstream import Upstream, open_session
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peers import PeerNetwork
--- a/marigoldswitch/tests/test_registry.py
+++ b/marigoldswitch/tests/test_registry.py
@@ -92,7 +92,7 @@
     registry.put(build_row(), 0.0)
     registry.put(build_row("i-2", revision=2), 1.0)
     assert list(registry.targets) == ["i-2"]
-    assert registry.find_by_address("10.1.0.1:80").id == "i-2"
+    assert list(registry.rows) == ["i-2"]
 
 
 def test_layers_seen_by_the_orderer_come_before_the_row():
