--- a/marigoldswitch/platform/daemon.py
+++ b/marigoldswitch/platform/daemon.py
@@ -11,7 +11,7 @@
 from result import Err, Ok
 
 from marigoldswitch.gateway.ports import HostSettings
-from marigoldswitch.logs import configure_logs
+from marigoldswitch.logs import BoundedStream, configure_logs
 from marigoldswitch.platform.compose import compose_gateway
 from marigoldswitch.platform.settings import FILE_VARIABLE, read_settings
 
@@ -40,7 +40,7 @@
     if check:
         print(f"{path}: fine")
         return 0
-    configure_logs(log_level, sys.stdout)
+    configure_logs(log_level, BoundedStream(sys.stdout.fileno()))
     structlog.contextvars.bind_contextvars(host=settings.identity.name)
     asyncio.run(_run(path, settings, store))
     return 0
--- a/marigoldswitch/platform/engines.py
+++ b/marigoldswitch/platform/engines.py
@@ -26,6 +26,8 @@
 lease's margin must be longer."""
 HANDOFF = "wait"
 """Layers that are given up finish what passes through them."""
+LEAST_PACE = 0.01
+"""Below this a report's pace makes no sense; it must not make an engine look free."""
 RESULTS = {
     200: OrderResult.DONE,
     202: OrderResult.BEGUN,
@@ -51,10 +53,13 @@
                 if response.status != 200:
                     logger.info("report_refused", address=address, at=response.status)
                     return None
-            return _read_status(orjson.loads(content))
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             logger.info("report_missing", address=address, why=repr(error))
             return None
+        status = read_status(content)
+        if status is None:
+            logger.error("report_unreadable", address=address)
+        return status
 
     async def place(
         self, address: str, layers: LayerRange, sequence: int
@@ -110,13 +115,21 @@
     return str(address) if address else None
 
 
-def _read_status(fields: dict[str, Any]) -> EngineStatus:
+def read_status(content: bytes) -> EngineStatus | None:
+    """Return what a report says, or ``None`` if it is none."""
+    try:
+        return _build_status(orjson.loads(content))
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError):
+        return None
+
+
+def _build_status(fields: dict[str, Any]) -> EngineStatus:
     return EngineStatus(
         read_layers(fields.get("layers")),
         bool(fields.get("busy", False)),
         int(fields.get("sequence", 0)),
         # Over 1 where the engine is slow; for an accelerator it is the usual time.
-        float(fields.get("pace") or 1.0),
+        max(LEAST_PACE, float(fields.get("pace") or 1.0)),
         tuple(
             StalledRequest(RequestId(item["id"]), str(item["address"]))
             for item in fields.get("stalled") or ()
--- a/marigoldswitch/tests/gateway_site.py
+++ b/marigoldswitch/tests/gateway_site.py
@@ -81,6 +81,7 @@
         self.desks: list[PlainStandin] = []
         self.hosts: list[GatewayHost] = []
         self.client = aiohttp.ClientSession()
+        self._reserved: list[socket.socket] = []
 
     async def start(self, engines: int, desks: int, hosts: int) -> None:
         """Start everything and wait until callers can be served."""
@@ -125,7 +126,9 @@
 
     async def add_host(self, name: str, centre: str) -> GatewayHost:
         """Start a gateway host."""
-        ports = _find_ports(3)
+        reserved = [_reserve_port() for _ in range(3)]
+        self._reserved += reserved
+        ports = (item.getsockname()[1] for item in reserved)
         callers, readiness, peers = (f"127.0.0.1:{port}" for port in ports)
         settings = HostSettings(
             Identity(peers, name, centre, "isle"),
@@ -145,6 +148,8 @@
         for target in [*self.engines.engines.values(), *self.desks]:
             await target.stop()
         await self.store.stop()
+        for reserved in self._reserved:
+            reserved.close()
 
     async def wait(self, condition, seconds: float = 10.0) -> None:
         """Wait until something holds."""
@@ -185,15 +190,15 @@
     return [item for item in targets if item.service == "model"]
 
 
-def _find_ports(count: int) -> list[int]:
-    """Return ports that the kernel has free."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+def _reserve_port() -> socket.socket:
+    """Return a socket that keeps a port of the kernel's choice for a listener.
+
+    It listens to nothing itself; as long as it is open, nobody else is given the port.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", 0))
+    return reserved
 
 
 @contextlib.asynccontextmanager
--- a/marigoldswitch/tests/test_logs.py
+++ b/marigoldswitch/tests/test_logs.py
@@ -1,10 +1,11 @@
 """Logs name each routing decision and never a key, a prompt or an answer."""
 
 import io
+import os
 
 import orjson
 
-from marigoldswitch.logs import configure_logs
+from marigoldswitch.logs import BoundedStream, configure_logs
 from marigoldswitch.tests.helpers import (
     BOOKINGS_PATH,
     LETTERS_PATH,
@@ -54,3 +55,35 @@
         assert routed[name]["targets"]
         assert routed[name]["weighed"] > 0
     assert not [secret for secret in secrets if secret in text]
+
+
+def read_all(descriptor):
+    os.set_blocking(descriptor, False)
+    content = b""
+    try:
+        while piece := os.read(descriptor, 65_536):
+            content += piece
+    except BlockingIOError:
+        pass
+    return content
+
+
+def test_reader_that_takes_nothing_never_holds_the_writer_up():
+    reader, writer = os.pipe()
+    stream = BoundedStream(writer, most=50_000)
+    for number in range(20_000):
+        stream.write(f"line {number}\n")
+    assert stream.dropped > 0
+    seen = read_all(reader)
+    stream.write("after\n")
+    seen += read_all(reader)
+    stream.write("last\n")
+    seen += read_all(reader)
+    lines = seen.decode().splitlines()
+    kept = [line for line in lines if line.startswith("line ")]
+    assert kept == [f"line {number}" for number in range(len(kept))]
+    assert f'"count": {20_000 - len(kept)}' in seen.decode()
+    assert lines[-1] == "last"
+    os.close(reader)
+    stream.write("nobody reads this\n")
+    os.close(writer)
