Look after a stream by one task instead of two for each event

Cause: a profile of one host with 160 streams of 60 events showed half of the gateway's time for an event in the wait with a reading task, an alarm task and a timer. Ruled out: parsing of events (0.04 of the time) and the HTTP library's reading and writing, which stay. Change: one guard a stream sleeps through its usual gaps and closes the answer when the chain is broken; events are no longer held back while a probe is under way. Behaviour as before, by the tests of the gateway.

--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -7,9 +7,11 @@
 """
 
 import asyncio
-from collections.abc import Coroutine, Sequence
+import contextlib
+from collections.abc import AsyncIterator, Coroutine, Sequence
 from typing import Any, TypeVar
 
+import aiohttp
 import structlog
 
 from marigoldswitch.core.ids import TargetId
@@ -60,6 +62,10 @@
         self._alarm = asyncio.Event()
         self._gap = 0.0
         self._caution = 1.0
+        self._heard = 0.0
+        """When the last events came, or the last look ended."""
+        self._patience = FIRST_GAP
+        """Silence in seconds after which the chain is looked at."""
 
     def begin(self, stages: tuple[Stage, ...]) -> None:
         """Take a chain that is counted as held."""
@@ -75,46 +81,85 @@
         """Look after the chain at once: one of its engines is dead or leaving."""
         self._alarm.set()
 
-    def learn_gap(self, gap: float) -> None:
-        """Learn what pause between events is usual.
-
-        :param gap: seconds between the last two.
-        """
+    def note_event(self) -> None:
+        """Learn that events have come, and with it what pause between them is usual."""
+        now = self._parts.clock.monotonic()
+        gap = now - self._heard
         if self._gap == 0.0:
             self._gap = gap
         self._gap += GAP_WEIGHT * (gap - self._gap)
+        self._heard = now
+        self._patience = self._choose_gap()
 
     async def watch(self, work: Coroutine[Any, Any, T]) -> T:
         """Await something of the engines; look after them when it doesn't come.
 
         :raises ChainBroken: if they will bring nothing more.
         """
+        self._expect()
         task = asyncio.ensure_future(work)
-        patience = self._choose_gap()
+        guard = asyncio.ensure_future(self._guard())
         try:
-            while True:
-                alarm = asyncio.ensure_future(self._alarm.wait())
-                try:
-                    await asyncio.wait(
-                        {task, alarm},
-                        timeout=patience,
-                        return_when=asyncio.FIRST_COMPLETED,
-                    )
-                finally:
-                    alarm.cancel()
-                if task.done():
-                    return task.result()
-                if self._alarm.is_set():
-                    self._alarm.clear()
-                    await self._answer_alarm()
-                else:
-                    await self._look_after_chain()
-                    patience = min(LONGEST_GAP, 2.0 * patience)
-                    self._caution = min(MOST_CAUTION, CAUTION_STEP * self._caution)
+            await asyncio.wait({task, guard}, return_when=asyncio.FIRST_COMPLETED)
+            if task.done():
+                return task.result()
+            guard.result()
+            raise AssertionError("a guard ends with an exception only")
         finally:
+            guard.cancel()
             if not task.done():
                 task.cancel()
 
+    @contextlib.asynccontextmanager
+    async def look_after(self, opened: aiohttp.ClientResponse) -> AsyncIterator[None]:
+        """Look after the engines while the caller of this reads their answer.
+
+        One task a stream that sleeps through its usual gaps; a wait with two tasks for
+        each event took half of the processor time of an event.
+
+        :raises ChainBroken: if they will bring nothing more; the answer is closed.
+        """
+        self._expect()
+        guard = asyncio.ensure_future(self._guard())
+        guard.add_done_callback(lambda task: _close_broken(task, opened))
+        try:
+            yield
+        except (aiohttp.ClientError, OSError):
+            if guard.done() and not guard.cancelled():
+                guard.result()
+            raise
+        finally:
+            guard.cancel()
+
+    def _expect(self) -> None:
+        """Count the silence of the engines from now on."""
+        self._heard = self._parts.clock.monotonic()
+        self._patience = self._choose_gap()
+
+    async def _guard(self) -> None:
+        """Look after the engines whenever they are silent or an alarm is given.
+
+        :raises ChainBroken: if they will bring nothing more.
+        """
+        while True:
+            silent = self._parts.clock.monotonic() - self._heard
+            if self._alarm.is_set():
+                self._alarm.clear()
+                await self._answer_alarm()
+            elif silent >= self._patience:
+                await self._look_after_chain()
+                self._heard = self._parts.clock.monotonic()
+                self._patience = min(LONGEST_GAP, 2.0 * self._patience)
+                self._caution = min(MOST_CAUTION, CAUTION_STEP * self._caution)
+            else:
+                await self._wait_for_alarm(self._patience - silent)
+
+    async def _wait_for_alarm(self, seconds: float) -> None:
+        """Wait for an alarm, but only so long."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._alarm.wait()
+
     def _choose_gap(self) -> float:
         if self._gap == 0.0:
             return FIRST_GAP
@@ -243,6 +288,12 @@
         return reply
 
 
+def _close_broken(guard: asyncio.Future[None], opened: aiohttp.ClientResponse) -> None:
+    """Wake the reader of an answer whose chain is broken."""
+    if not guard.cancelled() and guard.exception() is not None:
+        opened.close()
+
+
 def find_stage(stages: Sequence[Stage], address: str | None) -> TargetId:
     """Return the target at an address of a chain; the first where it is not named."""
     for stage in stages:
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -281,16 +281,13 @@
 
     async def _pass_events_on(self, opened: aiohttp.ClientResponse) -> None:
         """Pass on the events that come until the answer is whole."""
-        clock = self._parts.clock
         splitter, watch = EventSplitter(), EndWatch(opened)
-        before = clock.monotonic()
-        while content := await self.chain.watch(opened.content.readany()):
-            now = clock.monotonic()
-            events = splitter.feed(content)
-            if events:
-                self.chain.learn_gap(now - before)
-                before = now
-                await self._write_new(events)
+        async with self.chain.look_after(opened):
+            while content := await opened.content.readany():
+                events = splitter.feed(content)
+                if events:
+                    self.chain.note_event()
+                    await self._write_new(events)
         if splitter.has_remainder:
             raise ChainBroken("an event was cut off")
         if not watch.ended_well():
