Wake idle hosts only when something is due

Cause: 89 hosts that each woke 20 times a second for looks at their part (two followers, the orderer, the spread) and heard three relays twice a second; a guard that slept through each gap of a stream woke more often than its events did. Ruled out: the number of messages at a start (greetings to relays only left the time to play as it was). Change: a host that does not relay looks every 0.3 s, followers wait for their turn on an event, relays that do not sum up speak to all once a second, a stream's timer is moved by its events instead of firing.

--- a/marigoldswitch/core/relays.py
+++ b/marigoldswitch/core/relays.py
@@ -19,8 +19,8 @@
 less than the message that it adds."""
 RELAYS = 3
 """Hosts that relay or stand ready to: one may be lost and one cut off at a time."""
-RELAY_SECONDS = 1.5
-"""Time for which the word of a relay stands; it speaks every 0.6 s at least."""
+RELAY_SECONDS = 2.5
+"""Time for which the word of a relay stands; it speaks every second at least."""
 LEAD_SECONDS = 0.75
 """The same for the one that sums up, as loads of that age are hardly better than none:
 a stream lives 1 to 7 s."""
@@ -45,10 +45,10 @@
     return sorted([own, *heard])[:RELAYS]
 
 
-def choose_lead(own: HostId, ages: Mapping[HostId, float]) -> HostId:
-    """Return the host that sums up: the first that was heard just now."""
+def is_lead(own: HostId, ages: Mapping[HostId, float]) -> bool:
+    """Tell whether a host sums up: a relay before which none was heard just now."""
     heard = [host for host, age in ages.items() if age < LEAD_SECONDS]
-    return min([own, *heard])
+    return own in choose_relays(own, ages) and own == min([own, *heard])
 
 
 def choose_patience(own: HostId, hosts: Iterable[HostId]) -> float:
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -59,7 +59,9 @@
         self.last_event: str | None = exchange.call.last_event
         self._parts = parts
         self._exchange = exchange
-        self._alarm = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._is_alarmed = False
+        self._timer: asyncio.TimerHandle | None = None
         self._gap = 0.0
         self._caution = 1.0
         self._heard = 0.0
@@ -79,7 +81,8 @@
 
     def alarm(self) -> None:
         """Look after the chain at once: one of its engines is dead or leaving."""
-        self._alarm.set()
+        self._is_alarmed = True
+        self._wake.set()
 
     def note_event(self) -> None:
         """Learn that events have come, and with it what pause between them is usual."""
@@ -88,8 +91,7 @@
         if self._gap == 0.0:
             self._gap = gap
         self._gap += GAP_WEIGHT * (gap - self._gap)
-        self._heard = now
-        self._patience = self._choose_gap()
+        self._expect()
 
     async def watch(self, work: Coroutine[Any, Any, T]) -> T:
         """Await something of the engines; look after them when it doesn't come.
@@ -106,7 +108,7 @@
             guard.result()
             raise AssertionError("a guard ends with an exception only")
         finally:
-            guard.cancel()
+            self._stop_guard(guard)
             if not task.done():
                 task.cancel()
 
@@ -129,12 +131,31 @@
                 guard.result()
             raise
         finally:
-            guard.cancel()
+            self._stop_guard(guard)
 
     def _expect(self) -> None:
         """Count the silence of the engines from now on."""
         self._heard = self._parts.clock.monotonic()
         self._patience = self._choose_gap()
+        self._set_timer(self._patience)
+
+    def _set_timer(self, seconds: float) -> None:
+        """Wake the guard when the silence has lasted too long, not before.
+
+        A guard that slept through each gap and looked at the clock woke a host more
+        often than events did.
+        """
+        self._stop_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self._wake.set)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _stop_guard(self, guard: asyncio.Future[None]) -> None:
+        guard.cancel()
+        self._stop_timer()
 
     async def _guard(self) -> None:
         """Look after the engines whenever they are silent or an alarm is given.
@@ -142,23 +163,19 @@
         :raises ChainBroken: if they will bring nothing more.
         """
         while True:
-            silent = self._parts.clock.monotonic() - self._heard
-            if self._alarm.is_set():
-                self._alarm.clear()
+            await self._wake.wait()
+            self._wake.clear()
+            if self._is_alarmed:
+                self._is_alarmed = False
                 await self._answer_alarm()
-            elif silent >= self._patience:
+            silent = self._parts.clock.monotonic() - self._heard
+            if silent >= self._patience:
                 await self._look_after_chain()
                 self._heard = self._parts.clock.monotonic()
                 self._patience = min(LONGEST_GAP, 2.0 * self._patience)
                 self._caution = min(MOST_CAUTION, CAUTION_STEP * self._caution)
-            else:
-                await self._wait_for_alarm(self._patience - silent)
-
-    async def _wait_for_alarm(self, seconds: float) -> None:
-        """Wait for an alarm, but only so long."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._alarm.wait()
+                silent = 0.0
+            self._set_timer(self._patience - silent)
 
     def _choose_gap(self) -> float:
         if self._gap == 0.0:
--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -33,10 +33,6 @@
 FAILURES_IN_OUTAGE = 3
 
 
-IDLE_SECONDS = 0.2
-"""Pause between two looks whether this host must read by itself again."""
-
-
 class Dependency:
     """Whether the store answers one kind of read; logs when that changes."""
 
@@ -74,15 +70,19 @@
 class ConfigurationFollower:
     """Puts each new configuration of the store in force.
 
-    :ivar is_needed: whether this host must read by itself.
+    :param reading: set while this host must read by itself.
     :ivar get_patience: how much longer than others it waits in an outage.
     """
 
     def __init__(
-        self, feeds: PlatformFeeds, directory: Directory, source: random.Random
+        self,
+        feeds: PlatformFeeds,
+        directory: Directory,
+        source: random.Random,
+        reading: asyncio.Event,
     ) -> None:
         self.dependency = Dependency("configuration feed")
-        self.is_needed: Callable[[], bool] = lambda: True
+        self._reading = reading
         self.get_patience: Callable[[], float] = lambda: 1.0
         self._feeds = feeds
         self._directory = directory
@@ -92,10 +92,8 @@
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
-            if self.is_needed():
-                await self.look()
-            else:
-                await asyncio.sleep(IDLE_SECONDS)
+            await self._reading.wait()
+            await self.look()
 
     async def look(self) -> None:
         """Wait for one piece of news."""
@@ -120,7 +118,7 @@
 class TargetFollower:
     """Keeps the registry of targets up to date with the store.
 
-    :ivar is_needed: whether this host must read by itself.
+    :param reading: set while this host must read by itself.
     :ivar get_patience: how much longer than others it waits in an outage.
     """
 
@@ -130,9 +128,10 @@
         directory: Directory,
         clock: Clock,
         source: random.Random,
+        reading: asyncio.Event,
     ) -> None:
         self.dependency = Dependency("targets feed")
-        self.is_needed: Callable[[], bool] = lambda: True
+        self._reading = reading
         self.get_patience: Callable[[], float] = lambda: 1.0
         self._feeds = feeds
         self._directory = directory
@@ -143,12 +142,9 @@
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
-            if self.is_needed():
-                await self.look()
-                await asyncio.sleep(self._choose_pause())
-            else:
-                self._directory.registry.expire(self._clock.monotonic())
-                await asyncio.sleep(IDLE_SECONDS)
+            await self._reading.wait()
+            await self.look()
+            await asyncio.sleep(self._choose_pause())
 
     async def look(self) -> None:
         """Read once what has changed."""
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -19,7 +19,7 @@
 from marigoldswitch.gateway.fronts import Front
 from marigoldswitch.gateway.orderer import LayerOrderer
 from marigoldswitch.gateway.ports import HostDirectory, HostRecord, HostSettings
-from marigoldswitch.gateway.spread import TICK_SECONDS, Spread
+from marigoldswitch.gateway.spread import Spread
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peers import PeerNetwork
 
@@ -66,6 +66,8 @@
     orderer: LayerOrderer
     hosts: HostDirectory
     session: aiohttp.ClientSession
+    reading: asyncio.Event
+    """Set while this host must follow the store by itself."""
 
 
 class GatewayHost:
@@ -196,7 +198,18 @@
                 self.parts.spread.tick()
             except Exception:
                 logger.exception("spread_failed")
-            await asyncio.sleep(TICK_SECONDS)
+            self._look_for_turn()
+            await asyncio.sleep(self.parts.spread.period)
+
+    def _look_for_turn(self) -> None:
+        """Have the store read by this host, or no longer."""
+        parts = self.parts
+        directory = parts.runs.directory
+        directory.registry.expire(parts.runs.clock.monotonic())
+        if parts.spread.roster.must_read():
+            parts.reading.set()
+        else:
+            parts.reading.clear()
 
     async def _enter(self) -> None:
         """Write this host's row and learn of the others, until that has worked."""
@@ -211,6 +224,7 @@
         for record in listed.ok_value:
             parts.spread.meet(record)
         parts.spread.roster.is_listed = True
+        self._look_for_turn()
         parts.spread.greet()
         logger.info("hosts_met", hosts=len(parts.spread.roster.peers))
 
--- a/marigoldswitch/gateway/orderer.py
+++ b/marigoldswitch/gateway/orderer.py
@@ -41,6 +41,8 @@
 """Time without a renewal after which a holder that the store turns away gives the lease
 up and says so: two renewals have failed, and another host can take over at once."""
 TICK_SECONDS = 0.25
+IDLE_SECONDS = 1.0
+"""Pause between two looks of a host that leaves the lease to those that read."""
 LOOK_SECONDS = 0.6
 """Least time between two reads of the lease by a host that does not hold it."""
 SETTLE_SECONDS = 1.3
@@ -97,7 +99,8 @@
     async def run(self) -> None:
         """Keep the lease and the layout until cancelled."""
         while True:
-            await asyncio.sleep(TICK_SECONDS)
+            is_near = self.lease.holds or self._spread.roster.must_read()
+            await asyncio.sleep(TICK_SECONDS if is_near else IDLE_SECONDS)
             try:
                 await self.tick()
             except Exception:
--- a/marigoldswitch/gateway/roster.py
+++ b/marigoldswitch/gateway/roster.py
@@ -11,9 +11,9 @@
     MESH_HOSTS,
     READER_SECONDS,
     ReaderTurn,
-    choose_lead,
     choose_patience,
     choose_relays,
+    is_lead,
 )
 from marigoldswitch.gateway.ports import HostRecord
 
@@ -198,7 +198,7 @@
     @property
     def is_lead(self) -> bool:
         """Tell whether this host sums up for the others."""
-        return choose_lead(self._own, self._list_ages()) == self._own
+        return is_lead(self._own, self._list_ages())
 
     def must_read(self) -> bool:
         """Tell whether this host must follow the store by itself."""
@@ -243,16 +243,19 @@
 
     # Whom to tell.
 
-    def choose_near(self, turn: int) -> list[HostId]:
+    def choose_near(self, to_all: bool = False) -> list[HostId]:
         """Return the hosts of this data centre that get a digest.
 
-        :param turn: number of the digest: silent hosts get only some.
+        :param to_all: it is one of those that hosts get as well to which another relay
+            speaks, or which have fallen silent.
         """
         if not self.is_mesh and not self.is_relay:
             return self.relays[:2]
-        if turn % 10 == 0:
+        if to_all:
             return list(self._list_ages())
-        return self.list_near()
+        if self.is_mesh or self.is_lead:
+            return self.list_near()
+        return [host for host in self.relays if host != self._own]
 
     def choose_far(self) -> list[HostId]:
         """Return the hosts of other data centres that get a digest."""
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
 import structlog
 
@@ -33,29 +33,50 @@
 TICK_SECONDS = 0.1
 """Seconds between two looks whether something is due; between two digests where each
 host tells each other: a few requests arrive at a data centre meanwhile."""
-QUIET_TICKS = 5
-"""Ticks for which an unchanged digest is left out: relays must speak within 0.75 s."""
-TOLD_TICKS = 2
-"""Ticks between two digests of a host that tells its relays: with 2 requests a second
-and host it has something to tell in every second one."""
-QUIET_TOLD_TICKS = 10
-"""The same where nothing has changed: a relay counts hosts as live for 3 s."""
-SUMMARY_TICKS = 3
-"""Ticks between two summaries of a relay. In 0.3 s a data centre of 30 hosts gets some
-20 requests for 200 that it has under way: choices that are off by that much are made
-up for by the random part of costs."""
-FAR_TICKS = 5
-"""Ticks between two digests to the relays of other data centres, whose engines are used
-when those at home are full; also between two summaries that tell of these engines."""
-HOSTS_TICKS = 150
-"""Ticks between two summaries that name all hosts, of which the others know by hearsay
-only: 15 s are an eighth of the time after which a host is forgotten."""
+QUIET_SECONDS = 0.5
+"""Time for which an unchanged digest is left out: the relay that sums up must speak
+within 0.75 s."""
+SUM_SECONDS = 0.3
+"""Seconds between two words of a host to its relays, and between two sums of these. A
+data centre of 30 hosts gets some 20 requests in this time for 200 that it has under
+way: choices that are off by that much are made up for by the random part of costs."""
+ALL_SECONDS = 1.0
+"""Seconds between two digests to all hosts of the data centre, of a relay that does not
+sum up or of a host to which nobody has spoken; relays count hosts as live for 3 s."""
+FAR_SECONDS = 0.5
+"""Seconds between two digests to the relays of other data centres, whose engines are
+used when those at home are full."""
+FAR_SUM_SECONDS = 1.5
+"""Seconds between two sums that tell of other data centres as well."""
+HOSTS_SECONDS = 15.0
+"""Seconds between two sums that name all hosts, of which the others know by hearsay
+only: an eighth of the time after which a host is forgotten."""
 ORDERER_SECONDS = 1.2
 """Time for which the word of the host that holds the orderer's lease stands."""
 URGENT_SECONDS = 0.05
 """Least time between two digests that are told out of turn."""
 
 
+@dataclass(slots=True)
+class _Told:
+    """What was told last, and when."""
+
+    digest: LoadDigest | None = None
+    at: float = float("-inf")
+    times: dict[str, float] = field(default_factory=dict)
+
+    def is_past(self, now: float, what: str, seconds: float) -> bool:
+        """Tell whether something is due again; if so, it is done now.
+
+        Half a tick early counts: the next look would be half a tick late.
+        """
+        last = self.times.get(what, float("-inf"))
+        if now - last < seconds - TICK_SECONDS / 2:
+            return False
+        self.times[what] = now
+        return True
+
+
 class Spread:
     """Exchanges digests with the other hosts."""
 
@@ -73,10 +94,7 @@
         self._orderer: LeaseNote | None = None
         self._orderer_heard = float("-inf")
         self._news = News(parts, self.roster.must_read, lambda: self._is_current)
-        self._round = 0
-        self._told: LoadDigest | None = None
-        self._told_round = 0
-        self._told_at = float("-inf")
+        self._told = _Told()
         take_digest: Callable[..., None] = self._take_digest
         parts.network.register(LoadDigest, take_digest)
         take_summary: Callable[..., None] = self._take_summary
@@ -106,54 +124,58 @@
         revision = parts.directory.registry.revision
         return parts.directory.is_complete and self.roster.hears_reader(revision)
 
+    @property
+    def period(self) -> float:
+        """Return the seconds until the next tick: what is due soonest at this host."""
+        roster = self.roster
+        return TICK_SECONDS if roster.is_mesh or roster.is_relay else SUM_SECONDS
+
     def greet(self) -> None:
         """Tell the hosts that must know of this one: each, or its relays.
 
         A greeting to each of 89 hosts made 7,800 connections at a start of all.
         """
         digest = self._build_digest()
-        for host in (*self.roster.choose_near(0), *self.roster.choose_far()):
+        near = self.roster.choose_near(to_all=True)
+        for host in (*near, *self.roster.choose_far()):
             self._parts.network.send(host, digest)
 
     def tell_now(self) -> None:
         """Tell the near hosts at once of what was found."""
         now = self._parts.clock.monotonic()
-        if now - self._told_at >= URGENT_SECONDS:
-            self._tell(self._build_digest())
+        if now - self._told.at >= URGENT_SECONDS:
+            self._tell(self._build_digest(), to_all=False)
 
     def tick(self) -> None:
         """Send what is due."""
         now = self._parts.clock.monotonic()
         roster = self.roster
-        self._round += 1
         self._parts.loads.expire(now)
         roster.forget()
         digest = self._build_digest()
-        if self._is_due(digest):
-            self._tell(digest)
+        to_all = self._told.is_past(now, "all", ALL_SECONDS)
+        if to_all or self._is_due(digest, now):
+            self._tell(digest, to_all)
         if not roster.is_mesh and roster.is_lead:
-            self._sum_up()
-        if roster.is_mesh or self._round % FAR_TICKS == 0:
+            self._sum_up(now)
+        if roster.is_mesh or self._told.is_past(now, "far", FAR_SECONDS):
             self._tell_far(digest)
 
-    def _is_due(self, digest: LoadDigest) -> bool:
+    def _is_due(self, digest: LoadDigest, now: float) -> bool:
         """Tell whether the near hosts should get a digest now."""
-        waited = self._round - self._told_round
-        roster = self.roster
-        if self._told is not None and _is_like(digest, self._told):
-            told = not roster.is_mesh and not roster.is_relay
-            return waited >= (QUIET_TOLD_TICKS if told else QUIET_TICKS)
-        return roster.is_mesh or waited >= TOLD_TICKS
+        waited = now - self._told.at
+        if self._told.digest is not None and _is_like(digest, self._told.digest):
+            return waited >= QUIET_SECONDS and self.roster.is_lead
+        return self.roster.is_mesh or waited >= SUM_SECONDS - TICK_SECONDS
 
-    def _tell(self, digest: LoadDigest) -> None:
+    def _tell(self, digest: LoadDigest, to_all: bool) -> None:
         """Send a digest to the near hosts; loads only to those that add them up."""
-        self._told, self._told_round = digest, self._round
-        self._told_at = self._parts.clock.monotonic()
+        self._told.digest, self._told.at = digest, self._parts.clock.monotonic()
         self._parts.loads.note_told()
         bare = replace(digest, usages=())
         relays = self.roster.relays
         adds_up = self.roster.is_mesh
-        for host in self.roster.choose_near(self._round):
+        for host in self.roster.choose_near(to_all):
             full = adds_up or host in relays
             self._parts.network.send(host, digest if full else bare)
 
@@ -166,17 +188,17 @@
             if not self.roster.is_mesh:
                 self._parts.network.send(host, summary)
 
-    def _sum_up(self) -> None:
+    def _sum_up(self, now: float) -> None:
         """Tell the hosts of this data centre what all of them hold together."""
-        if self._round % SUMMARY_TICKS:
+        if not self._told.is_past(now, "sum", SUM_SECONDS):
             return
         loads = self._parts.loads
         sums: dict[DataCentre, Mapping[TargetId, Usage]]
         sums = {self._home: loads.sum_home()}
-        if self._round // SUMMARY_TICKS % FAR_TICKS == 0:
+        if self._told.is_past(now, "far sum", FAR_SUM_SECONDS):
             sums |= loads.show_sums()
         summary = self._build_summary(sums)
-        if self._round % HOSTS_TICKS == 0:
+        if self._told.is_past(now, "hosts", HOSTS_SECONDS):
             hosts = tuple(sorted(self.roster.list_near()))
             summary = replace(summary, hosts=hosts)
         for host in self.roster.list_near():
@@ -309,7 +331,7 @@
             is_new = is_new or known is None or known[1] != span
             self.recent_layers[held.target] = (at, span)
             self._parts.directory.registry.note_layers(held.target, span)
-        if is_new and self.roster.is_relay and not self.roster.is_mesh:
+        if is_new and self.roster.is_lead and not self.roster.is_mesh:
             self.tell_now()
 
     def meet(self, record: HostRecord) -> None:
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -1,5 +1,6 @@
 """Composition root of a gateway host on the users' platform."""
 
+import asyncio
 import random
 
 import aiohttp
@@ -78,8 +79,9 @@
         lambda host: host,
         MessageCodec(GatewayMessage),
     )
-    configuration = ConfigurationFollower(store, directory, source)
-    targets = TargetFollower(store, directory, clock, source)
+    reading = asyncio.Event()
+    configuration = ConfigurationFollower(store, directory, source, reading)
+    targets = TargetFollower(store, directory, clock, source, reading)
     spread = Spread(
         SpreadParts(
             clock,
@@ -106,7 +108,6 @@
         identity.region,
     )
     planner.count_hosts = spread.roster.count_live
-    configuration.is_needed = targets.is_needed = spread.roster.must_read
     patience = spread.roster.choose_patience
     configuration.get_patience = targets.get_patience = patience
     planner.count_near = spread.roster.count_near
@@ -126,5 +127,6 @@
             orderer,
             store,
             session,
+            reading,
         )
     )
--- a/marigoldswitch/tests/test_relays.py
+++ b/marigoldswitch/tests/test_relays.py
@@ -7,9 +7,9 @@
     RELAY_SECONDS,
     RELAYS,
     ReaderTurn,
-    choose_lead,
     choose_patience,
     choose_relays,
+    is_lead,
 )
 
 HOSTS = [HostId(f"10.1.0.{number}:80") for number in range(10, 40)]
@@ -23,22 +23,29 @@
 def test_all_hosts_choose_the_same_relays():
     chosen = {tuple(choose_relays(own, list_ages(own))) for own in HOSTS}
     assert chosen == {tuple(HOSTS[:RELAYS])}
-    assert {choose_lead(own, list_ages(own)) for own in HOSTS} == {HOSTS[0]}
+    assert [own for own in HOSTS if is_lead(own, list_ages(own))] == [HOSTS[0]]
 
 
 def test_next_host_leads_when_the_first_falls_silent():
-    ages = list_ages(HOSTS[5])
-    ages[HOSTS[0]] = LEAD_SECONDS
-    assert choose_lead(HOSTS[5], ages) == HOSTS[1]
-    assert choose_relays(HOSTS[5], ages)[0] == HOSTS[0]
-    ages[HOSTS[0]] = RELAY_SECONDS
-    assert choose_relays(HOSTS[5], ages) == HOSTS[1 : RELAYS + 1]
+    ages = {own: list_ages(own) for own in HOSTS}
+    for known in ages.values():
+        known.update({HOSTS[0]: LEAD_SECONDS} if HOSTS[0] in known else {})
+    leads = [own for own in HOSTS[1:] if is_lead(own, ages[own])]
+    assert leads == [HOSTS[1]]
+    assert choose_relays(HOSTS[5], ages[HOSTS[5]])[0] == HOSTS[0]
+    ages[HOSTS[5]][HOSTS[0]] = RELAY_SECONDS
+    assert choose_relays(HOSTS[5], ages[HOSTS[5]]) == HOSTS[1 : RELAYS + 1]
+
+
+def test_host_that_does_not_relay_does_not_lead_however_silent_the_relays_are():
+    own = HOSTS[5]
+    assert not is_lead(own, list_ages(own, age=RELAY_SECONDS - 0.1))
 
 
 def test_host_that_hears_nobody_relays_for_itself():
     ages = list_ages(HOSTS[9], age=60.0)
     assert choose_relays(HOSTS[9], ages) == [HOSTS[9]]
-    assert choose_lead(HOSTS[9], ages) == HOSTS[9]
+    assert is_lead(HOSTS[9], ages)
 
 
 def test_readers_are_the_first_that_the_store_answers():
