Put changed settings in force, with or without a signal

Change: bounds of repeats, the time to stop and seeds are put in force; identity, addresses and the store's address need a restart, which a warning names. The file's status is looked at every 2 s. A bad file leaves the settings as they are.

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -85,10 +85,16 @@
     def __init__(
         self, allowance: float, share: float, count_hosts: Callable[[], int]
     ) -> None:
-        self._allowance = CAUTION * allowance
-        self._share = CAUTION * share
         self._count_hosts = count_hosts
         self._budgets: dict[ServiceName, RetryBudget] = {}
+        self.use_terms(allowance, share)
+
+    def use_terms(self, allowance: float, share: float) -> None:
+        """Take other bounds; what has been spent already still counts."""
+        self._allowance = CAUTION * allowance
+        self._share = CAUTION * share
+        for budget in self._budgets.values():
+            budget.share = self._share
 
     def get(self, service: ServiceName) -> RetryBudget:
         """Return what all requests of a service share."""
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import aiohttp
@@ -75,6 +75,8 @@
 
     def __init__(self, parts: GatewayParts) -> None:
         self.parts = parts
+        self.settings = parts.settings
+        """Those in force now."""
         identity = parts.settings.identity
         self._record = HostRecord(identity.host, identity.data_centre)
         self._runners: list[web.ServerRunner] = []
@@ -120,7 +122,7 @@
         parts.spread.leaving = True
         parts.orderer.retire()
         parts.spread.greet()
-        longest = parts.settings.stop_seconds - LAST_SECONDS
+        longest = self.settings.stop_seconds - LAST_SECONDS
         try:
             async with asyncio.timeout(longest):
                 await asyncio.sleep(min(BALANCER_SECONDS, longest))
@@ -129,6 +131,22 @@
         except TimeoutError:
             logger.warning("drain_cut_short", busy=parts.front.busy)
 
+    def use_settings(self, fresh: HostSettings) -> None:
+        """Put changed settings in force, as far as that needs no restart."""
+        old = self.settings
+        fixed = [
+            name
+            for name in ("identity", "addresses")
+            if getattr(fresh, name) != getattr(old, name)
+        ]
+        if fixed:
+            logger.warning("settings_need_restart", settings=fixed)
+        self.settings = replace(fresh, identity=old.identity, addresses=old.addresses)
+        self.parts.runs.retries.use_terms(fresh.retry_allowance, fresh.retry_share)
+        for seed in fresh.seeds:
+            self.parts.spread.meet(HostRecord(seed, ""))
+        logger.info("settings_in_force", changed=self.settings != old)
+
     async def stop(self) -> None:
         """Close everything."""
         parts = self.parts
--- a/marigoldswitch/platform/daemon.py
+++ b/marigoldswitch/platform/daemon.py
@@ -9,6 +9,7 @@
 import structlog
 from result import Err, Ok
 
+from marigoldswitch.gateway.hosts import GatewayHost
 from marigoldswitch.gateway.ports import HostSettings
 from marigoldswitch.logs import BoundedStream, configure_logs
 from marigoldswitch.platform.compose import compose_gateway
@@ -17,6 +18,9 @@
 logger = structlog.get_logger(__name__)
 
 WRONG_SETTINGS_STATUS = 2
+LOOK_SECONDS = 2.0
+"""Pause between two looks at the settings file: as long as a configuration may take to
+be in force."""
 
 
 def serve(
@@ -56,9 +60,12 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, take_signal)
     host = compose_gateway(settings, store)
-    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(path, settings))
+    file = SettingsFile(path, store, host)
+    loop.add_signal_handler(signal.SIGHUP, file.read)
     await host.start()
+    watch = asyncio.create_task(file.watch())
     await first.wait()
+    watch.cancel()
     drained = asyncio.create_task(host.drain())
     hurried = asyncio.create_task(second.wait())
     await asyncio.wait([drained, hurried], return_when=asyncio.FIRST_COMPLETED)
@@ -67,13 +74,41 @@
     await host.stop()
 
 
-def _reload(path: Path, settings: HostSettings) -> None:
-    """Read the settings again; what differs needs a restart, and is logged."""
-    match read_settings(path):
-        case Err(faults):
-            logger.error("settings_refused", why=faults)
-        case Ok((fresh, _)):
-            logger.info("settings_read", changed=fresh != settings)
+class SettingsFile:
+    """Puts the settings in force when their file has changed."""
+
+    def __init__(self, path: Path, store: str, host: GatewayHost) -> None:
+        self._path = path
+        self._store = store
+        self._host = host
+        self._seen = self._look()
+
+    async def watch(self) -> None:
+        """Look at the file from time to time: it may change without a signal."""
+        while True:
+            await asyncio.sleep(LOOK_SECONDS)
+            if self._look() != self._seen:
+                self.read()
+
+    def read(self) -> None:
+        """Read the file; one with faults leaves the settings as they are."""
+        self._seen = self._look()
+        match read_settings(self._path):
+            case Err(faults):
+                logger.error("settings_refused", why=faults)
+            case Ok((fresh, store)):
+                if store != self._store:
+                    names = ["platform.address"]
+                    logger.warning("settings_need_restart", settings=names)
+                self._host.use_settings(fresh)
+
+    def _look(self) -> tuple[int, int] | None:
+        """Return what tells one content of the file from the next."""
+        try:
+            stat = self._path.stat()
+        except OSError:
+            return None
+        return stat.st_mtime_ns, stat.st_size
 
 
 def main() -> None:
--- /dev/null
+++ b/marigoldswitch/tests/test_platform_daemon.py
@@ -0,0 +1,67 @@
+"""Settings come into force when their file changes; a bad file changes nothing."""
+
+import asyncio
+import os
+from types import SimpleNamespace
+
+from marigoldswitch.gateway.exchanges import CAUTION
+from marigoldswitch.platform.daemon import SettingsFile
+from marigoldswitch.platform.settings import read_settings
+from marigoldswitch.tests.gateway_site import run_site
+from marigoldswitch.tests.helpers import run_async
+from marigoldswitch.tests.test_platform_settings import FIELDS, write
+
+
+def build_file(path):
+    taken = []
+    host = SimpleNamespace(use_settings=taken.append)
+    return SettingsFile(path, "10.200.1.7:8223", host), taken
+
+
+def test_changed_file_is_taken_without_a_signal(tmp_path, monkeypatch):
+    monkeypatch.setattr("marigoldswitch.platform.daemon.LOOK_SECONDS", 0.0)
+    path = write(tmp_path, FIELDS)
+    file, taken = build_file(path)
+
+    async def scenario():
+        watch = asyncio.create_task(file.watch())
+        write(tmp_path, {**FIELDS, "bounds": {"grace_s": 5}})
+        os.utime(path, ns=(1, 1))
+        while not taken:
+            await asyncio.sleep(0)
+        watch.cancel()
+
+    run_async(scenario())
+    assert taken[0].stop_seconds == 5.0
+
+
+def test_bad_file_leaves_the_settings_as_they_are(tmp_path):
+    path = write(tmp_path, FIELDS)
+    file, taken = build_file(path)
+    path.write_bytes(b"{")
+    file.read()
+    path.unlink()
+    file.read()
+    assert taken == []
+    write(tmp_path, FIELDS)
+    file.read()
+    assert len(taken) == 1
+
+
+def test_host_uses_new_bounds_and_keeps_its_addresses(tmp_path):
+    changed = {**FIELDS, "bounds": {"grace_s": 5, "retry_allowance": 50}}
+    fresh, _ = read_settings(write(tmp_path, changed)).unwrap()
+
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            host = site.hosts[0]
+            before = host.settings
+            host.use_settings(fresh)
+            assert host.settings.addresses == before.addresses
+            assert host.settings.stop_seconds == 5.0
+            budget = host.parts.runs.retries.get("desk")
+            hosts = host.parts.spread.roster.count_live()
+            assert budget.floor * hosts == CAUTION * 5.0
+            assert "10.2.0.29:8229" in host.parts.spread.roster.peers
+
+    run_async(scenario())
