--- a/marigoldswitch/tools/capacity_gateway.py
+++ b/marigoldswitch/tools/capacity_gateway.py
@@ -4,7 +4,13 @@
 import time
 
 from marigoldswitch.core.catalogue import LayerRange
-from marigoldswitch.core.gateway_messages import GatewayMessage, LoadDigest, TargetUsage
+from marigoldswitch.core.gateway_messages import (
+    CentreUsage,
+    GatewayMessage,
+    LoadDigest,
+    LoadSummary,
+    TargetUsage,
+)
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.layouts import EngineSlot, plan_layout
 from marigoldswitch.core.models import Accelerator, ModelSpec
@@ -81,6 +87,24 @@
     return LoadDigest(DataCentre("a"), 7, 400, usages, reads=True)
 
 
+def build_summary(targets: int) -> LoadSummary:
+    """Return the sum of a data centre's hosts over some targets."""
+    usages = tuple(
+        TargetUsage(TargetId(f"i-{index:010d}"), 24, 21_600) for index in range(targets)
+    )
+    return LoadSummary((CentreUsage(DataCentre("a"), usages),), 57, 400)
+
+
+def size_summary(targets: int) -> float:
+    """Return the bytes of a sum."""
+    return float(len(CODEC.encode(build_summary(targets))))
+
+
+def time_summary(targets: int) -> float:
+    """Return the microseconds that reading a sum takes."""
+    return _time_reading(CODEC.encode(build_summary(targets)))
+
+
 def size_digest(targets: int) -> float:
     """Return the bytes of a digest."""
     return float(len(CODEC.encode(build_digest(targets))))
@@ -88,7 +112,10 @@
 
 def time_digest(targets: int) -> float:
     """Return the microseconds that reading a digest takes."""
-    content = CODEC.encode(build_digest(targets))
+    return _time_reading(CODEC.encode(build_digest(targets)))
+
+
+def _time_reading(content: bytes) -> float:
     began = time.perf_counter()
     for _ in range(ROUNDS):
         CODEC.decode(content)
