End lapsed targets at hosts that do not read; give a mended chain its time

Both tests fail before. Ruled out: telling the others to drop lapsed targets at once, which would empty their pools in an outage. Change: content names the lapsed targets, and each host ends them by itself; the silence of a chain begins anew with a detour.

--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -162,11 +162,13 @@
 
     :param targets: those that have changed since the revision that was asked for.
     :param names: all of them.
+    :param lapsed: those whose rows are gone and may come back.
     """
 
     revision: int
     targets: tuple[TargetNote, ...]
     names: tuple[TargetId, ...]
+    lapsed: tuple[TargetId, ...] = ()
 
 
 GatewayMessage = (
--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -76,6 +76,11 @@
         """Return all rows, leaving targets among them."""
         return self._rows
 
+    @property
+    def lapsed(self) -> tuple[TargetId, ...]:
+        """Return the targets whose rows are gone and may come back."""
+        return tuple(self._lapsed)
+
     def list_targets(self, service: ServiceName) -> list[Target]:
         """Return the targets of a service that may get new work."""
         return [item for item in self.targets.values() if item.service == service]
@@ -153,10 +158,15 @@
             return
         broken = self._broken_at
         if broken is not None and now - broken < OUTAGE_SECONDS:
-            self._lapsed[name] = now + RETURN_SECONDS
+            self.lapse(name, now)
             return
         self._drop(name)
 
+    def lapse(self, name: TargetId, now: float) -> None:
+        """Take the removal of a row that may come back for a moment."""
+        if name in self._rows:
+            self._lapsed[name] = now + RETURN_SECONDS
+
     def expire(self, now: float) -> None:
         """Drop entries that lapsed in an outage and have not come back."""
         for name in [name for name, end in self._lapsed.items() if end <= now]:
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -353,6 +353,8 @@
             )
             if reply.result in (OrderResult.BEGUN, OrderResult.DONE):
                 self.stages, dropped = chain.stages, self.stages
+                # Its new engines read the prompt first: its silence begins anew.
+                self._event_at = parts.clock.monotonic()
         finally:
             parts.planner.release(dropped, tokens)
         return reply
--- a/marigoldswitch/gateway/news.py
+++ b/marigoldswitch/gateway/news.py
@@ -148,7 +148,9 @@
             for row in registry.rows.values()
             if row.revision > request.revision
         )
-        content = TargetsContent(registry.revision, notes, tuple(registry.rows))
+        content = TargetsContent(
+            registry.revision, notes, tuple(registry.rows), registry.lapsed
+        )
         self._parts.network.send(sender, content)
 
     def _take_targets(self, sender: HostId, news: TargetsContent) -> None:
@@ -165,6 +167,9 @@
             if name in changed or name in registry.rows
         ]
         registry.replace_all(rows, news.revision, now, settled=True)
+        for name in news.lapsed:
+            # Its end brings no newer revision by which this host would hear of it.
+            registry.lapse(name, now)
         parts.directory.has_targets = True
         logger.info("targets_taken", sender=sender, revision=news.revision)
 
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -11,7 +11,7 @@
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.detours import ChainBroken, ChainWatch
 from marigoldswitch.gateway.directory import Directory
-from marigoldswitch.gateway.ports import EngineStatus
+from marigoldswitch.gateway.ports import EngineStatus, OrderReply, OrderResult
 from marigoldswitch.gateway.probing import EngineProbes
 
 STAGES = tuple(
@@ -35,8 +35,13 @@
             )
             self.directory.registry._rows[stage.target] = SimpleNamespace(target=target)
         clock = SimpleNamespace(monotonic=lambda: self.now)
+        self.detour = None
         planner = SimpleNamespace(
-            slowness={}, find_detour=lambda *_: None, find=lambda *_: None
+            slowness={},
+            find_detour=lambda *_: self.detour,
+            find=lambda *_: None,
+            hold=lambda *_: None,
+            release=lambda *_: None,
         )
         self.probes = EngineProbes(self, self.directory, planner, clock)
         self.budget = SimpleNamespace(has_room=lambda now: True)
@@ -46,6 +51,7 @@
             directory=self.directory,
             planner=planner,
             retries=SimpleNamespace(get=lambda service: self.budget),
+            engines=self,
         )
         call = SimpleNamespace(id="r", last_event=None, tokens=1)
         route = SimpleNamespace(most_targets=2, is_idempotent=True)
@@ -63,6 +69,9 @@
         layers = next(item.layers for item in STAGES if item.target == name)
         return None if name in self.dead else EngineStatus(layers, False, 0)
 
+    async def reroute(self, address, request, stages):
+        return OrderReply(OrderResult.BEGUN)
+
     def look(self, after=0.0):
         self.now += after
         self.probed = []
@@ -133,3 +142,14 @@
         case "no budget":
             chain.budget.has_room = lambda now: False
     chain.look(after=1.5)
+
+
+def test_chain_that_has_just_been_mended_gets_its_time():
+    chain = Chain()
+    chain.dead.add(NAMES[1])
+    chain.detour = SimpleNamespace(stages=(STAGES[0], STAGES[2]))
+    chain.look(after=0.8)
+    assert chain.watch.stages == chain.detour.stages
+    chain.look(after=0.6)
+    with pytest.raises(ChainBroken):
+        chain.look(after=0.2)
--- a/marigoldswitch/tests/test_news.py
+++ b/marigoldswitch/tests/test_news.py
@@ -2,15 +2,23 @@
 
 from types import SimpleNamespace
 
+from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.gateway_messages import FetchTargets, LoadDigest
-from marigoldswitch.core.ids import DataCentre, HostId
+from marigoldswitch.core.ids import DataCentre, HostId, TargetId
+from marigoldswitch.core.registry import RETURN_SECONDS, TargetRow
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.news import News
 
 READER, IDLE = HostId("10.1.0.1:80"), HostId("10.1.0.2:80")
 
 
-def build_news(sent):
+def build_row(name, revision):
+    """Return the row of a plain target."""
+    target = Target(TargetId(name), "desk", DataCentre("a"), f"{name}:80", 1)
+    return TargetRow(target, False, revision)
+
+
+def build_news(sent, clock=None, current=False):
     """Return the news of a host that leaves reading to others."""
     network = SimpleNamespace(
         register=lambda kind, handler: None,
@@ -18,12 +26,13 @@
     )
     in_touch = SimpleNamespace(dependency=SimpleNamespace(is_lost=False))
     parts = SimpleNamespace(
+        clock=clock,
         network=network,
         directory=Directory(),
         configuration=in_touch,
         targets=in_touch,
     )
-    return News(parts, must_read=lambda: False, is_current=lambda: False)
+    return News(parts, must_read=lambda: False, is_current=lambda: current)
 
 
 def test_targets_are_asked_of_hosts_that_read_whoever_speaks_first():
@@ -36,3 +45,21 @@
             news.ask(host, digest, now)
     assert {host for host, _ in sent} == {READER}
     assert sent[0] == (READER, FetchTargets(0))
+
+
+def test_target_whose_row_lapsed_in_an_outage_ends_at_hosts_that_do_not_read():
+    sent = []
+    clock = SimpleNamespace(now=0.0, monotonic=lambda: clock.now)
+    teller, asker = build_news(sent, clock, current=True), build_news(sent, clock)
+    rows = [build_row(name, revision) for revision, name in enumerate("ab", start=1)]
+    known = teller._parts.directory.registry
+    known.note_outage(0.0)
+    known.replace_all(rows, 2, 0.0)
+    known.replace_all(rows[:1], 3, 0.1)
+    teller._tell_targets(IDLE, FetchTargets(0))
+    asker._take_targets(READER, sent[-1][1])
+    heard = asker._parts.directory.registry
+    assert set(heard.targets) == {"a", "b"}
+    clock.now = 0.1 + RETURN_SECONDS
+    heard.expire(clock.now)
+    assert set(heard.targets) == {"a"}
