Pace large frames between hosts to half of the link

Ruled out: copies that are not packed (52 KB each, packed to 6 KB), copies that are sent twice (each host is told once a version).

Change: frames of 4 KB or more leave a host at half of the rate that its settings name for its link.

Not changed: digests, sums and targets, 30 to 95 KB in such a tenth of a second.

--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -339,6 +339,7 @@
     :param retry_allowance: repeats a second that all hosts together may always send to
         a service.
     :param retry_share: repeats that they may send beyond these, over requests.
+    :param link_bytes: bytes a second that its own link carries.
     """
 
     identity: Identity
@@ -347,3 +348,4 @@
     stop_seconds: float = 8.0
     retry_allowance: float = 5.0
     retry_share: float = 0.1
+    link_bytes: float = 125e6
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -9,6 +9,7 @@
 from marigoldswitch.core.gateway_messages import GatewayMessage
 from marigoldswitch.core.ids import DataCentre, HostId
 from marigoldswitch.core.loads import Loads
+from marigoldswitch.core.pacing import Pacer
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.admission import Admission
 from marigoldswitch.gateway.directory import Directory
@@ -78,6 +79,7 @@
         [PEER_SECRET],
         lambda host: host,
         MessageCodec(GatewayMessage),
+        Pacer(settings.link_bytes, clock),
     )
     reading = asyncio.Event()
     configuration = ConfigurationFollower(store, directory, source, reading)
--- a/marigoldswitch/platform/settings.py
+++ b/marigoldswitch/platform/settings.py
@@ -10,6 +10,7 @@
 
 FILE_VARIABLE = "MARIGOLDSWITCH_CONFIG"
 """Environment variable with the path of the settings file."""
+BYTES_PER_MEGABIT = 125_000
 
 
 def read_settings(path: Path) -> Result[tuple[HostSettings, str], str]:
@@ -88,4 +89,14 @@
         float(bounds.get("grace_s") or usual.stop_seconds),
         usual.retry_allowance if allowance is None else float(allowance) / window,
         float(bounds.get("retry_budget_ratio", usual.retry_share)),
+        _read_link(fields) or usual.link_bytes,
     )
+
+
+def _read_link(fields: dict[str, Any]) -> float | None:
+    """Return the bytes a second of the host's link, where it is named in Mbit/s."""
+    limits = fields.get("limits")
+    rate = limits.get("link_mbps") if isinstance(limits, dict) else None
+    if not isinstance(rate, int | float) or rate <= 0:
+        return None
+    return rate * BYTES_PER_MEGABIT
--- a/marigoldswitch/tests/test_platform_settings.py
+++ b/marigoldswitch/tests/test_platform_settings.py
@@ -41,6 +41,17 @@
     assert settings.retry_allowance == 20.0
 
 
+@pytest.mark.parametrize(
+    ("limits", "link_bytes"),
+    [({"link_mbps": 20.0}, 2.5e6), ({"link_mbps": "fast"}, 125e6), (None, 125e6)],
+)
+def test_link_of_the_host_is_known_or_taken_for_a_usual_one(
+    tmp_path, limits, link_bytes
+):
+    settings, _ = read_settings(write(tmp_path, FIELDS | {"limits": limits})).unwrap()
+    assert settings.link_bytes == link_bytes
+
+
 @pytest.mark.parametrize(
     ("change", "name"),
     [
