Let one look stand for a silent data centre, and ask a dead engine once

Cause, as far as it is known: nothing in one host grows without bound; a host makes 60,000 to 130,000 function calls a second. In the cut of a data centre (33 to 38 s) the 13 logged hosts called engines silent 600 times a second, each of 45 engines every 0.6 s with two tries and a new connection each.

Change: where a data centre has shown no sign of life for 1.2 s one look, of another engine each time, stands for all of its engines; the first answer has the others looked at at once. A look at an engine that is dead already is one try.

Probes of a host that 86 engines are cut off from: 290 a second before, 1.7 now (test).

--- a/marigoldswitch/core/local_health.py
+++ b/marigoldswitch/core/local_health.py
@@ -35,13 +35,17 @@
         """
         self._asked[centre] = max(asked, self._asked.get(centre, asked))
 
+    def has_answered(self, centre: DataCentre, since: float) -> bool:
+        """Tell whether a target of a data centre has answered since a moment."""
+        return self._asked.get(centre, float("-inf")) >= since
+
     def explain_silence(self, centre: DataCentre, since: float) -> Cause:
         """Return why a target of a data centre has been silent since a moment.
 
         Only what was asked since then counts: an answer shows that the way was free
         after its question, not before.
         """
-        if self._asked.get(centre, float("-inf")) >= since:
+        if self.has_answered(centre, since):
             return Cause.TARGET
         if any(asked >= since for asked in self._asked.values()):
             return Cause.PATH
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -1,7 +1,8 @@
 """Looks at engines that a request waits for, once for all that wait."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
+from typing import Any
 
 import structlog
 
@@ -53,6 +54,7 @@
         self._clock = clock
         self._health = LocalHealth()
         self._controls: dict[DataCentre, asyncio.Task[None]] = {}
+        self._turn = 0
         self._running: dict[TargetId, asyncio.Task[EngineStatus | None]] = {}
         self._checks: dict[TargetId, asyncio.Future[EngineStatus | None]] = {}
         self._seen: dict[TargetId, tuple[float, EngineStatus | None]] = {}
@@ -87,22 +89,82 @@
 
     def _start(self, target: Target) -> asyncio.Task[EngineStatus | None]:
         task = self._running.get(target.id)
-        if task is None:
-            task = asyncio.create_task(self._probe(target))
-            self._running[target.id] = task
-            task.add_done_callback(lambda _: self._running.pop(target.id, None))
+        return task or self._run(target, self._probe(target))
+
+    def _run(
+        self, target: Target, work: Coroutine[Any, Any, EngineStatus | None]
+    ) -> asyncio.Task[EngineStatus | None]:
+        task = asyncio.create_task(work)
+        self._running[target.id] = task
+        task.add_done_callback(lambda _: self._running.pop(target.id, None))
         return task
 
     def recheck_dead(self) -> None:
-        """Look again at the engines that were found dead, each from time to time."""
+        """Look again at the engines that were found dead, each from time to time.
+
+        Where a data centre is silent, one look stands for all of its engines. Each by
+        itself, 86 engines behind a cut took 290 probes a second and host, a tenth
+        of a core at 0.38 ms each, where all control may take 1.2 %.
+        """
+        now = self._clock.monotonic()
+        due: dict[DataCentre, list[Target]] = {}
+        lost: dict[DataCentre, list[Target]] = {}
+        for name in self._directory.suspects.list_dead(now):
+            row = self._directory.registry.rows.get(name)
+            if row is None or not row.target.accelerator:
+                continue
+            target = row.target
+            lost.setdefault(target.data_centre, []).append(target)
+            if self._is_due(name, now):
+                due.setdefault(target.data_centre, []).append(target)
+        for centre, engines in due.items():
+            if self._is_centre_silent(centre, now - 2.0 * RECHECK_SECONDS):
+                # Another one each time: one that is gone for good tells of none.
+                self._turn += 1
+                chosen = engines[self._turn % len(engines)]
+                self._start_recheck(chosen, lost[centre])
+                continue
+            for item in engines:
+                self._start_recheck(item, [item])
+
+    def _is_centre_silent(self, centre: DataCentre, since: float) -> bool:
+        """Tell whether no engine of a data centre has shown a sign of life."""
+        if self._health.has_answered(centre, since):
+            return False
+        return not any(
+            self.is_alive(item.id, since)
+            for item in self._list_engines()
+            if item.data_centre == centre
+        )
+
+    def _is_due(self, target: TargetId, now: float) -> bool:
+        looked = self._looked.setdefault(target, now)
+        return now - looked >= RECHECK_SECONDS
+
+    def _start_recheck(self, target: Target, group: list[Target]) -> None:
+        """Look at one engine for a group of them, unless that is being done."""
+        if target.id in self._running:
+            return
         now = self._clock.monotonic()
-        directory = self._directory
-        for name in directory.suspects.list_dead(now):
-            target = directory.registry.targets.get(name)
-            is_due = now - self._looked.get(name, now) >= RECHECK_SECONDS
-            if target is not None and target.accelerator and is_due:
-                self._start(target)
-            self._looked.setdefault(name, now)
+        for item in group:
+            self._looked[item.id] = now
+        self._run(target, self._recheck(target, group))
+
+    async def _recheck(
+        self, target: Target, group: list[Target]
+    ) -> EngineStatus | None:
+        """Ask an engine once; the others of its group live if it does."""
+        answer = await self._try(target, sum(TRY_SECONDS))
+        now = self._clock.monotonic()
+        if isinstance(answer, EngineStatus):
+            self._take_answer(target, answer, now)
+            for item in group:
+                if item is not target:
+                    self._start_recheck(item, [item])
+            return answer
+        for item in group:
+            self._directory.suspects.note(item.id, Finding.DEAD, now)
+        return None
 
     def check_later(self, target: Target) -> None:
         """Look at an engine of which a peer says that it is silent."""
@@ -192,16 +254,19 @@
 
     def _list_others(self, target: Target) -> list[Target]:
         """Return the engines of which nothing bad is known."""
-        directory, now = self._directory, self._clock.monotonic()
+        suspects, now = self._directory.suspects, self._clock.monotonic()
         return [
-            row.target
-            for name, row in directory.registry.rows.items()
-            if row.target.accelerator
-            and name != target.id
-            and name not in self._running
-            and not directory.suspects.is_dead(name, now)
+            item
+            for item in self._list_engines()
+            if item.id != target.id
+            and item.id not in self._running
+            and not suspects.is_dead(item.id, now)
         ]
 
+    def _list_engines(self) -> list[Target]:
+        rows = self._directory.registry.rows.values()
+        return [row.target for row in rows if row.target.accelerator]
+
     def _get_last_sign(self, target: Target) -> tuple[float, TargetId]:
         return self._alive.get(target.id, float("-inf")), target.id
 
--- a/marigoldswitch/tests/test_probing.py
+++ b/marigoldswitch/tests/test_probing.py
@@ -167,3 +167,60 @@
         assert len(others) <= 2
 
     run_virtually(play)
+
+
+CONTROL_SHARE = 0.012
+"""Of a core that a host may spend on control at the size to design for."""
+PROBE_CORE_SECONDS = 0.0004
+"""Of a probe: 0.38 ms, the mean of 1,365 in a host that ran under a profiler."""
+PROBE_SHARE = 0.25
+"""Part of control that looking at dead engines may take."""
+
+
+async def play_rechecks(engines, seconds):
+    """Look at dead engines for a while, as a host does in each of its ticks."""
+    for _ in range(round(seconds / 0.2)):
+        engines.probes.recheck_dead()
+        await asyncio.sleep(0.2)
+
+
+def test_cut_off_data_centre_costs_few_probes_and_is_back_at_once():
+    """Another data centre of 86 engines is cut off for five seconds.
+
+    Each host looked at each of its engines every 0.6 s, twice: 290 probes a second. In
+    the cut of a day that took over 604 s of processor time to play, each host called
+    engines silent 50 times a second (``engine_silent``), 14 % of all that it logged.
+    """
+
+    async def play(clock):
+        engines = Engines(clock)
+        for number in range(4, 86):
+            engines._add(f"far-{number}", "far")
+        far = [name for name in engines.directory.registry.rows if "far" in name]
+        engines.silent.update(far)
+        await engines.check(*far)
+        engines.reads.clear()
+        await play_rechecks(engines, 5.0)
+        bound = PROBE_SHARE * CONTROL_SHARE / PROBE_CORE_SECONDS
+        assert len(engines.reads) / 5.0 <= bound
+        assert engines.list_dead() == sorted(far)
+        # One that has crashed meanwhile does not keep the others out.
+        engines.silent = {"far-0"}
+        await play_rechecks(engines, 2.0)
+        assert engines.list_dead() == ["far-0"]
+
+    run_virtually(play)
+
+
+def test_dead_engine_among_living_ones_is_looked_at_by_itself():
+    async def play(clock):
+        engines = Engines(clock)
+        engines.silent.update(("near-0", "near-1"))
+        await engines.check("near-0", "near-1", "near-2")
+        engines.silent.remove("near-1")
+        for _ in range(5):
+            engines.probes.note_alive(["near-2"])
+            await play_rechecks(engines, 0.2)
+        assert engines.list_dead() == ["near-0"]
+
+    run_virtually(play)
