Add loads up when they are asked for; ask once a digest who relays

Change: sums are made at the next look; who relays and how many hosts are near is asked once a digest and once a search.

--- a/marigoldswitch/core/loads.py
+++ b/marigoldswitch/core/loads.py
@@ -62,12 +62,17 @@
         """What this host held when it last told the others."""
         self._peers: dict[HostId, _Told] = {}
         self._sums: dict[DataCentre, _Told] = {}
-        self._foreign: dict[TargetId, Usage] = {}
+        self._foreign: dict[TargetId, Usage] | None = None
+        """What all others hold; ``None`` while it is not added up. Added up when it is
+        asked for, not with each word of a peer: a relay of thirty hosts hears 150 a
+        second and looks for a few chains, and spent an eighth of its time on sums."""
         self._fresh: dict[TargetId, int] = {}
 
     def get(self, target: TargetId) -> Usage:
         """Return what all known requests take of a target."""
         own = self.own.get(target, NOTHING)
+        if self._foreign is None:
+            self._foreign = self._add_up()
         foreign = self._foreign.get(target)
         return own.plus(foreign) if foreign is not None else own
 
@@ -106,7 +111,7 @@
     ) -> None:
         """Take what a peer holds, in place of what it held before."""
         self._peers[peer] = _Told(now, centre, usages)
-        self._add_up()
+        self._foreign = None
 
     def hear_sum(
         self, centre: DataCentre, usages: Mapping[TargetId, Usage], now: float
@@ -116,7 +121,7 @@
         It stands in place of what its hosts have told by themselves.
         """
         self._sums[centre] = _Told(now, centre, usages)
-        self._add_up()
+        self._foreign = None
 
     def sum_home(self) -> dict[TargetId, Usage]:
         """Return what the hosts of this data centre hold, by their own words."""
@@ -148,9 +153,10 @@
         for centre in past:
             del self._sums[centre]
         if old or past:
-            self._add_up()
+            self._foreign = None
 
-    def _add_up(self) -> None:
+    def _add_up(self) -> dict[TargetId, Usage]:
+        """Return what all others hold."""
         total: dict[TargetId, Usage] = {}
         for told in self._peers.values():
             if told.data_centre not in self._sums:
@@ -158,7 +164,7 @@
         for centre, told in self._sums.items():
             own = self._told if centre == self._home else {}
             _add(total, _leave_out(told.usages, own))
-        self._foreign = total
+        return total
 
 
 def _is_stale(told: _Told, now: float) -> bool:
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -157,11 +157,12 @@
     ) -> list[StageOffer]:
         now = self._clock.monotonic()
         suspects = self._directory.suspects
+        peers = self.count_near() - 1
         offers = []
         for target in self._directory.registry.list_targets(service.name):
             if suspects.is_out(target.id, now):
                 continue
-            offer = self._offer(target, model, tokens)
+            offer = self._offer(target, model, tokens, peers)
             if offer is not None:
                 offers.append(offer)
         return offers
@@ -172,16 +173,21 @@
         """Return what engines offer that have just begun to leave."""
         now = self._clock.monotonic()
         registry, suspects = self._directory.registry, self._directory.suspects
+        peers = self.count_near() - 1
         offers = [
-            self._offer(target, model, tokens)
+            self._offer(target, model, tokens, peers)
             for target in registry.list_leaving(service.name, now - LEAVING_SECONDS)
             if not suspects.is_out(target.id, now)
         ]
         return [item for item in offers if item is not None]
 
     def _offer(
-        self, target: Target, model: ModelSpec, tokens: int
+        self, target: Target, model: ModelSpec, tokens: int, peers: int
     ) -> StageOffer | None:
+        """Return what an engine offers, or ``None`` where it can take nothing.
+
+        :param peers: other hosts of this data centre, which choose as this one does.
+        """
         accelerator = model.accelerators.get(target.accelerator)
         layers = target.layers
         if accelerator is None or layers is None:
@@ -200,7 +206,7 @@
             seconds * self.slowness.get(target.id, 1.0),
             usage.memory / room,
             tokens / room,
-            self._loads.count_fresh(target.id) * (self.count_near() - 1) / room,
+            self._loads.count_fresh(target.id) * peers / room,
         )
 
 
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -165,9 +165,10 @@
         self._told.digest, self._told.at = digest, now
         self._parts.loads.note_told()
         hosts = self.roster.choose_near(to_all)
-        adding = [
-            host for host in hosts if self.roster.is_mesh or host in self.roster.relays
-        ]
+        adding = hosts
+        if not self.roster.is_mesh:
+            relays = self.roster.relays
+            adding = [host for host in hosts if host in relays]
         for host in adding:
             self._parts.network.send(host, digest)
         bare = replace(digest, usages=())
--- a/marigoldswitch/tests/test_loads.py
+++ b/marigoldswitch/tests/test_loads.py
@@ -100,3 +100,19 @@
     loads.hear(PEER, HOME, {TARGET: Usage(2, 1800)}, STALE_SECONDS)
     loads.expire(STALE_SECONDS + 0.1)
     assert loads.get(TARGET) == Usage(2, 1800)
+
+
+def test_words_of_peers_are_added_up_once_a_look_and_not_once_a_word(monkeypatch):
+    """A relay of thirty hosts hears 150 words a second and looks at loads a few times.
+
+    Each word was added up by itself: an eighth of a relay's processor time (0.9 of 7.3
+    s in a day of 50 s, under a profiler), growing with hosts times engines.
+    """
+    loads, sums = Loads(HOME), []
+    add_up = loads._add_up
+    monkeypatch.setattr(loads, "_add_up", lambda: sums.append(1) or add_up())
+    for number in range(150):
+        loads.hear(HostId(f"10.1.0.{number}:80"), HOME, {TARGET: Usage(1, 10)}, 0.0)
+    for _ in range(90):
+        assert loads.get(TARGET) == Usage(150, 1500)
+    assert len(sums) == 1
--- a/marigoldswitch/tests/test_spread.py
+++ b/marigoldswitch/tests/test_spread.py
@@ -80,3 +80,27 @@
     relay.directory.registry.revision = 7
     sent = relay.play(0.2)
     assert all(sent[host, LoadDigest] >= 1 for host in HOSTS[1:])
+
+
+def test_work_of_a_digest_does_not_grow_with_the_square_of_the_hosts(monkeypatch):
+    """Who relays is asked once a digest, not once for each host that gets it.
+
+    Under a profiler a relay of thirty hosts listed its peers 400 times a second, 6 % of
+    its processor time.
+    """
+
+    def count_lists(hosts):
+        relay = Relay()
+        for number in range(hosts):
+            host = HostId(f"10.1.1.{number}:80")
+            relay.spread._take_digest(host, LoadDigest(HOME, 0, 0))
+        lists = []
+        list_ages = relay.spread.roster.list_ages
+        monkeypatch.setattr(
+            relay.spread.roster, "list_ages", lambda: lists.append(1) or list_ages()
+        )
+        relay.now += 1.0
+        relay.spread.tick()
+        return len(lists)
+
+    assert count_lists(40) == count_lists(10)
