--- a/marigoldswitch/tools/capacity_gateway.py
+++ b/marigoldswitch/tools/capacity_gateway.py
@@ -21,6 +21,8 @@
 
 CODEC = MessageCodec(GatewayMessage)
 
+FIRST_HOLDERS = 4
+"""One engine of so many holds the first layers of the model, as on the grown sites."""
 ROUNDS = 50
 MICROSECONDS = 1e6
 KINDS = {
@@ -81,10 +83,16 @@
     return (time.perf_counter() - began) * MICROSECONDS
 
 
+def _count_begun(index: int, requests: int) -> int:
+    """Return the chains that begin at a target: at those with the first layers."""
+    return requests if index % FIRST_HOLDERS == 0 else 0
+
+
 def build_digest(targets: int) -> LoadDigest:
     """Return a digest of a host that holds requests at some targets."""
     usages = tuple(
-        TargetUsage(TargetId(f"i-{index:010d}"), 2, 1800) for index in range(targets)
+        TargetUsage(TargetId(f"i-{index:010d}"), 2, 1800, _count_begun(index, 2))
+        for index in range(targets)
     )
     return LoadDigest(DataCentre("a"), 7, 400, usages, reads=True)
 
@@ -92,7 +100,8 @@
 def build_summary(targets: int) -> LoadSummary:
     """Return the sum of a data centre's hosts over some targets."""
     usages = tuple(
-        TargetUsage(TargetId(f"i-{index:010d}"), 24, 21_600) for index in range(targets)
+        TargetUsage(TargetId(f"i-{index:010d}"), 24, 21_600, _count_begun(index, 24))
+        for index in range(targets)
     )
     return LoadSummary((CentreUsage(DataCentre("a"), usages),), 57, 400)
 
