Find a silent data centre out with its first silent engine

Change: where neither an engine nor another one of its data centre answers while others do, all of its engines that have shown no sign of life since are left out at once; the first answer brings them back, as before.

--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -195,8 +195,6 @@
             why = cause.value
         else:
             why = "gone"
-        self._looked[target.id] = now
-        self._seen[target.id] = (now, None)
         logger.warning(
             "engine_silent",
             target=target.id,
@@ -204,9 +202,32 @@
             took=round(now - began, 4),
             cause=why,
         )
-        self._directory.suspects.note(target.id, Finding.DEAD, now)
+        self._note_dead(target, now)
+        if answer is None and cause is Cause.PATH:
+            self._give_up_centre(target.data_centre, began, now)
         return None
 
+    def _note_dead(self, target: Target, now: float) -> None:
+        self._looked[target.id] = now
+        self._seen[target.id] = (now, None)
+        self._directory.suspects.note(target.id, Finding.DEAD, now)
+
+    def _give_up_centre(self, centre: DataCentre, since: float, now: float) -> None:
+        """Call all engines of a data centre dead that have shown no sign of life.
+
+        Found out one by one, each of 27 engines behind a cut costs some requests 0.25 s
+        for a connection or a first event: 79 were failed in the first four seconds of a
+        cut, 120 of 325 a second went through.
+        """
+        silent = [
+            item
+            for item in self._list_engines()
+            if item.data_centre == centre and not self.is_alive(item.id, since)
+        ]
+        logger.warning("data_centre_silent", centre=centre, engines=len(silent))
+        for item in silent:
+            self._note_dead(item, now)
+
     async def _ask(self, target: Target) -> EngineStatus | EngineGone | None:
         """Ask an engine until it answers or its silence is explained."""
         began = self._clock.monotonic()
