--- a/marigoldswitch/core/local_health.py
+++ b/marigoldswitch/core/local_health.py
@@ -29,6 +29,8 @@
     """Others have answered, none of them in its data centre."""
     HOST = "host"
     """Nobody has answered: it may be this host that is late."""
+    GONE = "gone"
+    """Its port is closed: its process has ended."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -204,6 +204,10 @@
             self.targets[name] = target
             self._tell(Change.UPDATED, target)
 
+    def list_engines(self) -> list[Target]:
+        """Return the targets that run layers of a model, whatever their state."""
+        return [row.target for row in self._rows.values() if row.target.accelerator]
+
     def get_born(self, name: TargetId) -> int:
         """Return when a target started, in ms since 1970; 0 where it is not known."""
         row = self._rows.get(name)
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -8,26 +8,16 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.ids import DataCentre, TargetId
-from marigoldswitch.core.local_health import Cause, LocalHealth
+from marigoldswitch.core.local_health import Cause
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.planner import ChainPlanner
-from marigoldswitch.gateway.ports import EngineControl, EngineGone, EngineStatus
+from marigoldswitch.gateway.ports import EngineControl, EngineStatus
+from marigoldswitch.gateway.questions import EngineQuestions
 
 logger = structlog.get_logger(__name__)
 
-TRY_SECONDS = (0.025, 0.035)
-"""Longest time for the answers to two tries: live engines take 2 to 6 ms,
-and what waits is late after 200 ms. A link that loses 3 % of its packets fails one try
-in 16 and both in 250."""
-PAUSE_SECONDS = 0.04
-"""A try that ends this much later than it should was held up by a pause of this host;
-it says nothing of the engine."""
-LAST_TRY_SECONDS = 0.15
-"""Longest time for the last try, made where nobody else has answered this host either:
-a link of 20 Mbit/s needs 85 ms for what a relay sends when a configuration is new. With
-the first two tries a data centre that is cut off is found out after 0.21 s."""
 FRESH_SECONDS = 0.1
 """Time for which an answer also serves others that ask: dozens of streams pass through
 an engine and notice its silence together."""
@@ -48,13 +38,14 @@
         planner: ChainPlanner,
         clock: Clock,
     ) -> None:
-        self._engines = engines
         self._directory = directory
         self._planner = planner
         self._clock = clock
-        self._health = LocalHealth()
-        self._controls: dict[DataCentre, asyncio.Task[None]] = {}
+        self._questions = EngineQuestions(
+            engines, directory, clock, self._get_last_sign
+        )
         self._turn = 0
+        """Looks at silent data centres, so that each is at another engine."""
         self._running: dict[TargetId, asyncio.Task[EngineStatus | None]] = {}
         self._checks: dict[TargetId, asyncio.Future[EngineStatus | None]] = {}
         self._seen: dict[TargetId, tuple[float, EngineStatus | None]] = {}
@@ -71,7 +62,10 @@
 
     def is_alive(self, target: TargetId, since: float) -> bool:
         """Tell whether an event has come through an engine since a moment."""
-        return self._alive.get(target, float("-inf")) > since
+        return self._get_last_sign(target) > since
+
+    def _get_last_sign(self, target: TargetId) -> float:
+        return self._alive.get(target, float("-inf"))
 
     async def check(self, target: Target) -> EngineStatus | None:
         """Return what an engine says; one that says nothing becomes a suspect."""
@@ -129,11 +123,11 @@
 
     def _is_centre_silent(self, centre: DataCentre, since: float) -> bool:
         """Tell whether no engine of a data centre has shown a sign of life."""
-        if self._health.has_answered(centre, since):
+        if self._questions.health.has_answered(centre, since):
             return False
         return not any(
             self.is_alive(item.id, since)
-            for item in self._list_engines()
+            for item in self._directory.registry.list_engines()
             if item.data_centre == centre
         )
 
@@ -154,17 +148,17 @@
         self, target: Target, group: list[Target]
     ) -> EngineStatus | None:
         """Ask an engine once; the others of its group live if it does."""
-        answer = await self._try(target, sum(TRY_SECONDS))
+        status = await self._questions.ask_once(target)
         now = self._clock.monotonic()
-        if isinstance(answer, EngineStatus):
-            self._take_answer(target, answer, now)
+        if status is None:
             for item in group:
-                if item is not target:
-                    self._start_recheck(item, [item])
-            return answer
+                self._directory.suspects.note(item.id, Finding.DEAD, now)
+            return None
+        self._take_answer(target, status, now)
         for item in group:
-            self._directory.suspects.note(item.id, Finding.DEAD, now)
-        return None
+            if item is not target:
+                self._start_recheck(item, [item])
+        return status
 
     def check_later(self, target: Target) -> None:
         """Look at an engine of which a peer says that it is silent."""
@@ -182,28 +176,24 @@
 
     async def _probe(self, target: Target) -> EngineStatus | None:
         began = self._clock.monotonic()
-        answer = await self._ask(target)
+        answer = await self._questions.ask(target)
         now = self._clock.monotonic()
         if isinstance(answer, EngineStatus):
             self._take_answer(target, answer, now)
             return answer
-        if answer is None:
-            cause = self._health.explain_silence(target.data_centre, began, now)
-            if cause is Cause.HOST:
-                logger.info("probe_inconclusive", target=target.id, took=now - began)
-                return EngineStatus(target.layers, False, 0)
-            why = cause.value
-        else:
-            why = "gone"
+        took = round(now - began, 4)
+        if answer is Cause.HOST:
+            logger.info("probe_inconclusive", target=target.id, took=took)
+            return EngineStatus(target.layers, False, 0)
         logger.warning(
             "engine_silent",
             target=target.id,
             address=target.address,
-            took=round(now - began, 4),
-            cause=why,
+            took=took,
+            cause=answer.value,
         )
         self._note_dead(target, now)
-        if answer is None and cause is Cause.PATH:
+        if answer is Cause.PATH:
             self._give_up_centre(target.data_centre, began, now)
         return None
 
@@ -221,83 +211,13 @@
         """
         silent = [
             item
-            for item in self._list_engines()
+            for item in self._directory.registry.list_engines()
             if item.data_centre == centre and not self.is_alive(item.id, since)
         ]
         logger.warning("data_centre_silent", centre=centre, engines=len(silent))
         for item in silent:
             self._note_dead(item, now)
 
-    async def _ask(self, target: Target) -> EngineStatus | EngineGone | None:
-        """Ask an engine until it answers or its silence is explained."""
-        began = self._clock.monotonic()
-        answer = await self._try(target, TRY_SECONDS[0])
-        if answer is not None:
-            return answer
-        self._ask_others(target, began)
-        answer = await self._try(target, TRY_SECONDS[1])
-        now = self._clock.monotonic()
-        cause = self._health.explain_silence(target.data_centre, began, now)
-        was_paused = now - began > sum(TRY_SECONDS) + PAUSE_SECONDS
-        if answer is not None or (cause is Cause.TARGET and not was_paused):
-            return answer
-        return await self._try(target, LAST_TRY_SECONDS)
-
-    async def _try(
-        self, target: Target, seconds: float
-    ) -> EngineStatus | EngineGone | None:
-        asked = self._clock.monotonic()
-        answer = await self._engines.read(target.address, seconds)
-        if answer is not None:
-            now = self._clock.monotonic()
-            self._health.note_answer(target.data_centre, asked, now)
-        return answer
-
-    def _ask_others(self, target: Target, since: float) -> None:
-        """Find out whether this host gets any answers in time.
-
-        Asks one engine of the same data centre and one of another, those that have
-        shown themselves last; at most one a data centre at a time.
-        """
-        home = target.data_centre
-        if self._health.has_answered(home, since):
-            return
-        others = self._list_others(target)
-        near = [item for item in others if item.data_centre == home]
-        far = [item for item in others if item.data_centre != home]
-        for among in (near, far):
-            if not among:
-                continue
-            control = max(among, key=self._get_last_sign)
-            if control.data_centre in self._controls:
-                continue
-            task = asyncio.create_task(self._ask_control(control))
-            self._controls[control.data_centre] = task
-
-    def _list_others(self, target: Target) -> list[Target]:
-        """Return the engines of which nothing bad is known."""
-        suspects, now = self._directory.suspects, self._clock.monotonic()
-        return [
-            item
-            for item in self._list_engines()
-            if item.id != target.id
-            and item.id not in self._running
-            and not suspects.is_dead(item.id, now)
-        ]
-
-    def _list_engines(self) -> list[Target]:
-        rows = self._directory.registry.rows.values()
-        return [row.target for row in rows if row.target.accelerator]
-
-    def _get_last_sign(self, target: Target) -> tuple[float, TargetId]:
-        return self._alive.get(target.id, float("-inf")), target.id
-
-    async def _ask_control(self, control: Target) -> None:
-        try:
-            await self._try(control, TRY_SECONDS[1] + LAST_TRY_SECONDS)
-        finally:
-            self._controls.pop(control.data_centre, None)
-
     def _take_answer(self, target: Target, status: EngineStatus, now: float) -> None:
         self._looked[target.id] = now
         self._seen[target.id] = (now, status)
--- /dev/null
+++ b/marigoldswitch/gateway/questions.py
@@ -0,0 +1,125 @@
+"""Asks engines what they are doing, and others beside those that are silent."""
+
+import asyncio
+from collections.abc import Callable
+
+from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.ids import DataCentre, TargetId
+from marigoldswitch.core.local_health import Cause, LocalHealth
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.ports import EngineControl, EngineGone, EngineStatus
+
+TRY_SECONDS = (0.025, 0.035)
+"""Longest time for the answers to two tries: live engines take 2 to 6 ms,
+and what waits is late after 200 ms. A link that loses 3 % of its packets fails one try
+in 16 and both in 250."""
+PAUSE_SECONDS = 0.04
+"""A try that ends this much later than it should was held up by a pause of this host;
+it says nothing of the engine."""
+LAST_TRY_SECONDS = 0.15
+"""Longest time for the last try, made where nobody else has answered this host either:
+a link of 20 Mbit/s needs 85 ms for what a relay sends when a configuration is new. With
+the first two tries a data centre that is cut off is found out after 0.21 s."""
+
+
+class EngineQuestions:
+    """Asks engines until they answer or their silence is explained.
+
+    :param get_last_sign: when an engine has last shown that it lives.
+    """
+
+    def __init__(
+        self,
+        engines: EngineControl,
+        directory: Directory,
+        clock: Clock,
+        get_last_sign: Callable[[TargetId], float],
+    ) -> None:
+        self.health = LocalHealth()
+        self._engines = engines
+        self._directory = directory
+        self._clock = clock
+        self._get_last_sign = get_last_sign
+        self._controls: dict[
+            DataCentre, asyncio.Future[EngineStatus | EngineGone | None]
+        ] = {}
+        """Questions to engines that tell of this host, one a data centre at a time."""
+
+    async def ask(self, target: Target) -> EngineStatus | Cause:
+        """Return what an engine says, or to what its silence is put down.
+
+        Takes up to 0.06 s where others have answered meanwhile, else up to 0.21 s.
+        """
+        began = self._clock.monotonic()
+        answer = await self._try(target, TRY_SECONDS[0])
+        if answer is None:
+            self._ask_others(target, began)
+            answer = await self._try(target, TRY_SECONDS[1])
+        if answer is None and not self._is_explained(target, began):
+            answer = await self._try(target, LAST_TRY_SECONDS)
+        match answer:
+            case EngineStatus():
+                return answer
+            case EngineGone():
+                return Cause.GONE
+        now = self._clock.monotonic()
+        return self.health.explain_silence(target.data_centre, began, now)
+
+    async def ask_once(self, target: Target) -> EngineStatus | None:
+        """Return what an engine says that has been silent before."""
+        answer = await self._try(target, sum(TRY_SECONDS))
+        return answer if isinstance(answer, EngineStatus) else None
+
+    def _is_explained(self, target: Target, began: float) -> bool:
+        """Tell whether two tries are enough to call an engine dead."""
+        now = self._clock.monotonic()
+        was_paused = now - began > sum(TRY_SECONDS) + PAUSE_SECONDS
+        cause = self.health.explain_silence(target.data_centre, began, now)
+        return cause is Cause.TARGET and not was_paused
+
+    async def _try(
+        self, target: Target, seconds: float
+    ) -> EngineStatus | EngineGone | None:
+        asked = self._clock.monotonic()
+        answer = await self._engines.read(target.address, seconds)
+        if answer is not None:
+            now = self._clock.monotonic()
+            self.health.note_answer(target.data_centre, asked, now)
+        return answer
+
+    def _ask_others(self, target: Target, since: float) -> None:
+        """Find out whether this host gets any answers in time.
+
+        Asks one engine of the same data centre and one of another, those that have
+        shown themselves last.
+        """
+        home = target.data_centre
+        if self.health.has_answered(home, since):
+            return
+        others = self._list_others(target)
+        near = [item for item in others if item.data_centre == home]
+        far = [item for item in others if item.data_centre != home]
+        for among in (near, far):
+            if among:
+                self._ask_control(max(among, key=self._rank_sign))
+
+    def _list_others(self, target: Target) -> list[Target]:
+        """Return the other engines of which nothing bad is known."""
+        suspects, now = self._directory.suspects, self._clock.monotonic()
+        return [
+            item
+            for item in self._directory.registry.list_engines()
+            if item.id != target.id and not suspects.is_dead(item.id, now)
+        ]
+
+    def _rank_sign(self, target: Target) -> tuple[float, TargetId]:
+        return self._get_last_sign(target.id), target.id
+
+    def _ask_control(self, control: Target) -> None:
+        centre = control.data_centre
+        if centre not in self._controls:
+            work = self._try(control, TRY_SECONDS[1] + LAST_TRY_SECONDS)
+            task = asyncio.ensure_future(work)
+            self._controls[centre] = task
+            task.add_done_callback(lambda _: self._controls.pop(centre))
