Take any answer for a sign of life, also of plain services

(2) A plain service has no reports. A host that could not reach one in 0.25 s called it dead and told its peers, which asked it for a report, took its 404 for silence and left it out too. (3) The first host did so for one lost opening packet.

--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -189,9 +189,15 @@
             case Answered(status):
                 what = f"answered {status}"
                 self._selector.note_answer(target.id, took, now)
-            case NotSent(why):
+            case NotSent(why, refused):
                 what = f"not sent: {why}"
-                parts.directory.suspects.note(target.id, Finding.DEAD, now)
+                if refused:
+                    parts.directory.suspects.note(target.id, Finding.DEAD, now)
+                else:
+                    # Its opening packet may have been lost; what is called dead here is
+                    # left out by other hosts as well.
+                    parts.directory.suspects.note(target.id, Finding.FAILED, now)
+                    parts.probes.check_later(target)
             case Lost(why):
                 what = f"lost: {why}"
                 self._selector.note_failure(target.id, took, now)
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -177,12 +177,18 @@
     """Nothing listens at an engine's address any more: its process has ended."""
 
 
+@dataclass(frozen=True, slots=True)
+class EngineMute:
+    """A target has answered, and not with a report: it lives, no more is known."""
+
+
+EngineAnswer = EngineStatus | EngineGone | EngineMute
+
+
 class EngineControl(Protocol):
     """Reads engines and gives them orders."""
 
-    async def read(
-        self, address: str, timeout: float
-    ) -> EngineStatus | EngineGone | None:
+    async def read(self, address: str, timeout: float) -> EngineAnswer | None:
         """Return what an engine says of itself, or ``None`` without an answer."""
         ...
 
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -8,7 +8,13 @@
 from marigoldswitch.core.local_health import Cause, LocalHealth
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.directory import Directory
-from marigoldswitch.gateway.ports import EngineControl, EngineGone, EngineStatus
+from marigoldswitch.gateway.ports import (
+    EngineAnswer,
+    EngineControl,
+    EngineGone,
+    EngineMute,
+    EngineStatus,
+)
 
 TRY_SECONDS = (0.025, 0.035)
 """Longest time for the answers to two tries: live engines take 2 to 6 ms,
@@ -41,9 +47,7 @@
         self._directory = directory
         self._clock = clock
         self._get_last_sign = get_last_sign
-        self._controls: dict[
-            DataCentre, asyncio.Future[EngineStatus | EngineGone | None]
-        ] = {}
+        self._controls: dict[DataCentre, asyncio.Future[EngineAnswer | None]] = {}
         """Questions to engines that tell of this host, one a data centre at a time."""
 
     async def ask(self, target: Target) -> EngineStatus | Cause:
@@ -61,6 +65,8 @@
         match answer:
             case EngineStatus():
                 return answer
+            case EngineMute():
+                return EngineStatus(target.layers, False, 0)
             case EngineGone():
                 return Cause.GONE
         now = self._clock.monotonic()
@@ -69,6 +75,8 @@
     async def ask_once(self, target: Target) -> EngineStatus | None:
         """Return what an engine says that has been silent before."""
         answer = await self._try(target, sum(TRY_SECONDS))
+        if isinstance(answer, EngineMute):
+            return EngineStatus(target.layers, False, 0)
         return answer if isinstance(answer, EngineStatus) else None
 
     def _is_explained(self, target: Target, began: float) -> bool:
@@ -78,9 +86,7 @@
         cause = self.health.explain_silence(target.data_centre, began, now)
         return cause is Cause.TARGET and not was_paused
 
-    async def _try(
-        self, target: Target, seconds: float
-    ) -> EngineStatus | EngineGone | None:
+    async def _try(self, target: Target, seconds: float) -> EngineAnswer | None:
         asked = self._clock.monotonic()
         answer = await self._engines.read(target.address, seconds)
         if answer is not None:
--- a/marigoldswitch/platform/engines.py
+++ b/marigoldswitch/platform/engines.py
@@ -11,7 +11,9 @@
 from marigoldswitch.core.ids import RequestId
 from marigoldswitch.core.stages import Stage
 from marigoldswitch.gateway.ports import (
+    EngineAnswer,
     EngineGone,
+    EngineMute,
     EngineStatus,
     OrderReply,
     OrderResult,
@@ -44,9 +46,7 @@
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
 
-    async def read(
-        self, address: str, timeout: float
-    ) -> EngineStatus | EngineGone | None:
+    async def read(self, address: str, timeout: float) -> EngineAnswer | None:
         """Return what an engine says of itself, or ``None`` without an answer."""
         limit = aiohttp.ClientTimeout(total=timeout)
         try:
@@ -56,13 +56,14 @@
                 content = await response.read()
                 if response.status != 200:
                     logger.info("report_refused", address=address, at=response.status)
-                    return None
+                    return EngineMute()
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             logger.info("report_missing", address=address, why=repr(error))
             return EngineGone() if is_refused(error) else None
         status = read_status(content)
         if status is None:
             logger.error("report_unreadable", address=address)
+            return EngineMute()
         return status
 
     async def place(
--- a/marigoldswitch/tests/test_probing.py
+++ b/marigoldswitch/tests/test_probing.py
@@ -17,7 +17,7 @@
 from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.gateway.directory import Directory
-from marigoldswitch.gateway.ports import EngineGone, EngineStatus
+from marigoldswitch.gateway.ports import EngineGone, EngineMute, EngineStatus
 from marigoldswitch.gateway.probing import EngineProbes
 from marigoldswitch.tests.virtual_time import run_virtually
 
@@ -37,6 +37,7 @@
         """Seconds between two answers that the full link has held up."""
         self.silent = set()
         self.gone = set()
+        self.mute = set()
         self.reads = []
         self.directory = Directory()
         for centre in ("near", "far"):
@@ -61,6 +62,8 @@
         self.reads.append(address)
         if address in self.gone:
             return EngineGone()
+        if address in self.mute:
+            return EngineMute()
         queued = max(0.0, self.full_until - self.clock.monotonic())
         place = sorted(self.directory.registry.rows).index(TargetId(address))
         answered = queued + ANSWER_SECONDS + (place * self.gap if queued else 0.0)
@@ -191,6 +194,24 @@
     run_virtually(play)
 
 
+def test_target_that_answers_with_anything_is_not_dead():
+    """An engine whose reports are refused, or a plain service, which has none.
+
+    A peer that says that it can't reach a plain service has the others ask it for a
+    report; they took its 404 for silence and left it out for a second.
+    """
+
+    async def play(clock):
+        engines = Engines(clock)
+        engines.mute.add("near-0")
+        took = await engines.check("near-0")
+        assert engines.list_dead() == []
+        assert took == 0.0
+        assert engines.reads == ["near-0"]
+
+    run_virtually(play)
+
+
 def test_silent_engines_share_the_probes_that_tell_of_the_host():
     async def play(clock):
         engines = Engines(clock)
