--- a/marigoldswitch/tests/mesh.py
+++ b/marigoldswitch/tests/mesh.py
@@ -100,9 +100,16 @@
         return next(d for key, d in found if key == type(key)(service, pool))
 
     async def settle(self):
-        """Deliver what is on its way."""
+        """Deliver what is on its way, until no task has anything left to do.
+
+        The loop's own list tells: 200 turns whatever was left made 6.4 million turns of
+        one random test, 15 s.
+        """
+        ready = asyncio.get_running_loop()._ready
         for _ in range(200):
             await asyncio.sleep(0)
+            if not ready and not self.queue:
+                return
             while self.queue:
                 sender, host, message = self.queue.popleft()
                 if {sender, host} & self.cut or self.drop(sender, host, message):
