Seek no chain a second time where nothing has been added; spare a request its own losers

While a line waits each search was made three times with the same engines. An engine that has just lost a request is no last resort for it: it would be lost there again.

--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -75,8 +75,12 @@
         near = find_near_chain(offers, model.layers, self._home, self._source, jitter)
         if near is not None:
             return near
-        for add in (self._list_leaving, self._list_failing):
-            offers += add(service, model, tokens)
+        for list_more in (self._list_leaving, self._list_failing):
+            more = list_more(service, model, tokens)
+            more = [item for item in more if item.target not in avoid]
+            if not more:
+                continue
+            offers += more
             near = find_near_chain(offers, model.layers, self._home, self._source)
             if near is not None:
                 return near
@@ -172,10 +176,7 @@
         return self._offer_all(targets, model, tokens)
 
     def _list_leaving(
-        self,
-        service: ServiceSpec,
-        model: ModelSpec,
-        tokens: int,
+        self, service: ServiceSpec, model: ModelSpec, tokens: int
     ) -> list[StageOffer]:
         """Return what engines offer that have just begun to leave."""
         now = self._clock.monotonic()
@@ -188,10 +189,7 @@
         return self._offer_all(targets, model, tokens)
 
     def _list_failing(
-        self,
-        service: ServiceSpec,
-        model: ModelSpec,
-        tokens: int,
+        self, service: ServiceSpec, model: ModelSpec, tokens: int
     ) -> list[StageOffer]:
         """Return what engines offer that have lost a request: better than nothing.
 
--- a/marigoldswitch/tests/test_planner.py
+++ b/marigoldswitch/tests/test_planner.py
@@ -18,6 +18,7 @@
 from marigoldswitch.core.models import Accelerator, ModelSpec
 from marigoldswitch.core.registry import TargetRow
 from marigoldswitch.core.stages import choose_layers
+from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.planner import ChainPlanner
 
@@ -121,3 +122,16 @@
 
 def test_engine_that_tells_no_slots_is_not_bounded_by_them():
     assert choose_layers(LayerRange(0, 4), 1_000, 0) == LayerRange(0, 4)
+
+
+def test_engine_that_has_just_failed_a_request_is_not_its_last_resort():
+    centre = Centre()
+    planner = centre.planners[0]
+    suspects = planner._directory.suspects
+    for name in ("first-quick", "first-slow"):
+        suspects.note(TargetId(name), Finding.FAILED, 0.0)
+    failed = frozenset({TargetId("first-quick")})
+    chain = planner.find(centre.service, TOKENS, failed)
+    assert chain.stages[0].target == "first-slow"
+    failed |= {TargetId("first-slow")}
+    assert planner.find(centre.service, TOKENS, failed) is None
