--- a/marigoldswitch/tests/helpers.py
+++ b/marigoldswitch/tests/helpers.py
@@ -25,6 +25,7 @@
 from marigoldswitch.core.messages import Ask
 from marigoldswitch.core.targets import TargetState
 from marigoldswitch.standins.deployment import Deployment
+from marigoldswitch.tools.bench.virtual import VirtualTime
 
 HOBART = DataCentre("hobart")
 DRAFTING = Service(ServiceName("drafting"), ServiceKind.MODEL, True, layers=12)
@@ -80,6 +81,15 @@
     return asyncio.run(bounded())
 
 
+def run_virtually(work: Callable[[VirtualTime], Coroutine[Any, Any, Any]]) -> Any:
+    """Run a coroutine function on virtual time, which is given to it as its clock."""
+    time = VirtualTime()
+    try:
+        return time.loop.run_until_complete(work(time))
+    finally:
+        time.close()
+
+
 @asynccontextmanager
 async def run_deployment(**arguments: Any):
     """Run a deployment with its bundle in force and a caller's session."""
--- a/marigoldswitch/tests/test_large_configuration.py
+++ b/marigoldswitch/tests/test_large_configuration.py
@@ -26,7 +26,7 @@
 from marigoldswitch.core.pacing import Pacer
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.news import News
-from marigoldswitch.tests.virtual_time import run_virtually
+from marigoldswitch.tests.helpers import run_virtually
 
 HOME = DataCentre("a")
 TELLER = HostId("10.1.0.1:80")
@@ -110,7 +110,8 @@
         now = self.clock.monotonic()
         self.free_at = max(self.free_at, now) + len(message.content) / self.link
         take = self.news[to]._take_configuration
-        self.clock.call_later(self.free_at - now, take, TELLER, message)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.free_at - now, take, TELLER, message)
 
     def publish(self, content):
         table = SimpleNamespace(version=7, routes=())
--- a/marigoldswitch/tests/test_probing.py
+++ b/marigoldswitch/tests/test_probing.py
@@ -19,7 +19,7 @@
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import EngineGone, EngineMute, EngineStatus
 from marigoldswitch.gateway.probing import EngineProbes
-from marigoldswitch.tests.virtual_time import run_virtually
+from marigoldswitch.tests.helpers import run_virtually
 
 ANSWER_SECONDS = 0.005
 LAYERS = LayerRange(0, 4)
