Take a 404 at an engine's address for another process, not for the engine

Traced from its log: "report_refused at=404" and "engine_back" 0.7 s after the engine had been stopped: the kernel had given its port to a server of another test, whose 404 counted as a sign of life.

The product has the same fault: addresses of ended targets are used again by other services. Now what has no reports is no engine: its process has ended, which also proves its end for runs. A plain service's 404 is still a sign of life. Tests in test_probing.py and test_reports.py; stand-ins keep their port after they have died, so that no other test answers for them.

--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -179,7 +179,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineMute:
-    """A target has answered, and not with a report: it lives, no more is known."""
+    """A target has answered, and not with a report: it lives, no more is known.
+
+    :param has_reports: whether it knows the call; what does not is no engine.
+    """
+
+    has_reports: bool = True
 
 
 EngineAnswer = EngineStatus | EngineGone | EngineMute
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -65,9 +65,9 @@
         match answer:
             case EngineStatus():
                 return answer
-            case EngineMute():
+            case EngineMute() if not _is_other(target, answer):
                 return EngineStatus(target.layers, False, 0)
-            case EngineGone():
+            case EngineGone() | EngineMute():
                 return Cause.GONE
         now = self._clock.monotonic()
         return self.health.explain_silence(target.data_centre, began, now)
@@ -75,7 +75,7 @@
     async def ask_once(self, target: Target) -> EngineStatus | None:
         """Return what an engine says that has been silent before."""
         answer = await self._try(target, sum(TRY_SECONDS))
-        if isinstance(answer, EngineMute):
+        if isinstance(answer, EngineMute) and not _is_other(target, answer):
             return EngineStatus(target.layers, False, 0)
         return answer if isinstance(answer, EngineStatus) else None
 
@@ -88,7 +88,7 @@
         """
         for seconds in TRY_SECONDS:
             match await self._engines.read(address, seconds):
-                case EngineGone():
+                case EngineGone() | EngineMute(has_reports=False):
                     return True
                 case EngineStatus(born=found):
                     return found > born > 0
@@ -146,3 +146,11 @@
             task = asyncio.ensure_future(work)
             self._controls[centre] = task
             task.add_done_callback(lambda _: self._controls.pop(centre))
+
+
+def _is_other(target: Target, answer: EngineMute) -> bool:
+    """Tell whether something else listens at an engine's address by now.
+
+    Addresses are used again: a 404 for an ended engine had it taken for alive.
+    """
+    return bool(target.accelerator) and not answer.has_reports
--- a/marigoldswitch/platform/engines.py
+++ b/marigoldswitch/platform/engines.py
@@ -28,6 +28,7 @@
 ORDER_SECONDS = 0.4
 """Longest time for the answer to an order: live engines take milliseconds, and the
 lease's margin must be longer."""
+HTTP_NOT_FOUND = 404
 HANDOFF = "wait"
 """Layers that are given up finish what passes through them."""
 LEAST_PACE = 0.01
@@ -56,7 +57,7 @@
                 content = await response.read()
                 if response.status != 200:
                     logger.info("report_refused", address=address, at=response.status)
-                    return EngineMute()
+                    return EngineMute(response.status != HTTP_NOT_FOUND)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             logger.info("report_missing", address=address, why=repr(error))
             return EngineGone() if is_refused(error) else None
--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
@@ -44,16 +45,25 @@
         self.bodies: list[bytes] = []
         self.alive = False
         self._runner: web.ServerRunner | None = None
+        self._reserved = socket.socket()
+        """Keeps the port from others: once it is dead, nothing answers there."""
 
     async def start(self) -> None:
         """Listen."""
+        self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved.bind(("127.0.0.1", 0))
+        port = self._reserved.getsockname()[1]
         server = web.Server(self.handle, access_log=None, handler_cancellation=True)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.05)
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
-        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+        self.address = f"127.0.0.1:{port}"
         self.alive = True
 
+    def release(self) -> None:
+        """Give the port back."""
+        self._reserved.close()
+
     async def stop(self) -> None:
         """Die: connections are reset, new ones refused."""
         if not self.alive:
--- a/marigoldswitch/tests/gateway_site.py
+++ b/marigoldswitch/tests/gateway_site.py
@@ -166,6 +166,7 @@
         await self.client.close()
         for target in [*self.engines.engines.values(), *self.desks]:
             await target.stop()
+            target.release()
         await self.store.stop()
         for reserved in self._reserved:
             reserved.close()
--- a/marigoldswitch/tests/test_probing.py
+++ b/marigoldswitch/tests/test_probing.py
@@ -38,6 +38,7 @@
         self.silent = set()
         self.gone = set()
         self.mute = set()
+        self.taken = set()
         self.reads = []
         self.directory = Directory()
         for centre in ("near", "far"):
@@ -64,6 +65,8 @@
             return EngineGone()
         if address in self.mute:
             return EngineMute()
+        if address in self.taken:
+            return EngineMute(has_reports=False)
         queued = max(0.0, self.full_until - self.clock.monotonic())
         place = sorted(self.directory.registry.rows).index(TargetId(address))
         answered = queued + ANSWER_SECONDS + (place * self.gap if queued else 0.0)
@@ -212,6 +215,23 @@
     run_virtually(play)
 
 
+def test_engine_whose_address_another_service_has_now_is_dead_and_stays_so():
+    """Its port was used again by a process without reports, whose 404 looked alive.
+
+    Seen as ``report_refused`` at 404 and ``engine_back`` for an engine that had ended.
+    """
+
+    async def play(clock):
+        engines = Engines(clock)
+        engines.taken.add("near-0")
+        await engines.check("near-0")
+        assert engines.list_dead() == ["near-0"]
+        await play_rechecks(engines, 2.0)
+        assert engines.list_dead() == ["near-0"]
+
+    run_virtually(play)
+
+
 def test_silent_engines_share_the_probes_that_tell_of_the_host():
     async def play(clock):
         engines = Engines(clock)
--- a/marigoldswitch/tests/test_reports.py
+++ b/marigoldswitch/tests/test_reports.py
@@ -42,6 +42,13 @@
     assert asyncio.run(read(handler)) == EngineMute()
 
 
+def test_service_without_reports_says_so():
+    async def miss(http):
+        return web.Response(status=404)
+
+    assert asyncio.run(read(miss)) == EngineMute(has_reports=False)
+
+
 def test_report_is_read():
     status = asyncio.run(read(report))
     assert isinstance(status, EngineStatus)
