Judge an answer that is no report in one place

Found on a last read of the change: two callers of the same question each decided what a 404 or a refused report says of an engine, and three places built the status of a target of which no more is known. Now the question itself decides, once.

--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -14,7 +14,7 @@
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import EngineControl, EngineStatus
-from marigoldswitch.gateway.questions import EngineQuestions
+from marigoldswitch.gateway.questions import EngineQuestions, assume_status
 
 logger = structlog.get_logger(__name__)
 
@@ -185,7 +185,7 @@
         took = round(now - began, 4)
         if answer is Cause.HOST:
             logger.info("probe_inconclusive", target=target.id, took=took)
-            return EngineStatus(target.layers, False, 0)
+            return assume_status(target)
         logger.warning(
             "engine_silent",
             target=target.id,
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.ids import DataCentre, TargetId
@@ -9,7 +10,6 @@
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import (
-    EngineAnswer,
     EngineControl,
     EngineGone,
     EngineMute,
@@ -47,7 +47,7 @@
         self._directory = directory
         self._clock = clock
         self._get_last_sign = get_last_sign
-        self._controls: dict[DataCentre, asyncio.Future[EngineAnswer | None]] = {}
+        self._controls: dict[DataCentre, asyncio.Future[Any]] = {}
         """Questions to engines that tell of this host, one a data centre at a time."""
 
     async def ask(self, target: Target) -> EngineStatus | Cause:
@@ -65,9 +65,7 @@
         match answer:
             case EngineStatus():
                 return answer
-            case EngineMute() if not _is_other(target, answer):
-                return EngineStatus(target.layers, False, 0)
-            case EngineGone() | EngineMute():
+            case EngineGone():
                 return Cause.GONE
         now = self._clock.monotonic()
         return self.health.explain_silence(target.data_centre, began, now)
@@ -75,8 +73,6 @@
     async def ask_once(self, target: Target) -> EngineStatus | None:
         """Return what an engine says that has been silent before."""
         answer = await self._try(target, sum(TRY_SECONDS))
-        if isinstance(answer, EngineMute) and not _is_other(target, answer):
-            return EngineStatus(target.layers, False, 0)
         return answer if isinstance(answer, EngineStatus) else None
 
     async def has_ended(self, address: str, born: int) -> bool:
@@ -103,13 +99,15 @@
         cause = self.health.explain_silence(target.data_centre, began, now)
         return cause is Cause.TARGET and not was_paused
 
-    async def _try(self, target: Target, seconds: float) -> EngineAnswer | None:
+    async def _try(
+        self, target: Target, seconds: float
+    ) -> EngineStatus | EngineGone | None:
         asked = self._clock.monotonic()
         answer = await self._engines.read(target.address, seconds)
         if answer is not None:
             now = self._clock.monotonic()
             self.health.note_answer(target.data_centre, asked, now)
-        return answer
+        return _judge(target, answer) if isinstance(answer, EngineMute) else answer
 
     def _ask_others(self, target: Target, since: float) -> None:
         """Find out whether this host gets any answers in time.
@@ -148,9 +146,16 @@
             task.add_done_callback(lambda _: self._controls.pop(centre))
 
 
-def _is_other(target: Target, answer: EngineMute) -> bool:
-    """Tell whether something else listens at an engine's address by now.
+def assume_status(target: Target) -> EngineStatus:
+    """Return the status of a target that lives and of which no more is known."""
+    return EngineStatus(target.layers, False, 0)
+
+
+def _judge(target: Target, answer: EngineMute) -> EngineStatus | EngineGone:
+    """Return what an answer that is no report says of a target.
 
     Addresses are used again: a 404 for an ended engine had it taken for alive.
     """
-    return bool(target.accelerator) and not answer.has_reports
+    if target.accelerator and not answer.has_reports:
+        return EngineGone()
+    return assume_status(target)
