Keep detours to the budget of crossings; only streams without a chain overdraw it

Cause: with detours round leaving engines overdrew the crossings as well, while their streams still ran.

--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -131,7 +131,7 @@
             added = max(0, chain.crossings - old)
             seconds = _measure_crossings(added, model, tokens)
             now = self._clock.monotonic()
-            if self._crossings.take(seconds, self.count_hosts(), now, is_new=False):
+            if self._crossings.take(seconds, self.count_hosts(), now):
                 return chain
         return None
 
