Tell the silence of a stream from the gaps between its events

Change: core/gaps.py. Gaps count from the second event on; until a stream has one, the mean of all streams of the host stands in; the spread counts too, as for RFC 6298.

--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -14,6 +14,7 @@
 import aiohttp
 import structlog
 
+from marigoldswitch.core.gaps import MOST_SECONDS, StreamGaps
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import Chain, Stage
 from marigoldswitch.core.suspects import Finding
@@ -22,15 +23,6 @@
 
 logger = structlog.get_logger(__name__)
 
-FIRST_GAP = 0.25
-"""Seconds without the head of an answer after which the chain is looked at: half of
-the time in which a first event is worth most, several times the usual 45 ms."""
-LEAST_GAP = 0.05
-"""The same between events: callers count pauses over 200 ms as late, of which a look at
-a silent engine takes 40 ms, and reading the prompt elsewhere 30 to 100 ms."""
-GAP_FACTOR = 2.0
-"""A gap this many times the usual one is looked at."""
-LONGEST_GAP = 0.6
 FIRST_SILENCE = 0.7
 """Seconds without a first event after which a request is sent elsewhere although all
 engines of its chain answer probes: some accept requests and never answer them. First
@@ -48,8 +40,6 @@
 MOST_CAUTION = 4.0
 """A look that found nothing makes the stream wait this much longer for the next one, as
 each costs the engines a probe; without it a slow chain was looked at ten times."""
-GAP_WEIGHT = 0.2
-"""Weight of the newest gap in the mean."""
 DETOURS = 3
 """Chains tried for one detour: each is refused by another engine."""
 
@@ -75,20 +65,20 @@
         self._wake = asyncio.Event()
         self._is_alarmed = False
         self._timer: asyncio.TimerHandle | None = None
-        self._gap = 0.0
+        self._gaps = StreamGaps(parts.probes.gaps)
         self._caution = 1.0
         self._looks = 0
         """Looks at the chain since the last event."""
         self._event_at = 0.0
         self._heard = 0.0
         """When the last events came, or the last look ended."""
-        self._patience = FIRST_GAP
+        self._patience = self._choose_patience()
         """Silence in seconds after which the chain is looked at."""
 
     def begin(self, stages: tuple[Stage, ...]) -> None:
         """Take a chain that is counted as held."""
         self.stages = stages
-        self._gap = 0.0
+        self._gaps.begin()
 
     def end(self) -> None:
         """Let go of the chain."""
@@ -102,12 +92,8 @@
 
     def note_event(self) -> None:
         """Learn that events have come, and with it what pause between them is usual."""
-        now = self._parts.clock.monotonic()
-        gap = now - self._event_at
-        self._event_at = now
-        if self._gap == 0.0:
-            self._gap = gap
-        self._gap += GAP_WEIGHT * (gap - self._gap)
+        self._event_at = self._parts.clock.monotonic()
+        self._gaps.note_event(self._event_at)
         self._looks = 0
         self._parts.probes.note_alive(item.target for item in self.stages)
         self._expect()
@@ -157,7 +143,7 @@
     def _expect(self) -> None:
         """Count the silence of the engines from now on."""
         self._heard = self._parts.clock.monotonic()
-        self._patience = self._choose_gap()
+        self._patience = self._choose_patience()
         self._set_timer(self._patience)
 
     def _set_timer(self, seconds: float) -> None:
@@ -193,16 +179,13 @@
             if silent >= self._patience:
                 await self._look_after_chain()
                 self._heard = self._parts.clock.monotonic()
-                self._patience = min(LONGEST_GAP, 2.0 * self._patience)
+                self._patience = min(MOST_SECONDS, 2.0 * self._patience)
                 self._caution = min(MOST_CAUTION, CAUTION_STEP * self._caution)
                 silent = 0.0
             self._set_timer(self._patience - silent)
 
-    def _choose_gap(self) -> float:
-        if self._gap == 0.0:
-            return FIRST_GAP
-        gap = max(LEAST_GAP, GAP_FACTOR * self._gap)
-        return min(LONGEST_GAP, self._caution * gap)
+    def _choose_patience(self) -> float:
+        return self._gaps.choose_patience(self._caution)
 
     async def _answer_alarm(self) -> None:
         """Go round the engines of the chain that are dead or leaving.
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -7,6 +7,7 @@
 import structlog
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.gaps import HostGaps
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.local_health import Cause
 from marigoldswitch.core.ports import Clock
@@ -44,6 +45,8 @@
         self._questions = EngineQuestions(
             engines, directory, clock, self._get_last_sign
         )
+        self.gaps = HostGaps()
+        """Gaps between the events of all streams, by which silence is told."""
         self._turn = 0
         """Looks at silent data centres, so that each is at another engine."""
         self._running: dict[TargetId, asyncio.Task[EngineStatus | None]] = {}
