Read the store as often as the bounds of a deployment ask, not as those of the tightest

How long they wait was fixed for a host that must be up to date 3 s after trouble, and 2 s after a target began to leave; larger deployments allow 4 and 5 s, 3 and 4 s.

Ruled out: starts (8 calls a host once), the lease (53 of 1,317).

Change: the waits are shares of these two bounds, read from the settings; both may change while a host runs. Not measured at size yet.

--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import structlog
 from result import Err, Ok
@@ -13,17 +14,20 @@
 
 logger = structlog.get_logger(__name__)
 
-NEWS_WAIT = 2.0
-"""Seconds that a read waits for news. A connection that has gone silent is noticed half
-a second later, which with the way to a new one stays below the 3 s after which a host
-counts as in touch again. Each read is paid for: waiting reads of the targets took 0.5
-calls a second and host where reads every 0.6 s took 1.7."""
-TARGETS_WAIT = 1.2
+NEWS_SHARE = 0.65
+"""Part of the time without trouble after which a host must be up to date for which a
+read waits for news. A connection that has gone silent is noticed half a second later,
+and the way to a new one is to fit in as well. Each read is paid for: where news may be
+older, waiting reads are fewer."""
+TARGETS_SHARE = 0.4
 """The same for the targets. Shorter, as a leaving engine is used for up to 0.8 s after
-it was seen to leave, which together must end before a host is in touch again."""
-TARGETS_PAUSE = 0.15
-"""Seconds between two reads of the targets, so that changes that come in series, as at
-a start, are read together."""
+it was seen to leave, which together must end before a host must be up to date."""
+PAUSE_SHARE = 0.075
+"""Pause between two reads of the targets, so that changes that come in series, as at a
+start, are read together, over the time in which a target that leaves must get no more
+work."""
+
+
 RETRY_SECONDS = 0.25
 """Pause after a read that failed; up to half as much is added at random, so that hosts
 don't return to a recovering store at the same moment."""
@@ -33,6 +37,29 @@
 FAILURES_IN_OUTAGE = 3
 
 
+@dataclass(frozen=True, slots=True)
+class Waits:
+    """How long reads of the store wait, in seconds.
+
+    :param news: for a newer configuration.
+    :param targets: for changes of the targets.
+    :param pause: between two reads of the targets.
+    """
+
+    news: float
+    targets: float
+    pause: float
+
+
+def choose_waits(touch_seconds: float, leaving_seconds: float) -> Waits:
+    """Return the waits that the bounds of a deployment allow; see its settings."""
+    return Waits(
+        NEWS_SHARE * touch_seconds,
+        TARGETS_SHARE * touch_seconds,
+        PAUSE_SHARE * leaving_seconds,
+    )
+
+
 class Dependency:
     """Whether the store answers one kind of read; logs when that changes."""
 
@@ -72,6 +99,7 @@
 
     :param reading: set while this host must read by itself.
     :ivar get_patience: how much longer than others it waits in an outage.
+    :ivar waits: how long its reads wait.
     """
 
     def __init__(
@@ -80,8 +108,10 @@
         directory: Directory,
         source: random.Random,
         reading: asyncio.Event,
+        waits: Waits,
     ) -> None:
         self.dependency = Dependency("configuration feed")
+        self.waits = waits
         self._reading = reading
         self.get_patience: Callable[[], float] = lambda: 1.0
         self._feeds = feeds
@@ -97,7 +127,7 @@
 
     async def look(self) -> None:
         """Wait for one piece of news."""
-        read = await self._feeds.wait_configuration(self._revision, NEWS_WAIT)
+        read = await self._feeds.wait_configuration(self._revision, self.waits.news)
         match read:
             case Ok((stored, revision)):
                 self.dependency.note_success()
@@ -120,6 +150,7 @@
 
     :param reading: set while this host must read by itself.
     :ivar get_patience: how much longer than others it waits in an outage.
+    :ivar waits: how long its reads wait.
     """
 
     def __init__(
@@ -129,8 +160,10 @@
         clock: Clock,
         source: random.Random,
         reading: asyncio.Event,
+        waits: Waits,
     ) -> None:
         self.dependency = Dependency("targets feed")
+        self.waits = waits
         self._reading = reading
         self.get_patience: Callable[[], float] = lambda: 1.0
         self._answered_at = clock.monotonic()
@@ -149,7 +182,7 @@
 
     async def look(self) -> None:
         """Read once what has changed."""
-        read = await self._feeds.wait_targets(self._revision, TARGETS_WAIT)
+        read = await self._feeds.wait_targets(self._revision, self.waits.targets)
         now = self._clock.monotonic()
         registry = self._directory.registry
         match read:
@@ -175,7 +208,7 @@
     def _choose_pause(self) -> float:
         if self.dependency.is_lost:
             return self.dependency.choose_pause(self._source, self.get_patience())
-        return TARGETS_PAUSE if self._revision else 0.0
+        return self.waits.pause if self._revision else 0.0
 
 
 def apply_changes(directory: Directory, changes: TargetChanges, now: float) -> None:
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -14,7 +14,11 @@
 from marigoldswitch.core.registry import Change
 from marigoldswitch.core.routes import RoutingTable
 from marigoldswitch.gateway.exchanges import HostState, RunParts
-from marigoldswitch.gateway.followers import ConfigurationFollower, TargetFollower
+from marigoldswitch.gateway.followers import (
+    ConfigurationFollower,
+    TargetFollower,
+    choose_waits,
+)
 from marigoldswitch.gateway.fronts import Front
 from marigoldswitch.gateway.orderer import LayerOrderer
 from marigoldswitch.gateway.ports import HostDirectory, HostRecord, HostSettings
@@ -150,6 +154,8 @@
             logger.warning("settings_need_restart", settings=fixed)
         self.settings = replace(fresh, identity=old.identity, addresses=old.addresses)
         self.parts.runs.retries.use_terms(fresh.retry_allowance, fresh.retry_share)
+        waits = choose_waits(fresh.touch_seconds, fresh.leaving_seconds)
+        self.parts.configuration.waits = self.parts.targets.waits = waits
         for seed in fresh.seeds:
             self.parts.spread.meet(HostRecord(seed, ""))
         logger.info("settings_in_force", changed=self.settings != old)
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -351,6 +351,10 @@
         a service.
     :param retry_share: repeats that they may send beyond these, over requests.
     :param link_bytes: bytes a second that its own link carries.
+    :param touch_seconds: without trouble after which what the store says must be in
+        force at a host in time.
+    :param leaving_seconds: from the store's word that a target leaves until no work may
+        reach it.
     """
 
     identity: Identity
@@ -360,3 +364,5 @@
     retry_allowance: float = 5.0
     retry_share: float = 0.1
     link_bytes: float = 125e6
+    touch_seconds: float = 3.0
+    leaving_seconds: float = 2.0
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -17,7 +17,11 @@
 )
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.exchanges import HostState, Retries, RunParts
-from marigoldswitch.gateway.followers import ConfigurationFollower, TargetFollower
+from marigoldswitch.gateway.followers import (
+    ConfigurationFollower,
+    TargetFollower,
+    choose_waits,
+)
 from marigoldswitch.gateway.fronts import Front
 from marigoldswitch.gateway.hosts import GatewayHost, GatewayParts
 from marigoldswitch.gateway.metrics import GatewayMetrics
@@ -85,8 +89,9 @@
         Pacer(settings.link_bytes, clock),
     )
     reading = asyncio.Event()
-    configuration = ConfigurationFollower(store, directory, source, reading)
-    targets = TargetFollower(store, directory, clock, source, reading)
+    waits = choose_waits(settings.touch_seconds, settings.leaving_seconds)
+    configuration = ConfigurationFollower(store, directory, source, reading, waits)
+    targets = TargetFollower(store, directory, clock, source, reading, waits)
     spread = Spread(
         SpreadParts(
             clock,
--- a/marigoldswitch/platform/settings.py
+++ b/marigoldswitch/platform/settings.py
@@ -11,6 +11,7 @@
 FILE_VARIABLE = "MARIGOLDSWITCH_CONFIG"
 """Environment variable with the path of the settings file."""
 BYTES_PER_MEGABIT = 125_000
+MILLISECONDS = 1000.0
 
 
 def read_settings(path: Path) -> Result[tuple[HostSettings, str], str]:
@@ -90,9 +91,19 @@
         usual.retry_allowance if allowance is None else float(allowance) / window,
         float(bounds.get("retry_budget_ratio", usual.retry_share)),
         _read_link(fields) or usual.link_bytes,
+        _read_seconds(bounds, "contact_ms") or usual.touch_seconds,
+        _read_seconds(bounds, "drain_ms") or usual.leaving_seconds,
     )
 
 
+def _read_seconds(bounds: dict[str, Any], name: str) -> float | None:
+    """Return a bound in seconds, where it is given in milliseconds."""
+    value = bounds.get(name)
+    if not isinstance(value, int | float) or value <= 0:
+        return None
+    return value / MILLISECONDS
+
+
 def _read_link(fields: dict[str, Any]) -> float | None:
     """Return the bytes a second of the host's link, where it is named in Mbit/s."""
     limits = fields.get("limits")
