Choose relays and readers by the strength of their links, then by address

Cause: relays and readers are the first three hosts of a data centre by address. On sites where three of some forty hosts of a data centre have a link of 100 Mbit/s and the others one of 10, nearly always weak ones pass configurations, sums and news on to all others and take 69 KB of each configuration from the store, and their probes wait behind it (see the postmortem of live engines taken for dead: a relay on 20 Mbit/s, 213 KB in a tenth of a second).

Ruled out: an election (needs an agreement); fewer bytes alone (paced already).

Change: a host's row in the store and its digests tell the strength of its link, the power of two below its bytes a second; ranks order by it, then by address. Hosts of equal links are chosen as before. Rows of hosts of before are read.

Checks of before pass unchanged (a fake has one field more).

--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -80,6 +80,7 @@
     :param reads: it follows the store by itself, and the store answers.
     :param readers: hosts of its data centre that have told it so of themselves.
     :param current: it reads, or knows no less of the targets than one that does.
+    :param strength: of its link, by which hosts choose who relays and reads for them.
     """
 
     data_centre: DataCentre
@@ -94,6 +95,7 @@
     reads: bool = False
     readers: tuple[HostId, ...] = ()
     current: bool = False
+    strength: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/marigoldswitch/core/relays.py
+++ b/marigoldswitch/core/relays.py
@@ -6,9 +6,12 @@
 multiplies calls that are paid for and limited. So a few hosts, known to all by their
 addresses alone, take the words of the others and pass the sum on; and a few that the
 store answers read it for all. Nothing is elected: a host that is not heard is passed
-over, and two that both act cost messages and break nothing.
+over, and two that both act cost messages and break nothing. Hosts with the strongest
+links come first: a relay or reader on a weak one is late for all that it tells, and its
+own probes wait behind it.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -36,7 +39,26 @@
 hosts, all would read until they have heard of each other's reading, some 0.5 s."""
 
 
-def choose_relays(own: HostId, ages: Mapping[HostId, float]) -> list[HostId]:
+@dataclass(frozen=True, order=True, slots=True)
+class HostRank:
+    """Place of a host among those of its data centre; the lowest come first.
+
+    :param weakness: the negative of its strength.
+    """
+
+    weakness: int
+    host: HostId
+
+
+def measure_strength(link_bytes: float) -> int:
+    """Return how strong a host is for the others; links that are alike count the same.
+
+    :param link_bytes: bytes a second that its link carries.
+    """
+    return int(math.log2(max(1.0, link_bytes)))
+
+
+def choose_relays(own: HostRank, ages: Mapping[HostRank, float]) -> list[HostRank]:
     """Return the hosts that relay, first the one that should sum up.
 
     :param ages: seconds since each other host of the data centre was heard.
@@ -45,13 +67,13 @@
     return sorted([own, *heard])[:RELAYS]
 
 
-def is_lead(own: HostId, ages: Mapping[HostId, float]) -> bool:
+def is_lead(own: HostRank, ages: Mapping[HostRank, float]) -> bool:
     """Tell whether a host sums up: a relay before which none was heard just now."""
     heard = [host for host, age in ages.items() if age < LEAD_SECONDS]
     return own in choose_relays(own, ages) and own == min([own, *heard])
 
 
-def choose_patience(own: HostId, hosts: Iterable[HostId]) -> float:
+def choose_patience(own: HostRank, hosts: Iterable[HostRank]) -> float:
     """Return how much longer than the first hosts this one waits between two tries.
 
     While the store turns all away, the first of a data centre try as if they were
@@ -78,14 +100,14 @@
 
     def must_read(
         self,
-        own: HostId,
-        hosts: Iterable[HostId],
-        readers: Iterable[HostId],
+        own: HostRank,
+        hosts: Iterable[HostRank],
+        readers: Iterable[HostRank],
         now: float,
     ) -> bool:
         """Tell whether this host must read now.
 
-        The first hosts that the store answers do, in order of their addresses; the
+        The first hosts that the store answers do, in order of their ranks; the
         others step in one after the other where these fall away.
 
         :param hosts: of the data centre that were heard of.
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -89,7 +89,9 @@
         self.settings = parts.settings
         """Those in force now."""
         identity = parts.settings.identity
-        self._record = HostRecord(identity.host, identity.data_centre)
+        self._record = HostRecord(
+            identity.host, identity.data_centre, identity.strength
+        )
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
         directory = parts.runs.directory
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -296,10 +296,12 @@
     """A host of ours, as the others find it in the store.
 
     :param address: ``IP:port`` of its peer listener, which is also its id.
+    :param strength: of its link; 0 where it is not known.
     """
 
     address: str
     data_centre: str
+    strength: int = 0
 
 
 class HostDirectory(Protocol):
@@ -323,12 +325,14 @@
     """Who this host is.
 
     :param host: address of its peer listener.
+    :param strength: of its link, as other hosts are told.
     """
 
     host: str
     name: str
     data_centre: str
     region: str
+    strength: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/marigoldswitch/gateway/roster.py
+++ b/marigoldswitch/gateway/roster.py
@@ -10,6 +10,7 @@
 from marigoldswitch.core.relays import (
     MESH_HOSTS,
     READER_SECONDS,
+    HostRank,
     ReaderTurn,
     choose_patience,
     choose_relays,
@@ -45,6 +46,7 @@
     :ivar heard: when it was last heard.
     :ivar known: when anybody last told of it.
     :ivar read: when it was last said to read the store; ``None`` if it does not.
+    :ivar strength: of its link; 0 while it is not known.
     """
 
     data_centre: DataCentre
@@ -54,17 +56,24 @@
     revision: int = 0
     reads: bool = False
     read: float | None = None
+    strength: int = 0
 
 
 class Roster:
     """The other hosts."""
 
     def __init__(
-        self, clock: Clock, own: HostId, home: DataCentre, source: random.Random
+        self,
+        clock: Clock,
+        own: HostId,
+        home: DataCentre,
+        source: random.Random,
+        strength: int = 0,
     ) -> None:
         self.peers: dict[HostId, PeerState] = {}
         self._clock = clock
         self._own = own
+        self._own_rank = HostRank(-strength, own)
         self._home = home
         self._source = source
         self._turn = ReaderTurn()
@@ -81,7 +90,8 @@
         host = HostId(record.address)
         now = self._clock.monotonic()
         if host != self._own and host not in self.peers:
-            self.peers[host] = PeerState(DataCentre(record.data_centre), now, now)
+            centre = DataCentre(record.data_centre)
+            self.peers[host] = PeerState(centre, now, now, strength=record.strength)
 
     def hear(self, host: HostId, digest: LoadDigest) -> bool:
         """Take what a host says of itself and its peers; tell whether it is new."""
@@ -96,6 +106,7 @@
             digest.revision,
             digest.reads,
             read,
+            digest.strength,
         )
         for name in digest.readers:
             other = self.peers.get(name)
@@ -181,6 +192,13 @@
             if item.data_centre == self._home and not item.leaving
         }
 
+    def _rank_ages(self) -> dict[HostRank, float]:
+        """Return the same by the ranks of the hosts."""
+        return {self._rank(host): age for host, age in self.list_ages().items()}
+
+    def _rank(self, host: HostId) -> HostRank:
+        return HostRank(-self.peers[host].strength, host)
+
     # This host's part.
 
     @property
@@ -191,7 +209,8 @@
     @property
     def relays(self) -> list[HostId]:
         """Return the hosts that relay, this one perhaps among them."""
-        return choose_relays(self._own, self.list_ages())
+        ranks = choose_relays(self._own_rank, self._rank_ages())
+        return [item.host for item in ranks]
 
     @property
     def is_relay(self) -> bool:
@@ -201,7 +220,7 @@
     @property
     def is_lead(self) -> bool:
         """Tell whether this host sums up for the others."""
-        return is_lead(self._own, self.list_ages())
+        return is_lead(self._own_rank, self._rank_ages())
 
     def must_read(self) -> bool:
         """Tell whether this host must follow the store by itself."""
@@ -209,15 +228,16 @@
         if not self.is_listed and now - self._began < LIST_SECONDS:
             return False
         readers = [
-            host
+            self._rank(host)
             for host, item in self.peers.items()
             if item.data_centre == self._home and _is_reading(item, now)
         ]
-        return self._turn.must_read(self._own, self.list_ages(), readers, now)
+        ranks = self._rank_ages()
+        return self._turn.must_read(self._own_rank, ranks, readers, now)
 
     def choose_patience(self) -> float:
         """Return how much longer than others this host waits in an outage."""
-        return choose_patience(self._own, self.list_ages())
+        return choose_patience(self._own_rank, self._rank_ages())
 
     def hears_reader(self, revision: int) -> bool:
         """Tell whether a host was heard that reads, and knows no more than this one.
@@ -285,8 +305,9 @@
         if len(hosts) < MESH_HOSTS:
             return self._source.sample(heard, min(FAR_PEERS, len(heard)))
         if heard:
-            return [min(heard)]
-        return self._source.sample(sorted(hosts)[:FAR_TRIES], FAR_PEERS)
+            return [min(heard, key=self._rank)]
+        first = sorted(hosts, key=self._rank)[:FAR_TRIES]
+        return self._source.sample(first, FAR_PEERS)
 
 
 def _is_reading(peer: PeerState, now: float) -> bool:
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -67,7 +67,11 @@
         self._parts = parts
         self._home = DataCentre(parts.identity.data_centre)
         self.roster = Roster(
-            parts.clock, HostId(parts.identity.host), self._home, parts.source
+            parts.clock,
+            HostId(parts.identity.host),
+            self._home,
+            parts.source,
+            parts.identity.strength,
         )
         self._orderer: LeaseNote | None = None
         self._orderer_heard = float("-inf")
@@ -249,6 +253,7 @@
             self._reads,
             self.roster.list_readers(),
             self._is_current,
+            parts.identity.strength,
         )
 
     def _write_lease(self, now: float) -> LeaseNote | None:
--- a/marigoldswitch/platform/settings.py
+++ b/marigoldswitch/platform/settings.py
@@ -6,6 +6,7 @@
 import orjson
 from result import Err, Ok, Result
 
+from marigoldswitch.core.relays import measure_strength
 from marigoldswitch.gateway.ports import Addresses, HostSettings, Identity
 
 FILE_VARIABLE = "MARIGOLDSWITCH_CONFIG"
@@ -73,8 +74,12 @@
     peers = listen.get("control_plane") or f"{fields['ip']}:{fields['port_range'][0]}"
     bounds = fields.get("bounds") or {}
     window = float(bounds.get("budget_window_s") or 10.0)
+    link = _read_link(fields)
+    strength = measure_strength(link) if link else 0
     usual = HostSettings(
-        Identity(peers, fields["node_name"], fields["zone"], fields["region"]),
+        Identity(
+            peers, fields["node_name"], fields["zone"], fields["region"], strength
+        ),
         Addresses(
             str(listen["frontend"]),
             str(listen["ready"]),
@@ -90,7 +95,7 @@
         float(bounds.get("grace_s") or usual.stop_seconds),
         usual.retry_allowance if allowance is None else float(allowance) / window,
         float(bounds.get("retry_budget_ratio", usual.retry_share)),
-        _read_link(fields) or usual.link_bytes,
+        link or usual.link_bytes,
         _read_seconds(bounds, "contact_ms") or usual.touch_seconds,
         _read_seconds(bounds, "drain_ms") or usual.leaving_seconds,
     )
--- a/marigoldswitch/platform/store.py
+++ b/marigoldswitch/platform/store.py
@@ -131,7 +131,7 @@
 
     async def enter(self, record: HostRecord) -> Result[None, StoreFault]:
         """Write this host's row."""
-        value = bytes(msgpack.packb(record.data_centre))
+        value = bytes(msgpack.packb([record.data_centre, record.strength]))
         put = _write_row(HOSTS_TABLE, record.address, value)
         written = await self._transact([], [put], [])
         return Err(written.err_value) if isinstance(written, Err) else Ok(None)
@@ -150,11 +150,9 @@
         records = []
         for row in answer.ok_value[0]:
             try:
-                centre = str(msgpack.unpackb(_read_value(row)))
-            except (ValueError, msgpack.UnpackException) as error:
+                records.append(_decode_host(row["key"], _read_value(row)))
+            except (ValueError, TypeError, msgpack.UnpackException) as error:
                 logger.error("host_unreadable", host=row["key"], why=str(error))
-                continue
-            records.append(HostRecord(row["key"], centre))
         return Ok(records)
 
     # Calls.
@@ -240,6 +238,18 @@
             return Err(StoreFault.UNKNOWN)
 
 
+def _decode_host(address: str, value: bytes) -> HostRecord:
+    """Return what a host's row says; hosts of before wrote their data centre alone.
+
+    :raises ValueError: if it is no row of a host.
+    """
+    fields = msgpack.unpackb(value)
+    if isinstance(fields, str):
+        return HostRecord(address, fields)
+    centre, strength = fields
+    return HostRecord(address, str(centre), int(strength))
+
+
 def _judge(status: int) -> StoreFault:
     if status == HTTP_CONFLICT:
         return StoreFault.CONFLICT
--- /dev/null
+++ b/marigoldswitch/tests/test_platform_store.py
@@ -0,0 +1,39 @@
+"""Rows of our own in the platform's store."""
+
+import asyncio
+
+import msgpack
+import pytest
+
+from marigoldswitch.gateway.connections import IDLE_SECONDS, open_session
+from marigoldswitch.gateway.ports import HostRecord
+from marigoldswitch.platform.store import PlatformStore, _decode_host
+from marigoldswitch.standins.platform_store import StoreStandin
+
+RECORD = HostRecord("10.0.0.1:8229", "north", 23)
+
+
+def test_host_finds_what_another_has_written_of_itself():
+    async def scenario():
+        standin = StoreStandin()
+        await standin.start()
+        session = open_session(IDLE_SECONDS)
+        store = PlatformStore(session, standin.address)
+        await store.enter(RECORD)
+        listed = await store.list_hosts()
+        await session.close()
+        await standin.stop()
+        return listed.ok_value
+
+    assert asyncio.run(scenario()) == [RECORD]
+
+
+def test_row_of_a_host_of_before_names_its_data_centre():
+    row = msgpack.packb("north")
+    assert _decode_host("10.0.0.1:8229", row) == HostRecord("10.0.0.1:8229", "north")
+
+
+@pytest.mark.parametrize("value", [7, ["north"], ["north", "strong"], None])
+def test_row_that_is_none_of_a_host_is_refused(value):
+    with pytest.raises((ValueError, TypeError)):
+        _decode_host("10.0.0.1:8229", msgpack.packb(value))
--- a/marigoldswitch/tests/test_spread.py
+++ b/marigoldswitch/tests/test_spread.py
@@ -43,7 +43,7 @@
             feeds=None,
             configuration=in_touch,
             targets=in_touch,
-            identity=SimpleNamespace(host=own, data_centre=HOME),
+            identity=SimpleNamespace(host=own, data_centre=HOME, strength=0),
             source=random.Random(1),
         )
         self.spread = Spread(parts)
