--- a/marigoldswitch/core/crossings.py
+++ b/marigoldswitch/core/crossings.py
@@ -4,8 +4,7 @@
 of another one. Each crossing of a chain carries the activations of its whole prompt,
 some 70 MB, over a pipe that all share: 25 crossings a second fill 18 Gbit/s. Without a
 bound all chains with a crossing queue there, hold the memory of every engine that they
-pass meanwhile, and the requests of whole data centres starve with them: in a day of
-trouble the median first event rose from 50 to 200 ms and pauses became the rule.
+pass meanwhile, and the requests of whole data centres starve with them.
 """
 
 from dataclasses import dataclass
--- a/marigoldswitch/core/engine_groups.py
+++ b/marigoldswitch/core/engine_groups.py
@@ -9,9 +9,8 @@
 TOKENS = tuple(range(60_000, 0, -5_000))
 """Context tokens that the holders of each layer should have memory for together, in the
 order of trial: some 60 requests of 1,000 tokens, more than a data centre has under way
-in a burst. Less only where it could not hold the model otherwise. On a site of mostly
-small accelerators five days of faults were worth 0.742 at 60,000, 0.653 at 80,000,
-where fewer layers have a second holder, and 0.739 at 45,000."""
+in a burst. More would leave fewer layers a second holder; less only where the engines
+could not hold the model otherwise."""
 
 
 def group_engines(
--- a/marigoldswitch/core/pacing.py
+++ b/marigoldswitch/core/pacing.py
@@ -2,21 +2,19 @@
 
 Load it answers: a relay whose data centre of 28 hosts asks it for a new configuration
 in the same tenth of a second, and that tells all of them sums of loads in one tick.
-Sent at once, 145 KB fill a link of 20 Mbit/s for 60 ms, and with the other news of
-the moment for 85 ms: probes of engines miss their time, events of streams come late,
-and live engines look dead.
+Sent at once, some 200 KB fill a link of 20 Mbit/s for 85 ms: probes of engines miss
+their time, events of streams come late, and live engines look dead.
 """
 
 from marigoldswitch.core.ports import Clock
 
 LANES = ((4096, 0.5), (1024, 0.4))
 """Least bytes of a frame and the share of the link that frames of that size have, the
-largest first. Copies of a configuration have half of the link: the 145 KB above leave
-in 0.12 s; of ten times as large a configuration 24 hosts have the last copy after 1.2
-s of the 3 s in which it must be in force. Half as much would not leave that margin on
-a link of 10 Mbit/s. Sums of loads and news of targets, 1.2 to 1.9 KB to each of 29
-hosts in one tick, have a lane of their own, so that loads don't grow old behind a
-configuration: 55 KB leave in 0.06 s. Digests are smaller; they wait for nothing."""
+largest first. Copies of a configuration have half of the link: less would leave no
+margin on a link of 10 Mbit/s for a large one to reach a data centre in the 3 s in which
+it must be in force. Sums of loads and news of targets have a lane of their own, so that
+loads don't grow old behind a configuration. Digests are smaller; they wait for
+nothing."""
 
 
 class Pacer:
--- a/marigoldswitch/core/paths.py
+++ b/marigoldswitch/core/paths.py
@@ -23,17 +23,14 @@
 
 FILL_SHARES = (0.7, 0.85, FULL_SHARE)
 """Shares up to which engines are filled in turn, the next one only where no chain has
-room below. Thirty hosts that fill the quickest engine to the brim by counts that are
-0.2 s old overfill it: in a play of a data centre of 29 engines 2.9 % of the requests
-found no memory where they were sent, 0.1 % with these shares; 5.7 % and 2.3 % after
-five engines were lost."""
+room below. Dozens of hosts that fill the quickest engine to the brim by counts that are
+0.2 s old overfill it, and requests find no memory where they are sent."""
 JITTER = 0.1
 JITTER_A_HOST = 0.03
 MOST_JITTER = 1.0
 """Random part of a cost, growing with the hosts of a data centre: those that see the
 same loads must not all choose the same engine in the time that their counts need to
-reach each other. Thirty hosts with a random part of 0.1 gave the busiest engine 21
-times the mean, and a third of all sendings were refused for want of memory."""
+reach each other."""
 FAR_FACTOR = 1.3
 """Cost of a chain in another data centre than the caller's host, if both have room."""
 
@@ -50,9 +47,7 @@
     """Return the cheapest chain with room over some layers, or ``None``.
 
     Engines that have memory for a part of their layers only are the last resort: by
-    counts that are 0.2 s old thirty hosts would overfill what is nearly full. In a play
-    of a data centre that lost five of 29 engines 3.8 % of the requests found no memory
-    where they were sent.
+    counts that are 0.2 s old dozens of hosts would overfill what is nearly full.
 
     :param span: the layers that it must run.
     :param share: of an engine's memory that is given out.
--- a/marigoldswitch/core/relays.py
+++ b/marigoldswitch/core/relays.py
@@ -77,8 +77,7 @@
     """Return how much longer than the first hosts this one waits between two tries.
 
     While the store turns all away, the first of a data centre try as if they were
-    alone, and the others together as often as these: refused calls are paid for too,
-    and 89 hosts that all read paid a sixth of what they served for their calls.
+    alone, and the others together as often as these: refused calls are paid for too.
 
     :param hosts: the others of the data centre.
     """
--- a/marigoldswitch/core/stages.py
+++ b/marigoldswitch/core/stages.py
@@ -16,9 +16,7 @@
 """Share of an engine's slots up to which it may be the first of a chain, which is what
 takes one. What comes beyond them waits there unseen: the hosts of a data centre send
 some 6 requests in the 0.25 s by which their counts are old, and hardly more begin than
-end. On a day of releases the quickest engine with the first layers was sent 120 streams
-for its 96 slots for 20 s: 158 streams were given up after 0.7 s without an event, and
-378 of 2,065 requests of its data centre came late."""
+end."""
 MOST_STAGES = 32
 """Longest chain that engines take."""
 
--- a/marigoldswitch/core/suspects.py
+++ b/marigoldswitch/core/suspects.py
@@ -20,9 +20,8 @@
 frees room."""
 FAILED_SECONDS = 1.0
 """First time out for an engine that loses a request before it answers. One that resets
-every request within 5 ms always looks idle and draws all of them: in a day of 89 hosts
-it failed 78 to 116 requests in five seconds, four a host, more than a host may repeat
-(some 7 in 10 s). Out for 1, 2 and 4 s it is sent three, which are repeated."""
+every request at once always looks idle and draws all of them, more than a host may
+repeat. Out for 1, 2 and 4 s it is sent three, which are repeated."""
 LONGEST_SECONDS = 4.0
 """Longest time out; the entry of a dead target has lapsed by then."""
 
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -25,21 +25,20 @@
 
 FIRST_SILENCE = 0.7
 """Seconds without a first event after which a request is sent elsewhere although all
-engines of its chain answer probes: some accept requests and never answer them. First
-events take 0.15 s for 99 of 100; callers leave after 2 s, so that the second chain has
-time left. On a day of trouble 88 of 10,200 requests were lost so."""
+engines of its chain answer probes: some accept requests and never answer them. Nearly
+all first events come sooner, and callers leave after 2 s, so that the second chain has
+time left."""
 LONGEST_SILENCE = 1.2
 """The same between events. Longer, as an engine that has run out of memory reads a
 prompt again, and what was read is lost with the chain."""
 ALIVE_SHARE = 0.5
 """Last part of a silence in which an event of another stream shows that an engine
-lives. One that died as the silence began has shown nothing since. Without it slow
-engines made each stream look at all of its chain: 8 probes a request on a day with nine
-of them, and a third of the new connections to engines."""
+lives. One that died as the silence began has shown nothing since. It keeps the many
+streams through a slow engine from all looking at their whole chains."""
 CAUTION_STEP = 1.4
 MOST_CAUTION = 4.0
 """A look that found nothing makes the stream wait this much longer for the next one, as
-each costs the engines a probe; without it a slow chain was looked at ten times."""
+each costs the engines a probe and a slow chain is looked at again and again."""
 DETOURS = 3
 """Chains tried for one detour: each is refused by another engine."""
 
--- a/marigoldswitch/gateway/news.py
+++ b/marigoldswitch/gateway/news.py
@@ -37,18 +37,18 @@
 logger = structlog.get_logger(__name__)
 
 PACK_LEVEL = 1
-"""Effort of packing a configuration, the least: it makes one of 1,400 routes a tenth as
-large. Unpacked, its way from one relay to 28 hosts over a link of 10 Mbit/s would take
-longer than the 3 s in which it must be in force."""
+"""Effort of packing a configuration, the least: it makes large ones a tenth as large.
+Unpacked, one of 1,400 routes would take longer from a relay on 10 Mbit/s to the hosts
+of its data centre than the 3 s in which it must be in force."""
 MOST_BYTES = 64 * 1024 * 1024
 """Largest configuration that is taken from a peer, a thousand times a usual one."""
 FETCH_SECONDS = 0.4
 """Least time between two requests for targets; also how long news may be missed by the
 store's own feed before it is asked for."""
 ANSWER_SECONDS = 0.8
-"""Least time between two requests for a configuration: 28 copies of one of 1,800
-routes, 25 KB each, leave a link of 20 Mbit/s in 0.56 s. Asked for again every 0.4 s,
-237 copies were sent to 89 hosts, and some came 5 s after the first."""
+"""Least time between two requests for a configuration. A relay's copies for a whole
+data centre leave it within half of that or so; asked for again meanwhile, each is sent
+several times, and the last ones come late."""
 ALONE_SECONDS = 0.8
 """Time without a word of a host that is in touch with the store after which the store
 counts as away; such hosts speak every 0.1 to 0.5 s."""
@@ -195,8 +195,8 @@
                 logger.warning("configuration_refused", sender=sender, why=why)
 
     def _tell_targets(self, sender: HostId, request: FetchTargets) -> None:
-        """Tell what has changed: all of 86 rows for each change of one, to 28 hosts,
-        would fill a tenth of a small host's link."""
+        """Tell what has changed: all rows for each change of one, to a whole data
+        centre, would fill a tenth of a small host's link."""
         directory = self._parts.directory
         registry = directory.registry
         may_tell = self._is_current() or (
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -31,8 +31,8 @@
 """Seconds below which no second target is asked: a queue of a few is no fault."""
 CONNECTIONS_A_HOST = 4
 """Connections to a target for each host below which idle ones are not kept: some two
-under way at a time, as many idle. With 76 hosts and targets that take 110, they reset
-121 connections with requests on them in a day."""
+under way at a time, as many idle. Small targets that many hosts keep connections to
+reset those beyond their bound, with requests on them."""
 RETURN_SECONDS = (0.05, 0.2)
 """Bounds of the time after which a caller is told to come back: what runs ends within
 some 25 ms, and callers wait a second in all."""
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -100,9 +100,8 @@
     def recheck_dead(self) -> None:
         """Look again at the engines that were found dead, each from time to time.
 
-        Where a data centre is silent, one look stands for all of its engines. Each by
-        itself, 86 engines behind a cut took 290 probes a second and host, a tenth
-        of a core at 0.38 ms each, where all control may take 1.2 %.
+        Where a data centre is silent, one look stands for all of its engines: looked at
+        each by itself, a cut would cost hosts times engines probes a round.
         """
         now = self._clock.monotonic()
         due: dict[DataCentre, list[Target]] = {}
--- a/marigoldswitch/gateway/roster.py
+++ b/marigoldswitch/gateway/roster.py
@@ -27,7 +27,7 @@
 """Time for which a relay's count of hosts stands: several of its summaries."""
 LIST_SECONDS = 0.4
 """Time after its start in which a host waits for the list of the others, which may read
-the store for it: at a start of 89 hosts, each made eight calls by itself."""
+the store for it; otherwise a start of all reads every table once a host."""
 TOLD_RELAYS = 2
 """Relays that a host tells of its loads: the one that sums up and the next, which is
 then ready to."""
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -128,7 +128,7 @@
     def greet(self) -> None:
         """Tell the hosts that must know of this one: each, or its relays.
 
-        A greeting to each of 89 hosts made 7,800 connections at a start of all.
+        A greeting to each would open a connection for each pair at a start of all.
         """
         digest = self._build_digest()
         near = self.roster.choose_near(to_all=True)
@@ -307,8 +307,7 @@
         """Tell whether it matters to this host, or to those it tells, if one is dead.
 
         Engines of other data centres get few requests, and only while those at home are
-        full. Where each of 195 hosts looked at each dead engine of five data centres,
-        four of five such probes could change nothing.
+        full, so that probes of them by each host could change nothing.
         """
         roster = self.roster
         return (
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -49,7 +49,7 @@
 """Sendings that engines may refuse before the caller is told to come back."""
 MOST_LATE_REFUSALS = 8
 """The same for a stream that has begun: broken off, it would lose what its caller has
-already. On a day of trouble 97 of 14,700 requests ended so, many after one refusal."""
+already."""
 RETURN_SECONDS = (0.8, 2.4)
 """Bounds of the time after which a caller is told to come back: engines that take over
 layers need 1.4 s and more to load them; spread, so that callers don't all return at
@@ -274,8 +274,8 @@
 
         An engine that is released cuts its streams off just before its port is closed,
         and nobody knows yet: it is asked where the request would end with this run.
-        Only a closed port counts. Where silence did, engines that run on were taken for
-        ended, and 19 requests of a day ran at three targets where two are allowed.
+        Only a closed port counts: silent engines may run on, and the request would run
+        at more targets than its route allows.
         """
         exchange = self._exchange
         if exchange.may_run_again or not exchange.route.is_idempotent:
--- a/marigoldswitch/platform/daemon.py
+++ b/marigoldswitch/platform/daemon.py
@@ -115,7 +115,7 @@
     """Entry point."""
     if len(sys.argv) == 1:
         # Without arguments, as the platform starts it, no parser is loaded: it and what
-        # it needs took 0.11 of 0.83 s of processor time of a start.
+        # it needs are a good part of a start.
         sys.exit(serve())
     import defopt
 
