--- a/marigoldswitch/gateway/connections.py
+++ b/marigoldswitch/gateway/connections.py
@@ -23,6 +23,10 @@
 connection that is just being closed."""
 IDLE_SLACK_SECONDS = 1.0
 """Part of the time stated that is left: it is given in whole seconds."""
+CONNECTIONS_A_HOST = 4
+"""Connections to a target for each host below which idle ones are not kept: some two
+under way at a time, as many idle. Small targets that many hosts keep connections to
+reset those beyond their bound, with requests on them."""
 UNACKNOWLEDGED_MS = 2_000
 """Time after which data that is not acknowledged breaks a connection: a target behind a
 cut sends no reset."""
@@ -100,6 +104,14 @@
             await session.close()
 
 
+def may_keep_connections(most: int, hosts: int) -> bool:
+    """Tell whether the hosts may keep idle connections to a target.
+
+    :param most: connections that the target takes from all hosts; 0 where unknown.
+    """
+    return most == 0 or most >= CONNECTIONS_A_HOST * hosts
+
+
 @dataclass(slots=True)
 class ConnectionUse:
     """What is noted of the connection of one request.
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -13,6 +13,7 @@
 from marigoldswitch.core.retries import RetryBudget
 from marigoldswitch.core.routes import Route, ServiceSpec
 from marigoldswitch.gateway.admission import Admission
+from marigoldswitch.gateway.connections import may_keep_connections
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import Call, CallCodec, EngineControl
@@ -148,6 +149,18 @@
     home: str
 
 
+def needs_own_connection(parts: RunParts, exchange: Exchange) -> bool:
+    """Tell whether a request may not go over a kept connection.
+
+    One that may run once can't tell there whether it has; and targets that take few
+    connections have no room for those that rest.
+    """
+    most = exchange.service.most_connections
+    if not may_keep_connections(most, parts.planner.count_hosts()):
+        return True
+    return not exchange.route.is_idempotent
+
+
 def note_resend(parts: RunParts, exchange: Exchange) -> None:
     """Count that a request goes to its target once more, on a new connection.
 
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -15,6 +15,7 @@
     Exchange,
     Refused,
     RunParts,
+    needs_own_connection,
     note_resend,
 )
 from marigoldswitch.gateway.ports import Sending
@@ -29,10 +30,6 @@
 where the request may run twice: its own target may never answer."""
 LEAST_HEDGE = 0.1
 """Seconds below which no second target is asked: a queue of a few is no fault."""
-CONNECTIONS_A_HOST = 4
-"""Connections to a target for each host below which idle ones are not kept: some two
-under way at a time, as many idle. Small targets that many hosts keep connections to
-reset those beyond their bound, with requests on them."""
 RETURN_SECONDS = (0.05, 0.2)
 """Bounds of the time after which a caller is told to come back: what runs ends within
 some 25 ms, and callers wait a second in all."""
@@ -41,14 +38,6 @@
 saying so may have run it: where it may run only once, callers must not believe that."""
 
 
-def may_keep_connections(most: int, hosts: int) -> bool:
-    """Tell whether the hosts may keep idle connections to a target.
-
-    :param most: connections that the target takes from all hosts; 0 where unknown.
-    """
-    return most == 0 or most >= CONNECTIONS_A_HOST * hosts
-
-
 class PlainSelectors:
     """The selectors of all plain services."""
 
@@ -155,10 +144,7 @@
         sending = Sending(
             target.id, exchange.deadline - now, exchange.account, exchange.priority
         )
-        may_keep = may_keep_connections(
-            exchange.service.most_connections, parts.planner.count_hosts()
-        )
-        fresh = not exchange.route.is_idempotent or not may_keep
+        fresh = needs_own_connection(parts, exchange)
         end: SendEnd = Lost("cancelled")
         try:
             call, body = exchange.call, exchange.body
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -30,6 +30,7 @@
     Refused,
     RunParts,
     abort,
+    needs_own_connection,
     note_resend,
     write,
 )
@@ -226,8 +227,8 @@
             self.chain.stages,
             self.chain.last_event,
         )
-        may_keep = exchange.route.is_idempotent
-        opened = await self._open(first.target, sending, fresh=not may_keep)
+        fresh = needs_own_connection(parts, exchange)
+        opened = await self._open(first.target, sending, fresh)
         if isinstance(opened, Lost) and opened.is_stale:
             note_resend(parts, exchange)
             opened = await self._open(first.target, sending, fresh=True)
