--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -15,17 +15,17 @@
 logger = structlog.get_logger(__name__)
 
 NEWS_SHARE = 0.65
-"""Part of the time without trouble after which a host must be up to date for which a
+"""Share of the time within which a host must be up to date again after trouble that a
 read waits for news. A connection that has gone silent is noticed half a second later,
-and the way to a new one is to fit in as well. Each read is paid for: where news may be
-older, waiting reads are fewer."""
+and connecting anew must fit in as well. Each read is paid for: where news may be older,
+there are fewer of them."""
 TARGETS_SHARE = 0.4
 """The same for the targets. Shorter, as a leaving engine is used for up to 0.8 s after
 it was seen to leave, which together must end before a host must be up to date."""
 PAUSE_SHARE = 0.075
-"""Pause between two reads of the targets, so that changes that come in series, as at a
-start, are read together, over the time in which a target that leaves must get no more
-work."""
+"""Share of the time after which a leaving target must get no more work that a reader
+pauses between two reads of the targets: changes that come in series, as at a start, are
+then read together."""
 
 
 RETRY_SECONDS = 0.25
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -62,7 +62,7 @@
         began = self._clock.monotonic()
         tries: _Tries[EngineAnswer] = _Tries()
         try:
-            answer = await self._ask_again_and_again(target, began, tries)
+            answer = await self._try_thrice(target, began, tries)
         finally:
             tries.cancel()
         match answer:
@@ -73,7 +73,7 @@
         now = self._clock.monotonic()
         return self.health.explain_silence(target.data_centre, began, now)
 
-    async def _ask_again_and_again(
+    async def _try_thrice(
         self, target: Target, began: float, tries: "_Tries[EngineAnswer]"
     ) -> EngineAnswer | None:
         """Return the answer to any of up to three tries, none of which is given up.
--- a/marigoldswitch/gateway/roster.py
+++ b/marigoldswitch/gateway/roster.py
@@ -193,7 +193,7 @@
         }
 
     def _rank_ages(self) -> dict[HostRank, float]:
-        """Return the same by the ranks of the hosts."""
+        """Return how long ago each host here was heard, in seconds, by its rank."""
         return {self._rank(host): age for host, age in self.list_ages().items()}
 
     def _rank(self, host: HostId) -> HostRank:
