Build the rank of a host when it is heard, not at each look at the peers

Found in a last read of the change: who relays, leads and reads is asked several times in each tick and for each digest, and each time a rank was built anew for every host of the data centre, state that is known since the host was heard. The peers now keep it in place of the strength. Two tests shared the look into the kept connections word for word; one function serves both, their assertions are unchanged.

--- a/marigoldswitch/gateway/roster.py
+++ b/marigoldswitch/gateway/roster.py
@@ -46,17 +46,18 @@
     :ivar heard: when it was last heard.
     :ivar known: when anybody last told of it.
     :ivar read: when it was last said to read the store; ``None`` if it does not.
-    :ivar strength: of its link; 0 while it is not known.
+    :ivar rank: its place among the hosts of its data centre, the lowest first; built
+        when it is heard, as it is asked for several times in each tick.
     """
 
     data_centre: DataCentre
+    rank: HostRank
     heard: float
     known: float
     leaving: bool = False
     revision: int = 0
     reads: bool = False
     read: float | None = None
-    strength: int = 0
 
 
 class Roster:
@@ -91,7 +92,8 @@
         now = self._clock.monotonic()
         if host != self._own and host not in self.peers:
             centre = DataCentre(record.data_centre)
-            self.peers[host] = PeerState(centre, now, now, strength=record.strength)
+            rank = HostRank(-record.strength, host)
+            self.peers[host] = PeerState(centre, rank, now, now)
 
     def hear(self, host: HostId, digest: LoadDigest) -> bool:
         """Take what a host says of itself and its peers; tell whether it is new."""
@@ -100,13 +102,13 @@
         read = now if digest.reads else None
         self.peers[host] = PeerState(
             digest.data_centre,
+            HostRank(-digest.strength, host),
             now,
             now,
             digest.leaving,
             digest.revision,
             digest.reads,
             read,
-            digest.strength,
         )
         for name in digest.readers:
             other = self.peers.get(name)
@@ -130,7 +132,8 @@
             if known is None:
                 # Known from hearsay only: it counts as heard when it speaks.
                 past = now - SILENT_SECONDS
-                self.peers[name] = PeerState(self._home, past, now)
+                rank = HostRank(0, name)
+                self.peers[name] = PeerState(self._home, rank, past, now)
             else:
                 known.known = now
 
@@ -197,7 +200,7 @@
         return {self._rank(host): age for host, age in self.list_ages().items()}
 
     def _rank(self, host: HostId) -> HostRank:
-        return HostRank(-self.peers[host].strength, host)
+        return self.peers[host].rank
 
     # This host's part.
 
--- a/marigoldswitch/tests/test_connections.py
+++ b/marigoldswitch/tests/test_connections.py
@@ -148,6 +148,14 @@
     assert not may_keep_connections(110, 76)
 
 
+def is_kept(site, address):
+    """Tell whether the first host keeps a connection to a target."""
+    connections = site.hosts[0].parts.runs.upstream._connections
+    sessions = (connections._short, connections._long, connections.once)
+    pool = [key for item in sessions for key in item.connector._conns]
+    return any(key.port == int(address.rpartition(":")[2]) for key in pool)
+
+
 def test_request_to_a_small_target_closes_its_connection():
     async def scenario(most):
         configuration = build_configuration()
@@ -158,11 +166,7 @@
             await site.wait(lambda: directory.version == 2)
             async with site.call("/look/", 1, method="GET", data=None) as answer:
                 assert answer.status == 200
-            upstream = site.hosts[0].parts.runs.upstream
-            connections = upstream._connections
-            sessions = (connections._short, connections._long, connections.once)
-            pool = [key for item in sessions for key in item.connector._conns]
-            return any(key.port == int(site.desks[0].address[10:]) for key in pool)
+            return is_kept(site, site.desks[0].address)
 
     assert asyncio.run(scenario(100))
     assert not asyncio.run(scenario(3))
@@ -179,11 +183,7 @@
             await site.wait(lambda: directory.version == 2 and get_targets(site))
             async with site.call("/draft/", 1) as answered:
                 assert list_ids(await answered.read()) == ALL_EVENTS
-            connections = site.hosts[0].parts.runs.upstream._connections
-            sessions = (connections._short, connections._long, connections.once)
-            pool = [key for item in sessions for key in item.connector._conns]
-            port = get_targets(site)["x"].address.rpartition(":")[2]
-            return any(key.port == int(port) for key in pool)
+            return is_kept(site, get_targets(site)["x"].address)
 
     assert asyncio.run(scenario(100))
     assert not asyncio.run(scenario(3))
