Log each lost run with the request's fingerprint and the budget of repeats

The logs of the incident could not tell which requests are the same one sent again, whether the engine that ended had brought a request anything, nor what was left of the budget when a stream was repeated (docs/incidents/requests-that-crash-engines.md). The line run_lost says all three. No decision changes.

--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -68,6 +68,8 @@
         self._caution = 1.0
         self._looks = 0
         """Looks at the chain since the last event."""
+        self.has_brought = False
+        """Whether an event has come over this chain."""
         self._event_at = 0.0
         self._heard = 0.0
         """When the last events came, or the last look ended."""
@@ -77,6 +79,7 @@
     def begin(self, stages: tuple[Stage, ...]) -> None:
         """Take a chain that is counted as held."""
         self.stages = stages
+        self.has_brought = False
         self._gaps.begin()
 
     def end(self) -> None:
@@ -92,6 +95,7 @@
     def note_event(self) -> None:
         """Learn that events have come, and with it what pause between them is usual."""
         self._event_at = self._parts.clock.monotonic()
+        self.has_brought = True
         self._gaps.note_event(self._event_at)
         self._looks = 0
         self._parts.probes.note_alive(item.target for item in self.stages)
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from marigoldswitch.core.errors import ErrorKind, Fault
+from marigoldswitch.core.fingerprints import Fingerprint, fingerprint_request
 from marigoldswitch.core.ids import AccountId, ServiceName
 from marigoldswitch.core.loads import Loads
 from marigoldswitch.core.ports import Clock
@@ -56,6 +57,16 @@
     """Longest pause between two events passed on, in seconds."""
     trail: list[str] = field(default_factory=list)
     """What was tried, for the log line of the end."""
+    _fingerprint: Fingerprint | None = None
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Return what this request has in common with others that are the same."""
+        if self._fingerprint is None:
+            self._fingerprint = fingerprint_request(
+                self.account, self.call.path, self.body
+            )
+        return self._fingerprint
 
     @property
     def may_run_again(self) -> bool:
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -103,6 +103,7 @@
                 self._exchange.trail.append(f"broken: {broken}")
                 self._failed.add(chain.stages[0].target)
                 if self._exchange.ran > ran:
+                    self._log_lost_run(chain.stages[0], str(broken))
                     await self._excuse_if_ended(chain.stages[0])
                 self._check_repeat(str(broken))
                 continue
@@ -115,6 +116,22 @@
                 case TurnedAway(at_fault):
                     self._note_refusal(chain.stages, at_fault)
 
+    def _log_lost_run(self, first: Stage, why: str) -> None:
+        exchange, parts = self._exchange, self._parts
+        now = parts.clock.monotonic()
+        budget = parts.retries.get(exchange.service.name)
+        logger.info(
+            "run_lost",
+            request=exchange.call.id,
+            fingerprint=exchange.fingerprint,
+            target=first.target,
+            had_event=self.chain.has_brought,
+            after=self.chain.last_event,
+            why=why,
+            repeats=budget.retries.read(now),
+            repeats_allowed=round(budget.measure_allowed(now), 1),
+        )
+
     # Waiting and repeating.
 
     async def _acquire(self) -> Chain | None:
--- /dev/null
+++ b/marigoldswitch/tests/test_fingerprints.py
@@ -0,0 +1,53 @@
+"""A request sent again has the fingerprint that it had; any other one has another."""
+
+import pytest
+from structlog.testing import capture_logs
+
+from marigoldswitch.core.fingerprints import fingerprint_request
+from marigoldswitch.tests.gateway_site import run, run_site
+
+
+def test_request_sent_again_has_the_same_fingerprint():
+    once, again = (fingerprint_request("a", "/draft/1?x=2", b"text") for _ in "12")
+    assert once == again
+
+
+@pytest.mark.parametrize(
+    ("account", "path", "body"),
+    [
+        ("b", "/draft/1", b"text"),
+        (None, "/draft/1", b"text"),
+        ("a", "/draft/2", b"text"),
+        ("a", "/draft/1", b"other"),
+        ("a/", "draft/1", b"text"),
+        ("a", "/draft/1t", b"ext"),
+    ],
+)
+def test_another_caller_path_or_body_has_another_fingerprint(account, path, body):
+    assert fingerprint_request(account, path, body) != fingerprint_request(
+        "a", "/draft/1", b"text"
+    )
+
+
+def test_lost_run_is_logged_with_what_tells_causes_apart():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            cutting = await site.add_engine("x", "north", (0, 8))
+            cutting.cut_after = 3
+            await site.add_engine("y", "north", (0, 8))
+            await site.wait(
+                lambda: len(site.hosts[0].parts.runs.directory.registry.rows) == 2
+            )
+            with capture_logs() as lines:
+                for number in range(4):
+                    async with site.call("/draft/1", number, data=b"text") as answer:
+                        await answer.read()
+            lost = [item for item in lines if item["event"] == "run_lost"]
+            assert lost
+            assert lost[0]["fingerprint"] == fingerprint_request(
+                "workshop", "/draft/1", b"text"
+            )
+            assert lost[0]["had_event"] is True
+            assert lost[0]["repeats"] <= lost[0]["repeats_allowed"]
+
+    run(scenario())
