--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -18,6 +18,10 @@
 """Time after which a stream that waits for a dead engine is cut off."""
 PAUSE_SECONDS = 0.005
 """Pause between two events."""
+CRASH_SECONDS = 0.02
+"""Time from the begin of a run that ends its target to that end."""
+RETURN_SECONDS = 0.3
+"""Time after which a target that a request has ended listens again."""
 
 
 @dataclass(slots=True)
@@ -44,6 +48,11 @@
         self.paths: list[str] = []
         self.bodies: list[bytes] = []
         self.alive = False
+        self.crashing: set[bytes] = set()
+        """Bodies of requests that end the target which begins to run them."""
+        self.crashes: Counter[bytes] = Counter()
+        """Ends that each of these has brought about."""
+        self._returns: set[asyncio.Task[None]] = set()
         self._runner: web.ServerRunner | None = None
         self._reserved = socket.socket()
         """Keeps the port from others: once it is dead, nothing answers there."""
@@ -52,6 +61,10 @@
         """Listen."""
         self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._reserved.bind(("127.0.0.1", 0))
+        await self.listen()
+
+    async def listen(self) -> None:
+        """Listen on the port that it has, at first or once more after its end."""
         port = self._reserved.getsockname()[1]
         server = web.Server(self.handle, access_log=None, handler_cancellation=True)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.05)
@@ -62,8 +75,25 @@
 
     def release(self) -> None:
         """Give the port back."""
+        for task in self._returns:
+            task.cancel()
         self._reserved.close()
 
+    async def crash(self, body: bytes) -> None:
+        """End under a request, and listen again after a while."""
+        await asyncio.sleep(CRASH_SECONDS)
+        if self.alive:
+            self.crashes[body] += 1
+            task = asyncio.create_task(self._end_and_return())
+            self._returns.add(task)
+            task.add_done_callback(self._returns.discard)
+        await asyncio.sleep(RETURN_SECONDS)
+
+    async def _end_and_return(self) -> None:
+        await self.stop()
+        await asyncio.sleep(RETURN_SECONDS)
+        await self.listen()
+
     async def stop(self) -> None:
         """Die: connections are reset, new ones refused."""
         if not self.alive:
@@ -122,7 +152,8 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        self.bodies.append(await http.read())
+        body = await http.read()
+        self.bodies.append(body)
         refusal = self.check_head(http)
         if refusal is not None:
             return refusal
@@ -130,6 +161,8 @@
             self.refusals -= 1
             return self.refuse(http, 503)
         self.runs[http.headers["Attempt-Id"]] += 1
+        if body in self.crashing:
+            await self.crash(body)
         if self.hangs:
             self.hangs -= 1
             await asyncio.sleep(3600)
@@ -138,8 +171,8 @@
             assert http.transport is not None
             http.transport.abort()
         status = self.statuses.pop(0) if self.statuses else 200
-        body = f"{self.name} ran {http.headers['Attempt-Id']}".encode()
-        return web.Response(status=status, headers=self.sign(http), body=body)
+        answer = f"{self.name} ran {http.headers['Attempt-Id']}".encode()
+        return web.Response(status=status, headers=self.sign(http), body=answer)
 
 
 class EngineSite:
@@ -203,7 +236,8 @@
             http.transport.abort()
             return web.Response()
         self._known.add(http.protocol)
-        self.bodies.append(await http.read())
+        body = await http.read()
+        self.bodies.append(body)
         if self.resets:
             assert http.transport is not None
             http.transport.abort()
@@ -219,7 +253,7 @@
             answer = self.refuse(http, 503)
             answer.headers["At-Server"] = obstacle
             return answer
-        return await self._stream(http, path)
+        return await self._stream(http, path, body if body in self.crashing else None)
 
     def _report(self) -> dict[str, Any]:
         stalled = []
@@ -270,7 +304,10 @@
         return web.Response(status=200)
 
     async def _stream(
-        self, http: web.BaseRequest, path: list[tuple[str, int, int]]
+        self,
+        http: web.BaseRequest,
+        path: list[tuple[str, int, int]],
+        crash: bytes | None,
     ) -> web.StreamResponse:
         request = http.headers["Attempt-Id"]
         self.runs[request] += 1
@@ -280,6 +317,8 @@
         response.enable_chunked_encoding()
         await response.prepare(http)
         try:
+            if crash is not None:
+                await self.crash(crash)
             await self._send_events(http, response, record)
         finally:
             self._own.pop(request, None)
--- /dev/null
+++ b/marigoldswitch/tests/test_crashes.py
@@ -0,0 +1,86 @@
+"""Requests that end the targets which run them, on stand-ins."""
+
+import asyncio
+
+import aiohttp
+
+from marigoldswitch.tests.gateway_site import (
+    ALL_EVENTS,
+    get_targets,
+    list_ids,
+    run,
+    run_site,
+)
+
+CRASHING = b"ends what runs it"
+MOST_ENDS = 3
+
+
+async def send(site, number, host, body, path="/draft/1"):
+    """Return the status of a request and its body, as far as it came."""
+    async with site.call(path, number, host, data=body) as answer:
+        try:
+            return answer.status, await answer.read()
+        except aiohttp.ClientError:
+            return answer.status, None
+
+
+def count_ends(targets, body=CRASHING):
+    return sum(item.crashes[body] for item in targets)
+
+
+def test_request_that_crashes_engines_is_stopped_on_all_hosts():
+    async def scenario():
+        async with run_site(hosts=2) as site:
+            for index in range(8):
+                engine = await site.add_engine(f"x{index}", "north", (0, 8))
+                engine.crashing = {CRASHING}
+            await site.wait(lambda: len(get_targets(site)) == 8)
+            for number in range(8):
+                await send(site, number, number % 2, CRASHING)
+            assert count_ends(site.engines.engines.values()) <= MOST_ENDS
+            status, body = await send(site, 9, 0, b"{}")
+            assert (status, list_ids(body)) == (200, ALL_EVENTS)
+
+    run(scenario())
+
+
+def test_repeats_of_streams_stay_in_the_budget_when_engine_after_engine_ends():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            for index in range(6):
+                engine = await site.add_engine(f"x{index}", "north", (0, 8))
+                engine.events = 150
+            await site.wait(lambda: len(get_targets(site)) == 6)
+            allowance, window, streams = 1.0, 10.0, 12
+            site.hosts[0].parts.runs.retries.use_terms(allowance, 0.0)
+            works = [
+                asyncio.create_task(send(site, number, 0, b"%d" % number))
+                for number in range(streams)
+            ]
+            for ends in range(1, 6):
+                await site.wait(
+                    lambda: (
+                        all(work.done() for work in works)
+                        or any(_has_streams(item) for item in _list_live(site))
+                    )
+                )
+                await asyncio.sleep(0.05)
+                busiest = max(_list_live(site), key=lambda item: len(item._own))
+                await busiest.stop()
+                assert len(_list_live(site)) == 6 - ends
+            await asyncio.gather(*works)
+            runs = sum(
+                sum(item.runs.values()) for item in site.engines.engines.values()
+            )
+            assert runs - streams <= allowance * window
+
+    run(scenario())
+
+
+def _list_live(site):
+    return [item for item in site.engines.engines.values() if item.alive]
+
+
+def _has_streams(engine):
+    return bool(engine._own)
