Hold off a request that ends the targets which run it

Cause: nothing tied the end of an engine to the request that brought it about. Within an attempt a run at a closed port was excused without end; across attempts and hosts nothing was remembered.

Ruled out: load (nothing was refused before the first end); counting ends alone (the streams that follow the request see as many).

A run to its end clears it. Hash and look-up only while anything is known.

--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -6,7 +6,14 @@
 
 from dataclasses import dataclass
 
-from marigoldswitch.core.ids import DataCentre, HostId, ServiceName, TargetId
+from marigoldswitch.core.fingerprints import Fingerprint
+from marigoldswitch.core.ids import (
+    AccountId,
+    DataCentre,
+    HostId,
+    ServiceName,
+    TargetId,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +88,7 @@
     :param readers: hosts of its data centre that have told it so of themselves.
     :param current: it reads, or knows no less of the targets than one that does.
     :param strength: of its link, by which hosts choose who relays and reads for them.
+    :param crashes: checksum of what it knows of requests that end targets.
     """
 
     data_centre: DataCentre
@@ -96,6 +104,7 @@
     readers: tuple[HostId, ...] = ()
     current: bool = False
     strength: int = 0
+    crashes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +188,43 @@
     lapsed: tuple[TargetId, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class EndNote:
+    """The end of a target under a request.
+
+    :param born: when the target had started, in ms since 1970; 0 where not known.
+    :param age: seconds since it ended.
+    :param blame: of the request for it, in hundredths.
+    """
+
+    target: TargetId
+    born: int
+    age: float
+    blame: int
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNote:
+    """What is known of one request that ran at the end of targets.
+
+    :param held: seconds for which it has been held off; below 0 where it is not.
+    :param cleared: seconds since it last ran to its end; below 0 where it has not.
+    """
+
+    fingerprint: Fingerprint
+    account: AccountId | None
+    ends: tuple[EndNote, ...]
+    held: float = -1.0
+    cleared: float = -1.0
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNotes:
+    """What a host knows of requests that end targets."""
+
+    notes: tuple[CrashNote, ...]
+
+
 GatewayMessage = (
     LoadDigest
     | LoadSummary
@@ -186,4 +232,5 @@
     | ConfigurationContent
     | FetchTargets
     | TargetsContent
+    | CrashNotes
 )
--- /dev/null
+++ b/marigoldswitch/gateway/crashes.py
@@ -0,0 +1,127 @@
+"""Finds out which requests end the targets that run them, and holds these off."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.crashes import CrashLedger, CutRequest, Hold, TargetStart
+from marigoldswitch.core.fingerprints import Fingerprint
+from marigoldswitch.core.gateway_messages import CrashNote
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.probing import EngineProbes
+
+logger = structlog.get_logger(__name__)
+
+VERDICT_SECONDS = 0.06
+"""Longest time that a request waits until the end of its target is confirmed; a closed
+port says so within a few milliseconds."""
+SETTLE_SECONDS = 0.005
+"""Time in which all requests that a target has cut off are heard of."""
+LATE_SECONDS = 1.0
+"""Time after an end in which further requests may be found to have been cut off."""
+
+
+@dataclass(slots=True)
+class _Cut:
+    """The requests of this host that one target has cut off."""
+
+    requests: list[CutRequest] = field(default_factory=list)
+    verdict: asyncio.Task[bool] | None = None
+
+
+class CrashWatch:
+    """What this host knows of requests that end targets.
+
+    :ivar changed: called when other hosts must be told.
+    """
+
+    def __init__(
+        self, clock: Clock, directory: Directory, probes: EngineProbes
+    ) -> None:
+        self.changed: Callable[[], None] = lambda: None
+        self._clock = clock
+        self._directory = directory
+        self._probes = probes
+        self._ledger = CrashLedger()
+        self._cuts: dict[TargetStart, _Cut] = {}
+
+    @property
+    def checksum(self) -> int:
+        """Return a number that tells whether another host knows the same."""
+        return self._ledger.checksum
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether nothing is known of any request."""
+        return not len(self._ledger)
+
+    def find_hold(self, fingerprint: Fingerprint) -> Hold | None:
+        """Return why a request must not run now, or ``None`` if it may."""
+        return self._ledger.find_hold(fingerprint, self._clock.monotonic())
+
+    async def note_cut_off(self, request: CutRequest, target: Target) -> None:
+        """Learn that a target broke a request off, perhaps by its end.
+
+        Returns when that is judged, where the request may be what ended the target.
+        """
+        row = self._directory.registry.rows.get(target.id)
+        if row is None or row.leaving:
+            return
+        start = TargetStart(target.id, row.born)
+        cut = self._cuts.get(start)
+        if cut is None:
+            cut = self._cuts[start] = _Cut()
+            loop = asyncio.get_running_loop()
+            loop.call_later(LATE_SECONDS, self._cuts.pop, start, None)
+        cut.requests.append(request)
+        if cut.verdict is None:
+            cut.verdict = asyncio.create_task(self._judge(start, target, cut))
+        elif cut.verdict.done() and cut.verdict.result():
+            self._note_end(start, cut)
+        if not request.had_event or self._ledger.knows(request.fingerprint):
+            await asyncio.wait({cut.verdict}, timeout=VERDICT_SECONDS)
+
+    def note_served(self, fingerprint: Fingerprint) -> None:
+        """Learn that a request has run to its end."""
+        if self._ledger.note_served(fingerprint, self._clock.monotonic()):
+            logger.info("suspicion_cleared", fingerprint=fingerprint)
+            self.changed()
+
+    def list_notes(self) -> tuple[CrashNote, ...]:
+        """Return what other hosts must know."""
+        return self._ledger.list_notes(self._clock.monotonic())
+
+    def take_notes(self, notes: tuple[CrashNote, ...]) -> None:
+        """Take what another host knows."""
+        if self._ledger.merge(notes, self._clock.monotonic()):
+            self.changed()
+
+    async def _judge(self, start: TargetStart, target: Target, cut: _Cut) -> bool:
+        """Tell whether a target has ended; if so, learn who was there.
+
+        A reset connection, a cut link or a slow target is no end.
+        """
+        if not await self._probes.has_ended(target, start.born):
+            return False
+        await asyncio.sleep(SETTLE_SECONDS)
+        self._note_end(start, cut)
+        return True
+
+    def _note_end(self, start: TargetStart, cut: _Cut) -> None:
+        before = self._ledger.checksum
+        self._ledger.note_end(start, cut.requests, self._clock.monotonic())
+        logger.info(
+            "target_ended",
+            target=start.target,
+            born=start.born,
+            requests=len(cut.requests),
+            without_event=[
+                item.fingerprint for item in cut.requests if not item.had_event
+            ][:8],
+        )
+        if self._ledger.checksum != before:
+            self.changed()
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -4,8 +4,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import structlog
 from aiohttp import web
 
+from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.crashes import CutRequest
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.fingerprints import Fingerprint, fingerprint_request
 from marigoldswitch.core.ids import AccountId, ServiceName
@@ -15,12 +18,15 @@
 from marigoldswitch.core.routes import Route, ServiceSpec
 from marigoldswitch.gateway.admission import Admission
 from marigoldswitch.gateway.connections import may_keep_connections
+from marigoldswitch.gateway.crashes import CrashWatch
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import Call, CallCodec, EngineControl
 from marigoldswitch.gateway.probing import EngineProbes
 from marigoldswitch.gateway.upstream import Upstream
 
+logger = structlog.get_logger(__name__)
+
 
 @dataclass(slots=True)
 class Exchange:
@@ -155,6 +161,7 @@
     planner: ChainPlanner
     admission: Admission
     probes: EngineProbes
+    crashes: CrashWatch
     retries: Retries
     source: random.Random
     home: str
@@ -184,6 +191,44 @@
     parts.retries.get(exchange.service.name).charge(parts.clock.monotonic())
 
 
+def check_hold(parts: RunParts, exchange: Exchange) -> None:
+    """Let a request run, unless it is held off because it ends targets.
+
+    :raises Refused: if it is; "not run" is said only where it has not.
+    """
+    if parts.crashes.is_empty:
+        return
+    hold = parts.crashes.find_hold(exchange.fingerprint)
+    if hold is None:
+        return
+    logger.warning(
+        "request_held_off",
+        request=exchange.call.id,
+        fingerprint=exchange.fingerprint,
+        account=exchange.account,
+        ends=[[name, round(age, 1)] for name, age in hold.ends],
+        seconds_left=round(hold.left),
+    )
+    kind = ErrorKind.TARGET_LOST if exchange.ran else ErrorKind.ENDS_TARGETS
+    raise Refused(Fault(kind, "held off: it ends targets", hold.left))
+
+
+async def note_cut_off(
+    parts: RunParts, exchange: Exchange, target: Target, had_event: bool
+) -> None:
+    """Learn that a target broke a request off, perhaps by its end."""
+    cut = CutRequest(exchange.fingerprint, exchange.account, had_event)
+    await parts.crashes.note_cut_off(cut, target)
+
+
+def note_served(parts: RunParts, exchange: Exchange) -> None:
+    """Learn that a request has run to its end, and its service with it."""
+    now = parts.clock.monotonic()
+    parts.retries.get(exchange.service.name).note_success(now)
+    if not parts.crashes.is_empty:
+        parts.crashes.note_served(exchange.fingerprint)
+
+
 def may_claim_not_run(exchange: Exchange) -> bool:
     """Tell whether the request has certainly not run."""
     return exchange.ran == 0
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -23,6 +23,7 @@
     Refused,
     RunParts,
     abort,
+    check_hold,
     describe_timeout,
 )
 from marigoldswitch.gateway.metrics import GatewayMetrics
@@ -151,7 +152,7 @@
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
-        return Exchange(
+        exchange = Exchange(
             http,
             call,
             body,
@@ -162,6 +163,8 @@
             arrived,
             arrived + wait,
         )
+        check_hold(self._parts, exchange)
+        return exchange
 
     async def _read_body(self, http: web.BaseRequest, limits: ClientLimits) -> bytes:
         if not http.can_read_body:
--- a/marigoldswitch/gateway/news.py
+++ b/marigoldswitch/gateway/news.py
@@ -27,6 +27,7 @@
 from marigoldswitch.core.loads import Loads
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.registry import TargetRow
+from marigoldswitch.gateway.crashes import CrashWatch
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.followers import ConfigurationFollower, TargetFollower
 from marigoldswitch.gateway.planner import ChainPlanner
@@ -64,6 +65,7 @@
     loads: Loads
     planner: ChainPlanner
     probes: EngineProbes
+    crashes: CrashWatch
     feeds: PlatformFeeds
     configuration: ConfigurationFollower
     targets: TargetFollower
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -15,8 +15,11 @@
     Exchange,
     Refused,
     RunParts,
+    check_hold,
     needs_own_connection,
+    note_cut_off,
     note_resend,
+    note_served,
 )
 from marigoldswitch.gateway.ports import Sending
 from marigoldswitch.gateway.upstream import Answered, Lost, NotSent, SendEnd
@@ -152,6 +155,8 @@
             if isinstance(end, Lost) and end.is_stale:
                 note_resend(parts, exchange)
                 end = await parts.upstream.exchange(target, call, body, sending, True)
+            if isinstance(end, Lost):
+                await note_cut_off(parts, exchange, target, had_event=False)
             return end
         finally:
             parts.loads.release(target.id, usage)
@@ -211,7 +216,7 @@
 
         :raises Refused: if the request must end without one.
         """
-        exchange = self._exchange
+        exchange, parts = self._exchange, self._parts
         match end:
             case None:
                 return None
@@ -223,6 +228,7 @@
                     raise Refused(self._describe_end(why))
                 return None
             case Lost(why):
+                check_hold(parts, exchange)
                 self._check_repeat(ErrorKind.TARGET_LOST, why)
                 return None
             case Answered(facts=facts) if facts.not_run:
@@ -273,8 +279,7 @@
             raise Refused(Fault(ErrorKind.TARGET_FAULT, detail))
         parts = self._parts
         if answer.status < 500:
-            budget = parts.retries.get(exchange.service.name)
-            budget.note_success(parts.clock.monotonic())
+            note_served(parts, exchange)
         headers = parts.codec.write_reply(answer.headers)
         response = web.Response(status=answer.status, headers=headers, body=answer.body)
         exchange.response = response
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -84,10 +84,12 @@
             return seen[1]
         return await asyncio.shield(self._start(target))
 
-    async def has_ended(self, target: TargetId, address: str) -> bool:
-        """Tell whether the process of an engine has certainly ended."""
-        born = self._directory.registry.get_born(target)
-        return await self._questions.has_ended(address, born)
+    async def has_ended(self, target: Target, born: int) -> bool:
+        """Tell whether the process of a target has certainly ended.
+
+        :param born: when it had started, in ms since 1970; 0 where it is not known.
+        """
+        return await self._questions.has_ended(target, born)
 
     def _start(self, target: Target) -> asyncio.Task[EngineStatus | None]:
         task = self._running.get(target.id)
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -98,17 +98,19 @@
         answer = await self._try(target, sum(TRY_SECONDS))
         return answer if isinstance(answer, EngineStatus) else None
 
-    async def has_ended(self, address: str, born: int) -> bool:
-        """Tell whether the process of an engine has certainly ended.
+    async def has_ended(self, target: Target, born: int) -> bool:
+        """Tell whether the process of a target has certainly ended.
 
         Its port is closed, or a later start answers there. Silence proves nothing.
 
         :param born: when it started, in ms since 1970; 0 where it is not known.
         """
         for seconds in TRY_SECONDS:
-            match await self._engines.read(address, seconds):
-                case EngineGone() | EngineMute(has_reports=False):
+            match await self._engines.read(target.address, seconds):
+                case EngineGone():
                     return True
+                case EngineMute(has_reports):
+                    return bool(target.accelerator) and not has_reports
                 case EngineStatus(born=found):
                     return found > born > 0
             # It may have cut its streams off and not closed its port yet.
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -14,6 +14,7 @@
 from marigoldswitch.core.deputies import OutageView
 from marigoldswitch.core.gateway_messages import (
     CentreUsage,
+    CrashNotes,
     HeldLayers,
     LeaseNote,
     LoadDigest,
@@ -51,6 +52,9 @@
 only: an eighth of the time after which a host is forgotten."""
 ORDERER_SECONDS = 1.2
 """Time for which the word of the host that holds the orderer's lease stands."""
+CRASHES_SECONDS = 1.0
+"""Least time between two messages to a host that knows less of requests that end
+targets: it was cut off, or has just started."""
 URGENT_SECONDS = 0.05
 """Least time between two digests that are told out of turn."""
 
@@ -82,6 +86,9 @@
         parts.directory.registry.watch(self._note_change)
         take_summary: Callable[..., None] = self._take_summary
         parts.network.register(LoadSummary, take_summary)
+        take_crashes: Callable[..., None] = self._take_crashes
+        parts.network.register(CrashNotes, take_crashes)
+        parts.crashes.changed = self.tell_crashes
 
     @property
     def hears_orderer(self) -> bool:
@@ -141,6 +148,12 @@
         if now - self._told.at >= URGENT_SECONDS:
             self._tell(self._build_digest(), to_all=False)
 
+    def tell_crashes(self) -> None:
+        """Tell at once of requests that end targets; who learns of one tells others."""
+        notes = CrashNotes(self._parts.crashes.list_notes())
+        for host in (*self.roster.choose_near(), *self.roster.choose_far()):
+            self._parts.network.send(host, notes)
+
     def tick(self) -> None:
         """Send what is due."""
         now = self._parts.clock.monotonic()
@@ -254,6 +267,7 @@
             self.roster.list_readers(),
             self._is_current,
             parts.identity.strength,
+            parts.crashes.checksum,
         )
 
     def _write_lease(self, now: float) -> LeaseNote | None:
@@ -288,8 +302,20 @@
         elif self._orderer is not None and sender == self._orderer.holder:
             self._forget_orderer(now)
         self._take_layers(digest.layers, now)
+        self._compare_crashes(sender, digest, now)
         self._news.ask(sender, digest, now)
 
+    def _compare_crashes(self, sender: HostId, digest: LoadDigest, now: float) -> None:
+        """Tell a host of requests that end targets if it knows something else."""
+        crashes = self._parts.crashes
+        if digest.crashes == crashes.checksum or not crashes.checksum:
+            return
+        if self._told.is_past(now, f"crashes {sender}", CRASHES_SECONDS):
+            self._parts.network.send(sender, CrashNotes(crashes.list_notes()))
+
+    def _take_crashes(self, sender: HostId, news: CrashNotes) -> None:
+        self._parts.crashes.take_notes(news.notes)
+
     def _check_dead(self, names: tuple[TargetId, ...], now: float) -> None:
         """Look at engines that a peer says are dead.
 
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -30,8 +30,11 @@
     Refused,
     RunParts,
     abort,
+    check_hold,
     needs_own_connection,
+    note_cut_off,
     note_resend,
+    note_served,
     write,
 )
 from marigoldswitch.gateway.ports import Sending
@@ -103,8 +106,7 @@
                 self._exchange.trail.append(f"broken: {broken}")
                 self._failed.add(chain.stages[0].target)
                 if self._exchange.ran > ran:
-                    self._log_lost_run(chain.stages[0], str(broken))
-                    await self._excuse_if_ended(chain.stages[0])
+                    await self._learn_from_lost_run(chain.stages[0], str(broken))
                 self._check_repeat(str(broken))
                 continue
             finally:
@@ -116,6 +118,16 @@
                 case TurnedAway(at_fault):
                     self._note_refusal(chain.stages, at_fault)
 
+    async def _learn_from_lost_run(self, first: Stage, why: str) -> None:
+        self._log_lost_run(first, why)
+        parts = self._parts
+        row = parts.directory.registry.rows.get(first.target)
+        if row is None:
+            return
+        had_event = self.chain.has_brought
+        await note_cut_off(parts, self._exchange, row.target, had_event)
+        await self._excuse_if_ended(row.target)
+
     def _log_lost_run(self, first: Stage, why: str) -> None:
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
@@ -182,6 +194,7 @@
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
         budget = parts.retries.get(exchange.service.name)
+        self._check_hold()
         if not exchange.may_run_again:
             self._give_up(ErrorKind.TARGET_LOST, f"{why}; no target left to try")
         if exchange.response is not None:
@@ -189,6 +202,18 @@
         elif not budget.spend(now):
             self._give_up(ErrorKind.TARGET_LOST, f"{why}; no repeat left")
 
+    def _check_hold(self) -> None:
+        """Go on only if the request is not known to end engines.
+
+        :raises Refused: if it is and the answer has not begun.
+        """
+        try:
+            check_hold(self._parts, self._exchange)
+        except Refused as refused:
+            if self._exchange.response is None:
+                raise
+            self._give_up(refused.fault.kind, refused.fault.detail)
+
     def _note_refusal(self, stages: Sequence[Stage], at_fault: str | None) -> None:
         """Take a refusal; the engine that is to blame is left out for a moment."""
         exchange, parts = self._exchange, self._parts
@@ -297,7 +322,7 @@
         parts.directory.suspects.note(target.id, Finding.REFUSED, now)
         parts.probes.check_later(target)
 
-    async def _excuse_if_ended(self, first: Stage) -> None:
+    async def _excuse_if_ended(self, first: Target) -> None:
         """Don't hold a run against the request whose engine has ended since.
 
         An engine that is released cuts its streams off just before its port is closed,
@@ -308,7 +333,9 @@
         exchange = self._exchange
         if exchange.may_run_again or not exchange.route.is_idempotent:
             return
-        if await self._parts.probes.has_ended(first.target, first.address):
+        parts = self._parts
+        born = parts.directory.registry.get_born(first.id)
+        if await parts.probes.has_ended(first, born):
             exchange.excused += 1
 
     async def _pass_on(self, opened: aiohttp.ClientResponse) -> Finished | TurnedAway:
@@ -333,9 +360,7 @@
             exchange.response = response
         await self._pass_events_on(opened)
         await exchange.response.write_eof()
-        self._parts.retries.get(exchange.service.name).note_success(
-            self._parts.clock.monotonic()
-        )
+        note_served(self._parts, exchange)
         return Finished()
 
     async def _pass_fault_on(self, opened: aiohttp.ClientResponse) -> Finished:
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -15,6 +15,7 @@
     Connections,
     open_session,
 )
+from marigoldswitch.gateway.crashes import CrashWatch
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.exchanges import HostState, Retries, RunParts
 from marigoldswitch.gateway.followers import (
@@ -61,6 +62,7 @@
     directory, loads, state = Directory(), Loads(home), HostState()
     planner = ChainPlanner(directory, loads, clock, home, source)
     probes = EngineProbes(engines, directory, planner, clock)
+    crashes = CrashWatch(clock, directory, probes)
     runs = RunParts(
         state,
         clock,
@@ -72,6 +74,7 @@
         planner,
         Admission(planner, clock),
         probes,
+        crashes,
         Retries(
             settings.retry_allowance,
             settings.retry_share,
@@ -100,6 +103,7 @@
             loads,
             planner,
             probes,
+            crashes,
             store,
             configuration,
             targets,
--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -82,7 +82,7 @@
     async def crash(self, body: bytes) -> None:
         """End under a request, and listen again after a while."""
         await asyncio.sleep(CRASH_SECONDS)
-        if self.alive:
+        if self.alive and not self._returns:
             self.crashes[body] += 1
             task = asyncio.create_task(self._end_and_return())
             self._returns.add(task)
--- /dev/null
+++ b/marigoldswitch/tests/test_crash_spread.py
@@ -0,0 +1,151 @@
+"""Hosts tell each other of requests that end targets, on a virtual clock."""
+
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+import pytest
+
+from marigoldswitch.core.crashes import CutRequest, TargetStart
+from marigoldswitch.core.gateway_messages import CrashNotes, GatewayMessage
+from marigoldswitch.core.ids import DataCentre, HostId
+from marigoldswitch.core.loads import Loads
+from marigoldswitch.gateway.crashes import CrashWatch
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.ports import HostRecord
+from marigoldswitch.gateway.spread import Spread
+from marigoldswitch.wire import MessageCodec
+
+CENTRES = ("north", "south", "west")
+TICK = 0.1
+DELAY = 0.02
+
+
+class Hosts:
+    """Hosts of three data centres on a network without loss, but for hosts cut off."""
+
+    def __init__(self, of_centre):
+        self.now = 0.0
+        self.queue = []
+        self.cut = set()
+        self.sent = Counter()
+        self.spreads, self.watches = {}, {}
+        self._codec = MessageCodec(GatewayMessage)
+        self._handlers = {}
+        self._clock = SimpleNamespace(monotonic=lambda: self.now)
+        self.names = [
+            (HostId(f"10.{index + 1}.0.{number}:80"), DataCentre(centre))
+            for index, centre in enumerate(CENTRES)
+            for number in range(10, 10 + of_centre)
+        ]
+        for own, centre in self.names:
+            self.add(own, centre)
+
+    def add(self, own, centre):
+        """Start a host that knows nothing, or start it again."""
+        handlers = self._handlers[own] = {}
+        network = SimpleNamespace(
+            register=handlers.__setitem__,
+            send=lambda host, message: self._send(own, host, message),
+        )
+        in_touch = SimpleNamespace(dependency=SimpleNamespace(is_lost=False))
+        directory = Directory()
+        watch = CrashWatch(self._clock, directory, None)
+        parts = SimpleNamespace(
+            clock=self._clock,
+            network=network,
+            directory=directory,
+            loads=Loads(centre),
+            planner=SimpleNamespace(slowness={}),
+            probes=None,
+            crashes=watch,
+            feeds=None,
+            configuration=in_touch,
+            targets=in_touch,
+            identity=SimpleNamespace(host=own, data_centre=centre, strength=0),
+            source=random.Random(str(own)),
+        )
+        self.spreads[own], self.watches[own] = Spread(parts), watch
+        for other, place in self.names:
+            self.spreads[own].meet(HostRecord(other, place))
+        self.spreads[own].roster.is_listed = True
+        self.spreads[own].greet()
+
+    def _send(self, own, host, message):
+        if own in self.cut or host in self.cut:
+            return
+        self.sent[type(message)] += 1
+        self.queue.append((self.now + DELAY, own, host, self._codec.encode(message)))
+
+    def play(self, seconds):
+        """Deliver what is sent and tick; messages pass through their codec."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += DELAY
+            due = [item for item in self.queue if item[0] <= self.now]
+            self.queue = [item for item in self.queue if item[0] > self.now]
+            for _, sender, host, content in due:
+                message = self._codec.decode(content).unwrap()
+                handler = self._handlers[host].get(type(message))
+                if handler is not None and host not in self.cut:
+                    handler(sender, message)
+            if round(self.now / DELAY) % round(TICK / DELAY) == 0:
+                for spread in self.spreads.values():
+                    spread.tick()
+
+    def crash(self, host, number, name="bad"):
+        """Have a host see that a request has ended a target."""
+        watch = self.watches[host]
+        cut = [CutRequest(name, None, False)]
+        watch._ledger.note_end(TargetStart(f"engine-{number}", 1), cut, self.now)
+        watch.changed()
+
+    def list_unaware(self, name="bad"):
+        return [
+            host for host, watch in self.watches.items() if not watch.find_hold(name)
+        ]
+
+
+@pytest.mark.parametrize("of_centre", [3, 20])
+def test_all_hosts_hold_off_a_request_that_two_hosts_saw_end_targets(of_centre):
+    hosts = Hosts(of_centre)
+    hosts.play(3.0)
+    hosts.crash(hosts.names[1][0], 1)
+    hosts.crash(hosts.names[-1][0], 2)
+    hosts.play(1.0)
+    assert not hosts.list_unaware()
+
+
+@pytest.mark.parametrize("of_centre", [3, 20])
+def test_hosts_that_were_cut_off_or_start_again_learn_of_it(of_centre):
+    hosts = Hosts(of_centre)
+    hosts.play(3.0)
+    lost = [hosts.names[0][0], hosts.names[-1][0]]
+    hosts.cut = set(lost)
+    for number in (1, 2):
+        hosts.crash(hosts.names[1][0], number)
+    hosts.play(5.0)
+    assert set(hosts.list_unaware()) == set(lost)
+    hosts.cut = set()
+    again, centre = hosts.names[2]
+    hosts.add(again, centre)
+    hosts.play(3.0)
+    assert not hosts.list_unaware()
+
+
+def test_nothing_is_sent_of_requests_when_no_target_has_ended():
+    hosts = Hosts(5)
+    hosts.play(5.0)
+    assert hosts.sent[CrashNotes] == 0
+
+
+@pytest.mark.parametrize("of_centre", [5, 20])
+def test_notes_stop_when_all_hosts_know_the_same(of_centre):
+    hosts = Hosts(of_centre)
+    hosts.play(3.0)
+    for number in (1, 2):
+        hosts.crash(hosts.names[1][0], number)
+    hosts.play(5.0)
+    hosts.sent.clear()
+    hosts.play(5.0)
+    assert hosts.sent[CrashNotes] == 0
--- a/marigoldswitch/tests/test_crashes.py
+++ b/marigoldswitch/tests/test_crashes.py
@@ -45,6 +45,85 @@
     run(scenario())
 
 
+def test_request_that_crashes_plain_targets_is_stopped_on_all_hosts():
+    async def scenario():
+        async with run_site(hosts=2, desks=6) as site:
+            for desk in site.desks:
+                desk.crashing = {CRASHING}
+            await site.wait(lambda: len(get_targets(site)) == 6)
+            for number in range(8):
+                status, _ = await send(site, number, number % 2, CRASHING, "/once/1")
+                assert status in (502, 503)
+                assert sum(item.runs[f"try-{number}"] for item in site.desks) <= 1
+                if status == 503:
+                    assert not any(item.runs[f"try-{number}"] for item in site.desks)
+            assert 1 <= count_ends(site.desks) <= MOST_ENDS
+            assert (await send(site, 9, 0, b"{}", "/once/1"))[0] == 200
+
+    run(scenario())
+
+
+def test_host_that_starts_later_lets_no_held_request_run():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            for index in range(4):
+                engine = await site.add_engine(f"x{index}", "north", (0, 8))
+                engine.crashing = {CRASHING}
+            await site.wait(lambda: len(get_targets(site)) == 4)
+            for number in range(2):
+                await send(site, number, 0, CRASHING)
+            ends = count_ends(site.engines.engines.values())
+            late = await site.add_host("late", "south")
+            watch = late.parts.runs.crashes
+            await site.wait(lambda: late.is_ready and not watch.is_empty)
+            assert (await send(site, 9, 1, CRASHING))[0] == 503
+            assert count_ends(site.engines.engines.values()) == ends
+
+    run(scenario())
+
+
+def test_request_whose_connections_are_reset_by_live_engines_is_not_held_off():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            engines = [
+                await site.add_engine(f"x{index}", "north", (0, 8))
+                for index in range(4)
+            ]
+            await site.wait(lambda: len(get_targets(site)) == 4)
+            for engine in engines:
+                engine.resets = True
+            for number in range(3):
+                await send(site, number, 0, CRASHING)
+            for engine in engines:
+                engine.resets = False
+            site.hosts[0].parts.runs.directory.suspects._suspicions.clear()
+            assert (await send(site, 9, 0, CRASHING))[0] == 200
+
+    run(scenario())
+
+
+def test_request_that_runs_to_its_end_is_no_longer_suspect():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            crashing = {CRASHING}
+            for index in range(3):
+                engine = await site.add_engine(f"x{index}", "north", (0, 8))
+                engine.crashing = crashing
+
+                def crash_once(body, crash=engine.crash):
+                    crashing.clear()
+                    return crash(body)
+
+                engine.crash = crash_once
+            await site.wait(lambda: len(get_targets(site)) == 3)
+            assert (await send(site, 1, 0, CRASHING))[0] == 200
+            assert count_ends(site.engines.engines.values()) == 1
+            notes = site.hosts[0].parts.runs.crashes.list_notes()
+            assert [item.ends for item in notes] == [()]
+
+    run(scenario())
+
+
 def test_repeats_of_streams_stay_in_the_budget_when_engine_after_engine_ends():
     async def scenario():
         async with run_site(hosts=1) as site:
--- a/marigoldswitch/tests/test_spread.py
+++ b/marigoldswitch/tests/test_spread.py
@@ -40,6 +40,7 @@
             loads=self.loads,
             planner=SimpleNamespace(slowness={}),
             probes=SimpleNamespace(check_later=self.checked.append),
+            crashes=SimpleNamespace(checksum=0),
             feeds=None,
             configuration=in_touch,
             targets=in_touch,
