Bound the repeats of streams that have begun

Cause: a stream that has begun took its repeats out of the budget also where nothing was left of it (RetryBudget.charge), and so did requests sent again on a new connection.

Change: fresh requests may have 0.8 of what is allowed as before, streams that have begun 0.95 in all; one that finds nothing left is broken off at once, so that its caller can resume it.

test_stream_that_has_begun_goes_on_although_engines_refuse_it_at_first took the whole budget away, and so demanded repeats beyond what is allowed. It now has fresh requests use up theirs first: the stream must still go on.

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -99,8 +99,10 @@
 
 
 CAUTION = 0.8
-"""Share of the repeats allowed to all hosts that they give out themselves: each counts
-its own, and they don't end their windows together."""
+"""Share of the repeats allowed to all hosts that they give out to fresh requests: each
+counts its own, and one that was cut off takes the others for gone."""
+RESERVE = 0.95 / CAUTION - 1.0
+"""Repeats beyond these, over them, for answers that have begun."""
 
 
 class Retries:
@@ -129,7 +131,8 @@
         """Return what all requests of a service share."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = RetryBudget(share=self._share)
+            budget = RetryBudget(share=self._share, reserve=RESERVE)
+            self._budgets[service] = budget
         budget.floor = self._allowance / max(1, self._count_hosts())
         return budget
 
@@ -179,16 +182,19 @@
     return not exchange.route.is_idempotent
 
 
-def note_resend(parts: RunParts, exchange: Exchange) -> None:
-    """Count that a request goes to its target once more, on a new connection.
+def may_resend(parts: RunParts, exchange: Exchange) -> bool:
+    """Tell whether a request may go to its target once more, on a new connection.
 
-    Where a kept connection breaks at once, the target has most likely closed or
-    forgotten it. Taken for a failure, it left out an engine that was well, and took one
-    of the two targets on which a request may run.
+    If so, it is counted. Where a kept connection breaks at once, the target has most
+    likely closed or forgotten it. Taken for a failure, it left out an engine that was
+    well, and took one of the two targets on which a request may run.
     """
+    budget = parts.retries.get(exchange.service.name)
+    if not budget.spend_reserve(parts.clock.monotonic()):
+        return False
     exchange.ran += 1
     exchange.excused += 1
-    parts.retries.get(exchange.service.name).charge(parts.clock.monotonic())
+    return True
 
 
 def check_hold(parts: RunParts, exchange: Exchange) -> None:
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -16,9 +16,9 @@
     Refused,
     RunParts,
     check_hold,
+    may_resend,
     needs_own_connection,
     note_cut_off,
-    note_resend,
     note_served,
 )
 from marigoldswitch.gateway.ports import Sending
@@ -152,8 +152,7 @@
         try:
             call, body = exchange.call, exchange.body
             end = await parts.upstream.exchange(target, call, body, sending, fresh)
-            if isinstance(end, Lost) and end.is_stale:
-                note_resend(parts, exchange)
+            if isinstance(end, Lost) and end.is_stale and may_resend(parts, exchange):
                 end = await parts.upstream.exchange(target, call, body, sending, True)
             if isinstance(end, Lost):
                 await note_cut_off(parts, exchange, target, had_event=False)
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -31,9 +31,9 @@
     RunParts,
     abort,
     check_hold,
+    may_resend,
     needs_own_connection,
     note_cut_off,
-    note_resend,
     note_served,
     write,
 )
@@ -191,15 +191,10 @@
 
         :raises Refused: if it may not and the answer has not begun.
         """
-        exchange, parts = self._exchange, self._parts
-        now = parts.clock.monotonic()
-        budget = parts.retries.get(exchange.service.name)
         self._check_hold()
-        if not exchange.may_run_again:
+        if not self._exchange.may_run_again:
             self._give_up(ErrorKind.TARGET_LOST, f"{why}; no target left to try")
-        if exchange.response is not None:
-            budget.charge(now)
-        elif not budget.spend(now):
+        if not self._spend_repeat():
             self._give_up(ErrorKind.TARGET_LOST, f"{why}; no repeat left")
 
     def _check_hold(self) -> None:
@@ -227,12 +222,17 @@
         has_begun = exchange.response is not None
         if self._refusals >= (MOST_LATE_REFUSALS if has_begun else MOST_REFUSALS):
             self._give_up(ErrorKind.TARGET_REFUSED, "the engines have no room")
-        budget = parts.retries.get(exchange.service.name)
-        if has_begun:
-            budget.charge(now)
-        elif not budget.spend(now):
+        if not self._spend_repeat():
             self._give_up(ErrorKind.TARGET_REFUSED, "no repeat left")
 
+    def _spend_repeat(self) -> bool:
+        """Take a repeat out of the service's budget; tell whether there was one."""
+        now = self._parts.clock.monotonic()
+        budget = self._parts.retries.get(self._exchange.service.name)
+        if self._exchange.response is not None:
+            return budget.spend_reserve(now)
+        return budget.spend(now)
+
     def _give_up(self, kind: ErrorKind, detail: str) -> web.StreamResponse:
         """End the request: break off its answer, or say why there is none."""
         exchange = self._exchange
@@ -271,8 +271,11 @@
         )
         fresh = needs_own_connection(parts, exchange)
         opened = await self._open(first.target, sending, fresh)
-        if isinstance(opened, Lost) and self._is_stale(opened, first.target):
-            note_resend(parts, exchange)
+        if (
+            isinstance(opened, Lost)
+            and self._is_stale(opened, first.target)
+            and may_resend(parts, exchange)
+        ):
             opened = await self._open(first.target, sending, fresh=True)
         match opened:
             case NotSent(why):
--- a/marigoldswitch/tests/test_exchanges.py
+++ b/marigoldswitch/tests/test_exchanges.py
@@ -16,6 +16,23 @@
     assert 0.7 * allowance * window < spent <= allowance * window
 
 
+def test_answers_that_have_begun_go_on_beyond_that_and_stay_within_it_too():
+    """Engine after engine ends under the streams of all hosts, any 10 s of 40."""
+    hosts, allowance, window = 7, 19.8, 10.0
+    budgets = [Retries(allowance, 0.2, lambda: hosts) for _ in range(hosts)]
+    fresh, begun = [], []
+    for step in range(400):
+        now = step / 10.0
+        for retries in budgets:
+            budget = retries.get(SERVICE)
+            fresh += [now] * sum(budget.spend(now) for _ in range(5))
+            begun += [now] * sum(budget.spend_reserve(now) for _ in range(20))
+    assert begun
+    for end in range(100, 400):
+        spent = [at for at in fresh + begun if end / 10 - window < at <= end / 10]
+        assert len(spent) <= allowance * window
+
+
 def test_more_hosts_leave_each_a_smaller_part():
     live = [1]
     retries = Retries(10.0, 0.2, lambda: live[0])
--- a/marigoldswitch/tests/test_stream_losses.py
+++ b/marigoldswitch/tests/test_stream_losses.py
@@ -5,7 +5,7 @@
 import aiohttp
 import pytest
 
-from marigoldswitch.core.ids import TargetId
+from marigoldswitch.core.ids import ServiceName, TargetId
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.upstream import Lost
 from marigoldswitch.tests.gateway_site import (
@@ -153,8 +153,11 @@
                 await site.add_engine(name, "north", (0, 8)) for name in ("x", "y", "z")
             ]
             await site.wait(lambda: len(get_targets(site)) == 3)
-            retries = site.hosts[0].parts.runs.retries
-            retries.use_terms(0.0, 0.0)
+            runs = site.hosts[0].parts.runs
+            runs.retries.use_terms(10.0, 0.0)
+            budget = runs.retries.get(ServiceName("model"))
+            while budget.spend(_now(site)):
+                pass
             for engine in engines:
                 engine.events = 60
                 engine.cut_after = 3
