Find requests that end later engines of their chains

A later engine that is found dead is judged like a first one before a detour is ordered; events count for the engines over which they came. A hold ends at its time, not at the next look at old records.

--- a/marigoldswitch/core/crashes.py
+++ b/marigoldswitch/core/crashes.py
@@ -144,8 +144,11 @@
         record = self._records.get(fingerprint)
         if record is None or not record.is_held:
             return None
+        left = record.held + HOLD_SECONDS - now
+        if left <= 0.0:
+            return None
         ends = ((item.target, now - end.at) for item, end in record.ends.items())
-        return Hold(record.held + HOLD_SECONDS - now, tuple(ends))
+        return Hold(left, tuple(ends))
 
     def note_end(
         self, start: TargetStart, cut: Sequence[CutRequest], now: float
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -18,7 +18,12 @@
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import Chain, Stage
 from marigoldswitch.core.suspects import Finding
-from marigoldswitch.gateway.exchanges import Exchange, RunParts
+from marigoldswitch.gateway.exchanges import (
+    Exchange,
+    RunParts,
+    is_held,
+    note_cut_off,
+)
 from marigoldswitch.gateway.ports import EngineStatus, OrderReply, OrderResult
 
 logger = structlog.get_logger(__name__)
@@ -68,8 +73,10 @@
         self._caution = 1.0
         self._looks = 0
         """Looks at the chain since the last event."""
-        self.has_brought = False
-        """Whether an event has come over this chain."""
+        self._brought: tuple[Stage, ...] = ()
+        """The stages over which the last event came."""
+        self._ended: set[TargetId] = set()
+        """Engines of this chain of whose end the others have been told."""
         self._event_at = 0.0
         self._heard = 0.0
         """When the last events came, or the last look ended."""
@@ -79,7 +86,8 @@
     def begin(self, stages: tuple[Stage, ...]) -> None:
         """Take a chain that is counted as held."""
         self.stages = stages
-        self.has_brought = False
+        self._brought = ()
+        self._ended.clear()
         self._gaps.begin()
 
     def end(self) -> None:
@@ -87,6 +95,10 @@
         self._parts.planner.release(self.stages, self._exchange.call.tokens)
         self.stages = ()
 
+    def has_brought(self, target: TargetId) -> bool:
+        """Tell whether an event has come through an engine of this chain."""
+        return any(item.target == target for item in self._brought)
+
     def alarm(self) -> None:
         """Look after the chain at once: one of its engines is dead or leaving."""
         self._is_alarmed = True
@@ -95,7 +107,7 @@
     def note_event(self) -> None:
         """Learn that events have come, and with it what pause between them is usual."""
         self._event_at = self._parts.clock.monotonic()
-        self.has_brought = True
+        self._brought = self.stages
         self._gaps.note_event(self._event_at)
         self._looks = 0
         self._parts.probes.note_alive(item.target for item in self.stages)
@@ -222,6 +234,7 @@
         lost = {item.target for item in self.stages[1:] if self._is_lost(item)}
         if not lost:
             return
+        await self._learn_of_ends(lost)
         if await self._detour(lost) or not exchange.may_run_again:
             return
         now = parts.clock.monotonic()
@@ -232,6 +245,22 @@
         if parts.planner.find(exchange.service, tokens, is_new=False) is not None:
             raise ChainBroken("no way round a dead engine")
 
+    async def _learn_of_ends(self, lost: set[TargetId]) -> None:
+        """Find out whether the request may be what ended a later engine.
+
+        :raises ChainBroken: if it ends engines: no other one is given to it.
+        """
+        exchange, parts = self._exchange, self._parts
+        now = parts.clock.monotonic()
+        for name in lost - self._ended:
+            row = parts.directory.registry.rows.get(name)
+            if row is not None and parts.directory.suspects.is_dead(name, now):
+                self._ended.add(name)
+                had_event = self.has_brought(name)
+                await note_cut_off(parts, exchange, row.target, had_event)
+        if is_held(parts, exchange):
+            raise ChainBroken("it ends engines")
+
     def _is_lost(self, stage: Stage) -> bool:
         """Tell whether a stage is dead, about to end, or gives its layers up.
 
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -197,6 +197,13 @@
     return True
 
 
+def is_held(parts: RunParts, exchange: Exchange) -> bool:
+    """Tell whether a request is held off because it ends targets."""
+    if parts.crashes.is_empty:
+        return False
+    return parts.crashes.find_hold(exchange.fingerprint) is not None
+
+
 def check_hold(parts: RunParts, exchange: Exchange) -> None:
     """Let a request run, unless it is held off because it ends targets.
 
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -124,7 +124,7 @@
         row = parts.directory.registry.rows.get(first.target)
         if row is None:
             return
-        had_event = self.chain.has_brought
+        had_event = self.chain.has_brought(first.target)
         await note_cut_off(parts, self._exchange, row.target, had_event)
         await self._excuse_if_ended(row.target)
 
@@ -137,7 +137,7 @@
             request=exchange.call.id,
             fingerprint=exchange.fingerprint,
             target=first.target,
-            had_event=self.chain.has_brought,
+            had_event=self.chain.has_brought(first.target),
             after=self.chain.last_event,
             why=why,
             repeats=budget.retries.read(now),
--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -181,6 +181,9 @@
     def __init__(self, layers: int) -> None:
         self.layers = layers
         self.engines: dict[str, EngineStandin] = {}
+        self.felling: set[bytes] = set()
+        """Bodies of requests that end the second engine of their chain, and each that
+        takes its place."""
         self.streams: list[StreamRecord] = []
 
     def find_obstacle(self, path: list[tuple[str, int, int]]) -> str | None:
@@ -253,7 +256,7 @@
             answer = self.refuse(http, 503)
             answer.headers["At-Server"] = obstacle
             return answer
-        return await self._stream(http, path, body if body in self.crashing else None)
+        return await self._stream(http, path, body)
 
     def _report(self) -> dict[str, Any]:
         stalled = []
@@ -307,7 +310,7 @@
         self,
         http: web.BaseRequest,
         path: list[tuple[str, int, int]],
-        crash: bytes | None,
+        body: bytes,
     ) -> web.StreamResponse:
         request = http.headers["Attempt-Id"]
         self.runs[request] += 1
@@ -317,8 +320,10 @@
         response.enable_chunked_encoding()
         await response.prepare(http)
         try:
-            if crash is not None:
-                await self.crash(crash)
+            if body in self.crashing:
+                await self.crash(body)
+            while body in self.site.felling:
+                await self.site.engines[record.path[1][0]].crash(body)
             await self._send_events(http, response, record)
         finally:
             self._own.pop(request, None)
--- a/marigoldswitch/tests/test_crash_ledger.py
+++ b/marigoldswitch/tests/test_crash_ledger.py
@@ -145,6 +145,7 @@
     ledger.expire(END_SECONDS + 3.0)
     assert not ledger.knows("other")
     assert is_held(ledger, "bad", END_SECONDS + 3.0)
+    assert not is_held(ledger, "bad", HOLD_SECONDS + 3.0)
     ledger.expire(HOLD_SECONDS + 3.0)
     assert len(ledger) == 0
     assert ledger.checksum == 0
--- a/marigoldswitch/tests/test_crashes.py
+++ b/marigoldswitch/tests/test_crashes.py
@@ -46,6 +46,23 @@
     run(scenario())
 
 
+def test_request_that_crashes_later_engines_of_its_chain_is_stopped():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            site.engines.felling = {CRASHING}
+            await site.add_engine("first", "north", (0, 4))
+            for index in range(8):
+                await site.add_engine(f"x{index}", "north", (4, 8))
+            await site.wait(lambda: len(get_targets(site)) == 9)
+            for number in range(3):
+                await send(site, number, 0, CRASHING)
+            assert 1 <= count_ends(site.engines.engines.values()) <= MOST_ENDS
+            status, body = await send(site, 9, 0, b"{}")
+            assert (status, list_ids(body)) == (200, ALL_EVENTS)
+
+    run(scenario())
+
+
 def test_request_that_crashes_plain_targets_is_stopped_on_all_hosts():
     async def scenario():
         async with run_site(hosts=2, desks=6) as site:
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -25,6 +25,9 @@
 class Chain:
     """A chain of three engines whose probes are counted."""
 
+    async def _note_cut_off(self, request, target):
+        """Nothing is learnt here of requests that end engines."""
+
     def __init__(self):
         self.now = 100.0
         self.probed = []
@@ -58,9 +61,10 @@
             directory=self.directory,
             planner=planner,
             retries=SimpleNamespace(get=lambda service: self.budget),
+            crashes=SimpleNamespace(is_empty=True, note_cut_off=self._note_cut_off),
             engines=self,
         )
-        call = SimpleNamespace(id="r", last_event=None, tokens=1)
+        call = SimpleNamespace(id="r", path="/", last_event=None, tokens=1)
         route = SimpleNamespace(most_targets=2, is_idempotent=True)
         service = SimpleNamespace(name="m")
         self.exchange = Exchange(
