Judge an end that follows a reset; keep the checksum; read eras of any kind

Found by reading the change. A target that was found alive after a reset, and ended within a second, was not judged again: its end had no author (test_target_that_ends_just_after_it_has_reset_a_connection_is_found_to_have_ended). An era that is no number made each call to the store fail, and one beyond 2^20 no message could carry.

--- a/marigoldswitch/core/crashes.py
+++ b/marigoldswitch/core/crashes.py
@@ -129,6 +129,8 @@
         """For each end, how much each request is to blame, in hundredths."""
         self._news: dict[Fingerprint, None] = {}
         """Requests of which something was learnt that others have not been told."""
+        self._checksum: int | None = 0
+        """``None`` until it is worked out again."""
 
     def __len__(self) -> int:
         return len(self._records)
@@ -154,6 +156,7 @@
         self, start: TargetStart, cut: Sequence[CutRequest], now: float
     ) -> None:
         """Learn which requests a target ran when it ended; may be told again."""
+        self._checksum = None
         self.expire(now)
         weights: dict[Fingerprint, float] = {}
         for item in cut:
@@ -171,6 +174,7 @@
         record = self._records.get(fingerprint)
         if record is None:
             return False
+        self._checksum = None
         if not record.is_told:
             self._drop(fingerprint)
             return False
@@ -186,6 +190,7 @@
             if record.is_held and now - record.held < HOLD_SECONDS:
                 continue
             if now - record.changed >= END_SECONDS:
+                self._checksum = None
                 self._drop(name)
 
     # What hosts tell each other.
@@ -220,6 +225,7 @@
 
     def merge(self, notes: Iterable[CrashNote], now: float) -> None:
         """Take what another host knows."""
+        self._checksum = None
         self.expire(now)
         for note in notes:
             self._take_note(note, now)
@@ -227,6 +233,11 @@
     @property
     def checksum(self) -> int:
         """Return a number that two hosts share if they know the same; 0 for nothing."""
+        if self._checksum is None:
+            self._checksum = self._sum_up()
+        return self._checksum
+
+    def _sum_up(self) -> int:
         told = sorted(
             (
                 name,
--- a/marigoldswitch/core/revisions.py
+++ b/marigoldswitch/core/revisions.py
@@ -7,11 +7,14 @@
 
 VERSION_BITS = 44
 """Bits for the version; a thousand writes a second fill them in five centuries."""
+ERA_BITS = 19
+"""Bits for the era, so that both fit into a signed number of 64; eras count returns of
+the store, and only the order of near ones matters."""
 
 
 def make_revision(era: int, version: int) -> int:
     """Return the place of a version in an era."""
-    return (era << VERSION_BITS) | version
+    return (era % (1 << ERA_BITS) << VERSION_BITS) | version
 
 
 def get_era(revision: int) -> int:
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -21,6 +21,8 @@
 port says so within a few milliseconds."""
 SETTLE_SECONDS = 0.005
 """Time in which all requests that a target has cut off are heard of."""
+MOST_LOGGED = 8
+"""Fingerprints in a log line."""
 LATE_SECONDS = 1.0
 """Time after an end in which further requests may be found to have been cut off."""
 
@@ -31,6 +33,21 @@
 
     requests: list[CutRequest] = field(default_factory=list)
     verdict: asyncio.Task[bool] | None = None
+    """Whether the target has ended."""
+
+    @property
+    def is_proved(self) -> bool:
+        """Tell whether the target is known to have ended."""
+        return self._is_judged(True)
+
+    @property
+    def is_disproved(self) -> bool:
+        """Tell whether the target was found alive."""
+        return self._is_judged(False)
+
+    def _is_judged(self, has_ended: bool) -> bool:
+        verdict = self.verdict
+        return verdict is not None and verdict.done() and verdict.result() is has_ended
 
 
 class CrashWatch:
@@ -72,19 +89,28 @@
         if row is None or row.leaving:
             return
         start = TargetStart(target.id, row.born)
-        cut = self._cuts.get(start)
-        if cut is None:
-            cut = self._cuts[start] = _Cut()
-            loop = asyncio.get_running_loop()
-            loop.call_later(LATE_SECONDS, self._cuts.pop, start, None)
+        cut = self._get_cut(start)
         cut.requests.append(request)
         if cut.verdict is None:
             cut.verdict = asyncio.create_task(self._judge(start, target, cut))
-        elif cut.verdict.done() and cut.verdict.result():
+        elif cut.is_proved:
             self._note_end(start, cut)
         if not request.had_event or self._ledger.knows(request.fingerprint):
             await asyncio.wait({cut.verdict}, timeout=VERDICT_SECONDS)
 
+    def _get_cut(self, start: TargetStart) -> _Cut:
+        """Return what a target has cut off lately; anew if it was found alive since."""
+        cut = self._cuts.get(start)
+        if cut is None or cut.is_disproved:
+            cut = self._cuts[start] = _Cut()
+            loop = asyncio.get_running_loop()
+            loop.call_later(LATE_SECONDS, self._forget_cut, start, cut)
+        return cut
+
+    def _forget_cut(self, start: TargetStart, cut: _Cut) -> None:
+        if self._cuts.get(start) is cut:
+            del self._cuts[start]
+
     def note_served(self, fingerprint: Fingerprint) -> None:
         """Learn that a request has run to its end."""
         if self._ledger.note_served(fingerprint, self._clock.monotonic()):
@@ -123,10 +149,6 @@
             return False
         await asyncio.sleep(SETTLE_SECONDS)
         self._note_end(start, cut)
-        return True
-
-    def _note_end(self, start: TargetStart, cut: _Cut) -> None:
-        self._ledger.note_end(start, cut.requests, self._clock.monotonic())
         logger.info(
             "target_ended",
             target=start.target,
@@ -134,6 +156,10 @@
             requests=len(cut.requests),
             without_event=[
                 item.fingerprint for item in cut.requests if not item.had_event
-            ][:8],
+            ][:MOST_LOGGED],
         )
+        return True
+
+    def _note_end(self, start: TargetStart, cut: _Cut) -> None:
+        self._ledger.note_end(start, cut.requests, self._clock.monotonic())
         self._tell_if_urgent()
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -21,7 +21,7 @@
 from marigoldswitch.gateway.exchanges import (
     Exchange,
     RunParts,
-    is_held,
+    find_hold,
     note_cut_off,
 )
 from marigoldswitch.gateway.ports import EngineStatus, OrderReply, OrderResult
@@ -258,7 +258,7 @@
                 self._ended.add(name)
                 had_event = self.has_brought(name)
                 await note_cut_off(parts, exchange, row.target, had_event)
-        if is_held(parts, exchange):
+        if find_hold(parts, exchange) is not None:
             raise ChainBroken("it ends engines")
 
     def _is_lost(self, stage: Stage) -> bool:
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.crashes import CutRequest
+from marigoldswitch.core.crashes import CutRequest, Hold
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.fingerprints import Fingerprint, fingerprint_request
 from marigoldswitch.core.ids import AccountId, ServiceName
@@ -197,11 +197,11 @@
     return True
 
 
-def is_held(parts: RunParts, exchange: Exchange) -> bool:
-    """Tell whether a request is held off because it ends targets."""
+def find_hold(parts: RunParts, exchange: Exchange) -> Hold | None:
+    """Return why a request is held off; ``None`` if it may run."""
     if parts.crashes.is_empty:
-        return False
-    return parts.crashes.find_hold(exchange.fingerprint) is not None
+        return None
+    return parts.crashes.find_hold(exchange.fingerprint)
 
 
 def check_hold(parts: RunParts, exchange: Exchange) -> None:
@@ -209,9 +209,7 @@
 
     :raises Refused: if it is; "not run" is said only where it has not.
     """
-    if parts.crashes.is_empty:
-        return
-    hold = parts.crashes.find_hold(exchange.fingerprint)
+    hold = find_hold(parts, exchange)
     if hold is None:
         return
     logger.warning(
--- a/marigoldswitch/platform/store.py
+++ b/marigoldswitch/platform/store.py
@@ -63,6 +63,10 @@
         """Return the store's newest place."""
         return make_revision(self.era, int(self.fields["row_version"]))
 
+    def is_later(self, revision: int) -> bool:
+        """Tell whether the store has come back from a copy since a place."""
+        return get_era(self.revision) != get_era(revision)
+
 
 class PlatformStore:
     """Speaks the store's calls; keeps nothing but connections."""
@@ -70,6 +74,8 @@
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
         self._session = session
         self._base = f"http://{address}"
+        self._era = 0
+        """The one last told."""
 
     # Feeds.
 
@@ -200,7 +206,7 @@
             page = answer.ok_value
             # The first page is the oldest: what came since, the feed tells.
             revision = revision or page.revision
-            if page.era != get_era(revision):
+            if page.is_later(revision):
                 return Err(FeedFault.HISTORY_GONE)
             rows += _stamp(page)
             if not page.fields.get("has_more"):
@@ -224,7 +230,7 @@
             return Err(FeedFault.HISTORY_GONE)
         if found.status != HTTP_OK:
             return Err(FeedFault.UNAVAILABLE)
-        if found.era != get_era(revision):
+        if found.is_later(revision):
             # Its versions have passed the one asked for once more: what was written
             # between is not in this answer.
             return Err(FeedFault.HISTORY_GONE)
@@ -262,13 +268,21 @@
                 timeout=aiohttp.ClientTimeout(total=limit, sock_connect=CALL_SECONDS),
             ) as response:
                 content = await response.read()
-                era = int(response.headers.get(ERA_HEADER, "0"))
+                era = self._read_era(response.headers.get(ERA_HEADER))
                 fields = orjson.loads(content) if response.status == HTTP_OK else {}
                 return Ok(StoreAnswer(response.status, fields, era))
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             logger.debug("store_call_failed", path=path, why=repr(error))
             return Err(StoreFault.UNKNOWN)
 
+    def _read_era(self, text: str | None) -> int:
+        """Return the era that an answer tells; the last one where it tells none."""
+        if text is not None and text.isdecimal():
+            self._era = int(text)
+        elif text is not None:
+            logger.warning("era_unreadable", text=text, taken=self._era)
+        return self._era
+
 
 def _decode_host(address: str, value: bytes) -> HostRecord:
     """Return what a host's row says; hosts of before wrote their data centre alone.
--- a/marigoldswitch/tests/test_crashes.py
+++ b/marigoldswitch/tests/test_crashes.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from marigoldswitch.core.crashes import CutRequest
 from marigoldswitch.gateway import exchanges
 from marigoldswitch.tests.gateway_site import (
     ALL_EVENTS,
@@ -120,6 +121,22 @@
     run(scenario())
 
 
+def test_target_that_ends_just_after_it_has_reset_a_connection_is_found_to_have_ended():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            engine = await site.add_engine("x", "north", (0, 8))
+            await site.wait(lambda: len(get_targets(site)) == 1)
+            watch = site.hosts[0].parts.runs.crashes
+            target = get_targets(site)["x"]
+            await watch.note_cut_off(CutRequest("reset", None, False), target)
+            assert watch.is_empty
+            await engine.stop()
+            await watch.note_cut_off(CutRequest("bad", None, False), target)
+            assert [item.fingerprint for item in watch.list_notes()] == ["bad"]
+
+    run(scenario())
+
+
 def test_request_that_runs_to_its_end_is_no_longer_suspect():
     async def scenario():
         async with run_site(hosts=1) as site:
