--- a/marigoldswitch/core/stages.py
+++ b/marigoldswitch/core/stages.py
@@ -46,6 +46,22 @@
     crossings: int
 
 
+def find_stage(stages: Sequence[Stage], address: str | None) -> TargetId:
+    """Return the target at an address of a chain; the first where it is not named."""
+    for stage in stages:
+        if stage.address == address:
+            return stage.target
+    return stages[0].target
+
+
+def describe_stages(stages: Sequence[Stage]) -> list[str]:
+    """Return the stages of a chain, for the log."""
+    return [
+        f"{item.target}@{item.address}={item.layers.first}-{item.layers.end}"
+        for item in stages
+    ]
+
+
 @dataclass(frozen=True, slots=True)
 class StageOffer:
     """An engine that may take part in a chain.
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Coroutine, Sequence
+from collections.abc import AsyncIterator, Coroutine
 from typing import Any, TypeVar
 
 import aiohttp
@@ -16,7 +16,12 @@
 
 from marigoldswitch.core.gaps import MOST_SECONDS, StreamGaps
 from marigoldswitch.core.ids import TargetId
-from marigoldswitch.core.stages import Chain, Stage
+from marigoldswitch.core.stages import (
+    Chain,
+    Stage,
+    describe_stages,
+    find_stage,
+)
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.exchanges import (
     Exchange,
@@ -393,19 +398,3 @@
     """Wake the reader of an answer whose chain is broken."""
     if not guard.cancelled() and guard.exception() is not None:
         opened.close()
-
-
-def find_stage(stages: Sequence[Stage], address: str | None) -> TargetId:
-    """Return the target at an address of a chain; the first where it is not named."""
-    for stage in stages:
-        if stage.address == address:
-            return stage.target
-    return stages[0].target
-
-
-def describe_stages(stages: Sequence[Stage]) -> list[str]:
-    """Return the stages of a chain, for the log."""
-    return [
-        f"{item.target}@{item.address}={item.layers.first}-{item.layers.end}"
-        for item in stages
-    ]
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -14,8 +14,6 @@
 from marigoldswitch.core.deputies import OutageView
 from marigoldswitch.core.gateway_messages import (
     CentreUsage,
-    CrashNote,
-    CrashNotes,
     HeldLayers,
     LeaseNote,
     LoadDigest,
@@ -28,6 +26,7 @@
 from marigoldswitch.core.loads import Usage
 from marigoldswitch.core.ports import Row
 from marigoldswitch.core.registry import Change
+from marigoldswitch.gateway.crash_news import CrashNews
 from marigoldswitch.gateway.news import News, SpreadParts
 from marigoldswitch.gateway.ports import HostRecord
 from marigoldswitch.gateway.roster import SILENT_SECONDS, Roster
@@ -53,11 +52,6 @@
 only: an eighth of the time after which a host is forgotten."""
 ORDERER_SECONDS = 1.2
 """Time for which the word of the host that holds the orderer's lease stands."""
-NEWS_SECONDS = 0.3
-"""Seconds between two messages of requests that are suspected of ending targets."""
-CRASHES_SECONDS = 1.5
-"""Least time between two messages to a host that knows something else of requests that
-end targets: it was cut off, or has just started."""
 URGENT_SECONDS = 0.05
 """Least time between two digests that are told out of turn."""
 
@@ -84,16 +78,14 @@
         self._orderer_heard = float("-inf")
         self._news = News(parts, self.roster.must_read, lambda: self._is_current)
         self._told = Told()
-        self._compared: dict[HostId, float] = {}
-        """When each host that knew something else of them was last told."""
         take_digest: Callable[..., None] = self._take_digest
         parts.network.register(LoadDigest, take_digest)
         parts.directory.registry.watch(self._note_change)
         take_summary: Callable[..., None] = self._take_summary
         parts.network.register(LoadSummary, take_summary)
-        take_crashes: Callable[..., None] = self._take_crashes
-        parts.network.register(CrashNotes, take_crashes)
-        parts.crashes.tell = self.tell_crashes
+        self._crash_news = CrashNews(
+            parts.clock, parts.network, parts.crashes, self.roster
+        )
 
     @property
     def hears_orderer(self) -> bool:
@@ -153,20 +145,13 @@
         if now - self._told.at >= URGENT_SECONDS:
             self._tell(self._build_digest(), to_all=False)
 
-    def tell_crashes(self, notes: tuple[CrashNote, ...]) -> None:
-        """Tell at once of requests that end targets; who learns of one tells others."""
-        for host in (*self.roster.choose_near(), *self.roster.choose_far()):
-            self._parts.network.send(host, CrashNotes(notes))
-
     def tick(self) -> None:
         """Send what is due."""
         now = self._parts.clock.monotonic()
         roster = self.roster
         self._parts.loads.expire(now)
         roster.forget()
-        self._forget_compared(now)
-        if self._told.is_past(now, "crashes", NEWS_SECONDS):
-            self._parts.crashes.tell_news()
+        self._crash_news.tick()
         digest = self._build_digest()
         to_all = self._told.is_past(now, "all", ALL_SECONDS)
         if to_all or self._is_due(digest, now):
@@ -309,30 +294,9 @@
         elif self._orderer is not None and sender == self._orderer.holder:
             self._forget_orderer(now)
         self._take_layers(digest.layers, now)
-        self._compare_crashes(sender, digest, now)
+        self._crash_news.compare(sender, digest.crashes)
         self._news.ask(sender, digest, now)
 
-    def _compare_crashes(self, sender: HostId, digest: LoadDigest, now: float) -> None:
-        """Tell a host of requests that end targets if it knows something else."""
-        crashes = self._parts.crashes
-        if digest.crashes == crashes.checksum or not crashes.checksum:
-            return
-        if now - self._compared.get(sender, float("-inf")) < CRASHES_SECONDS:
-            return
-        self._compared[sender] = now
-        self._parts.network.send(sender, CrashNotes(crashes.list_notes()))
-
-    def _forget_compared(self, now: float) -> None:
-        if self._compared:
-            self._compared = {
-                host: at
-                for host, at in self._compared.items()
-                if now - at < CRASHES_SECONDS
-            }
-
-    def _take_crashes(self, sender: HostId, news: CrashNotes) -> None:
-        self._parts.crashes.take_notes(news.notes)
-
     def _check_dead(self, names: tuple[TargetId, ...], now: float) -> None:
         """Look at engines that a peer says are dead.
 
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -14,16 +14,11 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.errors import ErrorKind, Fault
-from marigoldswitch.core.event_stream import Event, EventSplitter, EventTooLong
+from marigoldswitch.core.event_stream import EventTooLong
 from marigoldswitch.core.ids import TargetId
-from marigoldswitch.core.stages import Chain, Stage
+from marigoldswitch.core.stages import Chain, Stage, describe_stages, find_stage
 from marigoldswitch.core.suspects import Finding
-from marigoldswitch.gateway.detours import (
-    ChainBroken,
-    ChainWatch,
-    describe_stages,
-    find_stage,
-)
+from marigoldswitch.gateway.detours import ChainBroken, ChainWatch
 from marigoldswitch.gateway.exchanges import (
     BrokenOff,
     Exchange,
@@ -35,10 +30,10 @@
     needs_own_connection,
     note_cut_off,
     note_served,
-    write,
 )
+from marigoldswitch.gateway.forwarding import EventForwarder
 from marigoldswitch.gateway.ports import Sending
-from marigoldswitch.gateway.upstream import EndWatch, Lost, NotSent
+from marigoldswitch.gateway.upstream import Lost, NotSent
 
 logger = structlog.get_logger(__name__)
 
@@ -83,8 +78,7 @@
         self.chain = ChainWatch(parts, exchange)
         self._parts = parts
         self._exchange = exchange
-        self._passed_on: float | None = None
-        """When the last event was passed on."""
+        self._forwarder = EventForwarder(parts.clock, exchange, self.chain)
         self._failed: set[TargetId] = set()
         """First engines of chains that broke: the next one begins elsewhere."""
         self._refusals = 0
@@ -177,7 +171,7 @@
         if exchange.response is None:
             waited = now - exchange.arrived
             return max(0.0, WAIT_SHARE * route.latency_target - waited)
-        silent = now - (self._passed_on or exchange.arrived)
+        silent = now - (self._forwarder.last_sent or exchange.arrived)
         return max(0.0, route.caller_patience - REREAD_SECONDS - silent)
 
     def _describe_shortage(self) -> dict[str, object]:
@@ -361,7 +355,7 @@
                 response.force_close()
             await response.prepare(exchange.http)
             exchange.response = response
-        await self._pass_events_on(opened)
+        await self._forwarder.forward(opened)
         await exchange.response.write_eof()
         note_served(self._parts, exchange)
         return Finished()
@@ -381,49 +375,3 @@
         await response.write_eof()
         exchange.response = response
         return Finished()
-
-    async def _pass_events_on(self, opened: aiohttp.ClientResponse) -> None:
-        """Pass on the events that come until the answer is whole."""
-        splitter, watch = EventSplitter(), EndWatch(opened)
-        async with self.chain.look_after(opened):
-            while content := await opened.content.readany():
-                events = splitter.feed(content)
-                if events:
-                    self.chain.note_event()
-                    await self._write_new(events)
-        if splitter.has_remainder:
-            raise ChainBroken("an event was cut off")
-        if not watch.ended_well():
-            raise ChainBroken("the connection was reset at the end")
-
-    async def _write_new(self, events: list[Event]) -> None:
-        """Pass on the events that the caller does not have."""
-        fresh = []
-        for event in events:
-            if self._is_old(event):
-                continue
-            if event.id is not None:
-                self.chain.last_event = event.id
-            fresh.append(event.content)
-        if fresh:
-            self._note_gap()
-            await write(self._exchange, b"".join(fresh))
-
-    def _note_gap(self) -> None:
-        """Keep the pauses that the caller sees, for the log line of the end."""
-        exchange, now = self._exchange, self._parts.clock.monotonic()
-        if self._passed_on is None:
-            exchange.first_event = now - exchange.arrived
-        else:
-            gap = now - self._passed_on
-            exchange.longest_gap = max(exchange.longest_gap, gap)
-        self._passed_on = now
-
-    def _is_old(self, event: Event) -> bool:
-        """Tell whether the caller has an event already."""
-        last = self.chain.last_event
-        if event.id is None or last is None:
-            return False
-        if event.id.isdigit() and last.isdigit():
-            return int(event.id) <= int(last)
-        return event.id == last
--- a/marigoldswitch/tests/test_crashes.py
+++ b/marigoldswitch/tests/test_crashes.py
@@ -27,6 +27,16 @@
             return answer.status, None
 
 
+async def add_crashing_engines(site, count):
+    """Add engines that end when they begin to run a body; return what ends them all."""
+    crashing = {CRASHING}
+    for index in range(count):
+        engine = await site.add_engine(f"x{index}", "north", (0, 8))
+        engine.crashing = crashing
+    await site.wait(lambda: len(get_targets(site)) == count)
+    return crashing
+
+
 def count_ends(targets, body=CRASHING):
     return sum(item.crashes[body] for item in targets)
 
@@ -34,10 +44,7 @@
 def test_request_that_crashes_engines_is_stopped_on_all_hosts():
     async def scenario():
         async with run_site(hosts=2) as site:
-            for index in range(8):
-                engine = await site.add_engine(f"x{index}", "north", (0, 8))
-                engine.crashing = {CRASHING}
-            await site.wait(lambda: len(get_targets(site)) == 8)
+            await add_crashing_engines(site, 8)
             for number in range(8):
                 await send(site, number, number % 2, CRASHING)
             assert count_ends(site.engines.engines.values()) <= MOST_ENDS
@@ -85,10 +92,7 @@
 def test_host_that_starts_later_lets_no_held_request_run():
     async def scenario():
         async with run_site(hosts=1) as site:
-            for index in range(4):
-                engine = await site.add_engine(f"x{index}", "north", (0, 8))
-                engine.crashing = {CRASHING}
-            await site.wait(lambda: len(get_targets(site)) == 4)
+            await add_crashing_engines(site, 4)
             for number in range(2):
                 await send(site, number, 0, CRASHING)
             ends = count_ends(site.engines.engines.values())
@@ -140,17 +144,14 @@
 def test_request_that_runs_to_its_end_is_no_longer_suspect():
     async def scenario():
         async with run_site(hosts=1) as site:
-            crashing = {CRASHING}
-            for index in range(3):
-                engine = await site.add_engine(f"x{index}", "north", (0, 8))
-                engine.crashing = crashing
+            crashing = await add_crashing_engines(site, 3)
+            for engine in site.engines.engines.values():
 
                 def crash_once(body, crash=engine.crash):
                     crashing.clear()
                     return crash(body)
 
                 engine.crash = crash_once
-            await site.wait(lambda: len(get_targets(site)) == 3)
             assert (await send(site, 1, 0, CRASHING))[0] == 200
             assert count_ends(site.engines.engines.values()) == 1
             notes = site.hosts[0].parts.runs.crashes.list_notes()
