Let the test of a log line see all lines, whatever an earlier test has configured

Cause: an earlier test of the same worker had set the level of the whole process to error, so that the line was dropped before it could be captured; test_logs.py and test_fingerprints.py in one process fail each time, and pass now.

--- a/marigoldswitch/tests/test_fingerprints.py
+++ b/marigoldswitch/tests/test_fingerprints.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import pytest
+import structlog
 from structlog.testing import capture_logs
 
 from marigoldswitch.core.fingerprints import fingerprint_request
@@ -32,7 +33,17 @@
     )
 
 
-def test_lost_run_is_logged_with_what_tells_causes_apart():
+@pytest.fixture
+def log_lines():
+    """Capture all lines, whatever level an earlier test has set for the process."""
+    config = structlog.get_config()
+    structlog.reset_defaults()
+    with capture_logs() as lines:
+        yield lines
+    structlog.configure(**config)
+
+
+def test_lost_run_is_logged_with_what_tells_causes_apart(log_lines):
     async def scenario():
         async with run_site(hosts=1) as site:
             for name in "xy":
@@ -40,11 +51,10 @@
                 engine.cut_after = 3
             rows = site.hosts[0].parts.runs.directory.registry.rows
             await site.wait(lambda: len(rows) == 2)
-            with capture_logs() as lines:
-                async with site.call("/draft/1", 1, data=b"text") as answer:
-                    with contextlib.suppress(aiohttp.ClientError):
-                        await answer.read()
-            lost = [item for item in lines if item["event"] == "run_lost"]
+            async with site.call("/draft/1", 1, data=b"text") as answer:
+                with contextlib.suppress(aiohttp.ClientError):
+                    await answer.read()
+            lost = [item for item in log_lines if item["event"] == "run_lost"]
             assert lost
             assert lost[0]["fingerprint"] == fingerprint_request(
                 "workshop", "/draft/1", b"text"
