--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -252,10 +252,9 @@
     async def _enter(self) -> None:
         """Write this host's row and learn of the others, until that has worked."""
         parts = self.parts
-        entered = False
+        await self._write_row()
         while True:
-            entered = entered or (await parts.hosts.enter(self._record)).is_ok()
-            listed = await parts.hosts.list_hosts() if entered else None
+            listed = await parts.hosts.list_hosts()
             if isinstance(listed, Ok):
                 break
             await asyncio.sleep(ENTER_SECONDS)
@@ -266,6 +265,13 @@
         parts.spread.greet()
         logger.info("hosts_met", hosts=len(parts.spread.roster.peers))
 
+    async def _write_row(self) -> None:
+        """Write this host's row, however many tries that takes."""
+        while True:
+            if (await self.parts.hosts.enter(self._record)).is_ok():
+                return
+            await asyncio.sleep(ENTER_SECONDS)
+
     def _note_restored(self, restored: StoreRestored) -> None:
         """Write this host's row again, as the store may have lost it."""
         self.parts.metrics.store_returns.inc({})
@@ -273,11 +279,8 @@
         self._spawn(self._enter_again(delay))
 
     async def _enter_again(self, delay: float) -> None:
-        entered = False
-        while not entered:
-            await asyncio.sleep(delay)
-            entered = (await self.parts.hosts.enter(self._record)).is_ok()
-            delay = ENTER_SECONDS
+        await asyncio.sleep(delay)
+        await self._write_row()
         logger.info("host_row_written_again")
 
     def _note_target(self, change: Change, target: Target) -> None:
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -113,16 +113,16 @@
                     self._note_refusal(chain.stages, at_fault)
 
     async def _learn_from_lost_run(self, first: Stage, why: str) -> None:
-        self._log_lost_run(first, why)
+        had_event = self.chain.has_brought(first.target)
+        self._log_lost_run(first, why, had_event)
         parts = self._parts
         row = parts.directory.registry.rows.get(first.target)
         if row is None:
             return
-        had_event = self.chain.has_brought(first.target)
         await note_cut_off(parts, self._exchange, row.target, had_event)
         await self._excuse_if_ended(row.target)
 
-    def _log_lost_run(self, first: Stage, why: str) -> None:
+    def _log_lost_run(self, first: Stage, why: str, had_event: bool) -> None:
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
         budget = parts.retries.get(exchange.service.name)
@@ -131,7 +131,7 @@
             request=exchange.call.id,
             fingerprint=exchange.fingerprint,
             target=first.target,
-            had_event=self.chain.has_brought(first.target),
+            had_event=had_event,
             after=self.chain.last_event,
             why=why,
             repeats=budget.retries.read(now),
--- a/marigoldswitch/tests/test_stream_losses.py
+++ b/marigoldswitch/tests/test_stream_losses.py
@@ -238,6 +238,15 @@
     run(scenario())
 
 
+async def add_resetting_engine(site):
+    """Add an engine that resets each request, beside a good one, and return it."""
+    bad = await site.add_engine("bad", "north", (0, 8))
+    await site.add_engine("good", "north", (0, 8))
+    await site.wait(lambda: len(get_targets(site)) == 2)
+    bad.resets = True
+    return bad
+
+
 def test_engine_that_resets_all_requests_does_not_draw_them():
     """An engine loses each request at once, while it says that it is well.
 
@@ -247,10 +256,7 @@
 
     async def scenario():
         async with run_site(hosts=1) as site:
-            bad = await site.add_engine("bad", "north", (0, 8))
-            await site.add_engine("good", "north", (0, 8))
-            await site.wait(lambda: len(get_targets(site)) == 2)
-            bad.resets = True
+            bad = await add_resetting_engine(site)
             for number in range(30):
                 async with site.call("/draft/", number) as answer:
                     assert answer.status == 200
@@ -342,10 +348,7 @@
 
     async def scenario():
         async with run_site(hosts=1) as site:
-            bad = await site.add_engine("bad", "north", (0, 8))
-            await site.add_engine("good", "north", (0, 8))
-            await site.wait(lambda: len(get_targets(site)) == 2)
-            bad.resets = True
+            bad = await add_resetting_engine(site)
             parts = site.hosts[0].parts.runs
             for number in range(30):
                 await parts.engines.read(bad.address, 1.0)
