--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -146,6 +146,16 @@
         budget.floor = self._allowance / max(1, self._pool.count_hosts())
         return budget
 
+    def describe(self, service: ServiceName, now: float) -> dict[str, object]:
+        """Return log fields that tell what a service's budget is derived from."""
+        known = self._pool.sum_all(now)
+        return {
+            "limit": round(self.get(service).get_limit(now), 1),
+            "hosts": self._pool.count_hosts(),
+            "heard": known.hosts,
+            "oldest_report": round(self._pool.measure_age(now), 2),
+        }
+
 
 class HostState(Struct):
     """Whether this host is shutting down.
@@ -191,6 +201,25 @@
     return not exchange.route.is_idempotent
 
 
+def spend_retry(parts: RunParts, exchange: Exchange, use_reserve: bool = False) -> bool:
+    """Take a retry from the service's budget; return whether one was left.
+
+    :param use_reserve: the reserve for answers that have begun may be used too.
+    """
+    now, service = parts.clock.monotonic(), exchange.service.name
+    budget = parts.retries.get(service)
+    granted = budget.spend_reserve(now) if use_reserve else budget.spend(now)
+    logger.info(
+        "retry_granted" if granted else "retry_denied",
+        request=exchange.call.id,
+        service=service,
+        reserve=use_reserve,
+        spent=budget.retries.count(now),
+        **parts.retries.describe(service, now),
+    )
+    return granted
+
+
 def reserve_resend(parts: RunParts, exchange: Exchange, target: Target) -> bool:
     """Reserve a resending to the same target on a new connection, if one is allowed.
 
@@ -203,7 +232,7 @@
     now, statements = parts.clock.monotonic(), parts.directory.statements
     if not statements.may_send(target.id, now):
         return False
-    if not parts.retries.get(exchange.service.name).spend_reserve(now):
+    if not spend_retry(parts, exchange, use_reserve=True):
         return False
     statements.note_sent(target.id, now)
     exchange.run_count += 1
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -20,6 +20,7 @@
     note_cut_off,
     note_served,
     reserve_resend,
+    spend_retry,
 )
 from marigoldswitch.gateway.ports import ForwardOptions
 from marigoldswitch.gateway.upstream import Answered, Lost, NotSent, SendResult
@@ -315,8 +316,7 @@
 
     def _spend_retry(self) -> bool:
         """Take one retry out of the service's budget; return whether there was one."""
-        budget = self._parts.retries.get(self._exchange.service.name)
-        return budget.spend(self._parts.clock.monotonic())
+        return spend_retry(self._parts, self._exchange)
 
     def _require_retry(self, kind: ErrorKind, why: str) -> None:
         """Take one retry out of the service's budget.
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -35,6 +35,7 @@
     note_cut_off,
     note_served,
     reserve_resend,
+    spend_retry,
 )
 from marigoldswitch.gateway.forwarding import EventForwarder
 from marigoldswitch.gateway.ports import ForwardOptions
@@ -248,11 +249,8 @@
 
         Streams that have begun may also use the budget's reserve.
         """
-        now = self._parts.clock.monotonic()
-        budget = self._parts.retries.get(self._exchange.service.name)
-        if self._exchange.response is not None:
-            return budget.spend_reserve(now)
-        return budget.spend(now)
+        has_begun = self._exchange.response is not None
+        return spend_retry(self._parts, self._exchange, use_reserve=has_begun)
 
     def _fail_request(self, kind: ErrorKind, detail: str) -> web.StreamResponse:
         """Abort the answer if it has begun, or refuse the request.
--- a/marigoldswitch/tests/test_exchanges.py
+++ b/marigoldswitch/tests/test_exchanges.py
@@ -1,10 +1,13 @@
 """Retry budgets: the hosts share the retries allowed for a service."""
 
 import random
+from types import SimpleNamespace
+
+from structlog.testing import capture_logs
 
 from marigoldswitch.core.ids import DataCentre, ServiceName
 from marigoldswitch.core.retry_pool import RetryPool
-from marigoldswitch.gateway.exchanges import RetryBudgets
+from marigoldswitch.gateway.exchanges import RetryBudgets, spend_retry
 
 SERVICE = ServiceName("drafts")
 
@@ -51,3 +54,20 @@
     alone = retries.get(SERVICE).floor
     live[0] = 4
     assert retries.get(SERVICE).floor == alone / 4
+
+
+def test_each_decision_on_a_retry_is_logged_with_what_it_is_derived_from():
+    parts = SimpleNamespace(
+        clock=SimpleNamespace(monotonic=lambda: 5.0),
+        retries=build_budgets(0.125, lambda: 1),
+    )
+    exchange = SimpleNamespace(
+        call=SimpleNamespace(id="r1"), service=SimpleNamespace(name=SERVICE)
+    )
+    with capture_logs() as lines:
+        assert spend_retry(parts, exchange)
+        assert not spend_retry(parts, exchange)
+    assert [line["event"] for line in lines] == ["retry_granted", "retry_denied"]
+    assert all(line["request"] == "r1" for line in lines)
+    assert [line["spent"] for line in lines] == [1, 1]
+    assert all({"limit", "hosts", "reserve"} <= line.keys() for line in lines)
