Divide all bounds over hosts by the hosts of the last ten minutes

Same class of fault as the retry budget: connections to targets with a cap, crossings between data centres and limits that targets state were divided by the hosts heard now, so that each side of a partition used the parts of the other.

--- a/marigoldswitch/core/crossings.py
+++ b/marigoldswitch/core/crossings.py
@@ -34,7 +34,7 @@
         """Return whether the budget allows some link time; refill it first.
 
         :param seconds: link time of the crossings of one chain.
-        :param hosts: number of live hosts that share the link.
+        :param hosts: number of hosts that share the link, silent ones included.
         :param is_new: the caller has received no part of an answer yet.
         """
         refill = (now - self._refilled_at) * LINK_SHARE / max(1, hosts)
--- a/marigoldswitch/core/host_counts.py
+++ b/marigoldswitch/core/host_counts.py
@@ -60,7 +60,8 @@
     """What all hosts have counted, from this host's own counts and its peers' reports.
 
     :param home: data centre of this host.
-    :param count_hosts: returns the number of live hosts, including this one.
+    :param count_hosts: returns the number of hosts that share the bounds, silent ones
+        included, with this one.
     :param stale_seconds: age after which a report no longer counts.
     """
 
--- a/marigoldswitch/core/send_limits.py
+++ b/marigoldswitch/core/send_limits.py
@@ -38,8 +38,9 @@
 """Time for which sums over the hosts are reused: a search for a chain asks for each
 engine, and waiting requests search every 20 ms. Reports come no more often."""
 MAX_UNHEARD_FACTOR = 1.5
-"""Live hosts for each one that was heard, up to which the others are taken to send as
-much as those. Beyond it, a host keeps to an equal part of the limit."""
+"""Hosts for each one that was heard, up to which the others are taken to send as much
+as those. Beyond it, the hosts that were heard share their part of the limit by their
+number, as those of a partition's other side do."""
 SHARED_FACTOR = 1 + HOME_EXCHANGE_SECONDS / WINDOW_SECONDS
 """Factor on what hosts may send together. What each has sent lately counts twice, in
 the sum and against its part, so that they would use less than the limit."""
@@ -215,8 +216,11 @@
         if hosts <= 1:
             return _Part(allowed - own.sent, rate)
         unheard_factor = max(1.0, hosts / known.hosts)
-        if unheard_factor > MAX_UNHEARD_FACTOR:
+        if known.hosts == 1 and unheard_factor > MAX_UNHEARD_FACTOR:
             return _Part(float(int(allowed / hosts) - own.sent), rate / hosts)
+        if unheard_factor > MAX_UNHEARD_FACTOR:
+            allowed, rate = allowed / unheard_factor, rate / unheard_factor
+            unheard_factor = 1.0
         total = known.counts.get(target, own)
         near = home.counts.get(target, own)
         near_wanted = near.settled * FAR_SETTLED_FACTOR
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -57,7 +57,7 @@
         self._source = source
         self._crossing_budget = CrossingBudget()
         self.count_hosts: Callable[[], int] = lambda: 1
-        """Returns the number of live hosts, including this one."""
+        """Returns the number of hosts that share bounds, silent ones included."""
         self.count_near: Callable[[], int] = lambda: 1
         """Returns the number of live hosts in this data centre, including this one."""
 
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -142,7 +142,7 @@
         DataCentre(identity.data_centre),
         identity.region,
     )
-    planner.count_hosts = spread.roster.count_live
+    planner.count_hosts = spread.roster.count_members
     patience = spread.roster.choose_backoff_factor
     configuration.get_backoff_factor = targets.get_backoff_factor = patience
     targets.get_pause_factor = spread.roster.choose_pause_factor
--- a/marigoldswitch/tests/test_send_limits.py
+++ b/marigoldswitch/tests/test_send_limits.py
@@ -30,6 +30,8 @@
         self.rate = rate
         self.sent = []
         self.worst = 0
+        self.is_partitioned = False
+        """Whether data centres hear nothing of each other."""
         self._window = deque()
         self._next_ask = {}
         self._step = 0
@@ -66,6 +68,8 @@
     def _exchange_in_mesh(self, near):
         for host in near:
             far = [item for item in self.hosts if item.centre != host.centre]
+            if self.is_partitioned:
+                far = []
             chosen = self.rng.sample(far, min(2, len(far)))
             counts = host.limits.count_own(self.now)
             for other in (*near, *chosen):
@@ -82,7 +86,7 @@
                 relay.limits.set_peer_counts(host.name, centre, counts, self.now)
         group = relay.limits.sum_home(self.now)
         for other in CENTRES:
-            if other != centre and tenths % 5 == 0:
+            if other != centre and tenths % 5 == 0 and not self.is_partitioned:
                 far = self.list_centre(other)[0].limits
                 far.set_centre_counts(centre, group, self.now)
         for host in others:
@@ -165,6 +169,20 @@
     assert fleet.worst <= get_most_allowed(rate)
 
 
+@pytest.mark.parametrize("hosts", [6, 12, 30, 60])
+@pytest.mark.parametrize("rate", [2.3, 10.0, 50.0])
+def test_data_centres_of_a_partition_share_the_limit_by_their_hosts(rate, hosts):
+    fleet = Fleet(f"{rate}{hosts}", hosts, rate)
+    total = max(4.0 * rate, 12.0)
+    demand = {host.number: total / hosts for host in fleet.hosts}
+    fleet.run(8.0, demand)
+    fleet.is_partitioned = True
+    fleet.run(8.0, demand)
+    sent = fleet.run(30.0, demand)
+    assert fleet.worst <= get_most_allowed(rate)
+    assert sent >= 0.5 * rate * 30.0
+
+
 def test_target_without_a_limit_gets_all_requests():
     limits = SendLimits(CENTRES[0], lambda: 3, random.Random(1))
     for _ in range(1000):
