Keep the place of the reports of retries in messages between hosts

Fields are sent by position. With the reports of retries taken out, a host of an earlier version and one of this read each other's digests as garbage, so that in a rolling update neither would hear the other. The place is kept and not read. The test, with messages as earlier versions send them, failed before.

--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -4,6 +4,8 @@
 not import those when it starts.
 """
 
+from typing import Any
+
 from msgspec import Struct
 
 from marigoldswitch.core.fingerprints import Fingerprint
@@ -126,10 +128,13 @@
     """Sums over the hosts of a data centre.
 
     :param hosts: number of hosts that are included.
+    :param retries: unused; fields are sent by position, and hosts of an earlier version
+        send counts here.
     """
 
     data_centre: DataCentre
     hosts: int
+    retries: tuple[Any, ...] = ()
     sends: tuple[SendNote, ...] = ()
 
 
@@ -184,6 +189,7 @@
         ranked.
     :param crashes: checksum of what the sender knows of requests that end targets.
     :param closed: engines that refuse requests although they have room.
+    :param retries: unused; hosts of an earlier version send counts here.
     :param limits: limits that targets have stated, as far as the sender knows.
     :param sends: requests that the sender has sent to such targets, for the hosts that
         sum them up; ``None`` in digests to others.
@@ -206,6 +212,7 @@
     strength: int = 0
     crashes: int = 0
     closed: tuple[ClosedTarget, ...] = ()
+    retries: tuple[Any, ...] | None = None
     limits: tuple[LimitNote, ...] = ()
     sends: tuple[SendNote, ...] | None = None
     leaving_targets: tuple[LeavingNote, ...] = ()
--- a/marigoldswitch/gateway/count_exchange.py
+++ b/marigoldswitch/gateway/count_exchange.py
@@ -33,7 +33,7 @@
         if with_others:
             sends |= self._sends.get_other_centres()
         return tuple(
-            CentreCounts(centre, group.hosts, encode_sends(group.counts))
+            CentreCounts(centre, group.hosts, sends=encode_sends(group.counts))
             for centre, group in sorted(sends.items())
         )
 
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -301,9 +301,9 @@
                 ClosedTarget(name, round(seconds, 2))
                 for name, seconds in parts.directory.suspects.list_closed(now)
             ),
-            self._statements.encode_limits(now),
-            encode_sends(parts.directory.statements.limits.count_own(now)),
-            self._statements.encode_leaving(),
+            limits=self._statements.encode_limits(now),
+            sends=encode_sends(parts.directory.statements.limits.count_own(now)),
+            leaving_targets=self._statements.encode_leaving(),
         )
 
     def _build_lease_note(self, now: float) -> LeaseNote | None:
--- a/marigoldswitch/tests/test_retry_pool.py
+++ b/marigoldswitch/tests/test_retry_pool.py
@@ -1,13 +1,20 @@
 """Hosts share the retries that the others leave, and never exceed them together."""
 
+import msgpack
 import pytest
 
-from marigoldswitch.core.gateway_messages import LoadDigest, LoadSummary, LoanNotes
+from marigoldswitch.core.gateway_messages import (
+    GatewayMessage,
+    LoadDigest,
+    LoadSummary,
+    LoanNotes,
+)
 from marigoldswitch.core.host_counts import GroupCounts
 from marigoldswitch.core.ids import DataCentre, HostId, TargetId
 from marigoldswitch.core.send_limits import SendCount
 from marigoldswitch.tests.fleet import SERVICE, Fleet
 from marigoldswitch.tests.test_spread import HOSTS as PEERS, SimulatedHost
+from marigoldswitch.wire import MessageCodec
 
 MANY = (30, 30, 30)
 """Hosts of each data centre."""
@@ -121,6 +128,22 @@
     assert not any(isinstance(item, LoanNotes) for item in sent)
 
 
+def test_messages_of_hosts_that_report_their_retries_are_understood():
+    """Hosts of an earlier version do, in the middle of a digest and of a sum."""
+    codec = MessageCodec(GatewayMessage)
+    retries, sends = [["drafts", 3, 20, 1]], [["i-1", 2, 1, 5, 4]]
+    parts = ["north", 1, 2, [], [], [], [], None, False, False, [], False, 0, 0, []]
+    digest = ["LoadDigest", [*parts, retries, [["i-1", 2.0, 0.5]], sends, [["i-2"]]]]
+    read = codec.decode(msgpack.packb(digest)).unwrap()
+    assert [item.target for item in read.limits] == ["i-1"]
+    assert [item.sent for item in read.sends] == [2]
+    assert [item.target for item in read.leaving_targets] == ["i-2"]
+    summary = ["LoadSummary", [[], 3, 9, [], [["north", 3, retries, sends]]]]
+    read = codec.decode(msgpack.packb(summary)).unwrap()
+    assert [item.sent for item in read.counts[0].sends] == [2]
+    assert read.members == ()
+
+
 def test_host_that_does_not_report_what_it_sends_is_not_counted():
     """A host of an earlier version sends an equal part, which nobody hears of."""
     host = SimulatedHost()
