End requests that the HTTP client would send again by itself

The client sends a GET, PUT or DELETE once more if its connection closes without an answer, on new connections too. So a request that may run only once could run twice, and each target saw retries that no budget counts. Traced with a target that closes connections: two arrivals a request for GET, PUT and DELETE, one for POST; six of the eight cases of the test failed before. The end is a lost request like any other, resent only from the budget and only if it may run again. Reads of the store and of engines' reports are not callers' requests and are left as they are.

--- a/marigoldswitch/gateway/connections.py
+++ b/marigoldswitch/gateway/connections.py
@@ -73,7 +73,7 @@
         read_bufsize=2**16,
         max_line_size=2**16,
         max_field_size=2**16,
-        trace_configs=[_trace_reuse()],
+        trace_configs=[_trace_use()],
     )
 
 
@@ -119,16 +119,27 @@
 
 
 class ConnectionUse(Struct):
-    """Records whether a request was sent on a reused connection.
+    """Records how the HTTP client sent a request.
 
     :ivar is_reused: the connection had been used before.
+    :ivar is_sent: the request has been sent once.
     """
 
     is_reused: bool = False
+    is_sent: bool = False
 
 
-def _trace_reuse() -> aiohttp.TraceConfig:
-    """Return a trace that marks the :class:`ConnectionUse` of reused connections."""
+class ResendRefused(aiohttp.ClientError):
+    """The HTTP client was about to send a request once more by itself."""
+
+
+def _trace_use() -> aiohttp.TraceConfig:
+    """Return a trace that keeps the :class:`ConnectionUse` of a request.
+
+    It ends requests that the client would send again: these may run only once, and are
+    retries that no budget counts. The client's own setting is private and would also
+    hold for reads of engines' reports.
+    """
 
     async def record_reuse(
         _: aiohttp.ClientSession,
@@ -139,6 +150,18 @@
         if isinstance(use, ConnectionUse):
             use.is_reused = True
 
+    async def refuse_resend(
+        _: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        __: aiohttp.TraceRequestHeadersSentParams,
+    ) -> None:
+        use = context.trace_request_ctx
+        if isinstance(use, ConnectionUse):
+            if use.is_sent:
+                raise ResendRefused("no answer, and not sent again")
+            use.is_sent = True
+
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(record_reuse)
+    trace.on_request_headers_sent.append(refuse_resend)
     return trace
--- a/marigoldswitch/tests/test_connections.py
+++ b/marigoldswitch/tests/test_connections.py
@@ -100,8 +100,8 @@
     row = Target(TargetId("t"), ServiceName("s"), DataCentre("d"), address, 1, None, "")
     upstream = Upstream(codec, connections, BootClock(), Directory().statements)
 
-    async def send(fresh=False):
-        call = SimpleNamespace(id="1", method="POST", path="/x")
+    async def send(fresh=False, method="POST"):
+        call = SimpleNamespace(id="1", method=method, path="/x")
         opened = await upstream.send(row, call, b"", None, fresh)
         if not isinstance(opened, Lost):
             await opened.response.read()
@@ -112,6 +112,46 @@
     server.close()
 
 
+class MuteTarget:
+    """Answers a number of requests and closes the connections of all later ones."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.requests = 0
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                if self.requests > self.answers:
+                    writer.close()
+                    return
+                writer.write(b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\n")
+                writer.write(b"Content-Length: 0\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            writer.close()
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+@pytest.mark.parametrize("answers", [0, 1])
+def test_request_without_an_answer_is_not_sent_again_unnoticed(method, answers):
+    """The HTTP client sends requests with most methods once more by itself."""
+
+    async def scenario():
+        target = MuteTarget(answers)
+        async with run_target(target) as send:
+            for _ in range(answers):
+                assert (await send(method=method)).response.status == 200
+            lost = await send(method=method)
+            assert isinstance(lost, Lost) and lost.is_stale == bool(answers)
+            assert target.requests == answers + 1
+            assert isinstance(await send(True, method), Lost)
+            assert target.requests == answers + 2
+
+    asyncio.run(scenario())
+
+
 def test_lost_request_on_a_reused_connection_is_marked_stale():
     async def scenario():
         target = ResettingTarget()
