Compare stated limits by the digits that messages between hosts keep

Messages carry numbers in four bytes, so that a limit of 2.3 came back from a peer as 2.299999952 and counted as another limit: `target_limit_stated` and `target_limit_told` were logged again and again, and a host's word was renewed by one that said the same. Limits are now rounded to five digits where they are read. The test, with limits at random sent through the codec, failed before.

--- a/marigoldswitch/core/stated_limits.py
+++ b/marigoldswitch/core/stated_limits.py
@@ -21,6 +21,11 @@
 time on the way, and two hosts would else replace each other's word for ever."""
 
 
+RATE_DIGITS = 5
+"""Significant digits of a limit. Messages between hosts carry numbers in four bytes;
+one that came back with other last digits would count as another limit."""
+
+
 class StatedLimit(Struct, frozen=True):
     """A limit that a target has stated, or the end of one.
 
@@ -54,7 +59,7 @@
         """
         known = self._known.get(target)
         if rate is not None:
-            rate = max(MIN_RATE, rate)
+            rate = round_rate(max(MIN_RATE, rate))
         elif known is None or sent_at < known.heard_at:
             return False
         self._known[target] = StatedLimit(rate, now)
@@ -65,6 +70,8 @@
 
         What says the same as is known never renews it.
         """
+        rate = None if heard.rate is None else round_rate(heard.rate)
+        heard = StatedLimit(rate, heard.heard_at)
         known = self._known.get(target)
         if known is None:
             is_newer = heard.rate is not None
@@ -95,3 +102,8 @@
     def forget(self, target: TargetId) -> None:
         """Forget the limit of a target that is gone or has restarted."""
         self._known.pop(target, None)
+
+
+def round_rate(rate: float) -> float:
+    """Return a limit with the digits that hosts compare."""
+    return float(f"{rate:.{RATE_DIGITS}g}")
--- a/marigoldswitch/tests/test_stated_limits.py
+++ b/marigoldswitch/tests/test_stated_limits.py
@@ -1,14 +1,18 @@
 """Rate limits that targets state in their answers: order, changes and bad values."""
 
 import pytest
+from hypothesis import given, strategies as st
 from msgspec.structs import replace
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from marigoldswitch.core.ids import TargetId
+from marigoldswitch.core.gateway_messages import GatewayMessage, LoadDigest
+from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.stated_limits import MIN_RATE, StatedLimits
 from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.message_counts import decode_limit, encode_limits
 from marigoldswitch.gateway.ports import ReplyFacts
 from marigoldswitch.platform.headers import HeaderCodec
+from marigoldswitch.wire import MessageCodec
 
 TARGET = TargetId("i-1")
 
@@ -20,6 +24,21 @@
     return facts.rate_limit
 
 
+@given(st.floats(MIN_RATE, 1e6))
+def test_limit_that_has_travelled_between_hosts_is_still_the_same(rate):
+    codec = MessageCodec(GatewayMessage)
+    here, there = StatedLimits(), StatedLimits()
+    here.note_answer(TARGET, rate, 1.0, 1.0)
+    there.note_answer(TARGET, rate, 1.0, 1.0)
+    here.note_answer(TARGET, rate, 3.0, 3.0)
+    notes = encode_limits(here.list_known(3.0), 3.0)
+    digest = LoadDigest(DataCentre("north"), 0, 0, limits=notes)
+    (note,) = codec.decode(codec.encode(digest)).unwrap().limits
+    assert not there.merge(TARGET, decode_limit(note, 3.0))
+    assert there.list_known(3.0)[TARGET].heard_at == 1.0
+    assert not there.note_answer(TARGET, rate, 4.0, 4.0)
+
+
 def test_limit_holds_until_an_answer_without_one():
     limits = StatedLimits()
     assert limits.note_answer(TARGET, 2.3, 1.0, 1.1)
