--- a/marigoldswitch/core/loans.py
+++ b/marigoldswitch/core/loans.py
@@ -25,6 +25,8 @@
 LOAN_SECONDS = 1.5
 """Time for which a loan may be used unless it is confirmed, several times the interval
 of messages. It counts from the borrower's request, so that no delay extends it."""
+CONFIRM_SECONDS = 0.35
+"""Interval at which loans that have not changed are confirmed."""
 MAX_LOAN_HOPS = 3
 """Times that a part is lent on: by its host, that host's relay and another relay."""
 
@@ -112,8 +114,9 @@
     borrowed_until: float = float("-inf")
     asked: Mapping[ServiceName, float] = field(default_factory=dict)
     lent: dict[ServiceName, RecentPeak] = field(default_factory=dict)
-    is_told: bool = False
-    """Whether the last message to it had any content."""
+    told: tuple[LoanNote, ...] = ()
+    """What it was last told, at ``told_at``."""
+    told_at: float = float("-inf")
 
     def get_borrowed(self, service: ServiceName, now: float) -> float:
         return self.borrowed.get(service, 0.0) if now <= self.borrowed_until else 0.0
@@ -199,28 +202,23 @@
         self._partners = {
             host: item
             for host, item in self._partners.items()
-            if item.is_told or now - item.heard_at < FORGET_SECONDS
+            if item.told or now - item.heard_at < FORGET_SECONDS
         }
-        told = {host for host, item in self._partners.items() if item.is_told}
+        told = {host for host, item in self._partners.items() if item.told}
         messages = {}
         for host in {*asked, *lent, *told}:
             partner = self._partners.setdefault(host, _Partner())
-            partner.is_told = host in asked or host in lent
-            wanted, given = asked.get(host, {}), lent.get(host, {})
+            notes = _encode_notes(asked.get(host, {}), lent.get(host, {}))
+            if notes == partner.told and now - partner.told_at < CONFIRM_SECONDS:
+                continue
+            partner.told, partner.told_at = notes, now
             messages[host] = LoanNotes(
                 self._process,
                 int(now * UNIT),
                 partner.process,
                 partner.sent_at,
                 neighbours.is_relay,
-                tuple(
-                    LoanNote(
-                        name,
-                        math.ceil(round(wanted.get(name, 0.0) * UNIT, DIGITS)),
-                        round(given.get(name, 0.0) * UNIT),
-                    )
-                    for name in sorted({*wanted, *given})
-                ),
+                notes,
             )
         return messages
 
@@ -351,6 +349,19 @@
         lent[service].note(amount, now)
 
 
+def _encode_notes(
+    asked: Mapping[ServiceName, float], lent: Mapping[ServiceName, float]
+) -> tuple[LoanNote, ...]:
+    return tuple(
+        LoanNote(
+            name,
+            math.ceil(round(asked.get(name, 0.0) * UNIT, DIGITS)),
+            round(lent.get(name, 0.0) * UNIT),
+        )
+        for name in sorted({*asked, *lent})
+    )
+
+
 def get_loan_memory(window: float) -> float:
     """Return the seconds for which a loan counts as lent after it was last confirmed.
 
