--- a/marigoldswitch/core/loans.py
+++ b/marigoldswitch/core/loans.py
@@ -13,7 +13,6 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
@@ -21,6 +20,11 @@
 
 from marigoldswitch.core.gateway_messages import LoanNote, LoanNotes
 from marigoldswitch.core.ids import HostId, ServiceName
+from marigoldswitch.core.loan_shares import (
+    RecentPeak,
+    share_out,
+    share_out_whole,
+)
 
 LOAN_SECONDS = 1.5
 """Time for which a loan may be used unless it is confirmed, several times the interval
@@ -29,13 +33,11 @@
 """Interval at which loans that have not changed are confirmed."""
 MAX_LOAN_HOPS = 3
 """Times that a part is lent on: by its host, that host's relay and another relay."""
-
-
 FORGET_SECONDS = 120.0
 """Time after which a silent host is forgotten, longer than a loan counts."""
-UNIT = 1000
-"""Parts of a use in which loans are counted, and of a second in which messages tell
-times."""
+PARTS = 1000
+"""Parts of a use in which loans are counted."""
+MILLISECONDS_PER_SECOND = 1000
 DIGITS = 6
 """Digits to which sums are rounded, so that parts which make up a whole use are one."""
 
@@ -64,25 +66,6 @@
         ...
 
 
-class RecentPeak(Struct):
-    """The highest of the amounts of the last seconds."""
-
-    _amounts: deque[tuple[float, float]] = field(default_factory=deque)
-    """Times and amounts, each lower than the one before."""
-
-    def note(self, amount: float, now: float) -> None:
-        """Record the amount that is valid now."""
-        while self._amounts and self._amounts[-1][1] <= amount:
-            self._amounts.pop()
-        self._amounts.append((now, amount))
-
-    def get(self, since: float) -> float:
-        """Return the highest amount since a time."""
-        while self._amounts and self._amounts[0][0] < since:
-            self._amounts.popleft()
-        return self._amounts[0][1] if self._amounts else 0.0
-
-
 class Neighbours(Struct, frozen=True):
     """The hosts with which a host exchanges loans.
 
@@ -178,11 +161,13 @@
         partner.near, partner.is_relay = near, notes.is_relay
         partner.heard_at = now
         partner.process, partner.sent_at = notes.process, notes.sent_at
-        partner.asked = {item.service: item.asked / UNIT for item in notes.notes}
-        partner.borrowed = {item.service: item.lent / UNIT for item in notes.notes}
+        partner.asked = {item.service: item.asked / PARTS for item in notes.notes}
+        partner.borrowed = {item.service: item.lent / PARTS for item in notes.notes}
         is_answer = notes.echo_process == self._process
         partner.borrowed_until = (
-            notes.echo_sent_at / UNIT + LOAN_SECONDS if is_answer else float("-inf")
+            notes.echo_sent_at / MILLISECONDS_PER_SECOND + LOAN_SECONDS
+            if is_answer
+            else float("-inf")
         )
 
     def write_notes(
@@ -214,7 +199,7 @@
             partner.told, partner.told_at = notes, now
             messages[host] = LoanNotes(
                 self._process,
-                int(now * UNIT),
+                int(now * MILLISECONDS_PER_SECOND),
                 partner.process,
                 partner.sent_at,
                 neighbours.is_relay,
@@ -233,34 +218,44 @@
         near, far = self._list_asked(service, neighbours, now)
         if not near and not far:
             return {}
-        own, peaks = self._get_own(service, now), self._list_lent(service, now)
-        account = self.accounts[service]
-        used, demand = float(account.count_used(now)), account.estimate_demand(now)
-        if not neighbours.is_relay:
-            # Others lend on nothing, and what they have borrowed is used first.
-            used = max(0.0, used - self._sum_borrowed(service, now))
+        peaks = self._list_lent(service, now)
+        used, demand = self._measure_use(service, neighbours, now)
+        own, lent = self._get_own(service, now), dict[HostId, float]()
         # A fraction of a use is of use only to a host that gets the rest of it.
         kept = max(used, min(demand, float(math.floor(own))))
-        lent: dict[HostId, float] = {}
-        for asked, lenders in ((near, None), (far, True)):
+        for asked in (near, far):
             total = own
             if neighbours.is_relay:
+                lenders = None if asked is near else True
                 total += self._sum_borrowed(service, now, near=lenders)
             free = total - kept - sum(peaks.values())
             held = {host: peaks.get(host, 0.0) for host in asked}
             if neighbours.is_relay and asked is near:
                 # The relay competes for loans with its hosts.
-                asked, held = {**asked, _OWN: demand - kept}, {**held, _OWN: 0.0}
-            shares = share_out(asked, held, free, in_whole_uses=_OWN in asked)
-            kept += shares.pop(_OWN, 0.0)
+                wanted = {**asked, _OWN: demand - kept}
+                shares = share_out_whole(wanted, {**held, _OWN: 0.0}, free)
+                kept += shares.pop(_OWN)
+            else:
+                shares = share_out(asked, held, free)
             for host, amount in shares.items():
                 others = sum(peaks.values()) - peaks.get(host, 0.0)
                 amount = max(0.0, min(amount, total - used - others))
-                lent[host] = math.floor(round(amount * UNIT, DIGITS)) / UNIT
+                lent[host] = math.floor(round(amount * PARTS, DIGITS)) / PARTS
                 peaks[host] = max(lent[host], peaks.get(host, 0.0))
                 self._note_lent(host, service, lent[host], now)
         return {host: amount for host, amount in lent.items() if amount > 0.0}
 
+    def _measure_use(
+        self, service: ServiceName, neighbours: Neighbours, now: float
+    ) -> tuple[float, float]:
+        """Return what this host has used of what it may lend, and what it wants."""
+        account = self.accounts[service]
+        used = float(account.count_used(now))
+        if not neighbours.is_relay:
+            # It lends only what it owns, and has used what it has borrowed first.
+            used = max(0.0, used - self._sum_borrowed(service, now))
+        return used, account.estimate_demand(now)
+
     def _ask(
         self, service: ServiceName, neighbours: Neighbours, now: float
     ) -> dict[HostId, float]:
@@ -355,8 +350,8 @@
     return tuple(
         LoanNote(
             name,
-            math.ceil(round(asked.get(name, 0.0) * UNIT, DIGITS)),
-            round(lent.get(name, 0.0) * UNIT),
+            math.ceil(round(asked.get(name, 0.0) * PARTS, DIGITS)),
+            round(lent.get(name, 0.0) * PARTS),
         )
         for name in sorted({*asked, *lent})
     )
@@ -368,42 +363,3 @@
     :param window: seconds for which a use counts.
     """
     return window + MAX_LOAN_HOPS * LOAN_SECONDS
-
-
-def share_out(
-    asked: Mapping[HostId, float],
-    held: Mapping[HostId, float],
-    free: float,
-    in_whole_uses: bool = False,
-) -> dict[HostId, float]:
-    """Return what each host is lent in all: what it asks for, or a part of that.
-
-    :param held: what is deducted for each already, which may be lent at no cost.
-    :param free: what may be lent beyond it; negative if that is too much.
-    :param in_whole_uses: lend less than asked for by whole uses only, so that the
-        borrowers can use all of it.
-    """
-    lent = {host: min(amount, held[host]) for host, amount in asked.items()}
-    if not in_whole_uses:
-        missing = {host: asked[host] - amount for host, amount in lent.items()}
-        changing = missing if free > 0.0 else lent
-        total = sum(changing.values())
-        part = max(-1.0, min(1.0, free / total)) if total > 0.0 else 0.0
-        return {host: lent[host] + part * changing[host] for host in lent}
-    left = free
-    for host in sorted(lent, key=lambda item: (-lent[item], item)):
-        while left < 0.0 < lent[host]:
-            step = min(1.0, lent[host])
-            lent[host] -= step
-            left += step
-    waiting = set(lent) if free > 0.0 else set[HostId]()
-    while waiting:
-        host = min(waiting, key=lambda item: (lent[item], item))
-        missing_amount = asked[host] - lent[host]
-        step = missing_amount % 1.0 or min(1.0, missing_amount)
-        if 0.0 < step <= left:
-            lent[host] += step
-            left -= step
-        else:
-            waiting.discard(host)
-    return lent
