--- a/marigoldswitch/core/loans.py
+++ b/marigoldswitch/core/loans.py
@@ -163,12 +163,10 @@
         partner.process, partner.sent_at = notes.process, notes.sent_at
         partner.asked = {item.service: item.asked / PARTS for item in notes.notes}
         partner.borrowed = {item.service: item.lent / PARTS for item in notes.notes}
-        is_answer = notes.echo_process == self._process
-        partner.borrowed_until = (
-            notes.echo_sent_at / MILLISECONDS_PER_SECOND + LOAN_SECONDS
-            if is_answer
-            else float("-inf")
-        )
+        asked_at = notes.echo_sent_at / MILLISECONDS_PER_SECOND
+        if notes.echo_process != self._process:
+            asked_at = float("-inf")
+        partner.borrowed_until = asked_at + LOAN_SECONDS
 
     def write_notes(
         self, neighbours: Neighbours, now: float
@@ -232,7 +230,7 @@
             held = {host: peaks.get(host, 0.0) for host in asked}
             if neighbours.is_relay and asked is near:
                 # The relay competes for loans with its hosts.
-                wanted = {**asked, _OWN: demand - kept}
+                wanted = {**asked, _OWN: max(0.0, demand - kept)}
                 shares = share_out_whole(wanted, {**held, _OWN: 0.0}, free)
                 kept += shares.pop(_OWN)
             else:
--- a/marigoldswitch/tests/test_loan_shares.py
+++ b/marigoldswitch/tests/test_loan_shares.py
@@ -30,7 +30,7 @@
     asked, held = {A: 3.0, B: 1.0}, {A: 0.0, B: 0.0}
     assert share_out(asked, held, 2.0) == {A: 1.5, B: 0.5}
     assert share_out_whole(asked, held, 2.0) == {A: 1.0, B: 1.0}
-    assert share_out_whole({A: 0.4, B: 1.4}, held, 1.0) == {A: 0.4, B: 0.4}
+    assert share_out_whole({A: 0.5, B: 1.5}, held, 1.0) == {A: 0.5, B: 0.5}
 
 
 def test_what_is_too_much_is_taken_back():
--- a/marigoldswitch/tests/test_loans.py
+++ b/marigoldswitch/tests/test_loans.py
@@ -136,6 +136,14 @@
     assert HostId("farther") not in relay.book.write_notes(neighbours, 0.3)
 
 
+def test_relay_that_wants_less_than_it_has_used_lends_only_the_rest():
+    relay, far = build_host(), build_host(0.0)
+    relay.account.used, far.account.demand = 4, 9.0
+    send(far, FAR, Neighbours([], [RELAY], is_relay=True), relay, RELAY, 0.0, False)
+    send(relay, RELAY, AS_RELAY, far, FAR, 0.1, near=False)
+    assert far.book.get_limit(SERVICE, 0.2) == 6.0
+
+
 def test_relay_lends_on_to_another_relay_what_its_own_hosts_lend():
     leaf, relay, far = build_host(2.0), build_host(0.0), build_host(0.0)
     far.account.demand = 5.0
