Let a relay that knows few hosts not lower the number that others divide by

A relay that has started while the store is away may know only the hosts that it hears. What it reported replaced what was known, so that other data centres divided bounds by too few. The highest report of the last ten minutes counts now.

--- a/marigoldswitch/core/loan_shares.py
+++ b/marigoldswitch/core/loan_shares.py
@@ -1,32 +1,10 @@
-"""Amounts of loans: what was lent lately, and how a lender shares out what it has."""
+"""How a lender shares out what it has among the hosts that ask for loans."""
 
-from collections import deque
 from collections.abc import Mapping
 
-from msgspec import Struct, field
-
 from marigoldswitch.core.ids import HostId
 
 
-class RecentPeak(Struct):
-    """The highest of the amounts of the last seconds."""
-
-    _amounts: deque[tuple[float, float]] = field(default_factory=deque)
-    """Times and amounts, each lower than the one before."""
-
-    def note(self, amount: float, now: float) -> None:
-        """Record the amount that is valid now."""
-        while self._amounts and self._amounts[-1][1] <= amount:
-            self._amounts.pop()
-        self._amounts.append((now, amount))
-
-    def get(self, since: float) -> float:
-        """Return the highest amount since a time."""
-        while self._amounts and self._amounts[0][0] < since:
-            self._amounts.popleft()
-        return self._amounts[0][1] if self._amounts else 0.0
-
-
 def share_out(
     asked: Mapping[HostId, float], held: Mapping[HostId, float], free: float
 ) -> dict[HostId, float]:
--- a/marigoldswitch/core/loans.py
+++ b/marigoldswitch/core/loans.py
@@ -20,11 +20,8 @@
 
 from marigoldswitch.core.gateway_messages import LoanNote, LoanNotes
 from marigoldswitch.core.ids import HostId, ServiceName
-from marigoldswitch.core.loan_shares import (
-    RecentPeak,
-    share_out,
-    share_out_whole,
-)
+from marigoldswitch.core.loan_shares import share_out, share_out_whole
+from marigoldswitch.core.peaks import RecentPeak
 
 LOAN_SECONDS = 1.5
 """Time for which a loan may be used unless it is confirmed, several times the interval
--- a/marigoldswitch/core/populations.py
+++ b/marigoldswitch/core/populations.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 
 from marigoldswitch.core.ids import DataCentre, HostId
+from marigoldswitch.core.peaks import RecentPeak
 
 MEMBER_SECONDS = 600.0
 """Time for which a silent host counts, longer than most partitions. Its part of each
@@ -28,8 +29,9 @@
         self._home = home
         self._members: dict[DataCentre, dict[HostId, float]] = {}
         """Until when each other host counts."""
-        self._reported: dict[DataCentre, tuple[int, float]] = {}
-        """Hosts of a data centre by its relay, and until when the number counts."""
+        self._reported: dict[DataCentre, RecentPeak] = {}
+        """Hosts of each data centre, by its relays. The highest number counts: a relay
+        that has just started may know few of them."""
 
     def note_member(
         self, host: HostId, centre: DataCentre, now: float, leaving: bool = False
@@ -42,7 +44,7 @@
 
     def note_reported(self, centre: DataCentre, hosts: int, now: float) -> None:
         """Record the number of hosts that a relay reports of a data centre."""
-        self._reported[centre] = (hosts, now + MEMBER_SECONDS)
+        self._reported.setdefault(centre, RecentPeak()).note(hosts, now)
 
     def expire(self, now: float) -> None:
         """Drop the hosts and reports that no longer count."""
@@ -50,8 +52,11 @@
             centre: {host: until for host, until in hosts.items() if until > now}
             for centre, hosts in self._members.items()
         }
+        since = now - MEMBER_SECONDS
         self._reported = {
-            centre: item for centre, item in self._reported.items() if item[1] > now
+            centre: peak
+            for centre, peak in self._reported.items()
+            if peak.get(since) > 0.0
         }
 
     @property
@@ -63,10 +68,10 @@
         """Return the number of hosts of each data centre, with this one."""
         counts = {centre: len(hosts) for centre, hosts in self._members.items()}
         counts[self._home] = counts.get(self._home, 0) + 1
-        for centre, (hosts, _) in self._reported.items():
-            counts[centre] = (
-                hosts if centre != self._home else max(hosts, counts[centre])
-            )
+        for centre, peak in self._reported.items():
+            hosts = int(peak.get())
+            is_home = centre == self._home
+            counts[centre] = max(hosts, counts[centre]) if is_home else hosts
         return counts
 
     def count(self) -> int:
--- a/marigoldswitch/core/retry_pool.py
+++ b/marigoldswitch/core/retry_pool.py
@@ -12,8 +12,8 @@
 from msgspec import Struct, field
 
 from marigoldswitch.core.ids import ServiceName
-from marigoldswitch.core.loan_shares import RecentPeak
 from marigoldswitch.core.loans import LoanBook, get_loan_memory
+from marigoldswitch.core.peaks import RecentPeak
 from marigoldswitch.core.retries import (
     BUDGET_WINDOW,
     RETRY_BUCKET,
