Let borrowers say when a loan is not in use, so that its lender has it back at once

A borrower now says whether it gets by with what the lender's last message lends; what was lent before is then free.

--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -59,11 +59,16 @@
 
     :param asked: what the sender wants to be lent in all.
     :param lent: what it lends in all.
+    :param is_covered: whether the sender has used no more than it may, with what the
+        recipient's last message lent; what that had lent before is then free again.
+    :param is_open: whether the sender waits to hear that from the recipient.
     """
 
     service: ServiceName
     asked: int
     lent: int
+    is_covered: bool = False
+    is_open: bool = False
 
 
 class LoanNotes(Struct, frozen=True):
--- a/marigoldswitch/core/loans.py
+++ b/marigoldswitch/core/loans.py
@@ -3,7 +3,8 @@
 Each host owns an equal part of the bound and may use it without asking. One that needs
 more borrows what others leave: hosts lend to the relay of their data centre, relays
 lend to each other, and a relay lends to its hosts. A lender deducts what it lends from
-its own part, for as long as the borrower may use it and what was used then may count.
+its own part, until the borrower says that it is not in use or, if nothing is heard of
+it, for as long as it may be used and what was used then may count.
 So the hosts' limits never add up to more than the bound, in partitions, after kills,
 with relays that stand still, and however late messages are. This is the escrow method
 for counters with a bound, with loans that expire.
@@ -83,6 +84,7 @@
     :ivar borrowed: what it lends, by service, until ``borrowed_until``.
     :ivar asked: what it wants to be lent in all, by service.
     :ivar lent: what it was lent lately, by service.
+    :ivar waiting: services of loans of which it waits to hear.
     """
 
     near: bool = True
@@ -91,9 +93,10 @@
     process: int = 0
     sent_at: int = 0
     borrowed: Mapping[ServiceName, float] = field(default_factory=dict)
-    borrowed_until: float = float("-inf")
+    borrowed_until: float = 0.0
     asked: Mapping[ServiceName, float] = field(default_factory=dict)
     lent: dict[ServiceName, RecentPeak] = field(default_factory=dict)
+    waiting: frozenset[ServiceName] = frozenset()
     told: tuple[LoanNote, ...] = ()
     """What it was last told, at ``told_at``."""
     told_at: float = float("-inf")
@@ -152,18 +155,22 @@
         partner = self._partners.setdefault(sender, _Partner())
         if notes.process == partner.process and notes.sent_at < partner.sent_at:
             return
+        is_answer = notes.echo_process == self._process
+        asked_at = notes.echo_sent_at / MILLISECONDS_PER_SECOND
         for item in notes.notes:
             if item.service not in self.accounts:
                 self.open_account(item.service)
+            if is_answer and item.is_covered and item.service in partner.lent:
+                partner.lent[item.service].drop_before(asked_at)
         partner.near, partner.is_relay = near, notes.is_relay
         partner.heard_at = now
         partner.process, partner.sent_at = notes.process, notes.sent_at
+        partner.waiting = frozenset(
+            item.service for item in notes.notes if item.is_open
+        )
         partner.asked = {item.service: item.asked / PARTS for item in notes.notes}
         partner.borrowed = {item.service: item.lent / PARTS for item in notes.notes}
-        asked_at = notes.echo_sent_at / MILLISECONDS_PER_SECOND
-        if notes.echo_process != self._process:
-            asked_at = float("-inf")
-        partner.borrowed_until = asked_at + LOAN_SECONDS
+        partner.borrowed_until = asked_at + LOAN_SECONDS if is_answer else 0.0
 
     def write_notes(
         self, neighbours: Neighbours, now: float
@@ -185,10 +192,18 @@
             if item.told or now - item.heard_at < FORGET_SECONDS
         }
         told = {host for host, item in self._partners.items() if item.told}
+        open_loans = self._list_open(now)
+        waiting = {host for host, item in self._partners.items() if item.waiting}
         messages = {}
-        for host in {*asked, *lent, *told}:
+        for host in {*asked, *lent, *told, *open_loans, *waiting}:
             partner = self._partners.setdefault(host, _Partner())
-            notes = _encode_notes(asked.get(host, {}), lent.get(host, {}))
+            notes = self._encode_notes(
+                asked.get(host, {}),
+                lent.get(host, {}),
+                open_loans.get(host, frozenset()),
+                partner.waiting,
+                now,
+            )
             if notes == partner.told and now - partner.told_at < CONFIRM_SECONDS:
                 continue
             partner.told, partner.told_at = notes, now
@@ -202,6 +217,34 @@
             )
         return messages
 
+    def _list_open(self, now: float) -> dict[HostId, set[ServiceName]]:
+        """Return the services of loans that are not known to be given back yet."""
+        found: dict[HostId, set[ServiceName]] = {}
+        for service in self.accounts:
+            for host, amount in self._list_lent(service, now).items():
+                if amount > 0.0:
+                    found.setdefault(host, set()).add(service)
+        return found
+
+    def _encode_notes(
+        self,
+        asked: Mapping[ServiceName, float],
+        lent: Mapping[ServiceName, float],
+        open_loans: Collection[ServiceName],
+        waiting: Collection[ServiceName],
+        now: float,
+    ) -> tuple[LoanNote, ...]:
+        return tuple(
+            LoanNote(
+                name,
+                math.ceil(round(asked.get(name, 0.0) * PARTS, DIGITS)),
+                round(lent.get(name, 0.0) * PARTS),
+                self.accounts[name].count_used(now) <= self.get_limit(name, now),
+                name in open_loans,
+            )
+            for name in sorted({*asked, *lent, *open_loans, *waiting})
+        )
+
     def _lend(
         self, service: ServiceName, neighbours: Neighbours, now: float
     ) -> dict[HostId, float]:
@@ -339,19 +382,6 @@
         lent[service].note(amount, now)
 
 
-def _encode_notes(
-    asked: Mapping[ServiceName, float], lent: Mapping[ServiceName, float]
-) -> tuple[LoanNote, ...]:
-    return tuple(
-        LoanNote(
-            name,
-            math.ceil(round(asked.get(name, 0.0) * PARTS, DIGITS)),
-            round(lent.get(name, 0.0) * PARTS),
-        )
-        for name in sorted({*asked, *lent})
-    )
-
-
 def get_loan_memory(window: float) -> float:
     """Return the seconds for which a loan counts as lent after it was last confirmed.
 
--- a/marigoldswitch/core/peaks.py
+++ b/marigoldswitch/core/peaks.py
@@ -17,8 +17,12 @@
             self._amounts.pop()
         self._amounts.append((now, amount))
 
+    def drop_before(self, time: float) -> None:
+        """Drop the amounts before a time, which are no longer needed."""
+        while self._amounts and self._amounts[0][0] < time:
+            self._amounts.popleft()
+
     def get(self, since: float = float("-inf")) -> float:
         """Return the highest amount since a time; older ones are dropped."""
-        while self._amounts and self._amounts[0][0] < since:
-            self._amounts.popleft()
+        self.drop_before(since)
         return self._amounts[0][1] if self._amounts else 0.0
--- a/marigoldswitch/tests/test_loans.py
+++ b/marigoldswitch/tests/test_loans.py
@@ -73,6 +73,47 @@
     assert relay.book.get_limit(SERVICE, last + 0.01) == 10.0
 
 
+def test_loan_that_is_given_back_unused_may_be_used_at_once():
+    leaf, relay = build_host(), build_host()
+    lend_to_leaf(leaf, relay)
+    leaf.account.demand = 0.0
+    send(leaf, LEAF, TO_RELAY, relay, RELAY, 0.5)
+    send(relay, RELAY, AS_RELAY, leaf, LEAF, 0.6)
+    assert relay.book.get_limit(SERVICE, 0.6) == 5.0
+    send(leaf, LEAF, TO_RELAY, relay, RELAY, 1.0)
+    assert relay.book.get_limit(SERVICE, 1.0) == 10.0
+    assert leaf.book.get_limit(SERVICE, 1.0) == 10.0
+
+
+def test_loan_that_has_been_used_is_deducted_until_it_no_longer_counts():
+    leaf, relay = build_host(), build_host()
+    lend_to_leaf(leaf, relay)
+    leaf.account.used, leaf.account.demand = 12, 0.0
+    for now in (0.5, 1.0, 1.5, 2.0):
+        send(leaf, LEAF, TO_RELAY, relay, RELAY, now)
+        send(relay, RELAY, AS_RELAY, leaf, LEAF, now + 0.1)
+        assert relay.book.get_limit(SERVICE, now + 0.1) == 5.0
+    leaf.account.used = 10
+    send(leaf, LEAF, TO_RELAY, relay, RELAY, 2.5)
+    assert relay.book.get_limit(SERVICE, 2.5) == 10.0
+
+
+def test_hosts_fall_silent_once_all_loans_are_given_back():
+    leaf, relay = build_host(), build_host()
+    lend_to_leaf(leaf, relay)
+    leaf.account.demand = 0.0
+    messages = []
+    for step in range(1, 20):
+        now = step * 0.5
+        messages.append(
+            (
+                send(leaf, LEAF, TO_RELAY, relay, RELAY, now),
+                send(relay, RELAY, AS_RELAY, leaf, LEAF, now + 0.1),
+            )
+        )
+    assert messages[-10:] == [(None, None)] * 10
+
+
 def test_delay_of_a_message_does_not_extend_its_loan():
     leaf, relay = build_host(), build_host()
     leaf.account.demand = 15.0
--- a/marigoldswitch/tests/test_retry_pool.py
+++ b/marigoldswitch/tests/test_retry_pool.py
@@ -77,6 +77,24 @@
     assert fleet.count_worst_window() >= 0.9 * fleet.get_allowed()
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_hosts_get_back_what_they_have_lent_when_they_are_short_themselves(seed):
+    """Engines refuse for long: some hosts are short at once, the others later."""
+    fleet = Fleet(seed, MANY)
+    demand = {}
+    for _ in range(6):
+        names = fleet.rng.sample(list(fleet.places), 15)
+        demand |= dict.fromkeys(names, 4.0)
+        fleet.run(0.5, demand)
+    everywhere = dict.fromkeys(fleet.places, 4.0)
+    fleet.run(10.0, everywhere)
+    for _ in range(2):
+        before = len(fleet.spent)
+        fleet.run(10.0, everywhere)
+        assert len(fleet.spent) - before >= 0.5 * fleet.get_allowed()
+    check_budget(fleet)
+
+
 @pytest.mark.parametrize("allowance", [1.0, 2.0, 6.0])
 def test_parts_below_one_retry_are_put_together(allowance):
     """With 90 hosts, each part is 0.1 to 0.6 of a retry."""
