Share out loans in whole numbers

Sums of fractions could pass what was asked for by a whole use: a host that lacked less than can be told counted as lacking one. Thousandths are whole numbers now, so that each step counts. The test failed before.

--- a/marigoldswitch/core/loan_shares.py
+++ b/marigoldswitch/core/loan_shares.py
@@ -1,9 +1,13 @@
 """How a lender shares out what it has among the hosts that ask for loans."""
 
+import math
 from collections.abc import Mapping
 
 from marigoldswitch.core.ids import HostId
 
+PARTS = 1000
+"""Parts of a use in which loans are counted."""
+
 
 def share_out(
     asked: Mapping[HostId, float], held: Mapping[HostId, float], free: float
@@ -29,22 +33,24 @@
     What hosts ask for makes up whole uses with what they own, so that they can use all
     of it. Those that are lent least come first.
     """
-    lent = {host: min(amount, held[host]) for host, amount in asked.items()}
-    left = free
+    # In whole numbers: steps that are lost in a sum of fractions would never end.
+    wanted = {host: round(amount * PARTS) for host, amount in asked.items()}
+    lent = {host: min(wanted[host], int(held[host] * PARTS)) for host in asked}
+    left = math.floor(free * PARTS)
     for host in sorted(lent, key=lambda item: (-lent[item], item)):
-        while left < 0.0 < lent[host]:
-            step = min(1.0, lent[host])
+        while left < 0 < lent[host]:
+            step = min(PARTS, lent[host])
             lent[host] -= step
             left += step
     # What was taken back is still deducted, and can't be lent to others.
     waiting = set(lent) if free > 0.0 else set[HostId]()
     while waiting:
         host = min(waiting, key=lambda item: (lent[item], item))
-        missing = asked[host] - lent[host]
-        step = missing % 1.0 or min(1.0, missing)
-        if 0.0 < step <= left:
+        missing = wanted[host] - lent[host]
+        step = missing % PARTS or min(PARTS, missing)
+        if 0 < step <= left:
             lent[host] += step
             left -= step
         else:
             waiting.discard(host)
-    return lent
+    return {host: amount / PARTS for host, amount in lent.items()}
--- a/marigoldswitch/core/loans.py
+++ b/marigoldswitch/core/loans.py
@@ -21,7 +21,7 @@
 
 from marigoldswitch.core.gateway_messages import LoanNote, LoanNotes
 from marigoldswitch.core.ids import HostId, ServiceName
-from marigoldswitch.core.loan_shares import share_out, share_out_whole
+from marigoldswitch.core.loan_shares import PARTS, share_out, share_out_whole
 from marigoldswitch.core.peaks import RecentPeak
 
 LOAN_SECONDS = 1.5
@@ -33,8 +33,6 @@
 """Times that a part is lent on: by its host, that host's relay and another relay."""
 FORGET_SECONDS = 120.0
 """Time after which a silent host is forgotten, longer than a loan counts."""
-PARTS = 1000
-"""Parts of a use in which loans are counted."""
 MILLISECONDS_PER_SECOND = 1000
 DIGITS = 6
 """Digits to which sums are rounded, so that parts which make up a whole use are one."""
--- a/marigoldswitch/tests/test_loan_shares.py
+++ b/marigoldswitch/tests/test_loan_shares.py
@@ -37,3 +37,16 @@
     asked, held = {A: 3.0, B: 1.0}, {A: 3.0, B: 1.0}
     assert share_out(asked, held, -2.0) == {A: 1.5, B: 0.5}
     assert share_out_whole(asked, held, -2.0) == {A: 1.0, B: 1.0}
+
+
+def test_sharing_ends_where_a_fraction_is_lost_in_the_sum():
+    """A host once shared for ever, as 5.0 and what was missing made 5.0 again."""
+    asked, held = {A: 5.000000000000001, B: 5.0}, {A: 4.999999999999999, B: 5.0}
+    assert share_out_whole(asked, held, 1.0) == {A: 5.0, B: 5.0}
+    assert share_out_whole({A: 5.000000000000001}, {A: 5.0}, 1.0) == {A: 5.0}
+
+
+@given(st.floats(0.0, 50.0), st.floats(0.0, 50.0), st.floats(-60.0, 60.0))
+def test_sharing_ends_with_any_amounts(asked, held, free):
+    lent = share_out_whole({A: asked, B: held}, {A: held, B: asked}, free)
+    assert all(amount >= 0.0 for amount in lent.values())
