--- a/marigoldswitch/core/loan_shares.py
+++ b/marigoldswitch/core/loan_shares.py
@@ -33,7 +33,7 @@
     What hosts ask for makes up whole uses with what they own, so that they can use all
     of it. Those that are lent least come first.
     """
-    # In whole numbers: steps that are lost in a sum of fractions would never end.
+    # In whole numbers: a sum of fractions may pass what is asked for, and never end.
     wanted = {host: round(amount * PARTS) for host, amount in asked.items()}
     lent = {host: min(wanted[host], int(held[host] * PARTS)) for host in asked}
     left = math.floor(free * PARTS)
--- a/marigoldswitch/tests/test_loan_shares.py
+++ b/marigoldswitch/tests/test_loan_shares.py
@@ -40,7 +40,7 @@
 
 
 def test_sharing_ends_where_a_fraction_is_lost_in_the_sum():
-    """A relay once shared for ever: 0.185 and 0.631 made more than 0.816."""
+    """As fractions, 0.185 and 0.631 make more than 0.816."""
     assert share_out_whole({A: 0.816}, {A: 0.185}, 6.088) == {A: 0.816}
     asked, held = {A: 5.000000000000001, B: 5.0}, {A: 4.999999999999999, B: 5.0}
     assert share_out_whole(asked, held, 1.0) == {A: 5.0, B: 5.0}
--- a/marigoldswitch/tests/test_loans.py
+++ b/marigoldswitch/tests/test_loans.py
@@ -210,7 +210,7 @@
 
 
 def test_hosts_that_are_all_short_do_not_ask_for_more_and_more():
-    """A host once asked its relay for what the relay had asked of it."""
+    """What a relay asks of a host is not asked of the relay in turn."""
     leaf, relay = build_host(1.0), build_host(1.0)
     leaf.account.demand = relay.account.demand = 5.0
     for step in range(50):
