Hold the use of lent retries to the stated target; list its test as red

Cause: the bound of 0.5 lay between what was measured before and after, not at the target of 0.8. No code changes.

--- a/marigoldswitch/tests/test_retry_pool.py
+++ b/marigoldswitch/tests/test_retry_pool.py
@@ -91,7 +91,7 @@
     for _ in range(2):
         before = len(fleet.spent)
         fleet.run(10.0, everywhere)
-        assert len(fleet.spent) - before >= 0.5 * fleet.get_allowed()
+        assert len(fleet.spent) - before >= 0.8 * fleet.get_allowed()
     check_budget(fleet)
 
 
