Log when a host reads the store itself and when newer state stays missing

New lines: store_reading_changed, state_missing (what, who has it, known and heard number, seconds, once an episode), state_caught_up, targets_asked. The decision to read moves from GatewayHost to a class of its own, unchanged. Decisions are as before; the tests of the transfer of state and of the gateway pass.

--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -24,6 +24,7 @@
 from marigoldswitch.gateway.orderer import LayerOrderer
 from marigoldswitch.gateway.ports import HostDirectory, HostRecord, HostSettings
 from marigoldswitch.gateway.spread import DigestExchange
+from marigoldswitch.gateway.store_reading import StoreReading
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peers import PeerNetwork
 
@@ -80,8 +81,7 @@
     host_directory: HostDirectory
     sessions: tuple[Closable, ...]
     """Client sessions that are closed when the host stops."""
-    reading: asyncio.Event
-    """Set while this host must read the store itself."""
+    reading: StoreReading
 
 
 class GatewayHost:
@@ -246,14 +246,10 @@
             await asyncio.sleep(self.parts.spread.tick_seconds)
 
     def _update_store_reading(self) -> None:
-        """Start or stop reading the store, as the hosts' roster requires."""
-        parts = self.parts
-        directory = parts.runs.directory
-        directory.registry.expire(parts.runs.clock.monotonic())
-        if parts.spread.roster.must_read():
-            parts.reading.set()
-        else:
-            parts.reading.clear()
+        """Drop targets that have lapsed, and start or stop reading the store."""
+        runs = self.parts.runs
+        runs.directory.registry.expire(runs.clock.monotonic())
+        self.parts.reading.update()
 
     async def _register(self) -> None:
         """Write this host's row and read those of the others, with retries."""
--- a/marigoldswitch/gateway/state_sync.py
+++ b/marigoldswitch/gateway/state_sync.py
@@ -51,6 +51,9 @@
 """Minimum time between two requests for a configuration. A relay sends its copies to a
 whole data centre in about half of it; earlier requests would have each copy sent
 several times, and the last ones arrive late."""
+LOGGED_LAG_SECONDS = 1.0
+"""Time for which newer state must be missing before that is logged: half of the time
+after which a configuration must be in force."""
 STORE_AWAY_SECONDS = 0.8
 """Time without a digest from a current host after which the store counts as away; such
 hosts send every 0.1 to 0.5 s."""
@@ -77,12 +80,42 @@
 class _Lag(Struct):
     """When this host fell behind in one kind of state, and when it last asked for it.
 
+    :ivar what: the kind of state, for the log.
     :ivar min_interval: minimum time between two requests, in seconds.
+    :ivar missing_since: when this host first heard of state that it still lacks.
     """
 
+    what: str
     min_interval: float
     behind_since: float | None = None
     requested_at: float = field(default=float("-inf"))
+    missing_since: float | None = None
+    _is_logged: bool = False
+
+    def log_lag(self, sender: HostId, heard: int, known: int, now: float) -> None:
+        """Log once that newer state has been missing for long, and when it arrives.
+
+        :param heard: version or revision that the sender has.
+        :param known: version or revision that this host has.
+        """
+        if heard <= known:
+            if self._is_logged:
+                logger.info("state_caught_up", what=self.what, known=known)
+            self.missing_since, self._is_logged = None, False
+            return
+        if self.missing_since is None:
+            self.missing_since = now
+        seconds = now - self.missing_since
+        if seconds >= LOGGED_LAG_SECONDS and not self._is_logged:
+            self._is_logged = True
+            logger.warning(
+                "state_missing",
+                what=self.what,
+                sender=sender,
+                heard=heard,
+                known=known,
+                seconds=round(seconds, 2),
+            )
 
     def should_request(self, behind: bool, cut_off: bool, now: float) -> bool:
         """Return whether to ask a peer now; if so, record the request.
@@ -119,8 +152,8 @@
         self._parts = parts
         self._must_read = must_read
         self._is_current = is_current
-        self._configuration = _Lag(CONFIGURATION_FETCH_SECONDS)
-        self._targets = _Lag(FETCH_SECONDS)
+        self._configuration = _Lag("configuration", CONFIGURATION_FETCH_SECONDS)
+        self._targets = _Lag("targets", FETCH_SECONDS)
         self._current_heard_at: float | None = None
         """When a current host, or the first host at all, was last heard."""
         self._compressed: ConfigurationContent | None = None
@@ -138,6 +171,8 @@
         """Request the state that a peer's digest shows to be newer than this host's."""
         parts = self._parts
         version, registry = parts.directory.version, parts.directory.registry
+        self._configuration.log_lag(sender, digest.version, version, now)
+        self._targets.log_lag(sender, digest.revision, registry.revision, now)
         idle = not self._must_read()
         configuration_lost = parts.configuration.dependency.is_lost or idle
         behind = digest.version > version
@@ -157,6 +192,12 @@
         behind = is_trusted and digest.revision > registry.revision
         if targets_lost and self._targets.should_request(behind, targets_lost, now):
             parts.network.send(sender, FetchTargets(registry.revision))
+            logger.info(
+                "targets_asked",
+                teller=sender,
+                revision=digest.revision,
+                known=registry.revision,
+            )
 
     def _accepts_any_sender(self, digest: LoadDigest, now: float) -> bool:
         """Return whether targets may be fetched from a host that is not current.
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -36,6 +36,7 @@
 from marigoldswitch.gateway.spread import DigestExchange
 from marigoldswitch.gateway.state_sync import DigestExchangeParts
 from marigoldswitch.gateway.statements import TargetStatements
+from marigoldswitch.gateway.store_reading import StoreReading
 from marigoldswitch.gateway.upstream import Upstream
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peers import PeerNetwork
@@ -164,6 +165,6 @@
             orderer,
             store,
             (connections, session),
-            reading,
+            StoreReading(spread.roster.must_read, reading),
         )
     )
