--- a/marigoldswitch/gateway/store_reading.py
+++ b/marigoldswitch/gateway/store_reading.py
@@ -19,6 +19,11 @@
         self._must_read = must_read
         self._reading = reading
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether this host reads the store."""
+        return self._reading.is_set()
+
     def update(self) -> None:
         """Start or stop reading, as the hosts' roster requires."""
         must_read = self._must_read()
