Let a host read the store by itself when its peers don't bring what it holds

Cause: a host that isn't a reader counts on readers that it hears of, whatever they bring it; with its requests or the copies to it lost it asks again each 0.8 s for ever. Ruled out: the store (it answers all the while in the test), digests that don't arrive (then no reader is heard and the host reads after 1.5 s). A host now reads a kind of state by itself when an announced number has been missing for 0.45 of its bound, or when no host that knows the current state has been heard for half of it; a random tenth of the bound keeps hosts that fall behind together apart. What was announced counts from the oldest number that is missing: a peer that is behind too no longer resets it.

--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -221,6 +221,11 @@
                 self.dependency.note_failure(fault.value)
         registry.expire(now)
 
+    @property
+    def revision(self) -> int:
+        """Return the store's revision up to which this host has read; 0 for none."""
+        return self._revision
+
     def measure_outage(self) -> float:
         """Return the seconds since the store last answered; 0 while it does."""
         if not self.dependency.is_lost:
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -22,6 +22,7 @@
 )
 from marigoldswitch.gateway.fronts import Frontend
 from marigoldswitch.gateway.orderer import LayerOrderer
+from marigoldswitch.gateway.planner import LEAVING_USE_SECONDS
 from marigoldswitch.gateway.ports import HostDirectory, HostRecord, HostSettings
 from marigoldswitch.gateway.spread import DigestExchange
 from marigoldswitch.gateway.store_reading import StoreReading
@@ -102,6 +103,7 @@
         directory.registry.watch_restores(self._handle_store_restored)
         directory.suspects.add_dead_listener(parts.front.recheck_streams)
         directory.watch(self._apply_limits)
+        self._use_bounds(parts.settings)
 
     @property
     def is_ready(self) -> bool:
@@ -166,10 +168,18 @@
         )
         waits = choose_waits(new_settings.touch_seconds, new_settings.leaving_seconds)
         self.parts.configuration.waits = self.parts.targets.waits = waits
+        self._use_bounds(new_settings)
         for seed in new_settings.seeds:
             self.parts.spread.add_peer(HostRecord(seed, ""))
         logger.info("settings_in_force", changed=self.settings != old)
 
+    def _use_bounds(self, settings: HostSettings) -> None:
+        """Set the times within which the store's state must be in force."""
+        self.parts.spread.sync.use_bounds(
+            settings.configuration_seconds,
+            settings.leaving_seconds - LEAVING_USE_SECONDS,
+        )
+
     async def stop(self) -> None:
         """Cancel the background tasks and close all listeners and connections."""
         parts = self.parts
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -371,6 +371,8 @@
     :param leaving_seconds: time from the store's record that a target leaves until no
         request may reach it.
     :param is_first_start: no process of this host has run before.
+    :param configuration_seconds: time from the store's record of a configuration until
+        it must be in force.
     """
 
     identity: Identity
@@ -383,3 +385,4 @@
     touch_seconds: float = 3.0
     leaving_seconds: float = 2.0
     is_first_start: bool = False
+    configuration_seconds: float = 2.0
--- a/marigoldswitch/gateway/roster.py
+++ b/marigoldswitch/gateway/roster.py
@@ -59,6 +59,7 @@
     :ivar mentioned_at: when it or another source last named it.
     :ivar leaving: it is shutting down.
     :ivar revision: up to which it knows the targets.
+    :ivar version: of its configuration.
     :ivar is_reader: it has said that it reads the store.
     :ivar reading_at: when it or a peer last reported that it reads the store; ``None``
         if it does not.
@@ -70,6 +71,7 @@
     mentioned_at: float
     leaving: bool = False
     revision: int = 0
+    version: int = 0
     is_reader: bool = False
     reading_at: float | None = None
 
@@ -132,6 +134,7 @@
             now,
             digest.leaving,
             digest.revision,
+            digest.version,
             digest.reads,
             reading_at,
         )
@@ -316,15 +319,17 @@
         """
         return choose_backoff_factor(self._own_rank, self._rank_ages())
 
-    def matches_reader(self, revision: int) -> bool:
+    def matches_reader(self, revision: int, version: int) -> bool:
         """Return whether a live reader of the store knows no more than this host.
 
         :param revision: up to which this host knows the targets.
+        :param version: of this host's configuration.
         """
         now = self._clock.monotonic()
         return any(
             item.is_reader
             and item.revision <= revision
+            and item.version <= version
             and now - item.heard_at < READER_TIMEOUT_SECONDS
             for item in self.peers.values()
         )
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -92,7 +92,7 @@
         self._statements = StatementExchange(parts.directory)
         self._lease_note: LeaseNote | None = None
         self._orderer_heard_at = float("-inf")
-        self._sync = StateSync(parts, self.roster.must_read, lambda: self._is_current)
+        self.sync = StateSync(parts, self.roster.must_read, lambda: self._is_current)
         self._sent = SendLog()
         handle_digest: Callable[..., None] = self._handle_digest
         parts.network.register(LoadDigest, handle_digest)
@@ -132,12 +132,13 @@
 
     @property
     def _is_current(self) -> bool:
-        """Return whether this host may send its list of targets to others."""
-        parts = self._parts
+        """Return whether this host is believed to know what the store holds."""
         if self._is_reader:
             return True
-        revision = parts.directory.registry.revision
-        return parts.directory.is_complete and self.roster.matches_reader(revision)
+        directory = self._parts.directory
+        return directory.is_complete and self.roster.matches_reader(
+            directory.registry.revision, directory.version
+        )
 
     @property
     def tick_seconds(self) -> float:
@@ -350,7 +351,7 @@
             self._forget_orderer(now)
         self._update_layers(digest.layers, now)
         self._crash_notes.resync_if_different(sender, digest.crashes)
-        self._sync.request_missing(sender, digest, now)
+        self.sync.request_missing(sender, digest, now)
 
     def _probe_reported_dead(self, names: tuple[TargetId, ...], now: float) -> None:
         """Probe engines that a peer reports dead, as the peer itself may be cut off."""
--- a/marigoldswitch/gateway/state_sync.py
+++ b/marigoldswitch/gateway/state_sync.py
@@ -23,6 +23,7 @@
     TargetsContent,
 )
 from marigoldswitch.core.ids import HostId
+from marigoldswitch.core.lags import Lag, choose_patience
 from marigoldswitch.core.loads import Loads
 from marigoldswitch.core.loans import LoanBook
 from marigoldswitch.core.ports import Clock
@@ -77,58 +78,52 @@
     source: random.Random
 
 
-class _Lag(Struct):
-    """When this host fell behind in one kind of state, and when it last asked for it.
+class _Requests(Struct):
+    """Requests for one kind of state, and whether its lack was logged.
 
     :ivar what: the kind of state, for the log.
     :ivar min_interval: minimum time between two requests, in seconds.
-    :ivar missing_since: when this host first heard of state that it still lacks.
     """
 
     what: str
     min_interval: float
-    behind_since: float | None = None
+    lag: Lag = field(default_factory=Lag)
     requested_at: float = field(default=float("-inf"))
-    missing_since: float | None = None
-    _is_logged: bool = False
+    is_lag_logged: bool = False
 
-    def log_lag(self, sender: HostId, heard: int, known: int, now: float) -> None:
-        """Log once that newer state has been missing for long, and when it arrives.
+    def note_announced(
+        self, sender: HostId, number: int, known: int, is_current: bool, now: float
+    ) -> None:
+        """Record the number that a peer has, and log a lag that lasts.
 
-        :param heard: version or revision that the sender has.
-        :param known: version or revision that this host has.
+        :param known: the number that this host has.
+        :param is_current: the peer knows the current state of the store.
         """
-        if heard <= known:
-            if self._is_logged:
-                logger.info("state_caught_up", what=self.what, known=known)
-            self.missing_since, self._is_logged = None, False
-            return
-        if self.missing_since is None:
-            self.missing_since = now
-        seconds = now - self.missing_since
-        if seconds >= LOGGED_LAG_SECONDS and not self._is_logged:
-            self._is_logged = True
-            logger.warning(
-                "state_missing",
-                what=self.what,
-                sender=sender,
-                heard=heard,
-                known=known,
-                seconds=round(seconds, 2),
-            )
-
-    def should_request(self, behind: bool, cut_off: bool, now: float) -> bool:
-        """Return whether to ask a peer now; if so, record the request.
-
-        :param behind: the peer has newer state.
+        self.lag.note_announced(number, known, is_current, now)
+        seconds = self.lag.get_missing_seconds(known, now)
+        if seconds is None and self.is_lag_logged:
+            self.is_lag_logged = False
+            logger.info("state_caught_up", what=self.what, known=known)
+        elif seconds is not None and seconds >= LOGGED_LAG_SECONDS:
+            if not self.is_lag_logged:
+                logger.warning(
+                    "state_missing",
+                    what=self.what,
+                    sender=sender,
+                    heard=number,
+                    known=known,
+                    seconds=round(seconds, 2),
+                )
+            self.is_lag_logged = True
+
+    def should_request(self, known: int, cut_off: bool, now: float) -> bool:
+        """Return whether to ask a peer that has newer state; if so, record the request.
+
+        :param known: the number that this host has.
         :param cut_off: this host can't get it from the store itself.
         """
-        if not behind:
-            self.behind_since = None
-            return False
-        if self.behind_since is None:
-            self.behind_since = now
-        waited = cut_off or now - self.behind_since >= FETCH_SECONDS
+        missing = self.lag.get_missing_seconds(known, now) or 0.0
+        waited = cut_off or missing >= FETCH_SECONDS
         if not waited or now - self.requested_at < self.min_interval:
             return False
         self.requested_at = now
@@ -152,8 +147,9 @@
         self._parts = parts
         self._must_read = must_read
         self._is_current = is_current
-        self._configuration = _Lag("configuration", CONFIGURATION_FETCH_SECONDS)
-        self._targets = _Lag("targets", FETCH_SECONDS)
+        self._lot = parts.source.random()
+        self._configuration = _Requests("configuration", CONFIGURATION_FETCH_SECONDS)
+        self._targets = _Requests("targets", FETCH_SECONDS)
         self._current_heard_at: float | None = None
         """When a current host, or the first host at all, was last heard."""
         self._compressed: ConfigurationContent | None = None
@@ -171,12 +167,11 @@
         """Request the state that a peer's digest shows to be newer than this host's."""
         parts = self._parts
         version, registry = parts.directory.version, parts.directory.registry
-        self._configuration.log_lag(sender, digest.version, version, now)
-        self._targets.log_lag(sender, digest.revision, registry.revision, now)
         idle = not self._must_read()
-        configuration_lost = parts.configuration.dependency.is_lost or idle
-        behind = digest.version > version
-        if self._configuration.should_request(behind, configuration_lost, now):
+        requests = self._configuration
+        requests.note_announced(sender, digest.version, version, digest.current, now)
+        lost = parts.configuration.dependency.is_lost or idle
+        if digest.version > version and requests.should_request(version, lost, now):
             parts.network.send(sender, FetchConfiguration(version))
             logger.info(
                 "configuration_asked",
@@ -184,13 +179,16 @@
                 version=digest.version,
                 known=version,
             )
-        targets_lost = parts.targets.dependency.is_lost or idle
         # Only current hosts answer with targets. A host that sent its request to
         # another one first, in each round, stayed behind for 10 s.
         accepts_any = self._accepts_any_sender(digest, now)
-        is_trusted = digest.current or accepts_any
-        behind = is_trusted and digest.revision > registry.revision
-        if targets_lost and self._targets.should_request(behind, targets_lost, now):
+        if not digest.current and not accepts_any:
+            return
+        requests, known = self._targets, self._get_targets_revision()
+        requests.note_announced(sender, digest.revision, known, digest.current, now)
+        lost = parts.targets.dependency.is_lost or idle
+        is_behind = digest.revision > registry.revision
+        if lost and is_behind and requests.should_request(known, lost, now):
             parts.network.send(sender, FetchTargets(registry.revision))
             logger.info(
                 "targets_asked",
@@ -199,6 +197,34 @@
                 known=registry.revision,
             )
 
+    def use_bounds(self, configuration_seconds: float, targets_seconds: float) -> None:
+        """Set the times within which new state must be in force."""
+        for requests, bound in (
+            (self._configuration, configuration_seconds),
+            (self._targets, targets_seconds),
+        ):
+            requests.lag.patience = choose_patience(bound, self._lot)
+
+    def note_own_reads(self, now: float) -> None:
+        """Record that this host reads the store, as far as the store answers."""
+        if not self._parts.configuration.dependency.is_lost:
+            self._configuration.lag.confirm(now)
+        if not self._parts.targets.dependency.is_lost:
+            self._targets.lag.confirm(now)
+
+    def must_read_configuration(self, now: float) -> bool:
+        """Return whether peers do not bring the configuration in time."""
+        return self._configuration.lag.must_read(self._parts.directory.version, now)
+
+    def must_read_targets(self, now: float) -> bool:
+        """Return whether peers do not bring the targets in time."""
+        return self._targets.lag.must_read(self._get_targets_revision(), now)
+
+    def _get_targets_revision(self) -> int:
+        """Return the revision up to which this host knows the targets."""
+        parts = self._parts
+        return max(parts.directory.registry.revision, parts.targets.revision)
+
     def _accepts_any_sender(self, digest: LoadDigest, now: float) -> bool:
         """Return whether targets may be fetched from a host that is not current.
 
--- a/marigoldswitch/gateway/store_reading.py
+++ b/marigoldswitch/gateway/store_reading.py
@@ -1,36 +1,69 @@
 """When this host reads the store itself instead of relying on its peers."""
 
 import asyncio
-from collections.abc import Callable
 
 import structlog
+from msgspec import Struct
+
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.gateway.roster import Roster
+from marigoldswitch.gateway.state_sync import StateSync
 
 logger = structlog.get_logger(__name__)
 
 
+class ReadSwitches(Struct, frozen=True):
+    """Set while this host reads a kind of state from the store."""
+
+    configuration: asyncio.Event
+    targets: asyncio.Event
+
+
 class StoreReading:
     """Starts and stops this host's reads of the store.
 
-    :param must_read: whether this host is one of the readers of its data centre.
-    :param reading: set while this host reads the store.
+    A host reads if it is one of the readers of its data centre, and also for as long as
+    its peers don't bring it what the store holds.
     """
 
-    def __init__(self, must_read: Callable[[], bool], reading: asyncio.Event) -> None:
-        self._must_read = must_read
-        self._reading = reading
+    def __init__(
+        self, clock: Clock, roster: Roster, sync: StateSync, switches: ReadSwitches
+    ) -> None:
+        self._clock = clock
+        self._roster = roster
+        self._sync = sync
+        self._switches = switches
 
     @property
     def is_active(self) -> bool:
-        """Return whether this host reads the store."""
-        return self._reading.is_set()
+        """Return whether this host reads anything from the store."""
+        return self._switches.configuration.is_set() or self._switches.targets.is_set()
 
     def update(self) -> None:
-        """Start or stop reading, as the hosts' roster requires."""
-        must_read = self._must_read()
-        if must_read == self._reading.is_set():
-            return
-        if must_read:
-            self._reading.set()
-        else:
-            self._reading.clear()
-        logger.info("store_reading_changed", reads=must_read)
+        """Start or stop the reads, as the hosts' roster and the lag require."""
+        now = self._clock.monotonic()
+        is_reader = self._roster.must_read()
+        if is_reader:
+            self._sync.note_own_reads(now)
+        for what, switch, is_left_behind in (
+            (
+                "configuration",
+                self._switches.configuration,
+                self._sync.must_read_configuration(now),
+            ),
+            ("targets", self._switches.targets, self._sync.must_read_targets(now)),
+        ):
+            must_read = is_reader or is_left_behind
+            if must_read == switch.is_set():
+                continue
+            if must_read:
+                switch.set()
+            else:
+                switch.clear()
+            logger.info(
+                "store_reading_changed",
+                what=what,
+                reads=must_read,
+                is_reader=is_reader,
+                left_behind=is_left_behind,
+            )
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -36,7 +36,7 @@
 from marigoldswitch.gateway.spread import DigestExchange
 from marigoldswitch.gateway.state_sync import DigestExchangeParts
 from marigoldswitch.gateway.statements import TargetStatements
-from marigoldswitch.gateway.store_reading import StoreReading
+from marigoldswitch.gateway.store_reading import ReadSwitches, StoreReading
 from marigoldswitch.gateway.upstream import Upstream
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peers import PeerNetwork
@@ -111,10 +111,12 @@
         MessageCodec(GatewayMessage),
         Pacer(settings.link_bytes, clock),
     )
-    reading = asyncio.Event()
+    switches = ReadSwitches(asyncio.Event(), asyncio.Event())
     waits = choose_waits(settings.touch_seconds, settings.leaving_seconds)
-    configuration = ConfigurationFollower(store, directory, source, reading, waits)
-    targets = TargetFollower(store, directory, clock, source, reading, waits)
+    configuration = ConfigurationFollower(
+        store, directory, source, switches.configuration, waits
+    )
+    targets = TargetFollower(store, directory, clock, source, switches.targets, waits)
     spread = DigestExchange(
         DigestExchangeParts(
             clock,
@@ -165,6 +167,6 @@
             orderer,
             store,
             (connections, session),
-            StoreReading(spread.roster.must_read, reading),
+            StoreReading(clock, spread.roster, spread.sync, switches),
         )
     )
--- a/marigoldswitch/platform/settings.py
+++ b/marigoldswitch/platform/settings.py
@@ -107,6 +107,7 @@
         _read_seconds(bounds, "contact_ms") or defaults.touch_seconds,
         _read_seconds(bounds, "drain_ms") or defaults.leaving_seconds,
         fields.get("bootstrap") is True,
+        _read_seconds(bounds, "config_apply_ms") or defaults.configuration_seconds,
     )
 
 
--- a/marigoldswitch/tests/fleet.py
+++ b/marigoldswitch/tests/fleet.py
@@ -49,7 +49,7 @@
             lambda: self.spread.roster.count_known_members(),
             source,
         )
-        feed = SimpleNamespace(dependency=SimpleNamespace(is_lost=False))
+        feed = SimpleNamespace(revision=0, dependency=SimpleNamespace(is_lost=False))
         self.spread = DigestExchange(
             SimpleNamespace(
                 clock=fleet.clock,
--- a/marigoldswitch/tests/test_crash_spread.py
+++ b/marigoldswitch/tests/test_crash_spread.py
@@ -54,7 +54,7 @@
             register=handlers.__setitem__,
             send=lambda host, message: self._send(own, host, message),
         )
-        feed = SimpleNamespace(dependency=SimpleNamespace(is_lost=False))
+        feed = SimpleNamespace(revision=0, dependency=SimpleNamespace(is_lost=False))
         directory = Directory()
         watch = CrashWatch(self._clock, directory, None)
         parts = SimpleNamespace(
--- a/marigoldswitch/tests/test_large_configuration.py
+++ b/marigoldswitch/tests/test_large_configuration.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import random
 from collections import Counter
 from types import SimpleNamespace
 
@@ -78,13 +79,14 @@
             register=lambda kind, handler: None,
             send=lambda to, message: self._send(host, to, message),
         )
-        feed = SimpleNamespace(dependency=SimpleNamespace(is_lost=False))
+        feed = SimpleNamespace(revision=0, dependency=SimpleNamespace(is_lost=False))
         parts = SimpleNamespace(
             clock=self.clock,
             network=network,
             directory=Directory(),
             configuration=feed,
             targets=feed,
+            source=random.Random(1),
             feeds=SimpleNamespace(
                 decode_configuration=lambda data: self._record_receipt(host, data)
             ),
--- a/marigoldswitch/tests/test_spread.py
+++ b/marigoldswitch/tests/test_spread.py
@@ -39,7 +39,7 @@
             register=lambda kind, handler: None,
             send=lambda host, message: self.sent.append((host, message)),
         )
-        feed = SimpleNamespace(dependency=SimpleNamespace(is_lost=False))
+        feed = SimpleNamespace(revision=0, dependency=SimpleNamespace(is_lost=False))
         limits = SendLimits(HOME, lambda: len(HOSTS), random.Random(1))
         self.directory = Directory(TargetStatements(limits))
         parts = SimpleNamespace(
--- a/marigoldswitch/tests/test_state_sync.py
+++ b/marigoldswitch/tests/test_state_sync.py
@@ -1,5 +1,6 @@
 """Transfer of targets and configurations between hosts."""
 
+import random
 import zlib
 from types import SimpleNamespace
 
@@ -33,13 +34,14 @@
         register=lambda kind, handler: None,
         send=lambda host, message: sent.append((host, message)),
     )
-    feed = SimpleNamespace(dependency=SimpleNamespace(is_lost=False))
+    feed = SimpleNamespace(revision=0, dependency=SimpleNamespace(is_lost=False))
     parts = SimpleNamespace(
         clock=clock,
         network=network,
         directory=Directory(),
         configuration=feed,
         targets=feed,
+        source=random.Random(1),
     )
     return StateSync(parts, must_read=lambda: False, is_current=lambda: current)
 
