Forget that a target's row was missing when the target is dropped

A host's exchange with its peers could end for good: a target that had lapsed after a restore of the store, was seen to restart and was not taken back, as another one is known at its address, stayed among the lapsed ones; expire() then raised KeyError, outside of what the loop guards, and the host sent no digest again. Each drop now forgets it. The test failed with KeyError: 'b' before.

--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -191,7 +191,6 @@
             self.put(row, now)
         for name in [name for name in self._rows if name not in names]:
             if is_authoritative:
-                self._lapsed.pop(name, None)
                 self._drop(name)
             else:
                 self.remove(name, now)
@@ -304,7 +303,6 @@
     def expire(self, now: float) -> None:
         """Drop the lapsed targets whose grace period has ended."""
         for name in [name for name, end in self._lapsed.items() if end <= now]:
-            del self._lapsed[name]
             self._drop(name)
 
     def note_layers(
@@ -355,11 +353,11 @@
         if old is None or old == row.target.id or old not in self._rows:
             return
         if self._rows[old].revision < row.revision:
-            self._lapsed.pop(old, None)
             self._drop(old)
 
     def _drop(self, name: TargetId) -> None:
         row = self._rows.pop(name)
+        self._lapsed.pop(name, None)
         if not row.born:
             self._stated_leaving.pop(name, None)
         self._dropped[name] = _DroppedTarget(row.born, row.leaving)
--- a/marigoldswitch/tests/test_store_restored.py
+++ b/marigoldswitch/tests/test_store_restored.py
@@ -7,7 +7,7 @@
 
 from marigoldswitch.core.catalogue import LayerRange, Target
 from marigoldswitch.core.gateway_messages import GatewayMessage, LoadDigest
-from marigoldswitch.core.ids import DataCentre
+from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.ports import StoreFault
 from marigoldswitch.core.registry import (
     RESTORE_GRACE_SECONDS,
@@ -386,3 +386,15 @@
             assert len(get_targets(site)) == 3
 
     run_scenario(scenario())
+
+
+def test_lapsed_target_that_restarts_at_a_taken_address_is_dropped_once():
+    registry = build_registry(
+        build_row("b", 1, 5, address="10.1.0.9:80"),
+        build_row("a", 1, 5, address="10.1.0.9:80"),
+    )
+    registry.replace_all([], make_revision(2, 50), 10.0)
+    registry.note_layers(TargetId("a"), None, born=2)
+    registry.note_layers(TargetId("b"), None, born=2)
+    registry.expire(10.0 + RESTORE_GRACE_SECONDS)
+    assert set(registry.rows) == {"a"}
