Replace connections to hosts on which nothing is acknowledged

Callers saw a host that never got a new configuration. A path that takes bytes and delivers none, or an other end that has forgotten the connection, left a connection between hosts that looked open: all messages on it were lost without notice, although a new connection would have worked. Where the other end took no bytes, the sender waited in drain() without a limit, and up to 10,000 messages queued behind it.

Cause: nothing was ever sent back on a connection, drain() had no time limit, and the sockets had neither TCP_USER_TIMEOUT nor keep-alive, so neither the process nor the kernel could tell. Ruled out as sufficient: the kernel's timeouts alone, as they see only whether the other kernel acknowledges.

The receiver returns the number of bytes that it has read, at most once per 0.5 s and also for parts of a frame, so that a large frame on a slow link counts as progress. The sender gives up a connection after 2 s without progress, at a second check 0.25 s later: a process that was suspended reads the acknowledgements that waited for it in between. The checks are timers that run only while bytes are unacknowledged. A blocked connection is aborted and what is queued behind it dropped. One whose bytes the system has already taken is closed instead, so that a receiver that was only slow, or is of an older version and never acknowledges, still gets them. Both kinds of sockets get the kernel's timeouts from one function. A reader that ends in ETIMEDOUT is no longer an unhandled exception. Connections to a cut or half-closed host are closed.

Evidence: on the code before, test_peer_hears_messages_again_after_its_connection_went_silent, test_silent_connection_is_noticed_without_further_messages_and_logged_once and test_receiver_that_stops_reading_hears_the_newest_message failed with TimeoutError after 20 s without the message; so did the tests of the log lines, of a receiver of an older version (they wait for the new counts) and of the socket options. The large frame on a slow link arrived before and after. All pass now.

--- a/marigoldswitch/gateway/connections.py
+++ b/marigoldswitch/gateway/connections.py
@@ -13,6 +13,8 @@
 from msgspec import Struct
 from multidict import CIMultiDictProxy
 
+from marigoldswitch.sockets import set_silence_timeouts
+
 CONNECT_TIMEOUT = 0.25
 """Longest time to connect: a working link takes milliseconds, and a target that is cut
 off or without power never answers."""
@@ -27,9 +29,6 @@
 """Connections that a target must accept per host for idle ones to be kept: about two in
 use at a time and two idle. Otherwise many hosts would fill a small target, which resets
 the connections beyond its limit together with the requests on them."""
-TCP_USER_TIMEOUT_MS = 2_000
-"""Time after which a connection with unacknowledged data is closed: a target behind a
-network partition sends no reset."""
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that aiohttp would add although the caller has not sent them."""
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
@@ -44,11 +43,7 @@
     created = socket.socket(family, kind, protocol)  # type: ignore[arg-type]
     created.setblocking(False)
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    created.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2)
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    created.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    set_silence_timeouts(created)
     return created
 
 
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -109,6 +109,7 @@
         lambda host: host,
         MessageCodec(GatewayMessage),
         Pacer(settings.link_bytes, clock),
+        clock,
     )
     reading = asyncio.Event()
     waits = choose_waits(settings.touch_seconds, settings.leaving_seconds)
