--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -110,6 +110,7 @@
         lambda host: host,
         MessageCodec(GatewayMessage),
         Pacer(settings.link_bytes, clock),
+        clock,
     )
     switches = ReadSwitches(asyncio.Event(), asyncio.Event())
     waits = choose_waits(settings.touch_seconds, settings.leaving_seconds)
