Don't hold back digests behind a copy that waits for its turn on the link

Hosts would take the relay for lost, and with the limit on the time without a current peer read the store, most of a data centre at once. The test heard the digest last before, second now.

--- a/marigoldswitch/tests/test_peers.py
+++ b/marigoldswitch/tests/test_peers.py
@@ -7,8 +7,10 @@
 import pytest
 from structlog.testing import capture_logs
 
+from marigoldswitch.clocks import SystemClock
 from marigoldswitch.core.ids import HostId
 from marigoldswitch.core.messages import BundleContent, FetchBundle, Message
+from marigoldswitch.core.pacing import Pacer
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.standins.deployment import LOOPBACK
 from marigoldswitch.tests.helpers import run_async, wait_until
@@ -18,6 +20,9 @@
 PIECE_BYTES = 4096
 SLOW_PIECE_SECONDS = 0.05
 SEND_PERIOD_SECONDS = 0.02
+LINK_BYTES = 10_000.0
+COPY = b"x" * 8_000
+"""A large part of what the link carries in a second."""
 
 
 class Mode(Enum):
@@ -90,12 +95,14 @@
 class Pair:
     """A sender and a receiver with a path between them."""
 
-    def __init__(self, mode=Mode.DELIVERS):
+    def __init__(self, mode=Mode.DELIVERS, pacer=None):
         self.path = Path(mode)
         self.heard = []
         self.address = ""
         codec = MessageCodec(Message)
-        self.sender = PeerNetwork(HERE, ["secret"], lambda host: self.address, codec)
+        self.sender = PeerNetwork(
+            HERE, ["secret"], lambda host: self.address, codec, pacer
+        )
         self.receiver = PeerNetwork(THERE, ["secret"], lambda host: None, codec)
         for kind in (FetchBundle, BundleContent):
             self.receiver.register(kind, lambda _, message: self.heard.append(message))
@@ -263,3 +270,17 @@
         return found
 
     assert run_async(scenario()) == [1, 2000, 2]
+
+
+def test_small_messages_do_not_wait_behind_a_paced_copy():
+    async def scenario():
+        pacer = Pacer(LINK_BYTES, SystemClock())
+        async with Pair(pacer=pacer) as pair:
+            copies = [BundleContent(version, b"", COPY) for version in (1, 2)]
+            for copy in copies:
+                pair.sender.send(THERE, copy)
+            pair.sender.send(THERE, FetchBundle(3))
+            await wait_until(lambda: len(pair.heard) == 3)
+            assert pair.heard == [copies[0], FetchBundle(3), copies[1]]
+
+    run_async(scenario())
