--- a/marigoldswitch/tests/test_peers.py
+++ b/marigoldswitch/tests/test_peers.py
@@ -284,3 +284,42 @@
             assert pair.heard == [copies[0], FetchBundle(3), copies[1]]
 
     run_async(scenario())
+
+
+def test_handler_that_fails_loses_its_own_message_only():
+    heard = []
+
+    def handle(_, message):
+        if message.above == 1:
+            raise ValueError("not expected")
+        heard.append(message.above)
+
+    async def scenario():
+        codec = MessageCodec(Message)
+        receiver = PeerNetwork(THERE, ["secret"], lambda host: None, codec)
+        receiver.register(FetchBundle, handle)
+        port = await receiver.start(LOOPBACK, 0)
+        sender = PeerNetwork(HERE, ["secret"], lambda host: f"{LOOPBACK}:{port}", codec)
+        for version in (1, 2, 3):
+            sender.send(THERE, FetchBundle(version))
+        await wait_until(lambda: len(heard) == 2)
+        await sender.stop()
+        await receiver.stop()
+        return receiver.counts["failed"]
+
+    assert run_async(scenario()) == 1
+    assert heard == [2, 3]
+
+
+def test_malformed_address_of_a_peer_counts_as_unreachable():
+    async def scenario():
+        address = "no-port"
+        network = PeerNetwork(
+            HERE, ["secret"], lambda host: address, MessageCodec(Message)
+        )
+        while network.counts["unreachable"] < 2:
+            network.send(THERE, FetchBundle(1))
+            await asyncio.sleep(SEND_PERIOD_SECONDS)
+        await network.stop()
+
+    run_async(scenario())
