Let tests of log lines not depend on the log level of earlier tests

Three tests of test_peers.py failed in a run of the whole suite, as an earlier test had raised the log level. The fixture of test_fingerprints.py that captures all lines moves to conftest.py, unchanged, and is used.

--- a/marigoldswitch/tests/conftest.py
+++ b/marigoldswitch/tests/conftest.py
@@ -1,10 +1,12 @@
-"""Configuration of all tests: deterministic hypothesis examples, known failures."""
+"""Configuration of all tests: hypothesis profile, known failures, captured logs."""
 
 import re
 from pathlib import Path
 
 import pytest
+import structlog
 from hypothesis import settings
+from structlog.testing import capture_logs
 
 settings.register_profile("ci", derandomize=True, deadline=None, max_examples=60)
 settings.load_profile("ci")
@@ -20,3 +22,13 @@
         name = f"{item.path.name}::{item.name.partition('[')[0]}"
         if name in red:
             item.add_marker(pytest.mark.xfail(reason="listed in KNOWN-RED.txt"))
+
+
+@pytest.fixture
+def log_lines():
+    """Capture all log lines, whatever level an earlier test has configured."""
+    config = structlog.get_config()
+    structlog.reset_defaults()
+    with capture_logs() as lines:
+        yield lines
+    structlog.configure(**config)
--- a/marigoldswitch/tests/test_fingerprints.py
+++ b/marigoldswitch/tests/test_fingerprints.py
@@ -4,8 +4,6 @@
 
 import aiohttp
 import pytest
-import structlog
-from structlog.testing import capture_logs
 
 from marigoldswitch.core.fingerprints import fingerprint_request
 from marigoldswitch.tests.gateway_site import run_scenario, run_site
@@ -33,16 +31,6 @@
     )
 
 
-@pytest.fixture
-def log_lines():
-    """Capture all log lines, whatever level an earlier test has configured."""
-    config = structlog.get_config()
-    structlog.reset_defaults()
-    with capture_logs() as lines:
-        yield lines
-    structlog.configure(**config)
-
-
 def test_lost_run_is_logged_with_fingerprint_and_retry_counts(log_lines):
     async def scenario():
         async with run_site(hosts=1) as site:
--- a/marigoldswitch/tests/test_peers.py
+++ b/marigoldswitch/tests/test_peers.py
@@ -5,7 +5,6 @@
 from enum import Enum
 
 import pytest
-from structlog.testing import capture_logs
 
 from marigoldswitch.clocks import SystemClock
 from marigoldswitch.core.ids import HostId
@@ -135,7 +134,9 @@
     run_async(scenario())
 
 
-def test_silent_connection_is_noticed_without_further_messages_and_logged_once():
+def test_silent_connection_is_noticed_without_further_messages(
+    log_lines,
+):
     async def scenario():
         async with Pair() as pair:
             await pair.exchange(1)
@@ -143,11 +144,10 @@
             pair.sender.send(THERE, FetchBundle(2))
             await wait_until(lambda: pair.sender.counts["connections_lost"] == 1)
             await pair.exchange(3)
-            await wait_until(lambda: lines[-1]["event"] == "peer_connection_back")
+            await wait_until(lambda: log_lines[-1]["event"] == "peer_connection_back")
 
-    with capture_logs() as lines:
-        run_async(scenario())
-    lost, back = lines
+    run_async(scenario())
+    lost, back = log_lines
     assert (lost["event"], lost["peer"]) == ("peer_connection_lost", THERE)
     assert lost["why"] == "no acknowledgement"
     assert lost["unacknowledged_bytes"] > 0
@@ -180,7 +180,7 @@
     assert run_async(scenario()) == (0, 1)
 
 
-def test_receiver_of_an_older_version_hears_every_message():
+def test_receiver_of_an_older_version_hears_every_message(log_lines):
     received = []
 
     async def collect(reader, writer):
@@ -207,13 +207,12 @@
         server.close()
         return counts
 
-    with capture_logs() as lines:
-        counts = run_async(scenario())
+    counts = run_async(scenario())
     assert counts["dropped"] == 0
-    assert [line["event"] for line in lines] == ["peer_connection_lost"]
+    assert [line["event"] for line in log_lines] == ["peer_connection_lost"]
 
 
-def test_unreachable_peer_is_logged_once():
+def test_unreachable_peer_is_logged_once(log_lines):
     async def scenario():
         with socket.socket() as unused:
             unused.bind((LOOPBACK, 0))
@@ -226,9 +225,8 @@
                 await asyncio.sleep(SEND_PERIOD_SECONDS)
             await network.stop()
 
-    with capture_logs() as lines:
-        run_async(scenario())
-    assert [(line["event"], line["why"]) for line in lines] == [
+    run_async(scenario())
+    assert [(line["event"], line["why"]) for line in log_lines] == [
         ("peer_connection_lost", "connect")
     ]
 
