Go on reading the store after an answer that can't be read

Callers met a host that served an old configuration and old targets for good: new targets got no requests, leaving ones still did. The host went on to say in its digests that it reads the store, so that no peer took its place.

The followers of the feeds ended by an unexpected exception: an answer with status 200 whose body is a list or lacks "row_version" or "rows", a row without a value or with base64 that doesn't decode. Nobody reads the exceptions of a host's background tasks. The watch of the settings file ended in the same way by a value of a wrong type. A lost connection, a refusal and a body that is no JSON were ruled out: they were errors as values already.

Followers note an unexpected error as a failed read, log it, pause and go on; a revision counts as read only once its changes are applied. Other background tasks of a host are logged and started again. Settings of a wrong type are refused.

Two tests cut a host off through a private attribute that has moved; they set it at its new place.

--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -137,7 +137,11 @@
         """Follow the feed until cancelled."""
         while True:
             await self._reading.wait()
-            await self.poll_once()
+            try:
+                await self.poll_once()
+            except Exception:
+                logger.exception("follower_failed", what="configuration feed")
+                await self._pause_after("error")
 
     async def poll_once(self) -> None:
         """Wait for a newer configuration once, and put it in force."""
@@ -146,10 +150,11 @@
         )
         match read:
             case Ok((stored, revision)):
+                if stored is not None:
+                    self._directory.adopt(stored, "store")
                 self.dependency.note_success()
                 self._revision = max(revision, self._revision)
                 if stored is not None:
-                    self._directory.adopt(stored, "store")
                     # Each read returns the whole configuration. Without a pause, a
                     # series of changes would fill a small host's link for seconds.
                     await asyncio.sleep(self.waits.pause)
@@ -157,11 +162,13 @@
                 logger.info("history_gone", what="configuration feed")
                 self._revision = 0
             case Err(fault):
-                self.dependency.note_failure(fault.value)
-                backoff_factor = self.get_backoff_factor()
-                await asyncio.sleep(
-                    self.dependency.choose_pause(self._source, backoff_factor)
-                )
+                await self._pause_after(fault.value)
+
+    async def _pause_after(self, why: str) -> None:
+        """Record that a read failed, and wait until the next one."""
+        self.dependency.note_failure(why)
+        backoff_factor = self.get_backoff_factor()
+        await asyncio.sleep(self.dependency.choose_pause(self._source, backoff_factor))
 
 
 class TargetFollower:
@@ -199,7 +206,11 @@
         """Follow the feed until cancelled."""
         while True:
             await self._reading.wait()
-            await self.poll_once()
+            try:
+                await self.poll_once()
+            except Exception:
+                logger.exception("follower_failed", what="targets feed")
+                self.dependency.note_failure("error")
             await asyncio.sleep(self._choose_pause())
 
     async def poll_once(self) -> None:
@@ -209,10 +220,10 @@
         registry = self._directory.registry
         match read:
             case Ok(changes):
+                apply_changes(self._directory, changes, now)
                 self.dependency.note_success()
                 self._answered_at = now
                 self._revision = changes.revision
-                apply_changes(self._directory, changes, now)
             case Err(FeedFault.HISTORY_GONE):
                 logger.info("history_gone", what="targets feed")
                 self._revision = 0
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -1,7 +1,8 @@
 """Runs one gateway host: listeners and background tasks, from start to shutdown."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any, Protocol
 
 import structlog
@@ -54,6 +55,8 @@
 REREGISTER_SPREAD_SECONDS = 3.0
 """Seconds over which hosts rewrite their rows after the store was restored, so that
 they don't all call it at once."""
+RESTART_SECONDS = 1.0
+"""Pause before a background task that an error has ended is started again."""
 METRICS_PATH = "/metrics"
 
 
@@ -120,11 +123,11 @@
         for seed in parts.settings.seeds:
             parts.spread.add_peer(HostRecord(seed, ""))
         parts.spread.announce()
-        self._spawn(parts.configuration.run())
-        self._spawn(parts.targets.run())
-        self._spawn(self._run_spread())
-        self._spawn(self._register())
-        self._spawn(parts.orderer.run())
+        self._spawn(parts.configuration.run)
+        self._spawn(parts.targets.run)
+        self._spawn(self._run_spread)
+        self._spawn(self._register)
+        self._spawn(parts.orderer.run)
         logger.info(
             "host_started",
             data_centre=parts.settings.identity.data_centre,
@@ -240,9 +243,9 @@
             try:
                 self.parts.spread.tick()
                 self.parts.runs.probes.recheck_dead()
+                self._update_store_reading()
             except Exception:
                 logger.exception("spread_failed")
-            self._update_store_reading()
             await asyncio.sleep(self.parts.spread.tick_seconds)
 
     def _update_store_reading(self) -> None:
@@ -282,7 +285,7 @@
         """Schedule a rewrite of this host's row, which the store may have lost."""
         self.parts.metrics.store_returns.inc({})
         delay = self.parts.runs.source.uniform(0.0, REREGISTER_SPREAD_SECONDS)
-        self._spawn(self._register_again(delay))
+        self._spawn(partial(self._register_again, delay))
 
     async def _register_again(self, delay: float) -> None:
         await asyncio.sleep(delay)
@@ -311,8 +314,20 @@
             delay = self.parts.runs.source.uniform(0.0, REROUTE_SPREAD_SECONDS)
             loop.call_later(delay, run.chain_monitor.request_check)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self._tasks.append(asyncio.create_task(work))
+    def _spawn(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        self._tasks.append(asyncio.create_task(run_despite_errors(work)))
+
+
+async def run_despite_errors(work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a background task, and start it again if an error has ended it."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            logger.exception("task_failed", task=str(work))
+            await asyncio.sleep(RESTART_SECONDS)
+        else:
+            return
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/marigoldswitch/platform/daemon.py
+++ b/marigoldswitch/platform/daemon.py
@@ -88,7 +88,10 @@
         while True:
             await asyncio.sleep(SETTINGS_POLL_SECONDS)
             if self._read_file_state() != self._last_state:
-                self.reload()
+                try:
+                    self.reload()
+                except Exception:
+                    logger.exception("reload_failed", path=str(self._path))
 
     def reload(self) -> None:
         """Read and apply the file; an invalid one leaves the settings unchanged."""
--- a/marigoldswitch/platform/settings.py
+++ b/marigoldswitch/platform/settings.py
@@ -29,7 +29,11 @@
     faults = list_faults(fields)
     if faults:
         return Err("\n".join(f"{path}: {fault}" for fault in faults))
-    return Ok((_build_settings(fields), str(fields["platform"]["address"])))
+    try:
+        settings = _build_settings(fields)
+    except (ValueError, TypeError, AttributeError, ArithmeticError) as error:
+        return Err(f"{path}: {type(error).__name__}: {error}")
+    return Ok((settings, str(fields["platform"]["address"])))
 
 
 def list_faults(fields: Any) -> list[str]:
@@ -44,7 +48,11 @@
     faults += _list_address_faults(fields, "listen", ("frontend", "ready"))
     faults += _list_address_faults(fields, "platform", ("address",))
     ports = fields.get("port_range")
-    if not isinstance(ports, list) or not all(isinstance(item, int) for item in ports):
+    if (
+        not isinstance(ports, list)
+        or not ports
+        or not all(type(item) is int for item in ports)
+    ):
         faults.append(f"port_range: must be two ports, is {ports!r}")
     return faults
 
@@ -70,10 +78,17 @@
 
 
 def _build_settings(fields: dict[str, Any]) -> HostSettings:
+    """Build the settings from fields whose required ones are valid.
+
+    :raises ValueError: if an optional field is invalid; also ``TypeError``,
+        ``AttributeError`` and ``ArithmeticError``.
+    """
     listen = fields["listen"]
     peer_address = (
         listen.get("control_plane") or f"{fields['ip']}:{fields['port_range'][0]}"
     )
+    if not _is_address(peer_address):
+        raise ValueError(f"listen.control_plane is {peer_address!r}")
     bounds = fields.get("bounds") or {}
     budget_window = float(bounds.get("budget_window_s") or 10.0)
     link_bytes = _read_link_bytes(fields)
--- a/marigoldswitch/standins/platform_store.py
+++ b/marigoldswitch/standins/platform_store.py
@@ -26,6 +26,7 @@
     :ivar refuse: HTTP status with which every call is refused, if any.
     :ivar silent: calls get no answer.
     :ivar lose_write_answers: writes take effect but get no answer.
+    :ivar bodies: bodies of the answers to calls that are not carried out, by path.
     :ivar calls: paths of all calls received.
     :ivar era: value of the ``Store-Era`` header; ``None`` for a store without eras.
     """
@@ -35,6 +36,7 @@
         self.refuse: int | None = None
         self.silent = False
         self.lose_write_answers = False
+        self.bodies: dict[str, bytes] = {}
         self.calls: list[str] = []
         self.era: int | None = 1
         self._snapshot: _Snapshot | None = None
@@ -146,6 +148,8 @@
             await asyncio.sleep(3600)
         if self.refuse is not None:
             return web.Response(status=self.refuse)
+        if http.path in self.bodies:
+            return web.Response(body=self.bodies[http.path])
         return None
 
     async def _transact(self, http: web.Request) -> web.Response:
--- a/marigoldswitch/tests/helpers.py
+++ b/marigoldswitch/tests/helpers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any
 
 import aiohttp
+import structlog
+from structlog.testing import capture_logs
 
 from marigoldswitch.core.catalogue import (
     LayerRange,
@@ -109,3 +111,15 @@
     async with asyncio.timeout(seconds):
         while not condition():
             await asyncio.sleep(0.005)
+
+
+@contextmanager
+def capture_all_logs():
+    """Yield the list of lines logged at any level, whatever other tests configured."""
+    before = structlog.get_config()
+    structlog.reset_defaults()
+    try:
+        with capture_logs() as lines:
+            yield lines
+    finally:
+        structlog.configure(**before)
--- a/marigoldswitch/tests/test_gateway.py
+++ b/marigoldswitch/tests/test_gateway.py
@@ -195,7 +195,7 @@
             )
             isolated = site.hosts[0].parts
             # Nothing listens on this port: connections are refused at once.
-            isolated.configuration._feeds._base = "http://127.0.0.1:9"
+            isolated.configuration._feeds._calls._base = "http://127.0.0.1:9"
             site.store.put("op", "config", build_configuration(6))
             site.register_target(site.desks[0], "desk", "north", phase="draining")
             await site.wait_until(lambda: isolated.runs.directory.version == 6)
@@ -447,7 +447,7 @@
             north = await list_north_hosts(site)
             for item in north:
                 if item.spread.roster.must_read():
-                    item.configuration._feeds._base = "http://127.0.0.1:9"
+                    item.configuration._feeds._calls._base = "http://127.0.0.1:9"
             idle = next(item for item in north if not item.spread.roster.must_read())
             await site.wait_until(idle.spread.roster.must_read)
             site.store.put("op", "config", build_configuration(9))
--- a/marigoldswitch/tests/test_platform_daemon.py
+++ b/marigoldswitch/tests/test_platform_daemon.py
@@ -52,6 +52,31 @@
     assert len(applied) == 1
 
 
+def test_file_is_watched_on_after_an_error(tmp_path, monkeypatch):
+    monkeypatch.setattr("marigoldswitch.platform.daemon.SETTINGS_POLL_SECONDS", 0.0)
+    path = write(tmp_path, FIELDS)
+    reloader, applied = build_reloader(path)
+
+    def refuse(settings):
+        applied.append(settings)
+        if len(applied) == 1:
+            raise RuntimeError("no such bound")
+
+    reloader._host.apply_settings = refuse
+
+    async def scenario():
+        watch = asyncio.create_task(reloader.watch())
+        for number in (1, 2):
+            os.utime(path, ns=(number, number))
+            while len(applied) < number and not watch.done():
+                await asyncio.sleep(0)
+        assert not watch.done()
+        watch.cancel()
+
+    run_async(scenario())
+    assert len(applied) == 2
+
+
 def test_host_uses_new_bounds_and_keeps_its_addresses(tmp_path):
     changed = {**FIELDS, "bounds": {"grace_s": 5, "retry_allowance": 50}}
     fresh, _ = read_settings(write(tmp_path, changed)).unwrap()
--- a/marigoldswitch/tests/test_platform_settings.py
+++ b/marigoldswitch/tests/test_platform_settings.py
@@ -77,3 +77,22 @@
         fields = {**FIELDS, "bootstrap": bootstrap}
         settings, _ = read_settings(write(tmp_path, fields)).unwrap()
         assert settings.is_first_start == (bootstrap is True)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"bounds": {"grace_s": "soon"}},
+        {"bounds": {"grace_s": [9]}},
+        {"bounds": [9]},
+        {"bounds": {"retry_allowance": {}}},
+        {"bounds": {"retry_allowance": 200, "budget_window_s": "ten"}},
+        {"bounds": {"retry_budget_ratio": None}},
+        {"seeds": 7},
+        {"port_range": []},
+        {"port_range": [7340, True]},
+        {"listen": {**FIELDS["listen"], "control_plane": 8229}},
+    ],
+)
+def test_settings_of_a_wrong_type_are_refused(tmp_path, changes):
+    assert isinstance(read_settings(write(tmp_path, {**FIELDS, **changes})), Err)
