Take up late answers of a slow store instead of asking anew for ever

Callers met a host that never became ready, or one that kept its old configuration and sent requests to leaving targets, although the store answered each of its reads. With a store that takes 0.7 s for a read of a whole table, each read was given up after 0.6 s and begun anew, without end; a large table, a slow link or many hosts that read at once are enough. A feed without news, delayed by as much, was given up each time as well: no change was lost, but the host counted as one without a store.

A longer limit was ruled out: a read lost in an outage would then hold up the next one, and a host must be up to date soon after the store's return. So was a limit that grows.

A read without an answer in time still counts as failed, but goes on. The next try starts another one and takes whichever answer comes first, or takes up the late answer without a call if it has come by then. Two reads are kept for each table, the first and the last: the first alone would hold up a slow store's answer after an outage in which it was lost. Pages count as signs of life. Answers that come late may be older than what peers have brought meanwhile; such changes are not applied, and the feed goes on from their revision. Calls in an outage are as many as before. The log says once that reads are silent, and once that answers come late.

--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -201,6 +201,8 @@
         self._clock = clock
         self._source = source
         self._revision = 0
+        self._applied_revision = 0
+        """Revision of the registry that the store's answers have led to."""
 
     async def run(self) -> None:
         """Follow the feed until cancelled."""
@@ -220,13 +222,17 @@
         registry = self._directory.registry
         match read:
             case Ok(changes):
-                apply_changes(self._directory, changes, now)
+                # A late answer may be older than what peers have brought meanwhile.
+                if max(changes.revision, self._applied_revision) >= registry.revision:
+                    apply_changes(self._directory, changes, now)
+                    self._applied_revision = registry.revision
                 self.dependency.note_success()
                 self._answered_at = now
                 self._revision = changes.revision
             case Err(FeedFault.HISTORY_GONE):
                 logger.info("history_gone", what="targets feed")
                 self._revision = 0
+                self._applied_revision = registry.revision
             case Err(fault):
                 registry.note_outage(now)
                 self.dependency.note_failure(fault.value)
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -163,7 +163,7 @@
             targets,
             orderer,
             store,
-            (connections, session),
+            (store, connections, session),
             reading,
         )
     )
--- a/marigoldswitch/platform/store.py
+++ b/marigoldswitch/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's store: change feeds, single rows, and the hosts' rows."""
 
 import base64
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import aiohttp
@@ -21,6 +21,7 @@
 )
 from marigoldswitch.platform.configuration import decode_configuration, decode_target
 from marigoldswitch.platform.store_calls import (
+    CALL_TIMEOUT_SECONDS,
     HTTP_GONE,
     HTTP_OK,
     HTTP_PRECONDITION_FAILED,
@@ -28,11 +29,17 @@
     StoreCalls,
     StoredRow,
 )
+from marigoldswitch.platform.store_reads import (
+    KEPT_READ_SECONDS,
+    PatientReads,
+    ReadResult,
+    RowsRead,
+)
 
 logger = structlog.get_logger(__name__)
 
 FEED_SLACK_SECONDS = 0.5
-"""Time that a call to a feed may take beyond the wait that it asks for."""
+"""Time that a read of a feed may take beyond the wait that it asks for."""
 PAGE_ROWS = 500
 """Rows per page, the most that the store returns."""
 OPERATOR_TABLE = "op"
@@ -53,9 +60,14 @@
 
     def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
         self._calls = StoreCalls(session, address)
+        self._reads = PatientReads()
         self._unreadable_row: StoredRow | None = None
         """The last configuration that could not be read; logged once."""
 
+    async def close(self) -> None:
+        """Cancel the reads under way."""
+        await self._reads.close()
+
     # Feeds.
 
     async def wait_configuration(
@@ -72,7 +84,7 @@
             answer = await self._read_feed(OPERATOR_TABLE, revision, seconds)
         if isinstance(answer, Err):
             return answer
-        rows, newest = answer.ok_value
+        rows, newest = answer.ok_value.rows, answer.ok_value.revision
         for row in reversed(rows):
             if row.key != CONFIGURATION_KEY or row.is_deleted:
                 continue
@@ -104,7 +116,7 @@
             answer = await self._read_feed(TARGETS_TABLE, revision, seconds)
         if isinstance(answer, Err):
             return answer
-        rows, newest = answer.ok_value
+        rows, newest = answer.ok_value.rows, answer.ok_value.revision
         latest = {row.key: row for row in rows}
         targets, removed = [], []
         for key, row in latest.items():
@@ -177,7 +189,7 @@
         if isinstance(answer, Err):
             return Err(StoreFault.UNAVAILABLE)
         records = []
-        for row in answer.ok_value[0]:
+        for row in answer.ok_value.rows:
             try:
                 if row.value is None:
                     raise ValueError(row.fault)
@@ -188,45 +200,66 @@
 
     # Calls.
 
-    async def _get_rows(
-        self, table: str
-    ) -> Result[tuple[list[StoredRow], int], FeedFault]:
-        """Return all rows of a table and the revision up to which they are complete."""
-        rows: list[StoredRow] = []
+    async def _get_rows(self, table: str) -> ReadResult:
+        """Return all rows of a table."""
+
+        async def work(note_progress: Callable[[], None]) -> ReadResult:
+            return await self._get_pages(table, note_progress)
+
+        return await self._reads.read(table, 0, work, CALL_TIMEOUT_SECONDS)
+
+    async def _get_pages(
+        self, table: str, note_progress: Callable[[], None]
+    ) -> ReadResult:
+        """Return all rows of a table, read page by page."""
+        rows: tuple[StoredRow, ...] = ()
         revision = 0
         first_key = ""
         while True:
             query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
             if first_key:
                 query["from"] = first_key
-            answer = await self._calls.get("/rows-get", query)
+            answer = await self._calls.get("/rows-get", query, KEPT_READ_SECONDS)
             if isinstance(answer, Err):
                 return Err(_classify_fault(answer.err_value))
             page = answer.ok_value
             if page.status != HTTP_OK:
                 return Err(FeedFault.UNAVAILABLE)
+            note_progress()
             # That of the first page: the feed brings all changes made since then.
             revision = revision or page.revision
             if page.is_restored_since(revision):
                 return Err(FeedFault.HISTORY_GONE)
             rows += page.rows
             if not page.has_more:
-                return Ok((rows, revision))
+                return Ok(RowsRead(rows, revision))
             if not page.rows or page.rows[-1].key < first_key:
                 logger.error("page_unreadable", table=table, first_key=first_key)
                 return Err(FeedFault.MALFORMED)
             first_key = page.rows[-1].key + "\0"
 
-    async def _read_feed(
+    async def _read_feed(self, table: str, revision: int, seconds: float) -> ReadResult:
+        """Return the rows changed after a revision."""
+
+        async def work(_: Callable[[], None]) -> ReadResult:
+            return await self._get_changes(table, revision, seconds)
+
+        timeout = seconds + FEED_SLACK_SECONDS
+        return await self._reads.read(table, revision, work, timeout)
+
+    async def _get_changes(
         self, table: str, revision: int, seconds: float
-    ) -> Result[tuple[list[StoredRow], int], FeedFault]:
-        """Return the rows changed after a revision, and the newest revision."""
+    ) -> ReadResult:
+        """Return the rows changed after a revision, waiting for some if there are none.
+
+        :param seconds: longest time to wait.
+        """
         query = {
             "table": table,
             "since_rev": str(get_version(revision)),
             "wait_ms": str(int(seconds * 1000)),
         }
-        timeout = seconds + FEED_SLACK_SECONDS
+        timeout = seconds + KEPT_READ_SECONDS
         answer = await self._calls.get("/rows-feed", query, timeout)
         if isinstance(answer, Err):
             return Err(_classify_fault(answer.err_value))
@@ -239,7 +272,7 @@
             # The restored store has reached the requested version again. Changes made
             # on the way there are missing from this answer.
             return Err(FeedFault.HISTORY_GONE)
-        return Ok((list(response.rows), response.revision))
+        return Ok(RowsRead(response.rows, response.revision))
 
     async def _transact(
         self,
--- a/marigoldswitch/standins/platform_store.py
+++ b/marigoldswitch/standins/platform_store.py
@@ -26,6 +26,7 @@
     :ivar refuse: HTTP status with which every call is refused, if any.
     :ivar silent: calls get no answer.
     :ivar lose_write_answers: writes take effect but get no answer.
+    :ivar delays: seconds by which answers are late, by path.
     :ivar bodies: bodies of the answers to calls that are not carried out, by path.
     :ivar calls: paths of all calls received.
     :ivar era: value of the ``Store-Era`` header; ``None`` for a store without eras.
@@ -36,6 +37,7 @@
         self.refuse: int | None = None
         self.silent = False
         self.lose_write_answers = False
+        self.delays: dict[str, float] = {}
         self.bodies: dict[str, bytes] = {}
         self.calls: list[str] = []
         self.era: int | None = 1
@@ -51,6 +53,7 @@
         """Listen on a port chosen by the kernel."""
         application = web.Application()
         application.on_response_prepare.append(self._add_era_header)
+        application.on_response_prepare.append(self._delay)
         application.router.add_post("/rows-tx", self._transact)
         application.router.add_get("/rows-get", self._get)
         application.router.add_get("/rows-feed", self._feed)
@@ -110,6 +113,9 @@
         if self.era is not None:
             answer.headers["Store-Era"] = str(self.era)
 
+    async def _delay(self, http: web.Request, answer: web.StreamResponse) -> None:
+        await asyncio.sleep(self.delays.get(http.path, 0.0))
+
     def _write(self, table: str, part: str, key: str, value: str) -> None:
         self._version += 1
         row = {
--- a/marigoldswitch/tests/test_followers.py
+++ b/marigoldswitch/tests/test_followers.py
@@ -7,6 +7,7 @@
 import pytest
 from result import Err, Ok
 
+from marigoldswitch.core.revisions import make_revision
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.followers import (
     RETRY_SECONDS,
@@ -50,8 +51,9 @@
         return await self.read(revision, seconds, (STORED, 1), (None, 1))
 
     async def wait_targets(self, revision, seconds):
-        news = TargetChanges([build_row("a", 1, 1)], [], 1, True)
-        return await self.read(revision, seconds, news, TargetChanges([], [], 1))
+        newest = make_revision(1, 1)
+        news = TargetChanges([build_row("a", 1, 1)], [], newest, True)
+        return await self.read(revision, seconds, news, TargetChanges([], [], newest))
 
 
 def raise_error():
@@ -164,3 +166,74 @@
             await site.wait_until(lambda: host.runs.directory.version == 4)
 
     run_scenario(scenario())
+
+
+class ScriptedTargets:
+    """A feed of targets that brings the next of some answers at each read."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    async def wait_targets(self, revision, seconds):
+        return self.answers.pop(0)
+
+
+def poll_all(feeds, directory, before_last):
+    """Poll a follower until its feed has no more answers."""
+
+    async def play(clock):
+        follower = build_target_follower(feeds, directory, clock, asyncio.Event())
+        while feeds.answers:
+            if len(feeds.answers) == 1:
+                before_last()
+            await follower.poll_once()
+        return follower
+
+    return run_virtually(play)
+
+
+def list_changes(version, names, removed=(), is_whole=False):
+    rows = [build_row(name, 1, version) for name in names]
+    return Ok(TargetChanges(rows, removed, make_revision(1, version), is_whole))
+
+
+def take_from_peer(directory, version, names):
+    rows = [build_row(name, 1, version) for name in names]
+    directory.registry.replace_all(
+        rows, make_revision(1, version), 0.0, is_authoritative=True
+    )
+
+
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_late_answer_does_not_undo_what_peers_have_brought_meanwhile(is_whole):
+    directory = Directory()
+    late = list_changes(5, ["gone", "old"], ["new"], is_whole)
+    feeds = ScriptedTargets(list_changes(3, ["gone"], [], True), late)
+    follower = poll_all(
+        feeds, directory, lambda: take_from_peer(directory, 8, ["old", "new"])
+    )
+    assert set(directory.registry.targets) == {"old", "new"}
+    assert not follower.dependency.is_lost
+    feeds.answers.append(list_changes(9, ["newer"], ["old"]))
+    run_virtually(lambda clock: follower.poll_once())
+    assert set(directory.registry.targets) == {"new", "newer"}
+
+
+def test_late_first_answer_does_not_undo_what_peers_have_brought_meanwhile():
+    directory = Directory()
+    feeds = ScriptedTargets(list_changes(5, ["gone"], [], True))
+    poll_all(feeds, directory, lambda: take_from_peer(directory, 8, ["new"]))
+    assert set(directory.registry.targets) == {"new"}
+
+
+def test_list_of_a_store_without_eras_is_applied_after_its_versions_went_back():
+    directory = Directory()
+
+    def build_list(version, names):
+        rows = [build_row(name, 0, version) for name in names]
+        return Ok(TargetChanges(rows, [], version, True))
+
+    gone = Err(FeedFault.HISTORY_GONE)
+    feeds = ScriptedTargets(build_list(9, ["a", "b"]), gone, build_list(4, ["c"]))
+    poll_all(feeds, directory, lambda: None)
+    assert set(directory.registry.targets) == {"c"}
