--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -167,7 +167,7 @@
             targets,
             orderer,
             store,
-            (connections, session),
+            (store, connections, session),
             StoreReading(clock, spread.roster, spread.sync, switches),
         )
     )
--- a/marigoldswitch/tests/conftest.py
+++ b/marigoldswitch/tests/conftest.py
@@ -4,9 +4,9 @@
 from pathlib import Path
 
 import pytest
-import structlog
 from hypothesis import settings
-from structlog.testing import capture_logs
+
+from marigoldswitch.tests.helpers import capture_all_logs
 
 settings.register_profile("ci", derandomize=True, deadline=None, max_examples=60)
 settings.load_profile("ci")
@@ -27,8 +27,5 @@
 @pytest.fixture
 def log_lines():
     """Capture all log lines, whatever level an earlier test has configured."""
-    config = structlog.get_config()
-    structlog.reset_defaults()
-    with capture_logs() as lines:
+    with capture_all_logs() as lines:
         yield lines
-    structlog.configure(**config)
