Retry a failed read soon where a host was left behind; know the data centre of seeds

It now waits long only from the second failure on, and not while a peer has newer state: the store answers others. The pause grows with the hosts so that all of them together stay within the store's rate. A host that knows a reader from its settings only did not take over its data centre from the store's list, counted too few readers and read the store for 10.9 s, until the next list.

--- a/marigoldswitch/core/lags.py
+++ b/marigoldswitch/core/lags.py
@@ -31,6 +31,11 @@
 MAX_ANNOUNCEMENTS = 32
 """Announced numbers that are remembered; the oldest one that is missing decides."""
 
+READ_RATE_SHARE = 0.5
+"""Share of the store's reads for hosts that are left behind; the readers need some."""
+READS_PER_HOST = 2
+"""Kinds of state that a host reads."""
+
 
 class Patience(Struct, frozen=True):
     """How long a host waits for its peers, in seconds.
@@ -56,6 +61,19 @@
     )
 
 
+def choose_retry_factor(hosts: int, reads_per_second: float, pause: float) -> float:
+    """Return the factor by which hosts that are left behind wait longer for a retry.
+
+    If all fall behind at once, their retries stay within the store's rate.
+
+    :param hosts: number of all hosts.
+    :param reads_per_second: reads that the store allows all hosts together.
+    :param pause: shortest pause before a retry, in seconds.
+    """
+    rate = READS_PER_HOST * hosts / pause
+    return max(1.0, rate / (READ_RATE_SHARE * reads_per_second))
+
+
 class Lag(Struct):
     """Announcements of one kind of state that this host lacks, by increasing number.
 
@@ -100,13 +118,20 @@
             self._announced.popleft()
         return now - self._announced[0][1] if self._announced else None
 
+    def is_missing(self, known: int, now: float) -> bool:
+        """Return whether announced state has been missing for too long.
+
+        :param known: the number that this host has.
+        """
+        missing = self.get_missing_seconds(known, now)
+        return missing is not None and missing >= self.patience.missing
+
     def must_read(self, known: int, now: float) -> bool:
         """Return whether this host must read the store by itself.
 
         :param known: the number that this host has.
         """
-        missing = self.get_missing_seconds(known, now)
-        if missing is not None and missing >= self.patience.missing:
+        if self.is_missing(known, now):
             self.reads_until = now + READ_ON_SECONDS
         if self.confirmed_at is None:
             self.confirmed_at = now + START_SECONDS
--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -111,8 +111,8 @@
     """Puts each new configuration of the store in force.
 
     :param reading: set while this host must read the store itself.
-    :ivar get_backoff_factor: returns the factor by which this host waits longer in an
-        outage.
+    :ivar get_backoff_factor: returns the factor by which this host waits longer after
+        a number of failed reads in a row.
     :ivar waits: how long its reads wait.
     """
 
@@ -127,7 +127,7 @@
         self.dependency = Dependency("configuration feed")
         self.waits = waits
         self._reading = reading
-        self.get_backoff_factor: Callable[[], float] = lambda: 1.0
+        self.get_backoff_factor: Callable[[int], float] = lambda failures: 1.0
         self._feeds = feeds
         self._directory = directory
         self._source = source
@@ -167,7 +167,7 @@
     async def _pause_after(self, why: str) -> None:
         """Record that a read failed, and wait until the next one."""
         self.dependency.note_failure(why)
-        backoff_factor = self.get_backoff_factor()
+        backoff_factor = self.get_backoff_factor(self.dependency.failures)
         await asyncio.sleep(self.dependency.choose_pause(self._source, backoff_factor))
 
 
@@ -175,8 +175,8 @@
     """Keeps the registry of targets up to date with the store.
 
     :param reading: set while this host must read the store itself.
-    :ivar get_backoff_factor: returns the factor by which this host waits longer in an
-        outage.
+    :ivar get_backoff_factor: returns the factor by which this host waits longer after
+        a number of failed reads in a row.
     :ivar get_pause_factor: returns the factor by which it pauses longer between reads.
     :ivar waits: how long its reads wait.
     """
@@ -193,7 +193,7 @@
         self.dependency = Dependency("targets feed")
         self.waits = waits
         self._reading = reading
-        self.get_backoff_factor: Callable[[], float] = lambda: 1.0
+        self.get_backoff_factor: Callable[[int], float] = lambda failures: 1.0
         self.get_pause_factor: Callable[[], float] = lambda: 1.0
         self._answered_at = clock.monotonic()
         self._feeds = feeds
@@ -251,7 +251,8 @@
 
     def _choose_pause(self) -> float:
         if self.dependency.is_lost:
-            return self.dependency.choose_pause(self._source, self.get_backoff_factor())
+            backoff_factor = self.get_backoff_factor(self.dependency.failures)
+            return self.dependency.choose_pause(self._source, backoff_factor)
         return self.waits.pause * self.get_pause_factor() if self._revision else 0.0
 
 
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -373,6 +373,7 @@
     :param is_first_start: no process of this host has run before.
     :param configuration_seconds: time from the store's record of a configuration until
         it must be in force.
+    :param store_reads: reads a second that the store allows all hosts together.
     """
 
     identity: Identity
@@ -386,3 +387,4 @@
     leaving_seconds: float = 2.0
     is_first_start: bool = False
     configuration_seconds: float = 2.0
+    store_reads: float = 2000.0
--- a/marigoldswitch/gateway/roster.py
+++ b/marigoldswitch/gateway/roster.py
@@ -113,9 +113,14 @@
         """Add a host that the store or the settings name."""
         host, centre = HostId(record.address), DataCentre(record.data_centre)
         now = self._clock.monotonic()
-        if host != self._own and host not in self.peers:
+        known = self.peers.get(host)
+        if host != self._own and known is None:
             rank = HostRank(-record.strength, host)
             self.peers[host] = PeerState(centre, rank, now, now)
+        elif known is not None and centre and not known.data_centre:
+            # The settings name it without its data centre.
+            known.data_centre = centre
+            known.rank = HostRank(-record.strength, host)
         if centre:
             self._population.note_member(host, centre, now)
 
--- a/marigoldswitch/gateway/state_sync.py
+++ b/marigoldswitch/gateway/state_sync.py
@@ -212,6 +212,13 @@
         if not self._parts.targets.dependency.is_lost:
             self._targets.lag.confirm(now)
 
+    def is_missing(self, now: float) -> bool:
+        """Return whether peers have announced state that they don't bring in time."""
+        version, revision = self._parts.directory.version, self._get_targets_revision()
+        return self._configuration.lag.is_missing(
+            version, now
+        ) or self._targets.lag.is_missing(revision, now)
+
     def must_read_configuration(self, now: float) -> bool:
         """Return whether peers do not bring the configuration in time."""
         return self._configuration.lag.must_read(self._parts.directory.version, now)
--- a/marigoldswitch/gateway/store_reading.py
+++ b/marigoldswitch/gateway/store_reading.py
@@ -5,7 +5,9 @@
 import structlog
 from msgspec import Struct
 
+from marigoldswitch.core.lags import choose_retry_factor
 from marigoldswitch.core.ports import Clock
+from marigoldswitch.gateway.followers import RETRY_SECONDS
 from marigoldswitch.gateway.roster import Roster
 from marigoldswitch.gateway.state_sync import StateSync
 
@@ -24,21 +26,44 @@
 
     A host reads if it is one of the readers of its data centre, and also for as long as
     its peers don't bring it what the store holds.
+
+    :param reads_per_second: reads that the store allows all hosts together.
     """
 
     def __init__(
-        self, clock: Clock, roster: Roster, sync: StateSync, switches: ReadSwitches
+        self,
+        clock: Clock,
+        roster: Roster,
+        sync: StateSync,
+        switches: ReadSwitches,
+        reads_per_second: float,
     ) -> None:
         self._clock = clock
         self._roster = roster
         self._sync = sync
         self._switches = switches
+        self._reads = reads_per_second
 
     @property
     def is_active(self) -> bool:
         """Return whether this host reads anything from the store."""
         return self._switches.configuration.is_set() or self._switches.targets.is_set()
 
+    def choose_backoff_factor(self, failures: int) -> float:
+        """Return the factor by which this host waits longer after a failed read.
+
+        It is small after a single failure, and for as long as a peer has newer state:
+        then the store answers others.
+
+        :param failures: reads of this kind that have failed in a row.
+        """
+        factor = self._roster.choose_backoff_factor()
+        is_missing = self._sync.is_missing(self._clock.monotonic())
+        if failures > 1 and not is_missing:
+            return factor
+        hosts = self._roster.count_members()
+        return min(factor, choose_retry_factor(hosts, self._reads, RETRY_SECONDS))
+
     def update(self) -> None:
         """Start or stop the reads, as the hosts' roster and the lag require."""
         now = self._clock.monotonic()
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -147,8 +147,11 @@
         identity.region,
     )
     planner.count_hosts = spread.roster.count_members
-    patience = spread.roster.choose_backoff_factor
-    configuration.get_backoff_factor = targets.get_backoff_factor = patience
+    reading = StoreReading(
+        clock, spread.roster, spread.sync, switches, settings.store_reads
+    )
+    configuration.get_backoff_factor = reading.choose_backoff_factor
+    targets.get_backoff_factor = reading.choose_backoff_factor
     targets.get_pause_factor = spread.roster.choose_pause_factor
     planner.count_near = spread.roster.count_local
     spread.lease = orderer.lease
@@ -168,6 +171,6 @@
             orderer,
             store,
             (store, connections, session),
-            StoreReading(clock, spread.roster, spread.sync, switches),
+            reading,
         )
     )
--- a/marigoldswitch/platform/settings.py
+++ b/marigoldswitch/platform/settings.py
@@ -123,6 +123,7 @@
         _read_seconds(bounds, "drain_ms") or defaults.leaving_seconds,
         fields.get("bootstrap") is True,
         _read_seconds(bounds, "config_apply_ms") or defaults.configuration_seconds,
+        float(fields["platform"].get("reads_per_s") or defaults.store_reads),
     )
 
 
--- a/marigoldswitch/tests/feed_fleet.py
+++ b/marigoldswitch/tests/feed_fleet.py
@@ -100,10 +100,12 @@
         self.spread.sync.use_bounds(
             fleet.configuration_seconds, LEAVING_SECONDS - REUSE_SECONDS
         )
-        self.reading = StoreReading(self.clock, roster, self.spread.sync, switches)
+        self.reading = StoreReading(
+            self.clock, roster, self.spread.sync, switches, READS_PER_SECOND
+        )
         followers = (self.configuration, self.targets)
         for follower in followers:
-            follower.get_backoff_factor = roster.choose_backoff_factor
+            follower.get_backoff_factor = self.reading.choose_backoff_factor
         self.targets.get_pause_factor = roster.choose_pause_factor
         for seed in fleet.list_seeds():
             self.spread.add_peer(HostRecord(seed, ""))
--- a/marigoldswitch/tests/test_lags.py
+++ b/marigoldswitch/tests/test_lags.py
@@ -8,6 +8,7 @@
     START_SECONDS,
     Lag,
     choose_patience,
+    choose_retry_factor,
 )
 
 BOUND = 2.0
@@ -97,3 +98,10 @@
         oldest = min(heard.values(), default=now)
         if now - oldest >= BOUND - TICK - READ_SECONDS:
             assert lag.must_read(1, now)
+
+
+@pytest.mark.parametrize("hosts", [3, 89, 300, 400, 1000])
+def test_retries_of_all_hosts_stay_within_the_rate_of_the_store(hosts):
+    pause = 0.25 * choose_retry_factor(hosts, 2000.0, 0.25)
+    assert pause >= 0.25
+    assert 2 * hosts / pause <= 2000.0
