Take a digest that was held up as being as old as it is

What a digest says was taken as true at its arrival. A digest now says when it was sent and by which process; the receiver takes the smallest difference of the clocks that it has seen as the usual way, and what exceeds it as lateness of all that the digest says. Hosts of an older version state no time and count as before.

--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -188,8 +188,7 @@
     :param leaving: whether the sender is shutting down.
     :param reads: whether the sender reads the store itself, and the store answers.
     :param readers: hosts of its data centre that have reported ``reads`` to the sender.
-    :param current: whether the sender reads the store, or knows the targets up to the
-        revision of a host that does.
+    :param current: whether the sender reads the store, or knows no less than a reader.
     :param strength: strength of the sender's link, by which relays and readers are
         ranked.
     :param crashes: checksum of what the sender knows of requests that end targets.
@@ -200,6 +199,9 @@
         sum them up; ``None`` in digests to others.
     :param leaving_targets: targets that have said themselves that they leave, as far as
         the sender knows.
+    :param sent_ms: when it was sent, in milliseconds of the sender's clock; 0 if
+        unknown.
+    :param process: random number of the sender's process.
     """
 
     data_centre: DataCentre
@@ -221,6 +223,8 @@
     limits: tuple[LimitNote, ...] = ()
     sends: tuple[SendNote, ...] | None = None
     leaving_targets: tuple[LeavingNote, ...] = ()
+    sent_ms: int = 0
+    process: int = 0
 
 
 class CentreUsage(Struct, frozen=True):
--- a/marigoldswitch/core/loans.py
+++ b/marigoldswitch/core/loans.py
@@ -119,7 +119,7 @@
         self.accounts: dict[ServiceName, Account] = {}
         self.open_account: Callable[[ServiceName], object] = lambda _: None
         """Adds the account of a service that this host has not used yet."""
-        self._process = process
+        self.process = process
         self._owns_nothing_until = owns_nothing_until
         self._partners: dict[HostId, _Partner] = {}
 
@@ -153,7 +153,7 @@
         partner = self._partners.setdefault(sender, _Partner())
         if notes.process == partner.process and notes.sent_at < partner.sent_at:
             return
-        is_answer = notes.echo_process == self._process
+        is_answer = notes.echo_process == self.process
         asked_at = notes.echo_sent_at / MILLISECONDS_PER_SECOND
         for item in notes.notes:
             if item.service not in self.accounts:
@@ -206,7 +206,7 @@
                 continue
             partner.told, partner.told_at = notes, now
             messages[host] = LoanNotes(
-                self._process,
+                self.process,
                 int(now * MILLISECONDS_PER_SECOND),
                 partner.process,
                 partner.sent_at,
--- a/marigoldswitch/gateway/send_log.py
+++ b/marigoldswitch/gateway/send_log.py
@@ -61,4 +61,6 @@
     lease = replace(digest.lease, age=0.0) if digest.lease else None
     closed = tuple(replace(item, seconds=0.0) for item in digest.closed)
     limits = tuple(replace(item, age=0.0) for item in digest.limits)
-    return replace(digest, layers=layers, lease=lease, closed=closed, limits=limits)
+    return replace(
+        digest, layers=layers, lease=lease, closed=closed, limits=limits, sent_ms=0
+    )
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -23,6 +23,7 @@
     SlowTarget,
 )
 from marigoldswitch.core.ids import DataCentre, HostId, TargetId
+from marigoldswitch.core.lateness import Lateness
 from marigoldswitch.core.leases import Lease, encode_lease
 from marigoldswitch.core.loads import Usage
 from marigoldswitch.core.ports import Row
@@ -65,6 +66,8 @@
 is forgotten: most hosts hear of each other only through these lists."""
 ORDERER_TIMEOUT_SECONDS = 1.2
 """Time after its last note for which a holder of the orderer's lease counts as live."""
+LOGGED_LATENESS_SECONDS = 1.0
+MILLISECONDS_PER_SECOND = 1000.0
 URGENT_DIGEST_SECONDS = 0.05
 """Minimum time from the last digest to one that is sent out of turn."""
 
@@ -94,6 +97,7 @@
         self._orderer_heard_at = float("-inf")
         self.sync = StateSync(parts, self.roster.must_read, lambda: self._is_current)
         self._sent = SendLog()
+        self._lateness = Lateness()
         handle_digest: Callable[..., None] = self._handle_digest
         parts.network.register(LoadDigest, handle_digest)
         parts.directory.registry.watch(self._note_change)
@@ -169,6 +173,7 @@
         self._parts.loads.expire(now)
         self._counts.expire(now)
         roster.expire()
+        self._lateness.forget(set(roster.peers))
         self._crash_notes.tick()
         self._loans.tick()
         digest = self._build_digest()
@@ -305,6 +310,8 @@
             limits=self._statements.encode_limits(now),
             sends=encode_sends(parts.directory.statements.limits.count_own(now)),
             leaving_targets=self._statements.encode_leaving(),
+            sent_ms=round(now * MILLISECONDS_PER_SECOND),
+            process=parts.loans.process,
         )
 
     def _build_lease_note(self, now: float) -> LeaseNote | None:
@@ -330,7 +337,8 @@
 
     def _handle_digest(self, sender: HostId, digest: LoadDigest) -> None:
         parts = self._parts
-        now = parts.clock.monotonic()
+        # What a digest says was true when it was sent.
+        now = parts.clock.monotonic() - self._measure_lateness(sender, digest)
         is_new = self.roster.update_from_digest(sender, digest)
         if is_new or digest.version < parts.directory.version:
             # A host that has just started needs a peer to fetch state from.
@@ -353,6 +361,15 @@
         self._crash_notes.resync_if_different(sender, digest.crashes)
         self.sync.request_missing(sender, digest, now)
 
+    def _measure_lateness(self, sender: HostId, digest: LoadDigest) -> float:
+        """Return the seconds by which a digest is late."""
+        now = self._parts.clock.monotonic()
+        sent_at = digest.sent_ms / MILLISECONDS_PER_SECOND
+        late = self._lateness.measure(sender, digest.process, sent_at, now)
+        if late >= LOGGED_LATENESS_SECONDS:
+            logger.info("digest_late", sender=sender, seconds=round(late, 2))
+        return late
+
     def _probe_reported_dead(self, names: tuple[TargetId, ...], now: float) -> None:
         """Probe engines that a peer reports dead, as the peer itself may be cut off."""
         parts = self._parts
