Come back in time from an outage also where no peer is heard

A pause is now at most half of that time, less what a hung read has taken; an answer that the history is gone is an answer. Calls in an outage stay within the bound of test_store_reads.py. Left and listed red: three readers whose feeds hang at once.

--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -22,6 +22,9 @@
 TARGETS_WAIT_SHARE = 0.4
 """The same for the targets. It is shorter because a leaving engine stays in use for up
 to 0.8 s after it was seen to leave, which must fit in as well."""
+RETRY_SHARE = 0.5
+"""Longest pause after a failed read, as a share of the time after trouble within which
+a host must be up to date again: it may hear none of those that retry sooner."""
 READ_PAUSE_SHARE = 0.075
 """Pause between two reads of the targets, as a share of the time after which a leaving
 target must get no more work. Changes that come in series, as at a start, are then read
@@ -44,11 +47,13 @@
     :param targets: for changes of the targets.
     :param pause: between two reads of the targets, and after one that has brought a
         configuration.
+    :param retry: longest pause after a failed read.
     """
 
     configuration: float
     targets: float
     pause: float
+    retry: float = float("inf")
 
 
 def choose_waits(touch_seconds: float, leaving_seconds: float) -> Waits:
@@ -61,6 +66,7 @@
         CONFIGURATION_WAIT_SHARE * touch_seconds,
         TARGETS_WAIT_SHARE * touch_seconds,
         READ_PAUSE_SHARE * leaving_seconds,
+        RETRY_SHARE * touch_seconds,
     )
 
 
@@ -107,6 +113,18 @@
         return backoff_factor * pause * (1.0 + 0.5 * source.random())
 
 
+def limit_pause(pause: float, longest: float, spent: float) -> float:
+    """Return the pause after a failed read; all values are in seconds.
+
+    A read that got no answer for long has been a pause in itself.
+
+    :param longest: pause that is allowed.
+    :param spent: time that the read took.
+    """
+    waited = max(0.0, spent - OUTAGE_RETRY_SECONDS)
+    return max(RETRY_SECONDS, min(pause, longest) - waited)
+
+
 class ConfigurationFollower:
     """Puts each new configuration of the store in force.
 
@@ -137,14 +155,16 @@
         """Follow the feed until cancelled."""
         while True:
             await self._reading.wait()
+            began = asyncio.get_running_loop().time()
             try:
                 await self.poll_once()
             except Exception:
                 logger.exception("follower_failed", what="configuration feed")
-                await self._pause_after("error")
+                await self._pause_after("error", began)
 
     async def poll_once(self) -> None:
         """Wait for a newer configuration once, and put it in force."""
+        began = asyncio.get_running_loop().time()
         read = await self._feeds.wait_configuration(
             self._revision, self.waits.configuration
         )
@@ -162,13 +182,18 @@
                 logger.info("history_gone", what="configuration feed")
                 self._revision = 0
             case Err(fault):
-                await self._pause_after(fault.value)
+                await self._pause_after(fault.value, began)
 
-    async def _pause_after(self, why: str) -> None:
-        """Record that a read failed, and wait until the next one."""
+    async def _pause_after(self, why: str, began: float) -> None:
+        """Record that a read failed, and wait until the next one.
+
+        :param began: when it began, in seconds of the event loop's clock.
+        """
         self.dependency.note_failure(why)
         backoff_factor = self.get_backoff_factor(self.dependency.failures)
-        await asyncio.sleep(self.dependency.choose_pause(self._source, backoff_factor))
+        pause = self.dependency.choose_pause(self._source, backoff_factor)
+        spent = asyncio.get_running_loop().time() - began
+        await asyncio.sleep(limit_pause(pause, self.waits.retry, spent))
 
 
 class TargetFollower:
@@ -208,12 +233,14 @@
         """Follow the feed until cancelled."""
         while True:
             await self._reading.wait()
+            began = asyncio.get_running_loop().time()
             try:
                 await self.poll_once()
             except Exception:
                 logger.exception("follower_failed", what="targets feed")
                 self.dependency.note_failure("error")
-            await asyncio.sleep(self._choose_pause())
+            spent = asyncio.get_running_loop().time() - began
+            await asyncio.sleep(self._choose_pause(spent))
 
     async def poll_once(self) -> None:
         """Wait for changes of the targets once, and apply them."""
@@ -231,6 +258,8 @@
                 self._revision = changes.revision
             case Err(FeedFault.HISTORY_GONE):
                 logger.info("history_gone", what="targets feed")
+                if self._revision:
+                    self.dependency.note_success()
                 self._revision = 0
                 self._applied_revision = registry.revision
             case Err(fault):
@@ -249,10 +278,15 @@
             return 0.0
         return self._clock.monotonic() - self._answered_at
 
-    def _choose_pause(self) -> float:
+    def _choose_pause(self, spent: float) -> float:
+        """Return the pause after a read, in seconds.
+
+        :param spent: time that the read took.
+        """
         if self.dependency.is_lost:
             backoff_factor = self.get_backoff_factor(self.dependency.failures)
-            return self.dependency.choose_pause(self._source, backoff_factor)
+            pause = self.dependency.choose_pause(self._source, backoff_factor)
+            return limit_pause(pause, self.waits.retry, spent)
         return self.waits.pause * self.get_pause_factor() if self._revision else 0.0
 
 
--- a/marigoldswitch/tests/test_followers_pause.py
+++ b/marigoldswitch/tests/test_followers_pause.py
@@ -17,6 +17,7 @@
     Dependency,
     TargetFollower,
     choose_waits,
+    limit_pause,
 )
 from marigoldswitch.gateway.ports import TargetChanges
 from marigoldswitch.tests.helpers import run_virtually
@@ -177,3 +178,14 @@
     assert count_reads([1.0, 3.0, 3.0], leaving) <= 0.7 * before
     pause = STANDBY_PAUSE_FACTOR * choose_waits(4.0, leaving).pause
     assert pause + LEAVING_USE_SECONDS <= 0.75 * leaving
+
+
+@pytest.mark.parametrize("touch", [3.0, 4.0, 5.0])
+@pytest.mark.parametrize("kind", ["configuration", "targets"])
+def test_host_that_hears_no_peer_is_back_in_time_after_an_outage(touch, kind):
+    waits = choose_waits(touch, 2.0)
+    in_outage = 1.5 * BACKOFF_FACTOR * OUTAGE_RETRY_SECONDS
+    refused = limit_pause(in_outage, waits.retry, spent=0.0)
+    hung = getattr(waits, kind) + SILENCE_SECONDS
+    assert refused <= touch
+    assert hung + limit_pause(in_outage, waits.retry, spent=hung) <= touch
