Soak of hosts as processes whose peer connections are harmed

Each host is a process of the platform's daemon. Connections between hosts pass a loopback proxy that delays, cuts, silences and resets them by sender and receiver; hosts are frozen, stopped, killed and cut off from the store one at a time. Clients check by the acknowledged versions which service ran their requests and how they were refused, and targets check that they get no work after they have left.

--- /dev/null
+++ b/marigoldswitch/tests/test_peer_soak.py
@@ -0,0 +1,136 @@
+"""Hosts as processes stay up to date while their connections to peers are harmed."""
+
+import asyncio
+
+import pytest
+
+from marigoldswitch.tools.peer_soak import play
+from marigoldswitch.tools.peer_soak_checks import (
+    Record,
+    Reply,
+    Version,
+    find_breaches,
+)
+from marigoldswitch.tools.peer_soak_proxy import Link
+
+HOST, RIG, OTHER = 101, 0, 102
+DELAYS = {process: [(11.0, 11.3)] for process in (RIG, HOST, OTHER, 103)}
+
+
+def test_hosts_apply_configurations_while_they_cannot_reach_peers(tmp_path):
+    breaches = play(hosts=9, seed=1, seconds=18.0, logs=tmp_path)
+    assert breaches == []
+
+
+def build_record(sent, outcome="desk", **fields):
+    """Return the record of one request; version 2 moved its route at second 10."""
+    versions = [
+        Version(1, 0.0, {"/look/": "desk"}, ("key",)),
+        Version(2, 10.0, {"/look/": "loft"}, ("key", "new")),
+    ]
+    reply = Reply(HOST, sent, sent + 0.1, "/look/", "key", outcome)
+    return Record(versions=versions, replies=[reply], **fields)
+
+
+@pytest.mark.parametrize(
+    ("record", "is_late"),
+    [
+        (build_record(11.9), False),
+        (build_record(12.1), True),
+        (build_record(12.1, "loft"), False),
+        (build_record(12.1, "404"), True),
+        (build_record(12.1, "lost"), False),
+        (build_record(15.0, harms={HOST: [(11.0, 12.1)]}), False),
+        (build_record(15.2, harms={HOST: [(11.0, 12.1)]}), True),
+        (build_record(15.0, harms={OTHER: [(11.0, 12.1)]}), True),
+        (build_record(12.4, delays={HOST: [(10.5, 11.0)]}), False),
+        (build_record(12.6, delays={HOST: [(10.5, 11.0)]}), True),
+        (build_record(12.9, delays=DELAYS), False),
+        (build_record(13.0, delays=DELAYS), True),
+        (build_record(12.4, delays={HOST: [(12.1, 12.6)]}), True),
+    ],
+)  # fmt: skip
+def test_only_own_harm_and_delays_in_the_time_allowed_excuse_a_host(record, is_late):
+    assert bool(find_breaches(record, 2.0)) is is_late
+
+
+async def read_in_time(reader):
+    """Return the next bytes, or ``None`` if there are none for a while."""
+    try:
+        async with asyncio.timeout(0.3):
+            return await reader.read(100)
+    except TimeoutError:
+        return None
+
+
+def run_link(scenario):
+    """Run a scenario with a link, and a function that opens a connection over it.
+
+    The function returns the writer of the sender and the reader of the receiver.
+    """
+
+    async def run():
+        accepted = asyncio.Queue()
+        server = await asyncio.start_server(
+            lambda reader, writer: accepted.put_nowait((reader, writer)), "127.0.0.1", 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        link = Link(f"127.101.102.1:{port}", f"127.0.0.1:{port}")
+        await link.listen()
+
+        async def connect():
+            async with asyncio.timeout(0.5):
+                _, writer = await asyncio.open_connection("127.101.102.1", port)
+                reader, far = await accepted.get()
+                writer.write(b"?")
+                assert await reader.read(1) == b"?"
+            return writer, reader, far
+
+        await scenario(link, connect)
+        link.stop()
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_silenced_connection_takes_bytes_and_a_new_one_delivers_them():
+    async def scenario(link, connect):
+        old, old_reader, _old_far = await connect()
+        link.silence()
+        old.write(b"lost")
+        await old.drain()
+        assert await read_in_time(old_reader) is None
+        new, new_reader, _new_far = await connect()
+        new.write(b"kept")
+        assert await read_in_time(new_reader) == b"kept"
+
+    run_link(scenario)
+
+
+@pytest.mark.parametrize(
+    ("hangs", "error"), [(False, ConnectionRefusedError), (True, TimeoutError)]
+)
+def test_cut_holds_bytes_and_keeps_out_new_connections_until_it_heals(hangs, error):
+    async def scenario(link, connect):
+        writer, reader, _far = await connect()
+        link.cut(hangs)
+        writer.write(b"held")
+        assert await read_in_time(reader) is None
+        with pytest.raises(error):
+            await connect()
+        await link.heal(forgets=False)
+        assert await read_in_time(reader) == b"held"
+        await connect()
+
+    run_link(scenario)
+
+
+def test_reset_ends_connections():
+    async def scenario(link, connect):
+        _writer, reader, _far = await connect()
+        link.reset()
+        async with asyncio.timeout(0.5):
+            with pytest.raises(ConnectionResetError):
+                await reader.read(1)
+
+    run_link(scenario)
--- /dev/null
+++ b/marigoldswitch/tools/peer_soak_checks.py
@@ -0,0 +1,203 @@
+"""Checks and report of the peer soak."""
+
+from bisect import bisect_left, bisect_right
+from collections import Counter
+from typing import Any
+
+import orjson
+from msgspec import Struct, field
+
+from marigoldswitch.standins.platform_engines import PlainStandin
+from marigoldswitch.tools.peer_soak_proxy import Fault
+
+RIG = 0
+"""Number of this process among those of the hosts."""
+APPLY_SECONDS = 2.0
+"""Time from the acknowledgement of a configuration until it must be in force."""
+DRAIN_SECONDS = 2.0
+"""Time from the record that a target leaves until no request may reach it."""
+CONTACT_SECONDS = 3.0
+"""Time after a host's own trouble for which it is excused."""
+REFUSALS = {401: "401", 403: "403", 404: "404"}
+"""Statuses that say what the configuration in force does not allow."""
+END_SECONDS = 1.5
+"""A host that was late in the last seconds counts as late at the end."""
+LINES_SHOWN = 8
+
+
+class Version(Struct, frozen=True):
+    """A configuration and the monotonic time at which it was acknowledged."""
+
+    number: int
+    acknowledged: float
+    routes: dict[str, str]
+    keys: tuple[str, ...]
+
+    def expect(self, route: str, key: str) -> str:
+        """Return the service that runs a request, or the status that refuses it."""
+        if route not in self.routes:
+            return "404"
+        return self.routes[route] if key in self.keys else "401"
+
+
+class Reply(Struct, frozen=True):
+    """A request of a client and what became of it."""
+
+    host: int
+    sent: float
+    ended: float
+    route: str
+    key: str
+    outcome: str
+
+
+class Breach(Struct):
+    """What a host did too late, once or several times.
+
+    :ivar what: the version that was in force, or the target that was leaving.
+    :ivar since: monotonic time since when the host should have known better.
+    :ivar seconds: from then until it last did not.
+    """
+
+    host: int
+    what: str
+    since: float
+    seconds: float = 0.0
+    requests: int = 0
+
+
+class Leave(Struct, frozen=True):
+    """A target that left, and the monotonic times of that and of its return."""
+
+    target: PlainStandin
+    left: float
+    back: float
+
+
+class Record(Struct):
+    """What was seen in a play, in monotonic seconds.
+
+    :ivar delays: (begin, end) of the delays of each process's event loop, in order.
+    :ivar harms: (begin, end) of the times in which a host itself was harmed.
+    :ivar lines: the hosts' log lines about configurations.
+    """
+
+    began: float = 0.0
+    versions: list[Version] = field(default_factory=list)
+    replies: list[Reply] = field(default_factory=list)
+    leaves: list[Leave] = field(default_factory=list)
+    lines: dict[int, list[dict[str, Any]]] = field(default_factory=dict)
+    delays: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
+    harms: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
+
+    def is_excused(self, host: int, at: float) -> bool:
+        """Return whether a host was harmed itself at a time or shortly before."""
+        harms = self.harms.get(host, ())
+        return any(begin <= at <= end + CONTACT_SECONDS for begin, end in harms)
+
+    def extend(self, host: int, since: float, seconds: float) -> float:
+        """Return a limit, lengthened by the delays within it.
+
+        Those of the rig, of the host, and of the most delayed other one count, as a
+        configuration passes through all three.
+        """
+        others = [item for item in self.delays if item not in (RIG, host)]
+        limit, longer = 0.0, seconds
+        while longer > limit:
+            limit = longer
+            longer = seconds + sum(
+                max(
+                    (self._sum_delays(i, since, since + limit) for i in group),
+                    default=0,
+                )
+                for group in ([RIG], [host], others)
+            )
+        return limit
+
+    def _sum_delays(self, process: int, begin: float, end: float) -> float:
+        delays = self.delays.get(process, [])
+        first = bisect_right(delays, begin, key=lambda delay: delay[1])
+        last = bisect_left(delays, end, key=lambda delay: delay[0])
+        return sum(delay[1] - delay[0] for delay in delays[first:last])
+
+
+def read_log(record: Record, host: int, content: bytes) -> None:
+    """Take the delays and the ``configuration_*`` lines from a host's log.
+
+    A delay in a time in which the host was harmed itself excuses no other host.
+    """
+    delays = record.delays[host] = []
+    lines = record.lines[host] = []
+    harms = record.harms.get(host, [])
+    for line in content.splitlines():
+        if b'"loop_late"' in line:
+            fields = orjson.loads(line)
+            due, came = fields["due"], fields["came"]
+            if not any(due <= end and came >= begin for begin, end in harms):
+                delays.append((due, came))
+        elif b'"event": "configuration_' in line:
+            lines.append(orjson.loads(line))
+
+
+def find_breaches(record: Record, apply_seconds: float) -> list[Breach]:
+    """Return what hosts did too late.
+
+    :param apply_seconds: within which a configuration must be in force.
+    """
+    breaches: dict[tuple[int, str], Breach] = {}
+
+    def check(host: int, what: str, since: float, at: float, limit: float) -> None:
+        if at - since <= limit or record.is_excused(host, at):
+            return
+        if at - since <= record.extend(host, since, limit):
+            return
+        breach = breaches.setdefault((host, what), Breach(host, what, since))
+        breach.seconds = max(breach.seconds, at - since)
+        breach.requests += 1
+
+    services = {item for old in record.versions for item in old.routes.values()}
+    for reply in record.replies:
+        if reply.outcome not in services.union(REFUSALS.values()):
+            continue
+        known = [v for v in record.versions if v.acknowledged <= reply.ended]
+        since = None
+        while known and known[-1].expect(reply.route, reply.key) != reply.outcome:
+            since = known.pop().acknowledged
+        if since is not None:
+            what = f"version {len(known)}"
+            check(reply.host, what, since, reply.sent, apply_seconds)
+    for leave in record.leaves:
+        target = leave.target
+        for at, headers in zip(target.arrivals, target.request_headers, strict=True):
+            if leave.left < at < leave.back:
+                host = int(headers["Attempt-Id"].partition("-")[0])
+                check(host, f"leaving {target.name}", leave.left, at, DRAIN_SECONDS)
+    return sorted(breaches.values(), key=lambda breach: (breach.host, breach.since))
+
+
+def print_report(record: Record, faults: list[Fault], breaches: list[Breach]) -> None:
+    """Print what was played and what was found, with the late hosts' log lines."""
+    kinds = Counter(fault.kind.value for fault in faults)
+    outcomes = Counter(reply.outcome for reply in record.replies)
+    delayed = {
+        process: round(sum(end - begin for begin, end in delays), 1)
+        for process, delays in sorted(record.delays.items())
+    }
+    print(f"faults: {dict(kinds)}")
+    print(f"versions: {len(record.versions)}, targets left: {len(record.leaves)}")
+    print(f"requests: {len(record.replies)}, {dict(outcomes)}")
+    print(f"seconds of delays by process, {RIG} is the rig: {delayed}")
+    for host in sorted({breach.host for breach in breaches}):
+        last = max(reply.sent for reply in record.replies if reply.host == host)
+        for breach in breaches:
+            if breach.host == host:
+                at = breach.since - record.began
+                is_over = breach.since + breach.seconds < last - END_SECONDS
+                print(
+                    f"host-{host}: {breach.what}, {breach.seconds:.1f} s behind"
+                    f"{'' if is_over else ' at the end'}, since second {at:.1f},"
+                    f" {breach.requests} requests"
+                )
+        for line in record.lines[host][-LINES_SHOWN:]:
+            print(f"  {orjson.dumps(line).decode()}")
+    print(f"late hosts: {len({breach.host for breach in breaches})}")
