Report the faults beside what a host of the peer soak did too late

Resetting a connection that is closed already ended a play with 30 hosts; stopping the proxy while it connects printed an error. Silence and resets have no duration in the plan.

--- a/marigoldswitch/tools/peer_soak.py
+++ b/marigoldswitch/tools/peer_soak.py
@@ -167,14 +167,16 @@
     async def _play(self, session: aiohttp.ClientSession) -> None:
         self.record.began = time.monotonic()
         clients = [asyncio.create_task(self._ask(session, h)) for h in self.hosts]
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._change_configurations())
-            group.create_task(self._move_targets())
-            for fault in self.faults:
-                group.create_task(self._inject(session, fault))
-        await self._sleep_until(self._seconds)
-        for client in clients:
-            client.cancel()
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._change_configurations())
+                group.create_task(self._move_targets())
+                for fault in self.faults:
+                    group.create_task(self._inject(session, fault))
+            await self._sleep_until(self._seconds)
+        finally:
+            for client in clients:
+                client.cancel()
 
     async def _sleep_until(self, at: float) -> None:
         """Sleep until so many seconds after the start."""
--- a/marigoldswitch/tools/peer_soak_checks.py
+++ b/marigoldswitch/tools/peer_soak_checks.py
@@ -1,5 +1,6 @@
 """Checks and report of the peer soak."""
 
+import itertools
 from bisect import bisect_left, bisect_right
 from collections import Counter
 from typing import Any
@@ -187,17 +188,38 @@
     print(f"versions: {len(record.versions)}, targets left: {len(record.leaves)}")
     print(f"requests: {len(record.replies)}, {dict(outcomes)}")
     print(f"seconds of delays by process, {RIG} is the rig: {delayed}")
-    for host in sorted({breach.host for breach in breaches}):
-        last = max(reply.sent for reply in record.replies if reply.host == host)
-        for breach in breaches:
-            if breach.host == host:
-                at = breach.since - record.began
-                is_over = breach.since + breach.seconds < last - END_SECONDS
-                print(
-                    f"host-{host}: {breach.what}, {breach.seconds:.1f} s behind"
-                    f"{'' if is_over else ' at the end'}, since second {at:.1f},"
-                    f" {breach.requests} requests"
-                )
-        for line in record.lines[host][-LINES_SHOWN:]:
-            print(f"  {orjson.dumps(line).decode()}")
-    print(f"late hosts: {len({breach.host for breach in breaches})}")
+    for host, found in itertools.groupby(breaches, lambda breach: breach.host):
+        _print_host(record, faults, host, list(found))
+    hosts = {breach.host for breach in breaches}
+    at_end = {breach.host for breach in breaches if _is_at_end(record, breach)}
+    print(f"late hosts: {len(hosts)} of {len(record.lines)}, at the end: {len(at_end)}")
+
+
+def _print_host(
+    record: Record, faults: list[Fault], host: int, breaches: list[Breach]
+) -> None:
+    """Print what a host did too late, the faults of its links, and its log lines."""
+    for breach in breaches:
+        print(
+            f"host-{host}: {breach.what}, {breach.seconds:.1f} s behind"
+            f"{' at the end' if _is_at_end(record, breach) else ''},"
+            f" since second {breach.since - record.began:.1f},"
+            f" {breach.requests} requests"
+        )
+    end = max(breach.since + breach.seconds for breach in breaches) - record.began
+    on_it = [f for f in faults if host in (f.host, *f.receivers) and f.at < end]
+    for fault in sorted(on_it, key=lambda fault: fault.at)[-LINES_SHOWN:]:
+        to = "" if host == fault.host else f" to host-{host}"
+        if host == fault.host and fault.receivers:
+            to = f" to {list(fault.receivers)}"
+        print(
+            f"  second {fault.at:.1f}, {fault.kind.value} for {fault.seconds:.1f} s"
+            f"{' and for good' if fault.forgets else ''}: host-{fault.host}{to}"
+        )
+    for line in record.lines[host][-LINES_SHOWN:]:
+        print(f"  {orjson.dumps(line).decode()}")
+
+
+def _is_at_end(record: Record, breach: Breach) -> bool:
+    last = max(reply.sent for reply in record.replies if reply.host == breach.host)
+    return breach.since + breach.seconds >= last - END_SECONDS
--- a/marigoldswitch/tools/peer_soak_proxy.py
+++ b/marigoldswitch/tools/peer_soak_proxy.py
@@ -55,7 +55,7 @@
 
     :param at: seconds after the start of the play.
     :param receivers: hosts to which the host's connections are harmed.
-    :param seconds: until it is healed.
+    :param seconds: until it is healed; 0 if that never happens or takes no time.
     :param forgets: connections from before a cut stay silent for good.
     """
 
@@ -86,6 +86,9 @@
         receivers = tuple(h for h in source.choice(extents) if h != pair[0])
         longest = min(end - at, source.uniform(1.0, 10.0))
         kind, forgets = source.choice(kinds[:first_of_hosts]), source.random() < 0.5
+        if kind in (FaultKind.SILENCE, FaultKind.RESET):
+            longest = 0.0
+        forgets = forgets and kind in (FaultKind.REFUSE, FaultKind.HANG)
         faults.append(Fault(at, kind, pair[0], receivers, longest, forgets))
     at = 2.0
     while (at := at + source.uniform(1.0, 3.0)) < end:
@@ -110,6 +113,8 @@
     def abort(self) -> None:
         """Reset both ends."""
         for writer in self.writers:
+            if writer.is_closing():
+                continue
             # Without this, aborting ends a connection like an ordinary close.
             writer.get_extra_info("socket").setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
@@ -207,7 +212,7 @@
             far_reader, far_writer = await asyncio.open_connection(
                 *_split(self._target)
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             writer.transport.abort()
             return
         connection = _Connection(writer, far_writer)
