--- a/marigoldswitch/tests/test_peer_soak.py
+++ b/marigoldswitch/tests/test_peer_soak.py
@@ -1,11 +1,13 @@
 """Hosts as processes stay up to date while their connections to peers are harmed."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
 from marigoldswitch.tools.peer_soak import play
 from marigoldswitch.tools.peer_soak_checks import (
+    Leave,
     Record,
     Reply,
     Version,
@@ -28,7 +30,8 @@
         Version(1, 0.0, {"/look/": "desk"}, ("key",)),
         Version(2, 10.0, {"/look/": "loft"}, ("key", "new")),
     ]
-    reply = Reply(HOST, sent, sent + 0.1, "/look/", "key", outcome)
+    is_failed = outcome == "lost"
+    reply = Reply(HOST, sent, sent + 0.1, "/look/", "key", outcome, is_failed)
     return Record(versions=versions, replies=[reply], **fields)
 
 
@@ -54,6 +57,27 @@
     assert bool(find_breaches(record, 2.0)) is is_late
 
 
+@pytest.mark.parametrize(
+    ("arrival", "harms", "is_late"),
+    [
+        (11.9, {}, False),
+        (12.1, {}, True),
+        (12.1, {HOST: [(8.0, 9.2)]}, False),
+        (14.1, {}, False),
+    ],
+)
+def test_target_gets_no_work_between_its_leaving_and_its_return(
+    arrival, harms, is_late
+):
+    target = SimpleNamespace(
+        name="desk-0",
+        arrivals=[arrival],
+        request_headers=[{"Attempt-Id": f"{HOST}-7"}],
+    )
+    record = Record(leaves=[Leave(target, 10.0, 14.0)], harms=harms)
+    assert [item.host for item in find_breaches(record, 2.0)] == [HOST] * is_late
+
+
 async def read_in_time(reader):
     """Return the next bytes, or ``None`` if there are none for a while."""
     try:
--- a/marigoldswitch/tools/peer_soak.py
+++ b/marigoldswitch/tools/peer_soak.py
@@ -187,10 +187,8 @@
         source, at, added = Random(f"configurations {self._seed}"), 0.0, 0
         while (at := at + source.choice((0.1, 1.5, 4.0))) < self._seconds - 4.0:
             await self._sleep_until(at)
-            routes, keys = (
-                dict(self.record.versions[-1].routes),
-                self.record.versions[-1].keys,
-            )
+            last = self.record.versions[-1]
+            routes, keys = dict(last.routes), last.keys
             moved = source.choice(FIXED_ROUTES)
             routes[moved] = SERVICES[routes[moved] == SERVICES[0]]
             if source.random() < 0.6:
@@ -199,7 +197,7 @@
             if len(routes) > len(FIXED_ROUTES) and source.random() < 0.5:
                 del routes[list(routes)[len(FIXED_ROUTES)]]
             if source.random() < 0.4:
-                keys = (STEADY_KEY, f"key-{len(self.record.versions)}")
+                keys = (STEADY_KEY, f"key-{last.number}")
             self._publish(routes, keys)
 
     async def _move_targets(self) -> None:
@@ -271,17 +269,19 @@
                 "Authorization": f"Token {key}",
                 "Deadline-Ms": "3000",
             }
-            sent, outcome = time.monotonic(), "lost"
+            sent, outcome, is_failed = time.monotonic(), "lost", True
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 async with (
                     asyncio.timeout(4.0),
                     session.get(base + route, headers=headers) as answer,
                 ):
-                    outcome = (await answer.text()).partition("-")[0]
-                    if answer.status != 200:
-                        outcome = REFUSALS.get(answer.status, f"error {answer.status}")
+                    service = (await answer.text()).partition("-")[0]
+                    outcome = service if answer.status == 200 else str(answer.status)
+                    is_failed = answer.status not in (200, *REFUSALS)
             now = time.monotonic()
-            self.record.replies.append(Reply(host, sent, now, route, key, outcome))
+            self.record.replies.append(
+                Reply(host, sent, now, route, key, outcome, is_failed)
+            )
             await asyncio.sleep(0.2)
 
 
--- a/marigoldswitch/tools/peer_soak_checks.py
+++ b/marigoldswitch/tools/peer_soak_checks.py
@@ -19,7 +19,7 @@
 """Time from the record that a target leaves until no request may reach it."""
 CONTACT_SECONDS = 3.0
 """Time after a host's own trouble for which it is excused."""
-REFUSALS = {401: "401", 403: "403", 404: "404"}
+REFUSALS = (401, 403, 404)
 """Statuses that say what the configuration in force does not allow."""
 END_SECONDS = 1.5
 """A host that was late in the last seconds counts as late at the end."""
@@ -50,6 +50,8 @@
     route: str
     key: str
     outcome: str
+    is_failed: bool = False
+    """The answer does not tell the version in force, or there is none."""
 
 
 class Breach(Struct):
@@ -156,9 +158,8 @@
         breach.seconds = max(breach.seconds, at - since)
         breach.requests += 1
 
-    services = {item for old in record.versions for item in old.routes.values()}
     for reply in record.replies:
-        if reply.outcome not in services.union(REFUSALS.values()):
+        if reply.is_failed:
             continue
         known = [v for v in record.versions if v.acknowledged <= reply.ended]
         since = None
@@ -188,6 +189,17 @@
     print(f"versions: {len(record.versions)}, targets left: {len(record.leaves)}")
     print(f"requests: {len(record.replies)}, {dict(outcomes)}")
     print(f"seconds of delays by process, {RIG} is the rig: {delayed}")
+    failed = [
+        reply
+        for reply in record.replies
+        if reply.is_failed and not record.is_excused(reply.host, reply.ended)
+    ]
+    print(f"failed at hosts that were not harmed themselves: {len(failed)}")
+    for reply in failed[:LINES_SHOWN]:
+        took, at = reply.ended - reply.sent, reply.sent - record.began
+        print(
+            f"  {reply.outcome} after {took:.1f} s, host-{reply.host}, second {at:.1f}"
+        )
     for host, found in itertools.groupby(breaches, lambda breach: breach.host):
         _print_host(record, faults, host, list(found))
     hosts = {breach.host for breach in breaches}
