--- a/marigoldswitch/tools/peer_soak.py
+++ b/marigoldswitch/tools/peer_soak.py
@@ -121,6 +121,7 @@
                 target.release()
             await self._store.stop()
             self._reserved.close()
+        self.record.store_calls = self._store.calls
         for host, process in self._processes.items():
             read_log(self.record, host, process.log.read_bytes())
 
--- a/marigoldswitch/tools/peer_soak_checks.py
+++ b/marigoldswitch/tools/peer_soak_checks.py
@@ -83,6 +83,7 @@
     :ivar delays: (begin, end) of the delays of each process's event loop, in order.
     :ivar harms: (begin, end) of the times in which a host itself was harmed.
     :ivar lines: the hosts' log lines about configurations.
+    :ivar store_calls: paths of the calls that the store got.
     """
 
     began: float = 0.0
@@ -90,6 +91,7 @@
     replies: list[Reply] = field(default_factory=list)
     leaves: list[Leave] = field(default_factory=list)
     lines: dict[int, list[dict[str, Any]]] = field(default_factory=dict)
+    store_calls: list[str] = field(default_factory=list)
     delays: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
     harms: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
 
@@ -188,6 +190,7 @@
     print(f"faults: {dict(kinds)}")
     print(f"versions: {len(record.versions)}, targets left: {len(record.leaves)}")
     print(f"requests: {len(record.replies)}, {dict(outcomes)}")
+    print(f"calls of the store: {dict(Counter(record.store_calls))}")
     print(f"seconds of delays by process, {RIG} is the rig: {delayed}")
     failed = [
         reply
