Read the other hosts' rows also while a host's own row can't be written

A host that starts while the store refuses writes and answers reads waited for its write before it read the rows of the others. It now reads them after the first try.

--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -265,9 +265,21 @@
         self.parts.reading.update()
 
     async def _register(self) -> None:
-        """Write this host's row and read those of the others, with retries."""
+        """Write this host's row and read those of the others, with retries.
+
+        The others are read even if the row can't be written: without them, this host
+        would take bounds over all hosts for its own.
+        """
+        written = await self.parts.host_directory.register(self._record)
+        await self._read_rows()
+        if isinstance(written, Err):
+            await asyncio.sleep(REGISTER_RETRY_SECONDS)
+            await self._write_row()
+            await self._read_rows()
+
+    async def _read_rows(self) -> None:
+        """Read the rows of the other hosts, retrying until it works."""
         parts = self.parts
-        await self._write_row()
         while True:
             listed = await parts.host_directory.list_hosts()
             if isinstance(listed, Ok):
--- a/marigoldswitch/standins/platform_store.py
+++ b/marigoldswitch/standins/platform_store.py
@@ -24,6 +24,7 @@
     """Keeps rows in memory and answers the store's calls.
 
     :ivar refuse: HTTP status with which every call is refused, if any.
+    :ivar refused_paths: paths whose calls are refused with 503.
     :ivar silent: calls get no answer.
     :ivar lose_write_answers: writes take effect but get no answer.
     :ivar delays: seconds by which answers are late, by path.
@@ -35,6 +36,7 @@
     def __init__(self) -> None:
         self.address = ""
         self.refuse: int | None = None
+        self.refused_paths: set[str] = set()
         self.silent = False
         self.lose_write_answers = False
         self.delays: dict[str, float] = {}
@@ -152,6 +154,8 @@
         self.calls.append(http.path)
         if self.silent:
             await asyncio.sleep(3600)
+        if http.path in self.refused_paths:
+            return web.Response(status=503)
         if self.refuse is not None:
             return web.Response(status=self.refuse)
         if http.path in self.bodies:
