Don't let a digest that was held up undo the word of a newer one

Since digests count as old as they are, one that arrives late set back when this host last knew the current state, and could make it read the store for nothing. Seen in a read of the diff; the test failed before.

--- a/marigoldswitch/core/lags.py
+++ b/marigoldswitch/core/lags.py
@@ -106,8 +106,12 @@
             self._announced.append((number, now))
 
     def confirm(self, now: float) -> None:
-        """Record that this host knows the current state."""
-        self.confirmed_at = now
+        """Record that this host knew the current state at some time.
+
+        Digests that were held up arrive after newer ones.
+        """
+        if self.confirmed_at is None or now > self.confirmed_at:
+            self.confirmed_at = now
 
     def get_missing_seconds(self, known: int, now: float) -> float | None:
         """Return since when announced state is missing; ``None`` if none is.
--- a/marigoldswitch/tests/test_lags.py
+++ b/marigoldswitch/tests/test_lags.py
@@ -105,3 +105,10 @@
     pause = 0.25 * choose_retry_factor(hosts, 2000.0, 0.25)
     assert pause >= 0.25
     assert 2 * hosts / pause <= 2000.0
+
+
+def test_late_digest_does_not_undo_a_newer_one():
+    lag = build_lag()
+    lag.note_announced(1, known=1, is_current=True, now=5.0)
+    lag.note_announced(1, known=1, is_current=True, now=3.0)
+    assert not lag.must_read(1, 5.5)
