Count a host as a reader only after the store has answered it

A follower counts as lost from when it begins to read until its first answer, and its first read doesn't wait for a change.

--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -75,22 +75,24 @@
 
     :param name: of the kind of read, for the log.
     :ivar failures: number of failed reads since the last that was answered.
+    :ivar is_proven: a read has been answered since this host began to read.
     """
 
     def __init__(self, name: str) -> None:
         self.failures = 0
+        self.is_proven = False
         self._name = name
 
     @property
     def is_lost(self) -> bool:
-        """Return whether the last read failed."""
-        return self.failures > 0
+        """Return whether the last read failed, or none has been answered yet."""
+        return self.failures > 0 or not self.is_proven
 
     def note_success(self) -> None:
         """Record that a read was answered."""
         if self.failures:
             logger.info("dependency_back", what=self._name, failures=self.failures)
-        self.failures = 0
+        self.failures, self.is_proven = 0, True
 
     def note_failure(self, why: str) -> None:
         """Record that a read failed.
@@ -154,6 +156,8 @@
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
+            if not self._reading.is_set():
+                self.dependency.is_proven = False
             await self._reading.wait()
             began = asyncio.get_running_loop().time()
             try:
@@ -165,9 +169,9 @@
     async def poll_once(self) -> None:
         """Wait for a newer configuration once, and put it in force."""
         began = asyncio.get_running_loop().time()
-        read = await self._feeds.wait_configuration(
-            self._revision, self.waits.configuration
-        )
+        # The first read isn't to wait: it shows whether the store answers.
+        wait = self.waits.configuration if self.dependency.is_proven else 0.0
+        read = await self._feeds.wait_configuration(self._revision, wait)
         match read:
             case Ok((stored, revision)):
                 if stored is not None:
@@ -232,6 +236,8 @@
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
+            if not self._reading.is_set():
+                self.dependency.is_proven = False
             await self._reading.wait()
             began = asyncio.get_running_loop().time()
             try:
@@ -244,7 +250,8 @@
 
     async def poll_once(self) -> None:
         """Wait for changes of the targets once, and apply them."""
-        read = await self._feeds.wait_targets(self._revision, self.waits.targets)
+        wait = self.waits.targets if self.dependency.is_proven else 0.0
+        read = await self._feeds.wait_targets(self._revision, wait)
         now = self._clock.monotonic()
         registry = self._directory.registry
         match read:
@@ -274,7 +281,7 @@
 
     def measure_outage(self) -> float:
         """Return the seconds since the store last answered; 0 while it does."""
-        if not self.dependency.is_lost:
+        if not self.dependency.failures:
             return 0.0
         return self._clock.monotonic() - self._answered_at
 
--- a/marigoldswitch/tests/test_left_behind.py
+++ b/marigoldswitch/tests/test_left_behind.py
@@ -249,3 +249,20 @@
 
 def test_random_faults_leave_none_of_many_hosts_behind():
     check(play_at_random(1, MANY, steps=12))
+
+
+@pytest.mark.parametrize("phase", PHASES[:3])
+def test_host_does_not_count_as_a_reader_before_the_store_has_answered_it(phase):
+    """Each trio that took over claimed to be up to date until its own reads failed."""
+    with FeedFleet(1, (16,)) as fleet:
+        fleet.run(phase)
+        hung = sorted(fleet.list_centre(0))[:12]
+        fleet.hang(hung)
+        for _ in range(300):
+            fleet.run(0.02)
+            claims = [
+                host
+                for host in fleet.hosts.values()
+                if host.name in hung[3:] and host.spread._is_reader
+            ]
+            assert not claims
