Measure the usual way of digests anew every ten seconds; drop outdated ones

The smallest difference is now taken from the last two windows, which must pass on both clocks, so that messages that were held up together stay late. A digest older than another of its process, as after a new connection, put back what its host had said; it is dropped.

--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -337,8 +337,11 @@
 
     def _handle_digest(self, sender: HostId, digest: LoadDigest) -> None:
         parts = self._parts
+        late = self._measure_lateness(sender, digest)
+        if late is None:
+            return
         # What a digest says was true when it was sent.
-        now = parts.clock.monotonic() - self._measure_lateness(sender, digest)
+        now = parts.clock.monotonic() - late
         is_new = self.roster.update_from_digest(sender, digest)
         if is_new or digest.version < parts.directory.version:
             # A host that has just started needs a peer to fetch state from.
@@ -361,12 +364,12 @@
         self._crash_notes.resync_if_different(sender, digest.crashes)
         self.sync.request_missing(sender, digest, now)
 
-    def _measure_lateness(self, sender: HostId, digest: LoadDigest) -> float:
-        """Return the seconds by which a digest is late."""
+    def _measure_lateness(self, sender: HostId, digest: LoadDigest) -> float | None:
+        """Return the seconds by which a digest is late; ``None`` if it is outdated."""
         now = self._parts.clock.monotonic()
         sent_at = digest.sent_ms / MILLISECONDS_PER_SECOND
         late = self._lateness.measure(sender, digest.process, sent_at, now)
-        if late >= LOGGED_LATENESS_SECONDS:
+        if late is not None and late >= LOGGED_LATENESS_SECONDS:
             logger.info("digest_late", sender=sender, seconds=round(late, 2))
         return late
 
--- a/marigoldswitch/tests/test_lateness.py
+++ b/marigoldswitch/tests/test_lateness.py
@@ -41,4 +41,31 @@
     lateness = Lateness()
     lateness.measure(SENDER, 1, 1.0, 1.0)
     lateness.forget(set())
-    assert not lateness._offsets
+    assert not lateness._senders
+
+
+def test_clock_that_stood_still_makes_messages_late_for_seconds_only():
+    lateness = Lateness()
+    for tick in range(100):
+        lateness.measure(SENDER, 1, 100.0 + 0.5 * tick, 0.5 * tick)
+    for tick in range(100, 200):
+        late = lateness.measure(SENDER, 1, 100.0 + 0.5 * tick, 5.0 + 0.5 * tick)
+        assert late == (0.0 if tick >= 120 else 5.0)
+
+
+@given(st.floats(0.1, 120.0))
+def test_messages_that_were_held_up_together_are_all_late(seconds):
+    lateness, step = Lateness(), 0.5
+    for tick in range(100):
+        lateness.measure(SENDER, 1, 100.0 + step * tick, step * tick)
+    thawed = 50.0 + seconds
+    for tick in range(100, 100 + int(seconds / step)):
+        late = lateness.measure(SENDER, 1, 100.0 + step * tick, thawed)
+        assert late == pytest.approx(thawed - step * tick, abs=0.01)
+
+
+def test_message_that_is_older_than_another_of_its_process_is_outdated():
+    lateness = Lateness()
+    lateness.measure(SENDER, 1, 10.0, 1.0)
+    lateness.measure(SENDER, 1, 11.0, 2.0)
+    assert lateness.measure(SENDER, 1, 10.5, 2.1) is None
