Forget an announced number that no peer repeats

It is forgotten after 10 s. A bound below the time that a leaving engine stays in use no longer gives a negative wait. Both tests failed before.

--- a/marigoldswitch/core/lags.py
+++ b/marigoldswitch/core/lags.py
@@ -19,7 +19,10 @@
 UNCONFIRMED_SHARE = 0.5
 """The same for the time since a host that knows the current state was last heard."""
 MIN_UNCONFIRMED_SECONDS = 0.9
-"""Lower bound of that time. Such hosts send a digest every 0.5 s."""
+"""Lower bound of that time. Such hosts send a digest every 0.5 to 1 s."""
+MIN_BOUND_SECONDS = 0.5
+"""Lower bound of the time in which state must be in force, for what is derived from
+it."""
 SPREAD_SHARE = 0.1
 """Longest additional wait of a host, as a share of the same time."""
 READ_ON_SECONDS = 10.0
@@ -28,6 +31,9 @@
 START_SECONDS = 1.5
 """Additional time for peers to be heard after the start of a process, before it reads
 the store by itself."""
+FORGET_SECONDS = 10.0
+"""Time after which a number that no peer has repeated is forgotten: a restored store
+may no longer have it."""
 MAX_ANNOUNCEMENTS = 32
 """Announced numbers that are remembered; the oldest one that is missing decides."""
 
@@ -54,6 +60,7 @@
     :param bound: seconds in which new state must be in force.
     :param lot: random number from 0 to 1, different in each host.
     """
+    bound = max(bound, MIN_BOUND_SECONDS)
     extra = SPREAD_SHARE * bound * lot
     return Patience(
         MISSING_SHARE * bound + extra,
@@ -87,6 +94,8 @@
     patience: Patience = Patience(0.9, 1.0)
     confirmed_at: float | None = None
     reads_until: float = float("-inf")
+    _announced_at: float = float("-inf")
+    """When a number that this host lacks was last announced."""
     _announced: deque[tuple[int, float]] = field(default_factory=deque)
 
     def note_announced(
@@ -101,6 +110,9 @@
             if is_current:
                 self.confirm(now)
             return
+        if now - self._announced_at >= FORGET_SECONDS:
+            self._announced.clear()
+        self._announced_at = now
         newest = self._announced[-1][0] if self._announced else known
         if number > newest and len(self._announced) < MAX_ANNOUNCEMENTS:
             self._announced.append((number, now))
@@ -113,13 +125,15 @@
         if self.confirmed_at is None or now > self.confirmed_at:
             self.confirmed_at = now
 
-    def get_missing_seconds(self, known: int, now: float) -> float | None:
-        """Return since when announced state is missing; ``None`` if none is.
+    def measure_missing(self, known: int, now: float) -> float | None:
+        """Return for how long announced state is missing; ``None`` if none is.
 
         :param known: the number that this host has.
         """
         while self._announced and self._announced[0][0] <= known:
             self._announced.popleft()
+        if now - self._announced_at >= FORGET_SECONDS:
+            self._announced.clear()
         return now - self._announced[0][1] if self._announced else None
 
     def is_missing(self, known: int, now: float) -> bool:
@@ -127,7 +141,7 @@
 
         :param known: the number that this host has.
         """
-        missing = self.get_missing_seconds(known, now)
+        missing = self.measure_missing(known, now)
         return missing is not None and missing >= self.patience.missing
 
     def must_read(self, known: int, now: float) -> bool:
--- a/marigoldswitch/gateway/state_sync.py
+++ b/marigoldswitch/gateway/state_sync.py
@@ -100,7 +100,7 @@
         :param is_current: the peer knows the current state of the store.
         """
         self.lag.note_announced(number, known, is_current, now)
-        seconds = self.lag.get_missing_seconds(known, now)
+        seconds = self.lag.measure_missing(known, now)
         if seconds is None and self.is_lag_logged:
             self.is_lag_logged = False
             logger.info("state_caught_up", what=self.what, known=known)
@@ -122,7 +122,7 @@
         :param known: the number that this host has.
         :param cut_off: this host can't get it from the store itself.
         """
-        missing = self.lag.get_missing_seconds(known, now) or 0.0
+        missing = self.lag.measure_missing(known, now) or 0.0
         waited = cut_off or missing >= FETCH_SECONDS
         if not waited or now - self.requested_at < self.min_interval:
             return False
--- a/marigoldswitch/tests/test_lags.py
+++ b/marigoldswitch/tests/test_lags.py
@@ -53,8 +53,8 @@
     lag = build_lag()
     for number in range(2, 200):
         lag.note_announced(number, 1, is_current=True, now=0.01 * number)
-    assert lag.get_missing_seconds(1, 2.0) == pytest.approx(1.98)
-    assert lag.get_missing_seconds(2, 2.0) == pytest.approx(1.97)
+    assert lag.measure_missing(1, 2.0) == pytest.approx(1.98)
+    assert lag.measure_missing(2, 2.0) == pytest.approx(1.97)
 
 
 def test_stale_peer_does_not_hide_that_state_is_missing():
@@ -112,3 +112,18 @@
     lag.note_announced(1, known=1, is_current=True, now=5.0)
     lag.note_announced(1, known=1, is_current=True, now=3.0)
     assert not lag.must_read(1, 5.5)
+
+
+def test_number_that_no_peer_repeats_is_forgotten():
+    lag = build_lag()
+    lag.note_announced(24, known=1, is_current=True, now=0.0)
+    assert lag.must_read(1, 1.5)
+    for tick in range(1, 60):
+        lag.note_announced(1, known=1, is_current=True, now=0.5 * tick)
+    assert not lag.must_read(1, 29.6)
+    assert not lag.is_missing(1, 29.6)
+
+
+def test_short_bound_leaves_peers_some_time():
+    patience = choose_patience(-0.3, 0.0)
+    assert patience.missing > 0.0
