--- a/marigoldswitch/tests/test_peer_soak.py
+++ b/marigoldswitch/tests/test_peer_soak.py
@@ -137,7 +137,7 @@
 def test_cut_holds_bytes_and_keeps_out_new_connections_until_it_heals(hangs, error):
     async def scenario(link, connect):
         writer, reader, _far = await connect()
-        link.cut(hangs)
+        await link.cut(hangs)
         writer.write(b"held")
         assert await read_in_time(reader) is None
         with pytest.raises(error):
--- a/marigoldswitch/tools/peer_soak.py
+++ b/marigoldswitch/tools/peer_soak.py
@@ -288,7 +288,7 @@
 
 async def _cut(links: list[Link], fault: Fault) -> None:
     for link in links:
-        link.cut(hangs=fault.kind is not FaultKind.REFUSE)
+        await link.cut(hangs=fault.kind is not FaultKind.REFUSE)
     await asyncio.sleep(fault.seconds)
     for link in links:
         await link.heal(fault.forgets)
--- a/marigoldswitch/tools/peer_soak_proxy.py
+++ b/marigoldswitch/tools/peer_soak_proxy.py
@@ -141,20 +141,22 @@
         self._cuts = 0
         self._open = asyncio.Event()
         self._open.set()
+        self._changing = asyncio.Lock()
 
     async def listen(self) -> None:
         """Accept connections."""
         self._server = await asyncio.start_server(self._serve, *_split(self._address))
 
-    def cut(self, hangs: bool) -> None:
+    async def cut(self, hangs: bool) -> None:
         """Hold all bytes, and refuse new connections or let them hang."""
-        self._cuts += 1
-        if self._cuts > 1 or self._server is None:
-            return
-        self._open.clear()
-        self._server.close()
-        if hangs:
-            self._obstruct()
+        async with self._changing:
+            self._cuts += 1
+            if self._cuts > 1 or self._server is None:
+                return
+            self._open.clear()
+            self._server.close()
+            if hangs:
+                self._obstruct()
 
     def _obstruct(self) -> None:
         """Fill the backlog of a listener, which then ignores further connections."""
@@ -171,16 +173,17 @@
 
         :param forgets: the connections from before are silent for good instead.
         """
-        self._cuts -= 1
-        if forgets:
-            self.silence()
-        if self._cuts:
-            return
-        for item in self._obstacles:
-            item.close()
-        self._obstacles = []
-        self._open.set()
-        await self.listen()
+        async with self._changing:
+            self._cuts -= 1
+            if forgets:
+                self.silence()
+            if self._cuts:
+                return
+            for item in self._obstacles:
+                item.close()
+            self._obstacles = []
+            self._open.set()
+            await self.listen()
 
     def silence(self) -> None:
         """Let the open connections take bytes for good and deliver none."""
