--- a/marigoldswitch/tests/test_peers.py
+++ b/marigoldswitch/tests/test_peers.py
@@ -309,9 +309,9 @@
     assert heard == [2, 3]
 
 
-def test_malformed_address_of_a_peer_counts_as_unreachable():
+@pytest.mark.parametrize("address", ["no-port", "127.0.0.1:99999"])
+def test_malformed_address_of_a_peer_counts_as_unreachable(address):
     async def scenario():
-        address = "no-port"
         network = PeerNetwork(
             HERE, ["secret"], lambda host: address, MessageCodec(Message)
         )
