--- a/marigoldswitch/core/lags.py
+++ b/marigoldswitch/core/lags.py
@@ -3,9 +3,9 @@
 Most hosts get the configuration and the targets from peers. Any message between two
 hosts may be lost, for as long as a connection is broken in one direction. A host
 therefore trusts its peers only while they bring what they announce, and while a peer
-that knows the store's current state is heard. It answers the loss of messages, and
-relays that stall; the random part keeps hosts that fall behind together from reading at
-the same moment.
+that knows the store's current state is heard. Otherwise it reads the store by itself.
+This answers the loss of messages and relays that stall; a random part keeps hosts that
+fall behind together from reading at the same moment.
 """
 
 from collections import deque
@@ -54,14 +54,14 @@
     unconfirmed: float
 
 
-def choose_patience(bound: float, lot: float) -> Patience:
+def choose_patience(bound: float, jitter: float) -> Patience:
     """Return how long a host waits for its peers.
 
     :param bound: seconds in which new state must be in force.
-    :param lot: random number from 0 to 1, different in each host.
+    :param jitter: random number from 0 to 1, different in each host.
     """
     bound = max(bound, MIN_BOUND_SECONDS)
-    extra = SPREAD_SHARE * bound * lot
+    extra = SPREAD_SHARE * bound * jitter
     return Patience(
         MISSING_SHARE * bound + extra,
         max(MIN_UNCONFIRMED_SECONDS, UNCONFIRMED_SHARE * bound) + extra,
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -26,6 +26,7 @@
 from marigoldswitch.core.lateness import Lateness
 from marigoldswitch.core.leases import Lease, encode_lease
 from marigoldswitch.core.loads import Usage
+from marigoldswitch.core.loans import MILLISECONDS_PER_SECOND
 from marigoldswitch.core.ports import Row
 from marigoldswitch.core.registry import Change
 from marigoldswitch.gateway.count_exchange import CountExchange
@@ -67,7 +68,7 @@
 ORDERER_TIMEOUT_SECONDS = 1.2
 """Time after its last note for which a holder of the orderer's lease counts as live."""
 LOGGED_LATENESS_SECONDS = 1.0
-MILLISECONDS_PER_SECOND = 1000.0
+"""Least lateness of a digest that is logged."""
 URGENT_DIGEST_SECONDS = 0.05
 """Minimum time from the last digest to one that is sent out of turn."""
 
--- a/marigoldswitch/gateway/state_sync.py
+++ b/marigoldswitch/gateway/state_sync.py
@@ -147,7 +147,7 @@
         self._parts = parts
         self._must_read = must_read
         self._is_current = is_current
-        self._lot = parts.source.random()
+        self._jitter = parts.source.random()
         self._configuration = _Requests("configuration", CONFIGURATION_FETCH_SECONDS)
         self._targets = _Requests("targets", FETCH_SECONDS)
         self._current_heard_at: float | None = None
@@ -203,7 +203,7 @@
             (self._configuration, configuration_seconds),
             (self._targets, targets_seconds),
         ):
-            requests.lag.patience = choose_patience(bound, self._lot)
+            requests.lag.patience = choose_patience(bound, self._jitter)
 
     def note_own_reads(self, now: float) -> None:
         """Record that this host reads the store, as far as the store answers."""
--- a/marigoldswitch/tests/test_lags.py
+++ b/marigoldswitch/tests/test_lags.py
@@ -18,16 +18,16 @@
 """Time that a read of the store takes, slow as it may be."""
 
 
-def build_lag(lot=0.0, bound=BOUND):
-    lag = Lag(choose_patience(bound, lot))
+def build_lag(jitter=0.0, bound=BOUND):
+    lag = Lag(choose_patience(bound, jitter))
     lag.confirm(0.0)
     return lag
 
 
 @pytest.mark.parametrize("bound", [1.2, 2.0, 3.0, 8.0])
-@pytest.mark.parametrize("lot", [0.0, 1.0])
-def test_announced_state_that_is_missing_is_read_within_the_bound(bound, lot):
-    lag = build_lag(lot, bound)
+@pytest.mark.parametrize("jitter", [0.0, 1.0])
+def test_announced_state_that_is_missing_is_read_within_the_bound(bound, jitter):
+    lag = build_lag(jitter, bound)
     lag.note_announced(2, known=1, is_current=True, now=0.0)
     assert not lag.must_read(1, 0.2)
     assert lag.must_read(1, bound - TICK - READ_SECONDS)
@@ -35,7 +35,7 @@
 
 @pytest.mark.parametrize("bound", [2.0, 3.0, 8.0])
 def test_host_that_hears_no_current_peer_reads_within_the_bound(bound):
-    lag = build_lag(lot=1.0, bound=bound)
+    lag = build_lag(jitter=1.0, bound=bound)
     lag.note_announced(1, known=1, is_current=False, now=0.5)
     assert lag.must_read(1, bound - TICK - READ_SECONDS)
 
@@ -87,9 +87,9 @@
     ),
     st.floats(0.0, 1.0),
 )
-def test_state_is_never_missing_for_the_bound_without_a_read(events, lot):
+def test_state_is_never_missing_for_the_bound_without_a_read(events, jitter):
     """Whatever peers announce, a host that lacks it reads before the bound."""
-    lag, now, heard = build_lag(lot), 0.0, {}
+    lag, now, heard = build_lag(jitter), 0.0, {}
     for number, is_current, pause in events:
         now += pause
         lag.note_announced(number, 1, is_current, now)
