Decide on reading the store also where digests fail

Since the exchange's errors are guarded as a whole, an error in each digest kept a host from its fallback, which does not need the exchange. The test failed with TimeoutError before.

--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -249,14 +249,18 @@
         return web.Response(status=200 if self.is_ready else 503)
 
     async def _run_spread(self) -> None:
+        parts = self.parts
         while True:
-            try:
-                self.parts.spread.tick()
-                self.parts.runs.probes.recheck_dead()
-                self._update_store_reading()
-            except Exception:
-                logger.exception("spread_failed")
-            await asyncio.sleep(self.parts.spread.tick_seconds)
+            for work in (
+                parts.spread.tick,
+                parts.runs.probes.recheck_dead,
+                self._update_store_reading,
+            ):
+                try:
+                    work()
+                except Exception:
+                    logger.exception("spread_failed")
+            await asyncio.sleep(parts.spread.tick_seconds)
 
     def _update_store_reading(self) -> None:
         """Drop targets that have lapsed, and start or stop reading the store."""
--- a/marigoldswitch/tests/test_lost_messages.py
+++ b/marigoldswitch/tests/test_lost_messages.py
@@ -73,3 +73,21 @@
             await wait_until(lambda: directory.registry.rows[leaving].leaving)
 
     run_scenario(scenario())
+
+
+def test_host_whose_digests_fail_still_reads_the_store():
+    def fail():
+        raise ValueError("not expected")
+
+    async def scenario():
+        async with run_site() as site:
+            host = site.hosts[0]
+            host.parts.spread.tick = fail
+            host.parts.reading._switches.configuration.clear()
+            await wait_until(lambda: host.parts.reading.is_active)
+            site.store.put("op", "config", build_configuration(version=2))
+            await wait_until(lambda: host.parts.runs.directory.version == 2)
+            switch = host.parts.reading._switches.configuration
+            await wait_until(switch.is_set)
+
+    run_scenario(scenario())
