Log each decision on a resending to the same target

target_tried is one line for a sending and its resending, so that the logs could not tell which requests reached a target twice. No decision changes.

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -233,14 +233,20 @@
     :return: whether the request may be sent again; it is then counted.
     """
     now, statements = parts.clock.monotonic(), parts.directory.statements
-    if not statements.may_send(target.id, now):
-        return False
-    if not spend_retry(parts, exchange, use_reserve=True):
-        return False
-    statements.note_sent(target.id, now)
-    exchange.run_count += 1
-    exchange.discounted_runs += 1
-    return True
+    is_allowed = statements.may_send(target.id, now) and spend_retry(
+        parts, exchange, use_reserve=True
+    )
+    logger.info(
+        "resend_allowed" if is_allowed else "resend_denied",
+        request=exchange.call.id,
+        service=exchange.service.name,
+        target=target.id,
+    )
+    if is_allowed:
+        statements.note_sent(target.id, now)
+        exchange.run_count += 1
+        exchange.discounted_runs += 1
+    return is_allowed
 
 
 def find_hold(parts: RunParts, exchange: Exchange) -> Hold | None:
