Resend nothing to a target that ends new connections, too

Callers saw 502 or waited longer, and the service got repeats for nothing: a request whose reused connection broke was sent to the same target again whatever this host had just learnt of it, once for each connection that it had kept. Streams alone asked whether the target had failed before.

Cause: the decision to resend looked at one connection and not at the target. Now the first request tries the new connection and the others wait for its result (0.1 s at most); after a loss none is resent until the target has answered again. One guard for plain and stream requests.

Connections that a sound target has forgotten are resent as before: all answers 200. Ruled out: uncounted arrivals (the test beside it holds on the code before, too).

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -223,18 +223,22 @@
     return granted
 
 
-def reserve_resend(parts: RunParts, exchange: Exchange, target: Target) -> bool:
+async def reserve_resend(parts: RunParts, exchange: Exchange, target: Target) -> bool:
     """Reserve a resending to the same target on a new connection, if one is allowed.
 
     A reused connection that breaks at once was most likely closed or forgotten by the
     target. Treating that as a failure would exclude a healthy engine and use up one of
-    the targets on which the request may run.
+    the targets on which the request may run. It is not sent again if the target has
+    lost another request on a new connection.
 
     :return: whether the request may be sent again; it is then counted.
     """
+    is_trusted = await parts.upstream.resends.may_resend(target.id)
     now, statements = parts.clock.monotonic(), parts.directory.statements
-    is_allowed = statements.may_send(target.id, now) and spend_retry(
-        parts, exchange, use_reserve=True
+    is_allowed = (
+        is_trusted
+        and statements.may_send(target.id, now)
+        and spend_retry(parts, exchange, use_reserve=True)
     )
     logger.info(
         "resend_allowed" if is_allowed else "resend_denied",
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -321,6 +321,8 @@
         if change is Change.ADDED:
             # A restarted engine keeps its id, but its streams are lost.
             self.parts.front.recheck_streams(target.id)
+        if change is Change.GONE:
+            self.parts.runs.upstream.resends.forget(target.id)
         if change in (Change.LEAVING, Change.GONE):
             for seconds in REROUTE_DELAYS:
                 loop.call_later(seconds, self._schedule_chain_checks, target.id)
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -180,7 +180,7 @@
             if (
                 isinstance(end, Lost)
                 and end.is_stale
-                and reserve_resend(parts, exchange, target)
+                and await reserve_resend(parts, exchange, target)
             ):
                 end = await parts.upstream.fetch(target, call, body, sending, True)
             if isinstance(end, Lost):
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -299,7 +299,7 @@
         if (
             isinstance(result, Lost)
             and self._is_stale_connection(result, first_row.target)
-            and reserve_resend(parts, exchange, first_row.target)
+            and await reserve_resend(parts, exchange, first_row.target)
         ):
             result = await self._send(first_row.target, sending, new_connection=True)
         match result:
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -11,6 +11,7 @@
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.ports import Call, CallCodec, ForwardOptions, ReplyFacts
+from marigoldswitch.gateway.resends import ResendGuard
 from marigoldswitch.gateway.statements import TargetStatements
 
 STALE_CONNECTION_SECONDS = 0.1
@@ -71,6 +72,8 @@
     Requests that may not run twice use a new connection each: if the target closes a
     reused one as a request arrives, it can't be told whether the request has run. The
     others reuse connections, as opening new ones costs targets time.
+
+    :ivar resends: which targets may be sent a request again after it broke off.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         self._connections = connections
         self._clock = clock
         self._statements = statements
+        self.resends = ResendGuard()
 
     async def send(
         self,
@@ -118,10 +122,13 @@
             return NotSent("connecting timed out")
         except (aiohttp.ClientError, OSError, ValueError) as error:
             elapsed = self._clock.monotonic() - began
+            if not use.is_reused:
+                self.resends.note_lost(target.id)
             is_stale = use.is_reused and elapsed < STALE_CONNECTION_SECONDS
             return Lost(f"{type(error).__name__}: {error}", is_stale)
         if not new_connection:
             self._connections.note_keep_alive(target.address, response.headers)
+        self.resends.note_answered(target.id)
         facts = self._codec.read_reply(response.status, response.headers)
         if facts.request == call.id:
             now = self._clock.monotonic()
--- a/marigoldswitch/tests/test_resends.py
+++ b/marigoldswitch/tests/test_resends.py
@@ -1,4 +1,4 @@
-"""Requests that meet a target which ends every connection with a request on it."""
+"""Resending of requests whose reused connection to a target has broken."""
 
 import asyncio
 import socket
@@ -7,10 +7,13 @@
 
 import pytest
 
+from marigoldswitch.core.ids import TargetId
+from marigoldswitch.gateway.resends import ResendGuard
 from marigoldswitch.tests.gateway_site import DATA_CENTRES, run_scenario, run_site
 
 HOSTS = 3
 SOUND = ("d0", "d1")
+TARGET = TargetId("t")
 
 
 class EndingTarget:
@@ -18,6 +21,7 @@
 
     From then on it accepts connections, and ends each once a request is on it.
 
+    :ivar forgets: whether it ends the connections that it has now, but no later ones.
     :ivar arrivals: number of times that each request has arrived, by attempt id.
     """
 
@@ -25,6 +29,7 @@
         self.name = name
         self.resets = resets
         self.has_ended = False
+        self.forgets = False
         self.address = ""
         self.arrivals: Counter[str] = Counter()
 
@@ -34,12 +39,13 @@
         return server
 
     async def _serve(self, reader, writer) -> None:
+        is_early = not self.forgets
         try:
             while True:
                 request = await self._read_request(reader)
                 if request:
                     self.arrivals[request] += 1
-                if self.has_ended:
+                if self.has_ended or (self.forgets and is_early):
                     break
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nReplica-Signature: s\r\nContent-Length: 0\r\n"
@@ -49,7 +55,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
-            if self.has_ended and self.resets:
+            if self.resets:
                 linger = struct.pack("ii", 1, 0)
                 end = writer.get_extra_info("socket")
                 end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -64,10 +70,12 @@
         return fields.get("attempt-id", "")
 
 
-async def play_end(resets: bool, method: str):
-    """Serve requests, let all but two targets end, and serve some more.
+async def play(resets: bool, method: str, change):
+    """Serve requests, change the targets, and serve some more.
 
-    :return: the targets and the retries that the hosts have counted.
+    :param change: is called with each target.
+    :return: the targets, the retries that the hosts have counted, and the statuses of
+        the answers after the change.
     """
     targets = [EndingTarget(f"d{index}", resets) for index in range(5)]
     numbers = iter(range(10_000))
@@ -94,10 +102,11 @@
         for _ in range(20):
             assert set(await call_together(site)) == {200}
         for target in targets:
-            target.has_ended = target.name not in SOUND
+            change(target)
             target.arrivals.clear()
+        statuses = Counter()
         for _ in range(20):
-            await call_together(site)
+            statuses.update(await call_together(site))
         now = site.hosts[0].parts.runs.clock.monotonic()
         counted = sum(
             host.parts.runs.retries.get("desk").retries.count(now)
@@ -105,17 +114,25 @@
         )
         for server in servers:
             server.close()
-    return targets, counted
+    return targets, counted, statuses
+
+
+def end_unless_sound(target):
+    target.has_ended = target.name not in SOUND
+
+
+def forget_connections(target):
+    target.forgets = True
 
 
 @pytest.mark.parametrize("method", ["GET", "POST"])
 @pytest.mark.parametrize("resets", [True, False])
 def test_every_repeat_at_an_ended_target_is_counted(resets, method):
     async def scenario():
-        targets, counted = await play_end(resets, method)
+        targets, counted, _ = await play(resets, method, end_unless_sound)
         arrivals = sum((item.arrivals for item in targets), Counter())
         assert sum(arrivals.values()) - len(arrivals) <= counted
-        assert all(max(item.arrivals.values()) <= 2 for item in targets)
+        assert all(max(item.arrivals.values(), default=0) <= 2 for item in targets)
 
     run_scenario(scenario())
 
@@ -126,9 +143,65 @@
     """One request on a new connection shows a host that the target has ended."""
 
     async def scenario():
-        targets, _ = await play_end(resets, method)
+        targets, _, _ = await play(resets, method, end_unless_sound)
         for target in targets:
             repeated = [name for name, count in target.arrivals.items() if count > 1]
             assert len(repeated) <= HOSTS
 
     run_scenario(scenario())
+
+
+@pytest.mark.parametrize("resets", [True, False])
+def test_requests_on_forgotten_connections_are_resent_and_answered(resets):
+    async def scenario():
+        _, _, statuses = await play(resets, "POST", forget_connections)
+        assert set(statuses) == {200}
+
+    run_scenario(scenario())
+
+
+async def ask_together(guard, count, result):
+    """Ask a number of times whether to resend; the first one then has a result."""
+    asked = [asyncio.create_task(guard.may_resend(TARGET)) for _ in range(count)]
+    await asyncio.sleep(0)
+    result(TARGET)
+    return await asyncio.gather(*asked)
+
+
+def test_only_one_request_is_resent_to_a_target_that_loses_it():
+    async def scenario():
+        guard = ResendGuard()
+        assert await ask_together(guard, 5, guard.note_lost) == [True] + 4 * [False]
+        assert not await guard.may_resend(TARGET)
+        assert await guard.may_resend(TargetId("other"))
+
+    run_scenario(scenario())
+
+
+def test_all_requests_are_resent_to_a_target_that_answers_the_first():
+    async def scenario():
+        guard = ResendGuard()
+        assert await ask_together(guard, 5, guard.note_answered) == 5 * [True]
+
+    run_scenario(scenario())
+
+
+def test_requests_wait_only_briefly_for_a_resending_without_a_result():
+    async def scenario():
+        guard = ResendGuard()
+        assert await guard.may_resend(TARGET)
+        assert await guard.may_resend(TARGET)
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("end", ["note_answered", "forget"])
+def test_target_is_resent_to_again_after_an_answer(end):
+    async def scenario():
+        guard = ResendGuard()
+        guard.note_lost(TARGET)
+        assert not await guard.may_resend(TARGET)
+        getattr(guard, end)(TARGET)
+        assert await guard.may_resend(TARGET)
+
+    run_scenario(scenario())
