--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -8,6 +8,7 @@
 from msgspec import Struct, field
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.crashes import Hold, InterruptedRequest
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.fingerprints import Fingerprint, fingerprint_request
@@ -189,6 +190,7 @@
     retries: RetryBudgets
     source: random.Random
     home: str
+    contact: TargetContact
 
 
 def needs_new_connection(parts: RunParts, exchange: Exchange) -> bool:
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.contact import Contact
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.registry import Change, StoreRestored
 from marigoldswitch.core.routes import RoutingTable
@@ -106,6 +107,7 @@
         directory.registry.watch_restores(self._handle_store_restored)
         directory.suspects.add_dead_listener(parts.front.recheck_streams)
         directory.watch(self._apply_limits)
+        parts.runs.contact.watch(self._log_contact)
         self._use_bounds(parts.settings)
 
     @property
@@ -314,6 +316,13 @@
         await self._write_row()
         logger.info("host_row_written_again")
 
+    def _log_contact(self, contact: Contact) -> None:
+        logger.warning(
+            "targets_unreachable" if contact.is_lost else "targets_reached_again",
+            targets=contact.targets,
+            seconds=round(contact.seconds, 2),
+        )
+
     def _handle_target_change(self, change: Change, target: Target) -> None:
         loop = asyncio.get_running_loop()
         if change is Change.UPDATED:
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -7,6 +7,7 @@
 import structlog
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.gaps import HostGaps
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.local_health import Cause
@@ -38,12 +39,14 @@
         directory: Directory,
         planner: ChainPlanner,
         clock: Clock,
+        contact: TargetContact,
     ) -> None:
+        self._contact = contact
         self._directory = directory
         self._planner = planner
         self._clock = clock
         self._status_reader = EngineStatusReader(
-            engines, directory, clock, self._get_last_event_time
+            engines, directory, clock, contact, self._get_last_event_time
         )
         self.gaps = HostGaps()
         """Gaps between the events of all streams, used to detect silence."""
@@ -64,6 +67,7 @@
     def note_alive(self, targets: Iterable[TargetId]) -> None:
         """Record that an event has just arrived over these engines."""
         now = self._clock.monotonic()
+        self._contact.note_answer(now)
         for name in targets:
             self._last_event_at[name] = now
 
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -9,6 +9,7 @@
 from typing import Any, Generic, TypeVar
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.local_health import Cause, LocalHealth
 from marigoldswitch.core.ports import Clock
@@ -51,12 +52,14 @@
         engines: EngineControl,
         directory: Directory,
         clock: Clock,
+        contact: TargetContact,
         get_last_event_time: Callable[[TargetId], float],
     ) -> None:
         self.health = LocalHealth()
         self._engines = engines
         self._directory = directory
         self._clock = clock
+        self._contact = contact
         self._get_last_event_time = get_last_event_time
         self._control_probes: dict[DataCentre, asyncio.Future[Any]] = {}
         """Running probes of control engines, at most one for each data centre."""
@@ -138,8 +141,12 @@
     ) -> EngineStatus | EngineGone | None:
         asked = self._clock.monotonic()
         answer = await self._engines.read(target.address, seconds)
+        now = self._clock.monotonic()
+        if answer is None or isinstance(answer, EngineGone):
+            self._contact.note_silence(target.id, asked, now)
+        else:
+            self._contact.note_answer(now)
         if answer is not None:
-            now = self._clock.monotonic()
             self.health.note_answer(target.data_centre, asked, now)
         return (
             _interpret(target, answer)
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -8,6 +8,7 @@
 from yarl import URL
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.ports import Call, CallCodec, ForwardOptions, ReplyFacts
@@ -82,11 +83,13 @@
         connections: Connections,
         clock: Clock,
         statements: TargetStatements,
+        contact: TargetContact,
     ) -> None:
         self._codec = codec
         self._connections = connections
         self._clock = clock
         self._statements = statements
+        self._contact = contact
         self.resends = ResendGuard()
 
     async def send(
@@ -117,21 +120,25 @@
                 trace_request_ctx=use,
             )
         except aiohttp.ClientConnectorError as error:
+            self._contact.note_silence(target.id, began, self._clock.monotonic())
             return NotSent(str(error.os_error or error), is_connection_refused(error))
         except aiohttp.ConnectionTimeoutError:
+            self._contact.note_silence(target.id, began, self._clock.monotonic())
             return NotSent("connecting timed out")
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            elapsed = self._clock.monotonic() - began
+            now = self._clock.monotonic()
+            self._contact.note_silence(target.id, began, now)
             if not use.is_reused:
                 self.resends.note_lost(target.id)
-            is_stale = use.is_reused and elapsed < STALE_CONNECTION_SECONDS
+            is_stale = use.is_reused and now - began < STALE_CONNECTION_SECONDS
             return Lost(f"{type(error).__name__}: {error}", is_stale)
         if not new_connection:
             self._connections.note_keep_alive(target.address, response.headers)
+        now = self._clock.monotonic()
+        self._contact.note_answer(now)
         self.resends.note_answered(target.id)
         facts = self._codec.read_reply(response.status, response.headers)
         if facts.request == call.id:
-            now = self._clock.monotonic()
             self._statements.note_answer(target.id, facts, began, now)
         return Reply(response, facts)
 
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -4,6 +4,7 @@
 import random
 
 from marigoldswitch.clocks import BootClock
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.gateway_messages import GatewayMessage
 from marigoldswitch.core.ids import DataCentre, HostId
 from marigoldswitch.core.loads import Loads
@@ -76,16 +77,17 @@
     send_limits = SendLimits(home, lambda: planner.count_hosts(), source)
     statements = TargetStatements(send_limits)
     directory, loads, state = Directory(statements), Loads(home), HostState()
+    contact = TargetContact(lambda: len(directory.registry.targets), clock.monotonic())
     planner = ChainPlanner(directory, loads, clock, home, source)
     owns_from = 0.0 if settings.is_first_start else clock.monotonic() + START_SECONDS
     loans = LoanBook(source.getrandbits(PROCESS_BITS), owns_from)
-    probes = EngineProbes(engines, directory, planner, clock)
+    probes = EngineProbes(engines, directory, planner, clock, contact)
     crashes = CrashWatch(clock, directory, probes)
     runs = RunParts(
         state,
         clock,
         codec,
-        Upstream(codec, connections, clock, statements),
+        Upstream(codec, connections, clock, statements, contact),
         engines,
         directory,
         loads,
@@ -102,6 +104,7 @@
         ),
         source,
         identity.data_centre,
+        contact,
     )
     metrics = Metrics()
     network = PeerNetwork(
--- a/marigoldswitch/tests/test_connections.py
+++ b/marigoldswitch/tests/test_connections.py
@@ -9,6 +9,7 @@
 
 from marigoldswitch.clocks import BootClock
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ids import DataCentre, ServiceName, TargetId
 from marigoldswitch.gateway.connections import (
     LONG_IDLE_SECONDS,
@@ -98,7 +99,9 @@
     connections = Connections()
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     row = Target(TargetId("t"), ServiceName("s"), DataCentre("d"), address, 1, None, "")
-    upstream = Upstream(codec, connections, BootClock(), Directory().statements)
+    clock = BootClock()
+    contact = TargetContact(lambda: 10, clock.monotonic())
+    upstream = Upstream(codec, connections, clock, Directory().statements, contact)
 
     async def send(fresh=False, method="POST"):
         call = SimpleNamespace(id="1", method=method, path="/x")
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -6,6 +6,7 @@
 import pytest
 
 from marigoldswitch.core.catalogue import LayerRange
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import Stage
 from marigoldswitch.core.suspects import Finding
@@ -55,7 +56,9 @@
             had_room=lambda *_: self.had_room,
         )
         self.had_room = True
-        self.probes = EngineProbes(self, self.directory, planner, clock)
+        self.probes = EngineProbes(
+            self, self.directory, planner, clock, TargetContact(lambda: 10, 0.0)
+        )
         self.budget = SimpleNamespace(has_room=lambda now: True)
         parts = SimpleNamespace(
             clock=clock,
--- a/marigoldswitch/tests/test_probing.py
+++ b/marigoldswitch/tests/test_probing.py
@@ -14,6 +14,7 @@
 import pytest
 
 from marigoldswitch.core.catalogue import LayerRange
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import EngineGone, EngineStatus, EngineWithoutReport
@@ -48,7 +49,9 @@
             for number in range(4):
                 self._add(f"{centre}-{number}", centre)
         planner = SimpleNamespace(slowness={})
-        self.probes = EngineProbes(self, self.directory, planner, clock)
+        self.probes = EngineProbes(
+            self, self.directory, planner, clock, TargetContact(lambda: 10, 0.0)
+        )
 
     def _add(self, name, centre):
         target = SimpleNamespace(
