--- a/marigoldswitch/core/contact.py
+++ b/marigoldswitch/core/contact.py
@@ -1,37 +1,49 @@
 """Tells whether this host reaches any target.
 
-A target that doesn't answer may be dead, and so may all of a data centre. If none at
-all answers, this host has most likely lost its path to them.
+A target that can't be connected to may be dead, and so may all of a data centre. If
+none can, this host has most likely lost its path to them. Connections that are open may
+live on meanwhile, so only new ones count.
 """
 
 from collections.abc import Callable
+from enum import Enum
 
 from msgspec import Struct
 
 from marigoldswitch.core.ids import TargetId
 
 MIN_SILENT_TARGETS = 3
-"""Targets that must have been tried in vain before this host counts as cut off. Fewer
-may have ended together."""
+"""Targets that must have been tried in vain before the contact is doubted. Fewer may
+have ended together."""
+SILENCE_SECONDS = 2.0
+"""Time for which an attempt in vain counts."""
 RELAPSE_SECONDS = 5.0
 """Time after the end of a cut within which one target tried in vain is enough."""
 
 
-class Contact(Struct, frozen=True):
-    """A change of whether this host reaches targets.
+class ContactState(Enum):
+    """Whether this host reaches targets."""
+
+    REACHED = "reached"
+    DOUBTED = "doubted"
+    """Several were tried in vain; others must be asked before more is believed."""
+    LOST = "lost"
+
+
+class ContactChange(Struct, frozen=True):
+    """A change of the state.
 
-    :param is_lost: whether it has just lost contact to all of them.
     :param targets: targets that were tried in vain.
-    :param seconds: since the last answer of a target.
+    :param seconds: since a target last answered on a new connection.
     """
 
-    is_lost: bool
+    state: ContactState
     targets: int
     seconds: float
 
 
 class TargetContact:
-    """Follows the results of this host's attempts to reach targets.
+    """Follows the results of this host's attempts to connect to targets.
 
     All times are monotonic seconds.
 
@@ -40,51 +52,62 @@
     """
 
     def __init__(self, count_targets: Callable[[], int], now: float) -> None:
+        self.state = ContactState.REACHED
         self._count_targets = count_targets
-        self._silent: set[TargetId] = set()
-        """Targets tried in vain since the last answer."""
+        self._silences: dict[TargetId, float] = {}
+        """When each target was last tried in vain, since the last answer."""
         self._answered_at = now
-        self._ended_at = float("-inf")
+        self._returned_at = float("-inf")
         """When the last cut ended."""
-        self._is_lost = False
-        self._listeners: list[Callable[[Contact], None]] = []
+        self._listeners: list[Callable[[ContactChange], None]] = []
 
     @property
     def is_lost(self) -> bool:
         """Return whether this host is cut off from all targets."""
-        return self._is_lost
+        return self.state is ContactState.LOST
 
-    def watch(self, listener: Callable[[Contact], None]) -> None:
-        """Call ``listener`` with each change."""
+    def is_silent(self, target: TargetId) -> bool:
+        """Return whether a target was tried in vain since another one answered."""
+        return target in self._silences
+
+    def watch(self, listener: Callable[[ContactChange], None]) -> None:
+        """Call ``listener`` with each change of the state."""
         self._listeners.append(listener)
 
     def note_answer(self, now: float) -> None:
-        """Record that a target has answered."""
-        if self._is_lost:
-            self._ended_at = now
-            self._change(False, now)
-        self._silent.clear()
+        """Record that a target has answered on a new connection."""
+        if self.is_lost:
+            self._returned_at = now
+        self._change(ContactState.REACHED, now)
+        self._silences.clear()
         self._answered_at = now
 
     def note_silence(self, target: TargetId, began: float, now: float) -> None:
-        """Record an attempt to reach a target in vain.
+        """Record that a target was tried in vain.
 
-        It counts only if no target has answered since it began.
+        It counts only if no target has answered since the attempt began.
         """
         if began <= self._answered_at:
             return
-        self._silent.add(target)
-        if not self._is_lost and len(self._silent) >= self._count_needed(now):
-            self._change(True, now)
-
-    def _count_needed(self, now: float) -> int:
-        """Return how many targets must have been tried in vain."""
-        if now - self._ended_at < RELAPSE_SECONDS:
-            return 1
-        return max(1, min(MIN_SILENT_TARGETS, self._count_targets()))
-
-    def _change(self, is_lost: bool, now: float) -> None:
-        self._is_lost = is_lost
-        contact = Contact(is_lost, len(self._silent), now - self._answered_at)
+        self._silences[target] = now
+        if self.state is ContactState.REACHED and self._has_reason_to_doubt(now):
+            self._change(ContactState.DOUBTED, now)
+
+    def confirm_loss(self, asked_at: float, now: float) -> None:
+        """Record that the targets that were asked because of a doubt did not answer."""
+        if self.state is ContactState.DOUBTED and asked_at > self._answered_at:
+            self._change(ContactState.LOST, now)
+
+    def _has_reason_to_doubt(self, now: float) -> bool:
+        recent = [at for at in self._silences.values() if now - at < SILENCE_SECONDS]
+        if now - self._returned_at < RELAPSE_SECONDS:
+            return len(recent) >= 1
+        return len(recent) >= max(1, min(MIN_SILENT_TARGETS, self._count_targets()))
+
+    def _change(self, state: ContactState, now: float) -> None:
+        if state is self.state:
+            return
+        self.state = state
+        seconds = now - self._answered_at
         for listener in self._listeners:
-            listener(contact)
+            listener(ContactChange(state, len(self._silences), seconds))
--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -202,6 +202,8 @@
     :param sent_ms: when it was sent, in milliseconds of the sender's clock; 0 if
         unknown.
     :param process: random number of the sender's process.
+    :param is_cut_off: whether the sender reaches no target.
+    :param proxy_port: at which the sender takes requests of other hosts; 0 if unknown.
     """
 
     data_centre: DataCentre
@@ -225,6 +227,8 @@
     leaving_targets: tuple[LeavingNote, ...] = ()
     sent_ms: int = 0
     process: int = 0
+    is_cut_off: bool = False
+    proxy_port: int = 0
 
 
 class CentreUsage(Struct, frozen=True):
--- /dev/null
+++ b/marigoldswitch/gateway/contact_probing.py
@@ -0,0 +1,77 @@
+"""Asks targets for reports when this host doubts that it reaches any."""
+
+import asyncio
+import random
+
+from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.contact import ContactChange, ContactState, TargetContact
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.ports import EngineControl, EngineGone
+
+PROBE_TIMEOUT_SECONDS = 0.06
+"""Time for an answer on a new connection, which takes live targets a few
+milliseconds."""
+PROBE_INTERVAL_SECONDS = 0.25
+"""Pause between two rounds while this host is cut off."""
+TARGETS_PER_ROUND = 2
+
+
+class ContactProber:
+    """Settles a doubt at once, and finds out when a cut has ended."""
+
+    def __init__(
+        self,
+        engines: EngineControl,
+        directory: Directory,
+        contact: TargetContact,
+        clock: Clock,
+        source: random.Random,
+    ) -> None:
+        self._engines = engines
+        self._directory = directory
+        self._contact = contact
+        self._clock = clock
+        self._source = source
+        self._round: asyncio.Task[None] | None = None
+        contact.watch(self._handle_change)
+
+    def tick(self) -> None:
+        """Start a round if this host is cut off and none is under way."""
+        if self._contact.state is not ContactState.REACHED and self._round is None:
+            self._round = asyncio.create_task(self._run_rounds())
+
+    def _handle_change(self, change: ContactChange) -> None:
+        if change.state is ContactState.DOUBTED:
+            self.tick()
+
+    async def _run_rounds(self) -> None:
+        """Ask targets until one answers."""
+        try:
+            while self._contact.state is not ContactState.REACHED:
+                await self._ask()
+                if self._contact.is_lost:
+                    await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+        finally:
+            self._round = None
+
+    async def _ask(self) -> None:
+        asked_at = self._clock.monotonic()
+        asked = [
+            self._engines.read(item.address, PROBE_TIMEOUT_SECONDS, new_connection=True)
+            for item in self._choose_targets()
+        ]
+        answers = await asyncio.gather(*asked)
+        now = self._clock.monotonic()
+        if any(item and not isinstance(item, EngineGone) for item in answers):
+            self._contact.note_answer(now)
+        else:
+            self._contact.confirm_loss(asked_at, now)
+
+    def _choose_targets(self) -> list[Target]:
+        """Return targets to ask, drawn from those not yet tried in vain, if any."""
+        registry = self._directory.registry
+        known = list(registry.list_engines()) or list(registry.targets.values())
+        fresh = [item for item in known if not self._contact.is_silent(item.id)]
+        chosen = fresh if len(fresh) >= TARGETS_PER_ROUND else known
+        return self._source.sample(chosen, min(TARGETS_PER_ROUND, len(chosen)))
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -315,6 +315,8 @@
         statuses = dict(
             zip((item.id for item in known), await asyncio.gather(*checks), strict=True)
         )
+        if parts.contact.is_lost:
+            self._break_if_idempotent("this host reaches no target")
         if stages[0] in to_probe:
             first_status = statuses.get(stages[0].target)
             if first_status is None:
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -43,6 +43,8 @@
     :param discounted_runs: runs that don't count against the route's limit on targets:
         those on targets that have ended since, and resendings to the same target on a
         new connection. The request has run all the same.
+    :param connect_failures: targets to which no connection could be opened for it.
+    :param is_proxied: another host has sent it here.
     """
 
     http: web.BaseRequest
@@ -57,6 +59,8 @@
     send_count: int = 0
     run_count: int = 0
     discounted_runs: int = 0
+    connect_failures: int = 0
+    is_proxied: bool = False
     response: web.StreamResponse | None = None
     """The answer to the caller; ``None`` until it has begun."""
     first_event: float | None = None
@@ -93,6 +97,10 @@
         self.fault = fault
 
 
+class ContactLost(Exception):
+    """This host reaches no target; another one may run the request."""
+
+
 class AnswerAborted(Exception):
     """An answer that had begun was aborted; no error answer can be sent any more."""
 
@@ -285,6 +293,15 @@
     )
 
 
+def check_contact(parts: RunParts, exchange: Exchange) -> None:
+    """Check that this host reaches targets, if the request may run elsewhere.
+
+    :raises ContactLost: if it doesn't.
+    """
+    if parts.contact.is_lost and exchange.may_run_again:
+        raise ContactLost
+
+
 async def note_cut_off(
     parts: RunParts, exchange: Exchange, target: Target, had_event: bool
 ) -> None:
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -1,27 +1,49 @@
 """Forwards the events of an answer to the caller, without those it already has."""
 
+from contextlib import AbstractAsyncContextManager
+from typing import Protocol
+
 import aiohttp
 
 from marigoldswitch.core.event_stream import Event, EventSplitter
 from marigoldswitch.core.ports import Clock
-from marigoldswitch.gateway.detours import ChainBroken, ChainMonitor
+from marigoldswitch.gateway.detours import ChainBroken
 from marigoldswitch.gateway.exchanges import Exchange, write
 from marigoldswitch.gateway.upstream import EndOfBodyCheck
 
 
+class StreamMonitor(Protocol):
+    """Follows the progress of a stream.
+
+    :ivar last_event: id of the last event that the caller has received.
+    """
+
+    last_event: str | None
+
+    def note_event(self) -> None:
+        """Record that events have arrived."""
+        ...
+
+    def monitor(
+        self, response: aiohttp.ClientResponse
+    ) -> AbstractAsyncContextManager[None]:
+        """Watch over an answer while it is read."""
+        ...
+
+
 class EventForwarder:
-    """Forwards the events of one request over its successive chains.
+    """Forwards the events of one request over its successive answers.
 
     :ivar last_sent: when the last event was forwarded, in monotonic seconds.
     """
 
     def __init__(
-        self, clock: Clock, exchange: Exchange, chain_monitor: ChainMonitor
+        self, clock: Clock, exchange: Exchange, monitor: StreamMonitor
     ) -> None:
         self.last_sent: float | None = None
         self._clock = clock
         self._exchange = exchange
-        self._chain_monitor = chain_monitor
+        self._monitor = monitor
 
     async def forward(self, response: aiohttp.ClientResponse) -> None:
         """Forward events until the answer is complete.
@@ -29,11 +51,11 @@
         :raises ChainBroken: if the answer ends early or the chain breaks.
         """
         splitter, end_check = EventSplitter(), EndOfBodyCheck(response)
-        async with self._chain_monitor.monitor(response):
+        async with self._monitor.monitor(response):
             while content := await response.content.readany():
                 events = splitter.feed(content)
                 if events:
-                    self._chain_monitor.note_event()
+                    self._monitor.note_event()
                     await self._write_unseen(events)
         if splitter.has_remainder:
             raise ChainBroken("the answer ended within an event")
@@ -47,7 +69,7 @@
             if self._is_duplicate(event):
                 continue
             if event.id is not None:
-                self._chain_monitor.last_event = event.id
+                self._monitor.last_event = event.id
             unseen.append(event.content)
         if unseen:
             self._record_gap()
@@ -68,7 +90,7 @@
 
         Numeric ids are taken to be in ascending order; an event without an id is new.
         """
-        last = self._chain_monitor.last_event
+        last = self._monitor.last_event
         if event.id is None or last is None:
             return False
         if event.id.isdigit() and last.isdigit():
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -1,7 +1,9 @@
 """HTTP frontend of a gateway host: takes callers' requests and runs each to its end."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 
 import orjson
 import structlog
@@ -19,20 +21,38 @@
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
     CallerDisconnected,
+    ContactLost,
     Exchange,
     RequestRefused,
     RunParts,
     abort,
+    check_contact,
     check_hold,
     describe_timeout,
 )
 from marigoldswitch.gateway.metrics import GatewayMetrics
 from marigoldswitch.gateway.plain import PlainRun, PlainSelectors
 from marigoldswitch.gateway.ports import Call
+from marigoldswitch.gateway.proxying import (
+    DECLINED_HEADER,
+    PeerProxy,
+    ProxyTerms,
+    drop_own_headers,
+    read_terms,
+)
 from marigoldswitch.gateway.streams import StreamRun
 
 logger = structlog.get_logger(__name__)
 
+MAX_PROXIED_REQUESTS = 256
+"""Requests of other hosts that may run at once. Each takes some kilobytes."""
+DECLINED_KINDS = frozenset(
+    {ErrorKind.UNREACHABLE, ErrorKind.DRAINING, ErrorKind.NO_BUNDLE}
+)
+"""Faults of this host that another one may not have."""
+PROXIED_KINDS = frozenset({ErrorKind.NO_TARGET, ErrorKind.NOT_DELIVERED})
+"""Faults with which a request is sent through another host if this one could not
+connect to targets."""
 BODY_TIMEOUT_SECONDS = 10.0
 """Longest time to receive a request body. On usual links it takes milliseconds."""
 
@@ -45,10 +65,15 @@
     :ivar streams: running requests that are handled as streams.
     """
 
-    def __init__(self, parts: RunParts, metrics: GatewayMetrics) -> None:
+    def __init__(
+        self, parts: RunParts, metrics: GatewayMetrics, proxy: PeerProxy
+    ) -> None:
         self.streams: set[StreamRun] = set()
         self._parts = parts
         self._metrics = metrics
+        self._proxy = proxy
+        self._proxied_count = 0
+        """Running requests of other hosts' callers."""
         self._selectors = PlainSelectors(parts)
         self._busy_connections: set[object] = set()
         """Connections with a running request; each has at most one at a time."""
@@ -81,16 +106,53 @@
             if any(item.target == target for item in run.chain_monitor.stages)
         ]
 
-    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+    async def handle_proxied(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request of another host's caller, or decline it at once."""
+        terms = read_terms(http.headers)
+        why = self._find_reason_to_decline(terms)
+        if why or terms is None:
+            logger.info("proxying_declined", why=why, running=self._proxied_count)
+            # A connection with unread bytes is reset, and the answer may be lost.
+            with contextlib.suppress(RequestRefused):
+                await self._read_body(http, ClientLimits())
+            return web.Response(
+                status=HTTPStatus.SERVICE_UNAVAILABLE, headers={DECLINED_HEADER: why}
+            )
+        self._proxied_count += 1
+        try:
+            return await self.handle(http, terms)
+        finally:
+            self._proxied_count -= 1
+
+    def _find_reason_to_decline(self, terms: ProxyTerms | None) -> str:
+        """Return why a request of another host is not taken; empty if it is."""
+        parts = self._parts
+        if terms is None:
+            return "malformed"
+        if parts.state.draining:
+            return ErrorKind.DRAINING.value
+        if parts.contact.is_lost:
+            return ErrorKind.UNREACHABLE.value
+        if not parts.directory.is_complete or parts.directory.version < terms.version:
+            return ErrorKind.NO_BUNDLE.value
+        if self._proxied_count >= MAX_PROXIED_REQUESTS:
+            return ErrorKind.SATURATED.value
+        return ""
+
+    async def handle(
+        self, http: web.BaseRequest, terms: ProxyTerms | None = None
+    ) -> web.StreamResponse:
         """Answer one request.
 
         While the host is draining, the connection is closed after an answer whose head
         has not been sent yet.
+
+        :param terms: those of the host that has sent it; ``None`` if its caller has.
         """
         self._busy_connections.add(http.protocol)
         self._idle.clear()
         try:
-            response = await self._answer(http)
+            response = await self._answer(http, terms)
         finally:
             self._busy_connections.discard(http.protocol)
             if not self._busy_connections:
@@ -99,19 +161,23 @@
             response.force_close()
         return response
 
-    async def _answer(self, http: web.BaseRequest) -> web.StreamResponse:
+    async def _answer(
+        self, http: web.BaseRequest, terms: ProxyTerms | None
+    ) -> web.StreamResponse:
         arrived = self._parts.clock.monotonic()
-        match self._parts.codec.read_call(http.method, http.raw_path, http.headers):
+        headers = http.headers if terms is None else drop_own_headers(http.headers)
+        match self._parts.codec.read_call(http.method, http.raw_path, headers):
             case Err(why):
                 return self._build_refusal(None, Fault(ErrorKind.MALFORMED, why))
             case Ok(call):
                 pass
         exchange: Exchange | None = None
         try:
-            exchange = await self._create_exchange(http, call, arrived)
+            exchange = await self._create_exchange(http, call, arrived, terms)
             return await self._run(exchange)
         except RequestRefused as refused:
-            return self._finish_refused(call, exchange, refused.fault)
+            is_proxied = terms is not None
+            return self._finish_refused(call, exchange, refused.fault, is_proxied)
         except AnswerAborted as broken:
             assert exchange is not None and exchange.response is not None
             self._record_end(exchange, f"broken off: {broken}")
@@ -134,11 +200,16 @@
             return exchange.response
 
     async def _create_exchange(
-        self, http: web.BaseRequest, call: Call, arrived: float
+        self,
+        http: web.BaseRequest,
+        call: Call,
+        arrived: float,
+        terms: ProxyTerms | None,
     ) -> Exchange:
         """Read a request's body and look up its route, client account and service.
 
         :param arrived: when the request head had been read, in monotonic seconds.
+        :param terms: those of the host that has sent it; ``None`` if its caller has.
         :raises RequestRefused: if the host takes no requests, the body is not
             acceptable, the current configuration does not allow the request, or it is
             held off.
@@ -177,6 +248,9 @@
             priority,
             arrived,
             arrived + wait,
+            send_count=terms.runs if terms else 0,
+            run_count=terms.runs if terms else 0,
+            is_proxied=terms is not None,
         )
         check_hold(self._parts, exchange)
         return exchange
@@ -221,33 +295,91 @@
         return response
 
     async def _dispatch(self, exchange: Exchange) -> web.StreamResponse:
-        """Run a request as a stream or as a plain request.
+        """Run a request on targets, or through another host if this one reaches none.
 
-        Requests of model services and of stream routes run as streams.
+        :raises RequestRefused: if it fails before any part of an answer was sent.
+        :raises AnswerAborted: if the answer had begun and was cut off.
+        """
+        stream = self._open_stream(exchange)
+        try:
+            return await self._run_here(exchange, stream)
+        except ContactLost:
+            last_event = stream.chain_monitor.last_event if stream else None
+            response = await self._run_elsewhere(exchange, last_event)
+            if response is not None:
+                return response
+            detail = "no other host takes the request"
+            if exchange.response is not None:
+                abort(exchange)
+                raise AnswerAborted(detail) from None
+            raise RequestRefused(self._proxy.build_fault(detail)) from None
+        except RequestRefused as refused:
+            may_run_elsewhere = (
+                refused.fault.kind in PROXIED_KINDS and exchange.connect_failures > 0
+            )
+            if not may_run_elsewhere or exchange.run_count or exchange.response:
+                raise
+            response = await self._run_elsewhere(exchange, None)
+            if response is None:
+                raise
+            return response
+
+    async def _run_elsewhere(
+        self, exchange: Exchange, last_event: str | None
+    ) -> web.StreamResponse | None:
+        """Run a request through another host; return ``None`` if none takes it.
+
+        What another host has sent here is not sent on.
+        """
+        if exchange.is_proxied:
+            return None
+        return await self._proxy.run(exchange, last_event)
+
+    def _open_stream(self, exchange: Exchange) -> StreamRun | None:
+        """Return the run of a request that runs as a stream.
+
+        Those of model services and of stream routes do.
+        """
+        is_plain = exchange.service.model is None
+        if is_plain and exchange.route.kind is not RouteKind.STREAM:
+            return None
+        return StreamRun(self._parts, exchange)
+
+    async def _run_here(
+        self, exchange: Exchange, stream: StreamRun | None
+    ) -> web.StreamResponse:
+        """Run a request on targets that this host sends it to.
+
+        :param stream: its run, if it runs as a stream.
+        :raises ContactLost: if this host reaches no target.
         """
         service, parts = exchange.service, self._parts
+        check_contact(parts, exchange)
         parts.directory.statements.limits.note_wanted(
             service.name, parts.clock.monotonic()
         )
-        is_model = service.model is not None
-        if not is_model and exchange.route.kind is not RouteKind.STREAM:
+        if stream is None:
             selector = self._selectors.get(service.name)
-            return await PlainRun(self._parts, exchange, selector).run()
-        run = StreamRun(self._parts, exchange)
-        self.streams.add(run)
+            return await PlainRun(parts, exchange, selector).run()
+        self.streams.add(stream)
         try:
-            return await run.run()
+            return await stream.run()
         finally:
-            self.streams.discard(run)
+            self.streams.discard(stream)
 
     # Recording how requests end.
 
     def _finish_refused(
-        self, call: Call, exchange: Exchange | None, fault: Fault
+        self,
+        call: Call,
+        exchange: Exchange | None,
+        fault: Fault,
+        is_proxied: bool = False,
     ) -> web.StreamResponse:
         """Record a refused request and return its error answer.
 
         :param exchange: ``None`` if :meth:`_create_exchange` refused it.
+        :param is_proxied: another host has sent it here.
         """
         if exchange is not None:
             self._record_end(exchange, f"{fault.kind.value}: {fault.detail}", fault)
@@ -261,7 +393,10 @@
                 path=call.path,
                 version=self._parts.directory.version,
             )
-        return self._build_refusal(call, fault)
+        response = self._build_refusal(call, fault)
+        if is_proxied and fault.kind in DECLINED_KINDS:
+            response.headers[DECLINED_HEADER] = fault.kind.value
+        return response
 
     def _build_refusal(self, call: Call | None, fault: Fault) -> web.StreamResponse:
         """Return an error answer made by this host.
@@ -288,7 +423,9 @@
         """
         elapsed = self._parts.clock.monotonic() - exchange.arrived
         name = str(exchange.service.name)
-        self._metrics.count_end(name, fault.kind.value if fault else "passed", elapsed)
+        if not exchange.is_proxied:
+            kind = fault.kind.value if fault else "passed"
+            self._metrics.count_end(name, kind, elapsed)
         logger.info(
             "request_ended",
             request=exchange.call.id,
@@ -302,6 +439,7 @@
             longest_gap=_round(exchange.longest_gap),
             sent=exchange.send_count,
             tried=exchange.attempt_log,
+            proxied=exchange.is_proxied,
             version=self._parts.directory.version,
         )
 
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -12,10 +12,11 @@
 from result import Err, Ok
 
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.contact import Contact
+from marigoldswitch.core.contact import ContactChange
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.registry import Change, StoreRestored
 from marigoldswitch.core.routes import RoutingTable
+from marigoldswitch.gateway.contact_probing import ContactProber
 from marigoldswitch.gateway.exchanges import HostState, RunParts
 from marigoldswitch.gateway.followers import (
     ConfigurationFollower,
@@ -87,6 +88,7 @@
     sessions: tuple[Closable, ...]
     """Client sessions that are closed when the host stops."""
     reading: StoreReading
+    contact_prober: ContactProber
 
 
 class GatewayHost:
@@ -122,6 +124,8 @@
         await parts.network.start(host, port)
         await self._listen(addresses.callers, parts.front.handle)
         await self._listen(addresses.readiness, self._answer_readiness)
+        if addresses.proxied:
+            await self._listen(addresses.proxied, parts.front.handle_proxied)
         if addresses.metrics:
             await self._listen(addresses.metrics, self._answer_readiness)
         for seed in parts.settings.seeds:
@@ -256,6 +260,7 @@
             for work in (
                 parts.spread.tick,
                 parts.runs.probes.recheck_dead,
+                parts.contact_prober.tick,
                 self._update_store_reading,
             ):
                 try:
@@ -316,11 +321,12 @@
         await self._write_row()
         logger.info("host_row_written_again")
 
-    def _log_contact(self, contact: Contact) -> None:
+    def _log_contact(self, change: ContactChange) -> None:
         logger.warning(
-            "targets_unreachable" if contact.is_lost else "targets_reached_again",
-            targets=contact.targets,
-            seconds=round(contact.seconds, 2),
+            "target_contact",
+            state=change.state.value,
+            targets=change.targets,
+            seconds=round(change.seconds, 2),
         )
 
     def _handle_target_change(self, change: Change, target: Target) -> None:
@@ -367,3 +373,8 @@
     """Split ``IP:port`` into the IP address and the port number."""
     host, _, port = address.rpartition(":")
     return host, int(port)
+
+
+def read_port(address: str) -> int:
+    """Return the port of ``IP:port``, 0 if the address is empty."""
+    return split_address(address)[1] if address else 0
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -15,6 +15,7 @@
     Exchange,
     RequestRefused,
     RunParts,
+    check_contact,
     check_hold,
     needs_new_connection,
     note_cut_off,
@@ -101,6 +102,7 @@
         pending: set[asyncio.Task[SendResult]] = set()
         try:
             while True:
+                check_contact(self._parts, self._exchange)
                 target = self._choose_target(self._parts.clock.monotonic())
                 if target is not None:
                     pending.add(self._start_sending(target))
@@ -283,6 +285,7 @@
             case NotSent(why):
                 exchange.run_count -= 1
                 exchange.send_count -= 1
+                exchange.connect_failures += 1
                 self._unreachable_count += 1
                 if self._unreachable_count >= MAX_UNREACHABLE_TARGETS:
                     raise RequestRefused(self._build_fault(why))
@@ -323,6 +326,8 @@
 
         :raises RequestRefused: if the request may not be sent again.
         """
+        if self._may_retry():
+            check_contact(self._parts, self._exchange)
         if not self._may_retry() or not self._spend_retry():
             raise RequestRefused(self._build_fault(why, kind))
 
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -107,6 +107,16 @@
         """Decode a caller's request, or return what is wrong with it."""
         ...
 
+    def write_caller_headers(
+        self, call: Call, timeout: float, last_event: str | None
+    ) -> CIMultiDict[str]:
+        """Return the headers with which another host gets a caller's request.
+
+        :param timeout: seconds left for the answer.
+        :param last_event: id of the last event that the caller has received.
+        """
+        ...
+
     def write_headers(self, call: Call, sending: ForwardOptions) -> CIMultiDict[str]:
         """Return the headers with which a request goes to a target."""
         ...
@@ -201,11 +211,14 @@
 class EngineControl(Protocol):
     """Reads the status of engines and sends them orders."""
 
-    async def read(self, address: str, timeout: float) -> EngineAnswer | None:
+    async def read(
+        self, address: str, timeout: float, new_connection: bool = False
+    ) -> EngineAnswer | None:
         """Return an engine's answer to a status request, or ``None`` if there is none.
 
         :param address: ``IP:port`` of the engine.
         :param timeout: in seconds.
+        :param new_connection: use a new connection, not a pooled one.
         """
         ...
 
@@ -349,12 +362,16 @@
 
 
 class Addresses(Struct, frozen=True):
-    """Listening addresses of this host, as ``IP:port``."""
+    """Listening addresses of this host, as ``IP:port``.
+
+    :param proxied: for callers' requests that come by way of other hosts.
+    """
 
     callers: str
     readiness: str
     peers: str
     metrics: str = ""
+    proxied: str = ""
 
 
 class HostSettings(Struct, frozen=True):
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -41,7 +41,6 @@
         clock: Clock,
         contact: TargetContact,
     ) -> None:
-        self._contact = contact
         self._directory = directory
         self._planner = planner
         self._clock = clock
@@ -67,7 +66,6 @@
     def note_alive(self, targets: Iterable[TargetId]) -> None:
         """Record that an event has just arrived over these engines."""
         now = self._clock.monotonic()
-        self._contact.note_answer(now)
         for name in targets:
             self._last_event_at[name] = now
 
--- /dev/null
+++ b/marigoldswitch/gateway/proxying.py
@@ -0,0 +1,303 @@
+"""Runs requests of a host that reaches no target by way of other hosts.
+
+The other host handles such a request as one of its own callers', and this host passes
+the answer on as it comes.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+import structlog
+from aiohttp import web
+from msgspec import Struct
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from marigoldswitch.core.errors import ErrorKind, Fault
+from marigoldswitch.core.event_stream import EventTooLong
+from marigoldswitch.core.ids import HostId
+from marigoldswitch.gateway.connections import Connections, ConnectionUse
+from marigoldswitch.gateway.detours import ChainBroken
+from marigoldswitch.gateway.exchanges import (
+    AnswerAborted,
+    Exchange,
+    RequestRefused,
+    RunParts,
+    abort,
+    spend_retry,
+)
+from marigoldswitch.gateway.forwarding import EventForwarder
+from marigoldswitch.gateway.proxy_hosts import ProxyHost, ProxyHosts
+from marigoldswitch.gateway.upstream import (
+    EndOfBodyCheck,
+    Lost,
+    NotSent,
+    open_response,
+)
+
+logger = structlog.get_logger(__name__)
+
+MAX_HOSTS = 4
+"""Hosts to which one request is sent in turn while each declines."""
+SILENCE_SECONDS = 1.5
+"""Time without an answer or an event after which another host is asked, if the request
+may run again. Callers leave after 2 s."""
+RETRY_AFTER_SECONDS = (0.3, 1.0)
+"""Bounds of the time after which a caller may come back that no host could serve."""
+
+VERSION_HEADER = "Proxy-Version"
+"""Version of the configuration by which the sender has admitted the request."""
+RUNS_HEADER = "Proxy-Runs"
+"""Number of targets on which the request may have run."""
+DECLINED_HEADER = "Proxy-Declined"
+"""Why a host does not take the request of another one."""
+OWN_HEADERS = (VERSION_HEADER, RUNS_HEADER, DECLINED_HEADER)
+
+
+class ProxyTerms(Struct, frozen=True):
+    """What a host says of a request that it sends to another one.
+
+    :param version: of the configuration by which it was admitted.
+    :param runs: number of targets on which it may have run.
+    """
+
+    version: int
+    runs: int
+
+
+def read_terms(headers: CIMultiDictProxy[str]) -> ProxyTerms | None:
+    """Return the terms of a request of another host, ``None`` if they are malformed."""
+    values = [headers.get(name, "") for name in (VERSION_HEADER, RUNS_HEADER)]
+    if not all(item.isdecimal() for item in values):
+        return None
+    return ProxyTerms(int(values[0]), int(values[1]))
+
+
+def drop_own_headers(headers: CIMultiDictProxy[str]) -> CIMultiDictProxy[str]:
+    """Return headers without those that hosts add for each other."""
+    kept: CIMultiDict[str] = CIMultiDict(headers)
+    for name in OWN_HEADERS:
+        kept.popall(name, None)
+    return CIMultiDictProxy(kept)
+
+
+class _SilenceMonitor:
+    """Closes the answer of a host that sends no events for too long."""
+
+    def __init__(self, last_event: str | None) -> None:
+        self.last_event = last_event
+        self._timer: asyncio.TimerHandle | None = None
+        self._response: aiohttp.ClientResponse | None = None
+
+    def note_event(self) -> None:
+        """Measure the silence from now on."""
+        self._stop_timer()
+        if self._response is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(SILENCE_SECONDS, self._response.close)
+
+    @contextlib.asynccontextmanager
+    async def monitor(self, response: aiohttp.ClientResponse) -> AsyncIterator[None]:
+        """Watch over an answer while it is read."""
+        self._response = response
+        self.note_event()
+        try:
+            yield
+        finally:
+            self._stop_timer()
+            self._response = None
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+class _Broken(Exception):
+    """The other host or the connection to it ended before the answer was complete."""
+
+
+class PeerProxy:
+    """Sends requests of this host through other ones.
+
+    :param connections: to other hosts.
+    """
+
+    def __init__(
+        self, parts: RunParts, hosts: ProxyHosts, connections: Connections
+    ) -> None:
+        self._parts = parts
+        self._hosts = hosts
+        self._connections = connections
+
+    async def run(
+        self, exchange: Exchange, last_event: str | None
+    ) -> web.StreamResponse | None:
+        """Run a request through another host and return the answer to its caller.
+
+        :param last_event: id of the last event that the caller has received, if any.
+        :return: ``None`` if no host has taken it.
+        :raises RequestRefused: if it may have run and may not be sent again;
+            :class:`AnswerAborted` once the answer has begun.
+        """
+        run = ProxiedRun(
+            self._parts, self._hosts, self._connections, exchange, last_event
+        )
+        return await run.run()
+
+    def build_fault(self, detail: str) -> Fault:
+        """Return the error for a request that no host could run."""
+        delay = self._parts.source.uniform(*RETRY_AFTER_SECONDS)
+        return Fault(ErrorKind.UNREACHABLE, detail, delay)
+
+
+class ProxiedRun:
+    """Runs one request by way of other hosts."""
+
+    def __init__(
+        self,
+        parts: RunParts,
+        hosts: ProxyHosts,
+        connections: Connections,
+        exchange: Exchange,
+        last_event: str | None,
+    ) -> None:
+        self._parts = parts
+        self._hosts = hosts
+        self._connections = connections
+        self._exchange = exchange
+        self._monitor = _SilenceMonitor(last_event)
+        self._tried: set[HostId] = set()
+
+    async def run(self) -> web.StreamResponse | None:
+        """Run the request to its end and return the answer to the caller.
+
+        :return: ``None`` if no host has taken it; it has not run anywhere then.
+        :raises RequestRefused: if it may have run and may not be sent again;
+            :class:`AnswerAborted` once the answer has begun.
+        """
+        while len(self._tried) < MAX_HOSTS:
+            host = self._hosts.choose(self._tried)
+            if host is None:
+                return None
+            self._tried.add(host.host)
+            response = await self._send(host)
+            if isinstance(response, NotSent):
+                self._note_end(host, f"declined: {response.why}")
+                self._hosts.note_declined(host.host)
+                continue
+            self._exchange.send_count += 1
+            try:
+                if isinstance(response, Lost):
+                    raise _Broken(response.why)
+                answer = await self._pass_on(response)
+            except _Broken as broken:
+                self._note_end(host, f"lost: {broken}")
+                self._exchange.run_count += 1
+                self._require_another_host(str(broken))
+                continue
+            self._note_end(host, f"answered {answer.status}")
+            return answer
+        return None
+
+    async def _send(self, host: ProxyHost) -> aiohttp.ClientResponse | NotSent | Lost:
+        """Send the request to a host; ``NotSent`` also means that it has declined."""
+        exchange, parts = self._exchange, self._parts
+        left = exchange.deadline - parts.clock.monotonic()
+        headers = parts.codec.write_caller_headers(
+            exchange.call, left, self._monitor.last_event
+        )
+        headers[VERSION_HEADER] = str(parts.directory.version)
+        headers[RUNS_HEADER] = str(exchange.run_count - exchange.discounted_runs)
+        session = self._connections.single_use
+        if exchange.route.is_idempotent:
+            session = self._connections.choose_session(host.address)
+        url, use = f"http://{host.address}{exchange.call.path}", ConnectionUse()
+        limit = SILENCE_SECONDS if exchange.route.is_idempotent else None
+        try:
+            async with asyncio.timeout(limit):
+                result = await open_response(
+                    session, exchange.call.method, url, headers, exchange.body, use
+                )
+        except TimeoutError:
+            return Lost("no answer in time")
+        if not isinstance(result, aiohttp.ClientResponse):
+            return result
+        facts = parts.codec.read_reply(result.status, result.headers)
+        declined = result.headers.get(DECLINED_HEADER)
+        if declined is not None and not facts.is_signed:
+            result.release()
+            return NotSent(declined)
+        return result
+
+    async def _pass_on(self, reply: aiohttp.ClientResponse) -> web.StreamResponse:
+        """Pass an answer on to the caller.
+
+        :raises _Broken: if it is not complete.
+        """
+        exchange = self._exchange
+        is_stream = reply.content_type == "text/event-stream"
+        try:
+            if is_stream and reply.status == web.HTTPOk.status_code:
+                return await self._pass_events_on(reply)
+            if exchange.response is not None:
+                raise _Broken(f"status {reply.status}")
+            return await self._pass_whole_on(reply)
+        except (aiohttp.ClientError, OSError, EventTooLong, ChainBroken) as error:
+            raise _Broken(f"{type(error).__name__}: {error}") from error
+        finally:
+            reply.close()
+
+    async def _pass_whole_on(self, reply: aiohttp.ClientResponse) -> web.Response:
+        end_check = EndOfBodyCheck(reply)
+        body = await reply.read()
+        if not end_check.is_complete():
+            raise _Broken("the connection was reset at the end of the answer")
+        headers = self._parts.codec.write_reply(reply.headers)
+        response = web.Response(status=reply.status, headers=headers, body=body)
+        self._exchange.response = response
+        return response
+
+    async def _pass_events_on(
+        self, reply: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        exchange = self._exchange
+        if exchange.response is None:
+            headers = self._parts.codec.write_reply(reply.headers)
+            response = web.StreamResponse(status=reply.status, headers=headers)
+            response.enable_chunked_encoding()
+            if self._parts.state.draining:
+                response.force_close()
+            await response.prepare(exchange.http)
+            exchange.response = response
+        forwarder = EventForwarder(self._parts.clock, exchange, self._monitor)
+        await forwarder.forward(reply)
+        await exchange.response.write_eof()
+        return exchange.response
+
+    def _require_another_host(self, why: str) -> None:
+        """Take a retry from the budget, as the lost host has sent the request on.
+
+        :raises RequestRefused: if the request may not be sent again;
+            :class:`AnswerAborted` once the answer has begun.
+        """
+        exchange = self._exchange
+        has_begun = exchange.response is not None
+        if exchange.may_run_again and spend_retry(self._parts, exchange, has_begun):
+            return
+        if has_begun:
+            abort(exchange)
+            raise AnswerAborted(why)
+        raise RequestRefused(Fault(ErrorKind.TARGET_LOST, why))
+
+    def _note_end(self, host: ProxyHost, end: str) -> None:
+        exchange = self._exchange
+        exchange.attempt_log.append(f"by way of {host.host}: {end}")
+        logger.info(
+            "request_proxied",
+            request=exchange.call.id,
+            peer=host.host,
+            end=end,
+            after=self._monitor.last_event,
+            contact=self._parts.contact.state.value,
+        )
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -144,8 +144,6 @@
         now = self._clock.monotonic()
         if answer is None or isinstance(answer, EngineGone):
             self._contact.note_silence(target.id, asked, now)
-        else:
-            self._contact.note_answer(now)
         if answer is not None:
             self.health.note_answer(target.data_centre, asked, now)
         return (
--- a/marigoldswitch/gateway/roster.py
+++ b/marigoldswitch/gateway/roster.py
@@ -63,6 +63,8 @@
     :ivar is_reader: it has said that it reads the store.
     :ivar reading_at: when it or a peer last reported that it reads the store; ``None``
         if it does not.
+    :ivar is_cut_off: it reaches no target.
+    :ivar proxy_port: at which it takes requests of other hosts; 0 if unknown.
     """
 
     data_centre: DataCentre
@@ -74,6 +76,8 @@
     version: int = 0
     is_reader: bool = False
     reading_at: float | None = None
+    is_cut_off: bool = False
+    proxy_port: int = 0
 
 
 class Roster:
@@ -142,6 +146,8 @@
             digest.version,
             digest.reads,
             reading_at,
+            digest.is_cut_off,
+            digest.proxy_port,
         )
         self._population.note_member(host, digest.data_centre, now, digest.leaving)
         for name in digest.readers:
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -313,6 +313,8 @@
             leaving_targets=self._statements.encode_leaving(),
             sent_ms=round(now * MILLISECONDS_PER_SECOND),
             process=parts.loans.process,
+            is_cut_off=parts.contact.is_lost,
+            proxy_port=parts.proxy_port,
         )
 
     def _build_lease_note(self, now: float) -> LeaseNote | None:
--- a/marigoldswitch/gateway/state_sync.py
+++ b/marigoldswitch/gateway/state_sync.py
@@ -13,6 +13,7 @@
 from result import Err, Ok
 
 from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.gateway_messages import (
     ConfigurationContent,
     FetchConfiguration,
@@ -61,7 +62,10 @@
 
 
 class DigestExchangeParts(Struct):
-    """The collaborators of the digest exchange."""
+    """The collaborators of the digest exchange.
+
+    :param proxy_port: at which this host takes requests of other hosts; 0 for none.
+    """
 
     clock: Clock
     network: PeerNetwork
@@ -76,6 +80,8 @@
     targets: TargetFollower
     identity: Identity
     source: random.Random
+    contact: TargetContact
+    proxy_port: int
 
 
 class _Requests(Struct):
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -30,6 +30,7 @@
     RequestRefused,
     RunParts,
     abort,
+    check_contact,
     check_hold,
     needs_new_connection,
     note_cut_off,
@@ -94,8 +95,10 @@
             begun.
         """
         while True:
+            check_contact(self._parts, self._exchange)
             chain = await self._acquire_chain()
             if chain is None:
+                check_contact(self._parts, self._exchange)
                 return self._fail_request(ErrorKind.SATURATED, "no chain with room")
             self.chain_monitor.start_chain(chain.stages)
             runs_before = self._exchange.run_count
@@ -106,6 +109,7 @@
                 self._failed_first_engines.add(chain.stages[0].target)
                 if self._exchange.run_count > runs_before:
                     await self._record_lost_run(chain.stages[0], str(broken))
+                check_contact(self._parts, self._exchange)
                 self._check_retry_allowed(str(broken))
                 continue
             finally:
@@ -305,6 +309,7 @@
         match result:
             case NotSent(why):
                 exchange.run_count -= 1
+                exchange.connect_failures += 1
                 self._suspect_unreachable(first_row.target, result)
                 raise ChainBroken(f"not sent: {why}")
             case Lost(why):
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -67,6 +67,36 @@
     return isinstance(error, ConnectionRefusedError)
 
 
+async def open_response(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    headers: CIMultiDict[str],
+    body: bytes,
+    use: ConnectionUse,
+) -> aiohttp.ClientResponse | NotSent | Lost:
+    """Send a request and return the answer once its head has arrived.
+
+    :param url: with path and query encoded as they are to be sent.
+    :param use: is updated with how the request was sent.
+    """
+    try:
+        return await session.request(
+            method,
+            URL(url, encoded=True),
+            headers=headers,
+            data=body or None,
+            allow_redirects=False,
+            trace_request_ctx=use,
+        )
+    except aiohttp.ClientConnectorError as error:
+        return NotSent(str(error.os_error or error), is_connection_refused(error))
+    except aiohttp.ConnectionTimeoutError:
+        return NotSent("connecting timed out")
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        return Lost(f"{type(error).__name__}: {error}")
+
+
 class Upstream:
     """Sends requests to targets.
 
@@ -107,40 +137,30 @@
         session = self._connections.single_use
         if not new_connection:
             session = self._connections.choose_session(target.address)
-        url = URL(f"http://{target.address}{call.path}", encoded=True)
-        headers: CIMultiDict[str] = self._codec.write_headers(call, sending)
+        url = f"http://{target.address}{call.path}"
+        headers = self._codec.write_headers(call, sending)
         use, began = ConnectionUse(), self._clock.monotonic()
-        try:
-            response = await session.request(
-                call.method,
-                url,
-                headers=headers,
-                data=body or None,
-                allow_redirects=False,
-                trace_request_ctx=use,
-            )
-        except aiohttp.ClientConnectorError as error:
-            self._contact.note_silence(target.id, began, self._clock.monotonic())
-            return NotSent(str(error.os_error or error), is_connection_refused(error))
-        except aiohttp.ConnectionTimeoutError:
-            self._contact.note_silence(target.id, began, self._clock.monotonic())
-            return NotSent("connecting timed out")
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            now = self._clock.monotonic()
-            self._contact.note_silence(target.id, began, now)
-            if not use.is_reused:
+        result = await open_response(session, call.method, url, headers, body, use)
+        now = self._clock.monotonic()
+        match result:
+            case NotSent():
+                self._contact.note_silence(target.id, began, now)
+                return result
+            case Lost(why) if use.is_reused:
+                return Lost(why, now - began < STALE_CONNECTION_SECONDS)
+            case Lost():
+                self._contact.note_silence(target.id, began, now)
                 self.resends.note_lost(target.id)
-            is_stale = use.is_reused and now - began < STALE_CONNECTION_SECONDS
-            return Lost(f"{type(error).__name__}: {error}", is_stale)
+                return result
         if not new_connection:
-            self._connections.note_keep_alive(target.address, response.headers)
-        now = self._clock.monotonic()
-        self._contact.note_answer(now)
+            self._connections.note_keep_alive(target.address, result.headers)
+        if not use.is_reused:
+            self._contact.note_answer(now)
         self.resends.note_answered(target.id)
-        facts = self._codec.read_reply(response.status, response.headers)
+        facts = self._codec.read_reply(result.status, result.headers)
         if facts.request == call.id:
             self._statements.note_answer(target.id, facts, began, now)
-        return Reply(response, facts)
+        return Reply(result, facts)
 
     async def fetch(
         self,
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -19,6 +19,7 @@
     Connections,
     open_session,
 )
+from marigoldswitch.gateway.contact_probing import ContactProber
 from marigoldswitch.gateway.crashes import CrashWatch
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.exchanges import HostState, RetryBudgets, RunParts
@@ -28,12 +29,14 @@
     choose_waits,
 )
 from marigoldswitch.gateway.fronts import Frontend
-from marigoldswitch.gateway.hosts import GatewayHost, GatewayParts
+from marigoldswitch.gateway.hosts import GatewayHost, GatewayParts, read_port
 from marigoldswitch.gateway.metrics import GatewayMetrics
 from marigoldswitch.gateway.orderer import LayerOrderer
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import HostSettings
 from marigoldswitch.gateway.probing import EngineProbes
+from marigoldswitch.gateway.proxy_hosts import ProxyHosts
+from marigoldswitch.gateway.proxying import PeerProxy
 from marigoldswitch.gateway.spread import DigestExchange
 from marigoldswitch.gateway.state_sync import DigestExchangeParts
 from marigoldswitch.gateway.statements import TargetStatements
@@ -72,6 +75,8 @@
     identity = settings.identity
     home = DataCentre(identity.data_centre)
     connections, session = Connections(), open_session(SHORT_IDLE_SECONDS)
+    host_connections = Connections()
+    proxy_port = read_port(settings.addresses.proxied)
     store, engines = PlatformStore(session, store_address), EngineClient(connections)
     codec = HeaderCodec()
     send_limits = SendLimits(home, lambda: planner.count_hosts(), source)
@@ -136,8 +141,11 @@
             targets,
             identity,
             source,
+            contact,
+            proxy_port,
         )
     )
+    proxy_hosts = ProxyHosts(spread.roster, home, proxy_port, clock, source)
     orderer = LayerOrderer(
         clock,
         store,
@@ -165,7 +173,11 @@
             settings,
             state,
             runs,
-            Frontend(runs, GatewayMetrics(metrics)),
+            Frontend(
+                runs,
+                GatewayMetrics(metrics),
+                PeerProxy(runs, proxy_hosts, host_connections),
+            ),
             metrics,
             network,
             spread,
@@ -173,7 +185,8 @@
             targets,
             orderer,
             store,
-            (store, connections, session),
+            (store, connections, host_connections, session),
             reading,
+            ContactProber(engines, directory, contact, clock, source),
         )
     )
--- a/marigoldswitch/platform/engines.py
+++ b/marigoldswitch/platform/engines.py
@@ -49,17 +49,22 @@
     def __init__(self, connections: Connections) -> None:
         self._connections = connections
 
-    async def read(self, address: str, timeout: float) -> EngineAnswer | None:
+    async def read(
+        self, address: str, timeout: float, new_connection: bool = False
+    ) -> EngineAnswer | None:
         """Request an engine's report.
 
         :param address: ``IP:port`` of the engine.
         :param timeout: in seconds.
+        :param new_connection: use a new connection, not a pooled one.
         :return: ``EngineWithoutReport`` if it answers without a report, ``EngineGone``
             if the connection is refused, ``None`` if there is no answer.
         """
         client_timeout = aiohttp.ClientTimeout(total=timeout)
         try:
-            session = self._connections.choose_session(address)
+            session = self._connections.single_use
+            if not new_connection:
+                session = self._connections.choose_session(address)
             url = f"http://{address}/report"
             async with session.get(url, timeout=client_timeout) as response:
                 content = await response.read()
--- a/marigoldswitch/platform/headers.py
+++ b/marigoldswitch/platform/headers.py
@@ -104,11 +104,26 @@
             )
         )
 
+    def write_caller_headers(
+        self, call: Call, timeout: float, last_event: str | None
+    ) -> CIMultiDict[str]:
+        """Return the headers with which another host gets a caller's request.
+
+        :param timeout: seconds left for the answer.
+        :param last_event: id of the last event that the caller has received.
+        """
+        headers = CIMultiDict(call.headers)
+        headers[DEADLINE] = _write_deadline(timeout)
+        if call.api_key is not None:
+            headers[AUTHORIZATION] = f"{KEY_SCHEME} {call.api_key}"
+        if last_event is not None:
+            headers[LAST_EVENT_ID] = last_event
+        return headers
+
     def write_headers(self, call: Call, sending: ForwardOptions) -> CIMultiDict[str]:
         """Return the headers of a request that is sent to a target."""
         headers = CIMultiDict(call.headers)
-        remaining_ms = max(1, int(sending.timeout * MILLISECONDS_PER_SECOND))
-        headers[DEADLINE] = str(remaining_ms)
+        headers[DEADLINE] = _write_deadline(sending.timeout)
         headers[EXPECT_TARGET] = sending.target
         if sending.account is not None:
             headers[ACCOUNT] = sending.account
@@ -201,6 +216,10 @@
     return wait
 
 
+def _write_deadline(seconds: float) -> str:
+    return str(max(1, int(seconds * MILLISECONDS_PER_SECOND)))
+
+
 def _read_tokens(headers: CIMultiDictProxy[str]) -> tuple[int, int]:
     """Return the tokens of the prompt and the expected ones of the answer.
 
--- a/marigoldswitch/platform/settings.py
+++ b/marigoldswitch/platform/settings.py
@@ -106,6 +106,7 @@
             str(listen["ready"]),
             peer_address,
             f"{fields['ip']}:{fields['port_range'][-1]}",
+            _choose_proxy_address(fields),
         ),
     )
     retry_allowance = bounds.get("retry_allowance")
@@ -127,6 +128,12 @@
     )
 
 
+def _choose_proxy_address(fields: dict[str, Any]) -> str:
+    """Return the address for requests of other hosts, empty if no port is left."""
+    first, last = fields["port_range"][0], fields["port_range"][-1]
+    return f"{fields['ip']}:{first + 1}" if first + 1 < last else ""
+
+
 def _read_seconds(bounds: dict[str, Any], name: str) -> float | None:
     """Return a bound that is given in milliseconds, in seconds.
 
--- a/marigoldswitch/tests/fleet.py
+++ b/marigoldswitch/tests/fleet.py
@@ -59,6 +59,8 @@
                 probes=SimpleNamespace(check_in_background=lambda _: None),
                 crashes=SimpleNamespace(checksum=0, send_pending_notes=lambda: None),
                 identity=SimpleNamespace(host=name, data_centre=centre, strength=0),
+                contact=SimpleNamespace(is_lost=False),
+                proxy_port=0,
                 source=source,
                 **parts | feeds,
             )
--- a/marigoldswitch/tests/gateway_site.py
+++ b/marigoldswitch/tests/gateway_site.py
@@ -154,13 +154,13 @@
 
         :param seeds: addresses of the peer listeners of other hosts.
         """
-        reserved = [_reserve_port() for _ in range(3)]
+        reserved = [_reserve_port() for _ in range(4)]
         self._reserved += reserved
         ports = (item.getsockname()[1] for item in reserved)
-        callers, readiness, peers = (f"127.0.0.1:{port}" for port in ports)
+        callers, readiness, peers, proxied = (f"127.0.0.1:{port}" for port in ports)
         settings = HostSettings(
             Identity(peers, name, data_centre, "isle"),
-            Addresses(callers, readiness, peers),
+            Addresses(callers, readiness, peers, proxied=proxied),
             seeds,
             stop_seconds=3.0,
             is_first_start=True,
--- a/marigoldswitch/tests/test_contact.py
+++ b/marigoldswitch/tests/test_contact.py
@@ -5,69 +5,96 @@
 from marigoldswitch.core.contact import (
     MIN_SILENT_TARGETS,
     RELAPSE_SECONDS,
+    SILENCE_SECONDS,
+    ContactState,
     TargetContact,
 )
 from marigoldswitch.core.ids import TargetId
 
 
 def build_contact(targets=10):
-    changes = []
+    states = []
     contact = TargetContact(lambda: targets, 0.0)
-    contact.watch(lambda change: changes.append(change.is_lost))
-    return contact, changes
+    contact.watch(lambda change: states.append(change.state))
+    return contact, states
 
 
-def note_silences(contact, count, began, now, first=0):
-    for number in range(first, first + count):
+def note_silences(contact, count, began, now):
+    for number in range(count):
         contact.note_silence(TargetId(f"t{number}"), began, now)
 
 
-def test_contact_is_lost_when_several_targets_are_tried_in_vain():
-    contact, changes = build_contact()
+def lose(contact, now):
+    note_silences(contact, MIN_SILENT_TARGETS, now - 0.25, now)
+    contact.confirm_loss(now, now + 0.06)
+
+
+def test_contact_is_doubted_when_several_targets_are_tried_in_vain():
+    contact, _ = build_contact()
     note_silences(contact, MIN_SILENT_TARGETS - 1, 1.0, 1.25)
-    assert not contact.is_lost
+    assert contact.state is ContactState.REACHED
     note_silences(contact, MIN_SILENT_TARGETS, 1.0, 1.25)
-    assert contact.is_lost
-    assert changes == [True]
+    assert contact.state is ContactState.DOUBTED
 
 
-def test_many_failures_at_one_target_are_no_loss_of_contact():
+def test_doubted_contact_is_lost_if_the_targets_asked_are_silent_too():
+    contact, states = build_contact()
+    lose(contact, 1.25)
+    assert states == [ContactState.DOUBTED, ContactState.LOST]
+
+
+def test_doubted_contact_is_kept_if_a_target_answers():
     contact, _ = build_contact()
+    note_silences(contact, 5, 1.0, 1.25)
+    contact.note_answer(1.26)
+    contact.confirm_loss(1.25, 1.31)
+    assert contact.state is ContactState.REACHED
+
+
+def test_many_failures_at_one_target_are_no_reason_to_doubt():
+    contact, states = build_contact()
     for _ in range(100):
         note_silences(contact, 1, 1.0, 1.25)
-    assert not contact.is_lost
+    assert not states
+
+
+def test_failures_that_are_spread_over_a_long_time_are_no_reason_to_doubt():
+    contact, states = build_contact()
+    for number in range(20):
+        now = 1.0 + number * SILENCE_SECONDS
+        contact.note_silence(TargetId(f"t{number}"), now - 0.25, now)
+    assert not states
 
 
 def test_attempts_that_began_before_the_last_answer_do_not_count():
-    contact, _ = build_contact()
+    contact, states = build_contact()
     contact.note_answer(1.1)
     note_silences(contact, 10, 1.0, 1.25)
-    assert not contact.is_lost
+    assert not states
 
 
-def test_answer_ends_the_loss_and_one_failure_soon_after_begins_it_again():
-    contact, changes = build_contact()
-    note_silences(contact, 5, 1.0, 1.25)
+def test_answer_ends_the_loss_and_one_failure_soon_after_is_reason_to_doubt():
+    contact, states = build_contact()
+    lose(contact, 1.25)
     contact.note_answer(4.0)
-    assert not contact.is_lost
     note_silences(contact, 1, 4.1, 4.35)
-    assert contact.is_lost
+    assert contact.state is ContactState.DOUBTED
     contact.note_answer(5.0)
-    later = 5.0 + RELAPSE_SECONDS
+    later = 4.0 + RELAPSE_SECONDS
     note_silences(contact, 1, later, later + 0.25)
-    assert changes == [True, False, True, False]
+    assert states[-1] is ContactState.REACHED
 
 
-def test_host_with_few_targets_has_lost_contact_if_none_answers():
-    contact, _ = build_contact(targets=2)
+def test_host_with_few_targets_doubts_its_contact_if_none_answers():
+    contact, states = build_contact(targets=2)
     note_silences(contact, 2, 1.0, 1.25)
-    assert contact.is_lost
+    assert states == [ContactState.DOUBTED]
 
 
 @given(
     st.lists(
         st.tuples(
-            st.sampled_from(["answer", "silence"]),
+            st.sampled_from(["answer", "silence", "confirm"]),
             st.integers(0, 4),
             st.floats(0.0, 2.0),
             st.floats(0.01, 1.0),
@@ -79,13 +106,16 @@
     contact, now, answered = TargetContact(lambda: 5, 0.0), 0.0, 0.0
     for kind, number, took, pause in steps:
         now += pause
-        if kind == "answer":
-            contact.note_answer(now)
-            answered = now
-            assert not contact.is_lost
-            continue
-        was_lost = contact.is_lost
-        began = now - took
-        contact.note_silence(TargetId(str(number)), began, now)
-        if contact.is_lost and not was_lost:
-            assert began > answered
+        began, before = now - took, contact.state
+        match kind:
+            case "answer":
+                contact.note_answer(now)
+                answered = now
+                assert contact.state is ContactState.REACHED
+            case "silence":
+                contact.note_silence(TargetId(str(number)), began, now)
+                assert not contact.is_lost or before is ContactState.LOST
+            case "confirm":
+                contact.confirm_loss(began, now)
+                if contact.is_lost and before is not ContactState.LOST:
+                    assert before is ContactState.DOUBTED and began > answered
--- a/marigoldswitch/tests/test_crash_spread.py
+++ b/marigoldswitch/tests/test_crash_spread.py
@@ -70,6 +70,8 @@
             configuration=feed,
             targets=feed,
             identity=SimpleNamespace(host=own, data_centre=centre, strength=0),
+            contact=SimpleNamespace(is_lost=False),
+            proxy_port=0,
             source=random.Random(str(own)),
         )
         self.exchanges[own], self.watches[own] = DigestExchange(parts), watch
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -56,9 +56,8 @@
             had_room=lambda *_: self.had_room,
         )
         self.had_room = True
-        self.probes = EngineProbes(
-            self, self.directory, planner, clock, TargetContact(lambda: 10, 0.0)
-        )
+        contact = TargetContact(lambda: 10, 0.0)
+        self.probes = EngineProbes(self, self.directory, planner, clock, contact)
         self.budget = SimpleNamespace(has_room=lambda now: True)
         parts = SimpleNamespace(
             clock=clock,
@@ -68,6 +67,7 @@
             retries=SimpleNamespace(get=lambda service: self.budget),
             crashes=SimpleNamespace(is_empty=True, note_cut_off=self._note_cut_off),
             engines=self,
+            contact=contact,
         )
         call = SimpleNamespace(id="r", path="/", last_event=None, tokens=1)
         route = SimpleNamespace(max_targets=2, is_idempotent=True)
--- a/marigoldswitch/tests/test_spread.py
+++ b/marigoldswitch/tests/test_spread.py
@@ -55,6 +55,8 @@
             configuration=feed,
             targets=feed,
             identity=SimpleNamespace(host=own, data_centre=HOME, strength=0),
+            contact=SimpleNamespace(is_lost=False),
+            proxy_port=0,
             source=random.Random(1),
         )
         self.spread = DigestExchange(parts)
