Don't take the end of the only targets for a cut

Three targets must be tried in vain everywhere; a host with fewer sends a request through another one when it could not connect to any.

--- a/marigoldswitch/core/contact.py
+++ b/marigoldswitch/core/contact.py
@@ -14,7 +14,7 @@
 
 MIN_SILENT_TARGETS = 3
 """Targets that must have been tried in vain before the contact is doubted. Fewer may
-have ended together."""
+have ended together, also where there are no others."""
 SILENCE_SECONDS = 2.0
 """Time for which an attempt in vain counts."""
 RELAPSE_SECONDS = 5.0
@@ -47,13 +47,11 @@
 
     All times are monotonic seconds.
 
-    :param count_targets: returns the number of known targets.
     :param now: the current time.
     """
 
-    def __init__(self, count_targets: Callable[[], int], now: float) -> None:
+    def __init__(self, now: float) -> None:
         self.state = ContactState.REACHED
-        self._count_targets = count_targets
         self._silences: dict[TargetId, float] = {}
         """When each target was last tried in vain, since the last answer."""
         self._answered_at = now
@@ -100,9 +98,8 @@
 
     def _has_reason_to_doubt(self, now: float) -> bool:
         recent = [at for at in self._silences.values() if now - at < SILENCE_SECONDS]
-        if now - self._returned_at < RELAPSE_SECONDS:
-            return len(recent) >= 1
-        return len(recent) >= max(1, min(MIN_SILENT_TARGETS, self._count_targets()))
+        is_relapse = now - self._returned_at < RELAPSE_SECONDS
+        return len(recent) >= (1 if is_relapse else MIN_SILENT_TARGETS)
 
     def _change(self, state: ContactState, now: float) -> None:
         if state is self.state:
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -82,7 +82,7 @@
     send_limits = SendLimits(home, lambda: planner.count_hosts(), source)
     statements = TargetStatements(send_limits)
     directory, loads, state = Directory(statements), Loads(home), HostState()
-    contact = TargetContact(lambda: len(directory.registry.targets), clock.monotonic())
+    contact = TargetContact(clock.monotonic())
     planner = ChainPlanner(directory, loads, clock, home, source)
     owns_from = 0.0 if settings.is_first_start else clock.monotonic() + START_SECONDS
     loans = LoanBook(source.getrandbits(PROCESS_BITS), owns_from)
