Believe and tell nothing that a host finds while it reaches no target

A host that is cut off found all engines dead or, where its connections are refused, ended: it reported them to all others, which probed each, blamed its requests for their ends, and probed them all again every 0.6 s.

Three tests, all failed before: all four of four ends believed, the dead target in the digest, three engines probed again.

--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -41,6 +41,7 @@
         clock: Clock,
         contact: TargetContact,
     ) -> None:
+        self._contact = contact
         self._directory = directory
         self._planner = planner
         self._clock = clock
@@ -130,9 +131,12 @@
     def recheck_dead(self) -> None:
         """Probe the engines that were found dead and are due for a recheck.
 
-        One probe stands for all engines of a silent data centre. Otherwise a partition
+        None is probed while this host is cut off: the findings lapse by themselves. One
+        probe stands for all engines of a silent data centre. Otherwise a partition
         would cost a probe for each pair of host and engine in every round.
         """
+        if self._contact.is_lost:
+            return
         now = self._clock.monotonic()
         due: dict[DataCentre, list[Target]] = {}
         lost: dict[DataCentre, list[Target]] = {}
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -9,7 +9,7 @@
 from typing import Any, Generic, TypeVar
 
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.contact import TargetContact
+from marigoldswitch.core.contact import ContactState, TargetContact
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.local_health import Cause, LocalHealth
 from marigoldswitch.core.ports import Clock
@@ -113,14 +113,19 @@
         """Return whether the process of a target has certainly ended.
 
         It has if its port is closed or another process answers there, such as a later
-        start of the engine. Silence proves nothing.
+        start of the engine. Silence proves nothing, nor does a closed port while this
+        host may be cut off.
 
         :param born: start of the process, in ms since 1970; 0 if unknown.
         """
         for seconds in TRY_TIMEOUTS:
+            asked = self._clock.monotonic()
             match await self._engines.read(target.address, seconds):
                 case EngineGone():
-                    return True
+                    now = self._clock.monotonic()
+                    self._contact.note_silence(target.id, asked, now)
+                    if self._contact.state is ContactState.REACHED:
+                        return True
                 case EngineWithoutReport(has_reports):
                     return bool(target.accelerator) and not has_reports
                 case EngineStatus(born=found):
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -271,6 +271,7 @@
         parts = self._parts
         now = parts.clock.monotonic()
         lease = self._build_lease_note(now)
+        is_cut_off = parts.contact.is_lost
         slow = tuple(
             SlowTarget(name, factor)
             for name, factor in sorted(parts.planner.slowness.items())
@@ -285,7 +286,7 @@
             parts.directory.version,
             parts.directory.registry.revision,
             encode_usages(parts.loads.own),
-            tuple(parts.directory.suspects.list_dead(now)),
+            () if is_cut_off else tuple(parts.directory.suspects.list_dead(now)),
             slow if lease else (),
             tuple(
                 HeldLayers(
@@ -313,7 +314,7 @@
             leaving_targets=self._statements.encode_leaving(),
             sent_ms=round(now * MILLISECONDS_PER_SECOND),
             process=parts.loans.process,
-            is_cut_off=parts.contact.is_lost,
+            is_cut_off=is_cut_off,
             proxy_port=parts.proxy_port,
         )
 
--- a/marigoldswitch/tests/test_probing.py
+++ b/marigoldswitch/tests/test_probing.py
@@ -16,9 +16,10 @@
 from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ids import DataCentre, TargetId
+from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import EngineGone, EngineStatus, EngineWithoutReport
-from marigoldswitch.gateway.probing import EngineProbes
+from marigoldswitch.gateway.probing import RECHECK_INTERVAL, EngineProbes
 from marigoldswitch.tests.helpers import run_virtually
 
 ANSWER_SECONDS = 0.005
@@ -49,9 +50,8 @@
             for number in range(4):
                 self._add(f"{centre}-{number}", centre)
         planner = SimpleNamespace(slowness={})
-        self.probes = EngineProbes(
-            self, self.directory, planner, clock, TargetContact(lambda: 10, 0.0)
-        )
+        self.contact = TargetContact(clock.monotonic())
+        self.probes = EngineProbes(self, self.directory, planner, clock, self.contact)
 
     def _add(self, name, centre):
         target = SimpleNamespace(
@@ -340,3 +340,38 @@
         assert engines.list_dead() == ["near-0"]
 
     run_virtually(play)
+
+
+def test_refused_connections_prove_no_end_once_the_contact_is_in_doubt():
+    async def play(clock):
+        engines = Engines(clock)
+        names = [f"near-{number}" for number in range(4)]
+        engines.gone.update(names)
+        await asyncio.sleep(1.0)
+        rows = engines.directory.registry.rows
+        targets = [rows[TargetId(name)].target for name in names]
+        ends = [await engines.probes.has_ended(item, 0) for item in targets]
+        assert ends == [True, True, False, False]
+        engines.contact.note_answer(clock.monotonic())
+        assert await engines.probes.has_ended(targets[0], 0)
+
+    run_virtually(play)
+
+
+def test_host_that_reaches_no_target_rechecks_no_dead_engines():
+    async def play(clock):
+        engines = Engines(clock)
+        await asyncio.sleep(1.0)
+        now = clock.monotonic()
+        for name in ("near-0", "near-1", "far-0"):
+            engines.directory.suspects.note(TargetId(name), Finding.DEAD, now)
+            engines.contact.note_silence(TargetId(name), now - 0.1, now)
+        engines.contact.confirm_loss(now, now)
+        assert engines.contact.is_lost
+        engines.probes.recheck_dead()
+        await asyncio.sleep(RECHECK_INTERVAL + 0.1)
+        engines.probes.recheck_dead()
+        await asyncio.sleep(0.1)
+        assert engines.reads == []
+
+    run_virtually(play)
--- a/marigoldswitch/tests/test_spread.py
+++ b/marigoldswitch/tests/test_spread.py
@@ -11,6 +11,7 @@
 from marigoldswitch.core.loans import LoanBook
 from marigoldswitch.core.registry import TargetRow
 from marigoldswitch.core.send_limits import SendLimits
+from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.spread import DigestExchange
 from marigoldswitch.gateway.statements import TargetStatements
@@ -34,6 +35,7 @@
         self.checked = []
         self.loads = Loads(HOME)
         self.loans = LoanBook(1)
+        self.contact = SimpleNamespace(is_lost=False)
         clock = SimpleNamespace(monotonic=lambda: self.now)
         network = SimpleNamespace(
             register=lambda kind, handler: None,
@@ -55,7 +57,7 @@
             configuration=feed,
             targets=feed,
             identity=SimpleNamespace(host=own, data_centre=HOME, strength=0),
-            contact=SimpleNamespace(is_lost=False),
+            contact=self.contact,
             proxy_port=0,
             source=random.Random(1),
         )
@@ -158,3 +160,13 @@
     orderer = SimulatedHost(HOSTS[9])
     orderer.spread.lease = SimpleNamespace(holds=True, get_held_row=lambda: None)
     assert list_probed_engines(orderer) == {"engine-north", "engine-south"}
+
+
+def test_host_that_reaches_no_target_reports_none_as_dead():
+    host = SimulatedHost()
+    host.run_ticks(0.5)
+    host.directory.suspects.note(TARGET, Finding.DEAD, host.now)
+    assert host.spread._build_digest().dead == (TARGET,)
+    host.contact.is_lost = True
+    digest = host.spread._build_digest()
+    assert digest.dead == () and digest.is_cut_off
