--- a/marigoldswitch/gateway/orderer.py
+++ b/marigoldswitch/gateway/orderer.py
@@ -15,6 +15,7 @@
 from result import Err, Ok
 
 from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.deputies import is_deputy
 from marigoldswitch.core.engine_groups import fits_model
 from marigoldswitch.core.ids import DataCentre, HostId, ServiceName, TargetId
@@ -99,6 +100,7 @@
         host: HostId,
         home: DataCentre,
         region: str,
+        contact: TargetContact,
     ) -> None:
         self.lease = Lease(host, secrets.token_hex(4), LEASE_TERMS)
         self._clock = clock
@@ -109,6 +111,7 @@
         self._spread = spread
         self._home = home
         self._region = region
+        self._contact = contact
         self._pending: dict[TargetId, PendingOrder] = {}
         self._changed_at = clock.monotonic()
         self._stable: dict[ServiceName, list[LayoutEngine]] = {}
@@ -137,6 +140,9 @@
         """Update the lease if due; if allowed to order, check and send orders."""
         if self._retired:
             return
+        if self._contact.is_lost:
+            self._give_up_orders()
+            return
         self._update_deputy_role()
         if not self._is_deputy:
             await self._keep_lease()
@@ -144,6 +150,14 @@
             await self._check_pending()
             await self._apply_layouts()
 
+    def _give_up_orders(self) -> None:
+        """Let another host order, as this one reaches no engine."""
+        if self.lease.holds:
+            logger.warning("lease_given_up", why="no target can be reached")
+            self.lease.give_up()
+        self._is_deputy = False
+        self._pending.clear()
+
     def retire(self) -> None:
         """Stop ordering and give up the lease, so that another host can take over."""
         self._retired = True
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -156,6 +156,7 @@
         HostId(identity.host),
         DataCentre(identity.data_centre),
         identity.region,
+        contact,
     )
     planner.count_hosts = spread.roster.count_members
     reading = StoreReading(
--- a/marigoldswitch/tests/test_orderer.py
+++ b/marigoldswitch/tests/test_orderer.py
@@ -76,6 +76,7 @@
             send_urgent_digest=lambda: None,
             get_outage_view=lambda: self.outage,
         )
+        self.contact = SimpleNamespace(is_lost=False)
         self.orderer = LayerOrderer(
             SimpleNamespace(monotonic=lambda: self.now),
             None,
@@ -88,6 +89,7 @@
             HOST,
             DataCentre("1"),
             "r",
+            self.contact,
         )
         self.orderer.lease = SimpleNamespace(
             holds=True, fencing=1, may_order=lambda now: True
@@ -190,3 +192,16 @@
     site.engines.orders.clear()
     asyncio.run(site.orderer.tick())
     assert site.engines.orders == {}
+
+
+def test_orderer_that_reaches_no_target_gives_its_lease_up_and_takes_none(site):
+    given_up = []
+    site.orderer.lease.give_up = lambda: given_up.append(site.now)
+    site.contact.is_lost = True
+    site.lose(1, 1)
+    site.now += REASSIGN_SECONDS
+    asyncio.run(site.orderer.tick())
+    site.orderer.lease.holds = False
+    asyncio.run(site.orderer.tick())
+    assert given_up == [site.now]
+    assert site.engines.orders == {}
