Pass the events of a proxied stream on as they come, by the kind of its route

A stream that came through another host was passed on only as a whole where the target names no content type: the first event came with the last, and no stream could be resumed.

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -18,7 +18,7 @@
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.retries import RetryBudget
 from marigoldswitch.core.retry_pool import PooledBudget, SharedLimits
-from marigoldswitch.core.routes import Route, ServiceSpec
+from marigoldswitch.core.routes import Route, RouteKind, ServiceSpec
 from marigoldswitch.gateway.admission import Admission
 from marigoldswitch.gateway.connections import may_keep_connections
 from marigoldswitch.gateway.crashes import CrashWatch
@@ -80,6 +80,14 @@
             )
         return self._fingerprint
 
+    @property
+    def is_stream(self) -> bool:
+        """Return whether it runs as a stream.
+
+        Requests of model services and of stream routes do.
+        """
+        return self.service.model is not None or self.route.kind is RouteKind.STREAM
+
     @property
     def may_run_again(self) -> bool:
         """Return whether the route allows another run, leaving aside the retry
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -15,7 +15,6 @@
     ClientLimits,
     Route,
     RoutedAccount,
-    RouteKind,
     RoutingTable,
 )
 from marigoldswitch.gateway.exchanges import (
@@ -300,7 +299,7 @@
         :raises RequestRefused: if it fails before any part of an answer was sent.
         :raises AnswerAborted: if the answer had begun and was cut off.
         """
-        stream = self._open_stream(exchange)
+        stream = StreamRun(self._parts, exchange) if exchange.is_stream else None
         try:
             return await self._run_here(exchange, stream)
         except ContactLost:
@@ -335,16 +334,6 @@
             return None
         return await self._proxy.run(exchange, last_event)
 
-    def _open_stream(self, exchange: Exchange) -> StreamRun | None:
-        """Return the run of a request that runs as a stream.
-
-        Those of model services and of stream routes do.
-        """
-        is_plain = exchange.service.model is None
-        if is_plain and exchange.route.kind is not RouteKind.STREAM:
-            return None
-        return StreamRun(self._parts, exchange)
-
     async def _run_here(
         self, exchange: Exchange, stream: StreamRun | None
     ) -> web.StreamResponse:
--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -236,9 +236,8 @@
         :raises _Broken: if it is not complete.
         """
         exchange = self._exchange
-        is_stream = reply.content_type == "text/event-stream"
         try:
-            if is_stream and reply.status == web.HTTPOk.status_code:
+            if exchange.is_stream and reply.status == web.HTTPOk.status_code:
                 return await self._pass_events_on(reply)
             if exchange.response is not None:
                 raise _Broken(f"status {reply.status}")
