Doubt the contact after two targets, and end the wait of requests when it is lost

Streams that ran when their host was cut off were broken off: with two first engines known, only two targets were ever tried, which raised no doubt, and the request waited 1.8 s for a chain that could not come. Two targets tried in vain now raise the doubt (two probes settle it); three in all, with those probed, are needed for the loss. Requests that wait for a chain are dismissed then and go through another host. test_stream_goes_on_when_its_host_is_cut_off failed before in both cases; the tests of the contact ask for the new thresholds, and for no loss where only two targets are known.

tests/test_proxying.py plays the other properties: no circle, once only, the whole answer, events in order when the other host is lost, the caller's leaving, repeats counted once, shutting down, older configurations, the way back, cuts that come and go.

--- a/marigoldswitch/core/contact.py
+++ b/marigoldswitch/core/contact.py
@@ -5,20 +5,23 @@
 live on meanwhile, so only new ones count.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from msgspec import Struct
 
 from marigoldswitch.core.ids import TargetId
 
-MIN_SILENT_TARGETS = 3
-"""Targets that must have been tried in vain before the contact is doubted. Fewer may
-have ended together, also where there are no others."""
+DOUBTED_TARGETS = 2
+"""Targets that must have been tried in vain before the contact is doubted."""
+LOST_TARGETS = 3
+"""Targets that must have been tried in vain, with those asked because of the doubt,
+before the contact is lost. Fewer may have ended, also where there are no others."""
 SILENCE_SECONDS = 2.0
 """Time for which an attempt in vain counts."""
 RELAPSE_SECONDS = 5.0
-"""Time after the end of a cut within which one target tried in vain is enough."""
+"""Time after the end of a cut within which one target tried in vain is reason to
+doubt."""
 
 
 class ContactState(Enum):
@@ -91,15 +94,27 @@
         if self.state is ContactState.REACHED and self._has_reason_to_doubt(now):
             self._change(ContactState.DOUBTED, now)
 
-    def confirm_loss(self, asked_at: float, now: float) -> None:
-        """Record that the targets that were asked because of a doubt did not answer."""
-        if self.state is ContactState.DOUBTED and asked_at > self._answered_at:
+    def settle_doubt(self, asked: Iterable[TargetId], began: float, now: float) -> None:
+        """Record that targets that were asked because of a doubt did not answer.
+
+        The doubt is dropped if too few targets are known to tell.
+        """
+        if self.state is not ContactState.DOUBTED or began <= self._answered_at:
+            return
+        self._silences |= dict.fromkeys(asked, now)
+        if self._count_silent(now) >= LOST_TARGETS:
             self._change(ContactState.LOST, now)
+        else:
+            self._change(ContactState.REACHED, now)
+            self._silences.clear()
 
     def _has_reason_to_doubt(self, now: float) -> bool:
-        recent = [at for at in self._silences.values() if now - at < SILENCE_SECONDS]
         is_relapse = now - self._returned_at < RELAPSE_SECONDS
-        return len(recent) >= (1 if is_relapse else MIN_SILENT_TARGETS)
+        return self._count_silent(now) >= (1 if is_relapse else DOUBTED_TARGETS)
+
+    def _count_silent(self, now: float) -> int:
+        """Return the number of targets that were lately tried in vain."""
+        return sum(now - at < SILENCE_SECONDS for at in self._silences.values())
 
     def _change(self, state: ContactState, now: float) -> None:
         if state is self.state:
--- a/marigoldswitch/gateway/admission.py
+++ b/marigoldswitch/gateway/admission.py
@@ -28,7 +28,7 @@
     """
 
     queue: WaitQueue
-    waiters: dict[int, asyncio.Future[Chain]]
+    waiters: dict[int, asyncio.Future[Chain | None]]
     service: ServiceSpec
     task: asyncio.Task[None] | None = None
 
@@ -45,6 +45,13 @@
         """Return the number of waiting requests, over all services."""
         return sum(len(item.waiters) for item in self._queues.values())
 
+    def dismiss_waiting(self) -> None:
+        """End the wait of all requests, as no engine can be reached."""
+        for state in self._queues.values():
+            for waiter in state.waiters.values():
+                if not waiter.done():
+                    waiter.set_result(None)
+
     async def acquire(
         self,
         service: ServiceSpec,
@@ -56,9 +63,9 @@
     ) -> Chain | None:
         """Reserve room for a request on a chain and return the chain.
 
-        Returns ``None`` if no chain has room in time, and at once if the expected wait
-        is longer than the request may wait, in the queue or for engines that pause. The
-        room is freed by :meth:`ChainPlanner.release`.
+        Returns ``None`` if no chain has room in time or the wait is ended, and at once
+        if the expected wait is longer than the request may wait, in the queue or for
+        engines that pause. The room is freed by :meth:`ChainPlanner.release`.
 
         :param tokens: context that the request is expected to reach.
         :param priority: rank; 0 comes first.
@@ -84,7 +91,7 @@
     async def _wait(
         self, state: _QueueState, ticket: Ticket, max_wait: float
     ) -> Chain | None:
-        future: asyncio.Future[Chain]
+        future: asyncio.Future[Chain | None]
         future = asyncio.get_running_loop().create_future()
         state.queue.add(ticket)
         state.waiters[ticket.number] = future
@@ -97,8 +104,11 @@
             granted = future.done() and not future.cancelled()
             return future.result() if granted else None
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
-                self._planner.release(future.result().stages, ticket.tokens)
+            chain = (
+                future.result() if future.done() and not future.cancelled() else None
+            )
+            if chain is not None:
+                self._planner.release(chain.stages, ticket.tokens)
             raise
         finally:
             state.queue.remove(ticket)
--- a/marigoldswitch/gateway/contact_probing.py
+++ b/marigoldswitch/gateway/contact_probing.py
@@ -57,16 +57,18 @@
 
     async def _ask(self) -> None:
         asked_at = self._clock.monotonic()
-        asked = [
+        targets = self._choose_targets()
+        reads = [
             self._engines.read(item.address, PROBE_TIMEOUT_SECONDS, new_connection=True)
-            for item in self._choose_targets()
+            for item in targets
         ]
-        answers = await asyncio.gather(*asked)
+        answers = await asyncio.gather(*reads)
         now = self._clock.monotonic()
         if any(item and not isinstance(item, EngineGone) for item in answers):
             self._contact.note_answer(now)
         else:
-            self._contact.confirm_loss(asked_at, now)
+            names = [item.id for item in targets]
+            self._contact.settle_doubt(names, asked_at, now)
 
     def _choose_targets(self) -> list[Target]:
         """Return targets to ask, drawn from those not yet tried in vain, if any."""
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -12,7 +12,7 @@
 from result import Err, Ok
 
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.contact import ContactChange
+from marigoldswitch.core.contact import ContactChange, ContactState
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.registry import Change, StoreRestored
 from marigoldswitch.core.routes import RoutingTable
@@ -109,7 +109,7 @@
         directory.registry.watch_restores(self._handle_store_restored)
         directory.suspects.add_dead_listener(parts.front.recheck_streams)
         directory.watch(self._apply_limits)
-        parts.runs.contact.watch(self._log_contact)
+        parts.runs.contact.watch(self._handle_contact)
         self._use_bounds(parts.settings)
 
     @property
@@ -321,13 +321,17 @@
         await self._write_row()
         logger.info("host_row_written_again")
 
-    def _log_contact(self, change: ContactChange) -> None:
+    def _handle_contact(self, change: ContactChange) -> None:
         logger.warning(
             "target_contact",
             state=change.state.value,
             targets=change.targets,
             seconds=round(change.seconds, 2),
         )
+        if change.state is ContactState.LOST:
+            self.parts.runs.admission.dismiss_waiting()
+        if change.state is not ContactState.DOUBTED:
+            self.parts.spread.send_urgent_digest()
 
     def _handle_target_change(self, change: Change, target: Target) -> None:
         loop = asyncio.get_running_loop()
--- a/marigoldswitch/tests/test_contact.py
+++ b/marigoldswitch/tests/test_contact.py
@@ -3,7 +3,8 @@
 from hypothesis import given, strategies as st
 
 from marigoldswitch.core.contact import (
-    MIN_SILENT_TARGETS,
+    DOUBTED_TARGETS,
+    LOST_TARGETS,
     RELAPSE_SECONDS,
     SILENCE_SECONDS,
     ContactState,
@@ -24,16 +25,19 @@
         contact.note_silence(TargetId(f"t{number}"), began, now)
 
 
+ASKED = (TargetId("asked-1"), TargetId("asked-2"))
+
+
 def lose(contact, now):
-    note_silences(contact, MIN_SILENT_TARGETS, now - 0.25, now)
-    contact.confirm_loss(now, now + 0.06)
+    note_silences(contact, DOUBTED_TARGETS, now - 0.25, now)
+    contact.settle_doubt(ASKED, now, now + 0.06)
 
 
 def test_contact_is_doubted_when_several_targets_are_tried_in_vain():
     contact, _ = build_contact()
-    note_silences(contact, MIN_SILENT_TARGETS - 1, 1.0, 1.25)
+    note_silences(contact, DOUBTED_TARGETS - 1, 1.0, 1.25)
     assert contact.state is ContactState.REACHED
-    note_silences(contact, MIN_SILENT_TARGETS, 1.0, 1.25)
+    note_silences(contact, DOUBTED_TARGETS, 1.0, 1.25)
     assert contact.state is ContactState.DOUBTED
 
 
@@ -47,14 +51,14 @@
     contact, _ = build_contact()
     note_silences(contact, 5, 1.0, 1.25)
     contact.note_answer(1.26)
-    contact.confirm_loss(1.25, 1.31)
+    contact.settle_doubt(ASKED, 1.25, 1.31)
     assert contact.state is ContactState.REACHED
 
 
 def test_many_failures_at_one_target_are_no_reason_to_doubt():
     contact, states = build_contact()
     for _ in range(100):
-        note_silences(contact, 1, 1.0, 1.25)
+        note_silences(contact, DOUBTED_TARGETS - 1, 1.0, 1.25)
     assert not states
 
 
@@ -87,9 +91,12 @@
 
 def test_host_with_few_targets_does_not_take_their_end_for_a_cut():
     contact, states = build_contact()
+    names = [TargetId(f"t{number}") for number in range(LOST_TARGETS - 1)]
     for second in range(1, 20):
-        note_silences(contact, MIN_SILENT_TARGETS - 1, second, second + 0.25)
-    assert not states
+        note_silences(contact, len(names), second, second + 0.25)
+        contact.settle_doubt(names, second + 0.25, second + 0.31)
+        assert contact.state is ContactState.REACHED
+    assert ContactState.LOST not in states
 
 
 @given(
@@ -117,6 +124,6 @@
                 contact.note_silence(TargetId(str(number)), began, now)
                 assert not contact.is_lost or before is ContactState.LOST
             case "confirm":
-                contact.confirm_loss(began, now)
+                contact.settle_doubt(ASKED, began, now)
                 if contact.is_lost and before is not ContactState.LOST:
                     assert before is ContactState.DOUBTED and began > answered
--- a/marigoldswitch/tests/test_probing.py
+++ b/marigoldswitch/tests/test_probing.py
@@ -351,7 +351,7 @@
         rows = engines.directory.registry.rows
         targets = [rows[TargetId(name)].target for name in names]
         ends = [await engines.probes.has_ended(item, 0) for item in targets]
-        assert ends == [True, True, False, False]
+        assert ends == [True, False, False, False]
         engines.contact.note_answer(clock.monotonic())
         assert await engines.probes.has_ended(targets[0], 0)
 
@@ -366,7 +366,7 @@
         for name in ("near-0", "near-1", "far-0"):
             engines.directory.suspects.note(TargetId(name), Finding.DEAD, now)
             engines.contact.note_silence(TargetId(name), now - 0.1, now)
-        engines.contact.confirm_loss(now, now)
+        engines.contact.settle_doubt([TargetId("far-1")], now, now)
         assert engines.contact.is_lost
         engines.probes.recheck_dead()
         await asyncio.sleep(RECHECK_INTERVAL + 0.1)
--- /dev/null
+++ b/marigoldswitch/tests/test_proxying.py
@@ -0,0 +1,368 @@
+"""Requests that a host which reaches no target runs through other hosts."""
+
+import asyncio
+import contextlib
+from collections import Counter
+from types import SimpleNamespace
+
+import aiohttp
+import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from marigoldswitch.core.contact import ContactState
+from marigoldswitch.core.ids import DataCentre, HostId
+from marigoldswitch.gateway.proxy_hosts import (
+    DECLINED_SECONDS,
+    LOCAL_TRIES,
+    ProxyHosts,
+)
+from marigoldswitch.gateway.proxying import (
+    DECLINED_HEADER,
+    RUNS_HEADER,
+    VERSION_HEADER,
+    ProxyTerms,
+    drop_own_headers,
+    read_terms,
+)
+from marigoldswitch.tests.gateway_site import (
+    ACCOUNT,
+    ALL_EVENTS,
+    KEY,
+    list_event_ids,
+    run_scenario,
+    run_site,
+)
+from marigoldswitch.tests.path_cuts import CutMode, PathCut
+
+HOSTS = 3
+
+
+@contextlib.asynccontextmanager
+async def run_cut_site(cut_off=(0,), mode=CutMode.HANG, hosts=HOSTS, engines=3):
+    """Run a site in which some hosts know that they reach no target.
+
+    :return: the site, and the cuts.
+    """
+    async with run_site(engines=engines, desks=3, hosts=hosts) as site:
+        await site.wait_for_layout()
+        cuts = [PathCut(site.hosts[index]) for index in cut_off]
+        for cut in cuts:
+            cut.begin(mode)
+        for index in cut_off:
+            contact = site.hosts[index].parts.runs.contact
+            while not contact.is_lost:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(1.0):
+                        await send(site, "/look/", 9000 + index, index)
+        await site.wait_until(
+            lambda: all(
+                {peer.is_cut_off for peer in list_peers(host, site, cut_off)} == {True}
+                for host in site.hosts
+                if list_peers(host, site, cut_off)
+            )
+        )
+        for desk in site.desks:
+            desk.runs.clear()
+            desk.request_headers.clear()
+        yield site, cuts
+
+
+def list_peers(host, site, numbers):
+    """Return what a host knows of some others."""
+    names = {site.hosts[index].parts.settings.identity.host for index in numbers}
+    peers = host.parts.spread.roster.peers
+    return [item for name, item in peers.items() if name in names]
+
+
+async def send(site, path, number, host=0, **fields):
+    async with site.call(path, number, host, **fields) as answer:
+        return answer.status, await answer.read(), answer.headers
+
+
+def list_arrivals(site):
+    return [item for desk in site.desks for item in desk.request_headers]
+
+
+@pytest.mark.parametrize("path", ["/look/", "/once/"])
+def test_target_gets_the_request_as_if_its_host_had_sent_it(path):
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            status, _, headers = await send(site, path, 1)
+            assert status == 200 and DECLINED_HEADER not in headers
+            (arrival,) = list_arrivals(site)
+            assert arrival["Attempt-Id"] == "try-1"
+            assert arrival["Tenant"] == ACCOUNT
+            assert 3000 < int(arrival["Deadline-Ms"]) < 4000
+            assert "Authorization" not in arrival and KEY not in str(arrival)
+            assert not {VERSION_HEADER, RUNS_HEADER} & set(arrival)
+
+    run_scenario(scenario())
+
+
+def test_hosts_that_are_all_cut_off_refuse_at_once_and_proxy_in_no_circle():
+    async def scenario():
+        async with run_cut_site(cut_off=(0, 1, 2)) as (site, _):
+            loop = asyncio.get_running_loop()
+            for number, path in enumerate(("/look/", "/once/", "/draft/")):
+                began = loop.time()
+                status, _, headers = await send(site, path, number)
+                assert status == 503 and float(headers["Retry-After"]) > 0.0
+                assert DECLINED_HEADER not in headers
+                assert loop.time() - began < 1.0
+            assert not list_arrivals(site)
+
+    run_scenario(scenario())
+
+
+def test_host_with_an_older_configuration_declines():
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            site.hosts[1].parts.runs.directory.stored = None
+            for number in range(10):
+                assert (await send(site, "/look/", number))[0] == 200
+            arrivals = list_arrivals(site)
+            assert len(arrivals) == 10
+
+    run_scenario(scenario())
+
+
+def test_request_that_may_run_once_is_not_sent_again_when_the_other_host_is_lost():
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            for desk in site.desks:
+                desk.unanswered = 100
+            call = asyncio.create_task(send(site, "/once/", 1))
+            await site.wait_until(lambda: len(list_arrivals(site)) == 1)
+            for host in site.hosts[1:]:
+                for runner in host._runners:
+                    for connection in runner.server.connections:
+                        connection.transport.abort()
+            status, _, _ = await call
+            assert status == 502
+            assert sum(sum(desk.runs.values()) for desk in site.desks) == 1
+
+    run_scenario(scenario())
+
+
+def abort_proxied(host):
+    """Break off all requests that a host runs for others; return their number."""
+    connections = host._runners[2].server.connections
+    busy = [item for item in connections if host.parts.front.is_busy(item)]
+    for item in busy:
+        item.transport.abort()
+    return len(busy)
+
+
+def test_stream_goes_on_through_another_host_when_the_first_is_lost():
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            for number in range(5):
+                async with site.call("/draft/", number) as answer:
+                    body = await answer.content.readuntil(b"id: 5\n")
+                    assert sum(abort_proxied(host) for host in site.hosts[1:]) == 1
+                    body += await answer.read()
+                assert list_event_ids(body) == ALL_EVENTS
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("mode", [CutMode.HANG, CutMode.RESET])
+def test_stream_goes_on_when_its_host_is_cut_off(mode):
+    async def scenario():
+        async with run_site(engines=4, hosts=HOSTS) as site:
+            await site.wait_for_layout()
+            for engine in site.engines.engines.values():
+                engine.events = 200
+            async with site.call("/draft/", 1) as answer:
+                body = await answer.content.readuntil(b"id: 5\n")
+                PathCut(site.hosts[0]).begin(mode)
+                body += await answer.read()
+            assert list_event_ids(body) == list(range(1, 201))
+
+    run_scenario(scenario())
+
+
+def test_work_ends_soon_after_the_caller_has_left():
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            for engine in site.engines.engines.values():
+                engine.events = 10_000
+            async with site.call("/draft/", 1) as answer:
+                await answer.content.readuntil(b"id: 5\n")
+                answer.close()
+            fronts = [host.parts.front for host in site.hosts]
+            await site.wait_until(
+                lambda: not any(front.running_requests for front in fronts), 0.5
+            )
+
+    run_scenario(scenario())
+
+
+def test_repeats_through_other_hosts_are_counted_once():
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            for desk in site.desks:
+                desk.statuses = 10 * [500]
+            for number in range(20):
+                await send(site, "/look/", number, method="GET", data=None)
+            arrivals = Counter(item["Attempt-Id"] for item in list_arrivals(site))
+            counted = 0
+            for host in site.hosts:
+                retries = host.parts.runs.retries.get("desk").retries
+                counted += retries.count(host.parts.runs.clock.monotonic())
+            assert sum(arrivals.values()) - len(arrivals) <= counted
+            assert max(arrivals.values()) <= 2
+
+    run_scenario(scenario())
+
+
+def test_host_sends_directly_again_after_the_cut():
+    async def scenario():
+        async with run_cut_site() as (site, cuts):
+            contact = site.hosts[0].parts.runs.contact
+            for cut in cuts:
+                cut.end()
+            await site.wait_until(lambda: contact.state is ContactState.REACHED, 2.0)
+            for host in site.hosts[1:]:
+                host.parts.state.draining = True
+            assert (await send(site, "/look/", 1))[0] == 200
+
+    run_scenario(scenario())
+
+
+def test_host_that_shuts_down_declines_requests_of_others():
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            site.hosts[1].parts.state.draining = True
+            for number in range(10):
+                assert (await send(site, "/once/", number))[0] == 200
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("mode", list(CutMode))
+def test_cuts_that_come_and_go_lose_no_request_that_may_run_again(mode):
+    async def scenario():
+        async with run_cut_site(hosts=4, mode=mode) as (site, cuts):
+            served = Counter()
+
+            async def keep_calling(path, numbers):
+                for number in numbers:
+                    try:
+                        status, body, _ = await send(site, path, number)
+                    except aiohttp.ClientError:
+                        continue
+                    served[path] += status == 200
+                    if path == "/draft/" and status == 200:
+                        assert list_event_ids(body) == ALL_EVENTS
+                    await asyncio.sleep(0.01)
+
+            calls = [
+                asyncio.create_task(keep_calling(path, range(first, first + 40)))
+                for path, first in (("/look/", 0), ("/once/", 100), ("/draft/", 200))
+            ]
+            for _ in range(3):
+                await asyncio.sleep(0.4)
+                cuts[0].end()
+                await asyncio.sleep(0.4)
+                cuts[0].begin(mode)
+            await asyncio.gather(*calls)
+            runs = sum((desk.runs for desk in site.desks), Counter())
+            assert all(runs[f"try-{number}"] <= 1 for number in range(100, 140))
+            assert min(served.values()) >= 2 / 3 * 40
+
+    run_scenario(scenario())
+
+
+# Choosing a host.
+
+
+class Peers:
+    """The other hosts as one of them knows them, on a clock of its own."""
+
+    def __init__(self, is_mesh=True):
+        self.now = 100.0
+        self.is_mesh = is_mesh
+        self.peers = {}
+        clock = SimpleNamespace(monotonic=lambda: self.now)
+        source = SimpleNamespace(choice=min)
+        self.hosts = ProxyHosts(self, DataCentre("north"), 7000, clock, source)
+
+    def add(self, number, centre="north", heard=0.0, named=0.0, **fields):
+        states = {"leaving": False, "is_cut_off": False, "proxy_port": 0} | fields
+        self.peers[HostId(f"10.0.0.{number}:80")] = SimpleNamespace(
+            data_centre=centre,
+            heard_at=self.now - heard,
+            mentioned_at=self.now - named,
+            **states,
+        )
+
+    def choose(self, tried=()):
+        host = self.hosts.choose({HostId(f"10.0.0.{item}:80") for item in tried})
+        return host and host.address
+
+
+def test_hosts_that_leave_are_silent_or_cut_off_are_not_chosen():
+    peers = Peers()
+    peers.add(1, leaving=True)
+    peers.add(2, is_cut_off=True)
+    peers.add(3, heard=10.0)
+    assert peers.choose() is None
+    peers.add(4, proxy_port=7100)
+    peers.add(5)
+    assert peers.choose() == "10.0.0.4:7100"
+    assert peers.choose([4]) == "10.0.0.5:7000"
+
+
+def test_own_data_centre_comes_first_and_another_after_some_tries():
+    peers = Peers()
+    for number in range(1, 5):
+        peers.add(number)
+    peers.add(9, "south")
+    assert peers.choose() == "10.0.0.1:7000"
+    assert peers.choose(range(1, 1 + LOCAL_TRIES)) == "10.0.0.9:7000"
+
+
+def test_host_that_has_declined_is_avoided_for_a_while():
+    peers = Peers()
+    peers.add(1)
+    peers.hosts.note_declined(HostId("10.0.0.1:80"))
+    assert peers.choose() is None
+    peers.now += DECLINED_SECONDS
+    peers.add(1)
+    assert peers.choose() == "10.0.0.1:7000"
+
+
+def test_hosts_that_only_lists_name_are_chosen_in_a_large_data_centre():
+    peers = Peers(is_mesh=False)
+    peers.add(1, heard=60.0, named=10.0)
+    assert peers.choose() == "10.0.0.1:7000"
+    peers.is_mesh = True
+    assert peers.choose() is None
+
+
+# The headers between hosts.
+
+
+def build_headers(**fields):
+    names = {name.replace("_", "-"): value for name, value in fields.items()}
+    return CIMultiDictProxy(CIMultiDict(names))
+
+
+@pytest.mark.parametrize(
+    ("fields", "terms"),
+    [
+        ({"Proxy_Version": "7", "Proxy_Runs": "1"}, ProxyTerms(7, 1)),
+        ({"Proxy_Version": "7"}, None),
+        ({"Proxy_Version": "7", "Proxy_Runs": "-1"}, None),
+        ({"Proxy_Version": "x", "Proxy_Runs": "1"}, None),
+        ({}, None),
+    ],
+)
+def test_terms_that_cannot_be_read_are_none(fields, terms):
+    assert read_terms(build_headers(**fields)) == terms
+
+
+def test_headers_between_hosts_are_dropped_and_others_kept():
+    headers = build_headers(Proxy_Version="7", Proxy_Runs="1", X_Own="kept")
+    assert dict(drop_own_headers(headers)) == {"X-Own": "kept"}
