Keep connections to a target that is silent for a second

TCP_USER_TIMEOUT also decides when keep-alive probing gives up, whatever the number of probes. With idle 2 s, interval 1 s, two probes and a user timeout of 2 s, an idle connection was closed at 3 s after the first lost probe: a request that had waited two seconds for its answer was lost if a sound target's silent second covered that probe. Connections to targets now have a user timeout of 4 s, which is when both probes are lost; those between hosts, which are never idle for long, keep 2 s.

test_peer_that_is_silent_for_a_second_keeps_its_idle_connection failed before (next probe at 3 s, closed from 2 s on). By the kernel's documented rule; the kernel's own behaviour was not played here.

--- a/marigoldswitch/gateway/connections.py
+++ b/marigoldswitch/gateway/connections.py
@@ -13,7 +13,7 @@
 from msgspec import Struct
 from multidict import CIMultiDictProxy
 
-from marigoldswitch.sockets import set_silence_timeouts
+from marigoldswitch.sockets import PROBED_USER_TIMEOUT_MS, set_silence_timeouts
 
 CONNECT_TIMEOUT = 0.25
 """Longest time to connect: a working link takes milliseconds, and a target that is cut
@@ -37,13 +37,16 @@
 def create_socket(info: tuple[object, ...]) -> socket.socket:
     """Return a non-blocking socket that detects a silent peer within a few seconds.
 
+    A target that is silent for a second is not gone: a request may wait for its answer
+    on an idle connection meanwhile.
+
     :param info: address info as :func:`socket.getaddrinfo` returns it.
     """
     family, kind, protocol = info[0], info[1], info[2]
     created = socket.socket(family, kind, protocol)  # type: ignore[arg-type]
     created.setblocking(False)
     created.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    set_silence_timeouts(created)
+    set_silence_timeouts(created, PROBED_USER_TIMEOUT_MS)
     return created
 
 
