Ask targets of both sides of a partition before a host counts as cut off

A data centre that is partitioned from the others reaches its own targets, but a doubt was settled by two targets drawn from all: where both were of other data centres, its hosts counted as cut off, declined each other's requests and refused their callers until the next probe.

--- a/marigoldswitch/gateway/contact_probing.py
+++ b/marigoldswitch/gateway/contact_probing.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import ContactChange, ContactState, TargetContact
+from marigoldswitch.core.ids import DataCentre
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import EngineControl, EngineGone
@@ -12,9 +14,12 @@
 PROBE_TIMEOUT_SECONDS = 0.06
 """Time for an answer on a new connection, which takes live targets a few
 milliseconds."""
-PROBE_INTERVAL_SECONDS = 0.25
+PROBE_INTERVAL_SECONDS = 0.4
 """Pause between two rounds while this host is cut off."""
-TARGETS_PER_ROUND = 2
+NEAR_TARGETS = 2
+FAR_TARGETS = 1
+"""Targets asked in a round, of this host's data centre and of others. A host may reach
+only its own data centre, and some targets there may have ended."""
 
 
 class ContactProber:
@@ -26,12 +31,14 @@
         directory: Directory,
         contact: TargetContact,
         clock: Clock,
+        home: DataCentre,
         source: random.Random,
     ) -> None:
         self._engines = engines
         self._directory = directory
         self._contact = contact
         self._clock = clock
+        self._home = home
         self._source = source
         self._round: asyncio.Task[None] | None = None
         contact.watch(self._handle_change)
@@ -74,6 +81,11 @@
         """Return targets to ask, drawn from those not yet tried in vain, if any."""
         registry = self._directory.registry
         known = list(registry.list_engines()) or list(registry.targets.values())
-        fresh = [item for item in known if not self._contact.is_silent(item.id)]
-        chosen = fresh if len(fresh) >= TARGETS_PER_ROUND else known
-        return self._source.sample(chosen, min(TARGETS_PER_ROUND, len(chosen)))
+        near = [item for item in known if item.data_centre == self._home]
+        far = [item for item in known if item.data_centre != self._home]
+        return [*self._draw(near, NEAR_TARGETS), *self._draw(far, FAR_TARGETS)]
+
+    def _draw(self, targets: Sequence[Target], count: int) -> list[Target]:
+        fresh = [item for item in targets if not self._contact.is_silent(item.id)]
+        chosen = fresh if len(fresh) >= count else targets
+        return self._source.sample(chosen, min(count, len(chosen)))
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -188,6 +188,6 @@
             store,
             (store, connections, host_connections, session),
             reading,
-            ContactProber(engines, directory, contact, clock, source),
+            ContactProber(engines, directory, contact, clock, home, source),
         )
     )
--- /dev/null
+++ b/marigoldswitch/tests/test_contact_probing.py
@@ -0,0 +1,99 @@
+"""Which targets are asked when a host doubts that it reaches any."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from marigoldswitch.core.contact import ContactState, TargetContact
+from marigoldswitch.core.ids import DataCentre, TargetId
+from marigoldswitch.gateway.contact_probing import ContactProber
+from marigoldswitch.gateway.ports import EngineGone, EngineWithoutReport
+from marigoldswitch.tests.helpers import run_virtually
+
+HOME = DataCentre("near")
+CENTRES = (HOME, DataCentre("far"), DataCentre("farther"))
+
+
+class Targets:
+    """Nine engines in three data centres, as one host reaches them.
+
+    :ivar reads: the addresses that were asked, in order.
+    """
+
+    def __init__(self, clock, seed):
+        self.clock = clock
+        self.answers = {}
+        self.reads = []
+        self.names = [
+            TargetId(f"{centre}-{number}") for centre in CENTRES for number in range(3)
+        ]
+        engines = [
+            SimpleNamespace(id=name, address=name, data_centre=name.partition("-")[0])
+            for name in self.names
+        ]
+        registry = SimpleNamespace(list_engines=lambda: engines, targets={})
+        self.contact = TargetContact(clock.monotonic())
+        self.prober = ContactProber(
+            self,
+            SimpleNamespace(registry=registry),
+            self.contact,
+            clock,
+            HOME,
+            random.Random(seed),
+        )
+
+    async def read(self, address, timeout, new_connection):
+        assert new_connection
+        self.reads.append(address)
+        answer = self.answers.get(address)
+        if answer is None:
+            await asyncio.sleep(timeout)
+        return answer
+
+    def miss(self, *names):
+        now = self.clock.monotonic()
+        for name in names:
+            self.contact.note_silence(TargetId(name), now - 0.1, now)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_host_that_reaches_only_its_own_data_centre_is_not_cut_off(seed):
+    async def play(clock):
+        targets = Targets(clock, seed)
+        await asyncio.sleep(1.0)
+        # One of its own data centre is dead.
+        for name in ("near-1", "near-2"):
+            targets.answers[name] = EngineWithoutReport()
+        states = []
+        targets.contact.watch(lambda change: states.append(change.state))
+        for _ in range(5):
+            targets.miss("far-0", "farther-1", "far-2")
+            await asyncio.sleep(0.5)
+        assert ContactState.LOST not in states
+        assert targets.contact.state is ContactState.REACHED
+
+    run_virtually(play)
+
+
+@pytest.mark.parametrize("answer", [None, EngineGone()])
+def test_host_that_reaches_nothing_is_cut_off_at_once_and_back_with_an_answer(answer):
+    async def play(clock):
+        targets = Targets(clock, 1)
+        targets.answers = dict.fromkeys(targets.names, answer)
+        await asyncio.sleep(1.0)
+        targets.miss("near-0", "far-0")
+        await asyncio.sleep(0.1)
+        assert targets.contact.is_lost
+        await asyncio.sleep(2.0)
+        assert targets.contact.is_lost
+        targets.answers = dict.fromkeys(targets.names, EngineWithoutReport())
+        await asyncio.sleep(0.5)
+        assert targets.contact.state is ContactState.REACHED
+        targets.reads.clear()
+        targets.prober.tick()
+        await asyncio.sleep(1.0)
+        assert targets.reads == []
+
+    run_virtually(play)
