--- a/marigoldswitch/tests/test_platform_headers.py
+++ b/marigoldswitch/tests/test_platform_headers.py
@@ -110,3 +110,14 @@
     headers = CODEC.write_refusal(read(HEADERS).unwrap(), 0.25)
     assert headers["Retry-After"] == "0.25"
     assert headers["Attempt-Id"] == "9c41"
+
+
+def test_another_host_reads_a_callers_request_as_this_one_has():
+    call = read(HEADERS).unwrap()
+    headers = CODEC.write_caller_headers(call, 1.5, "12")
+    again = read(headers).unwrap()
+    assert (again.id, again.host, again.api_key) == ("9c41", "drafts.example", "secret")
+    assert (again.timeout, again.last_event) == (1.5, "12")
+    assert again.tokens == call.tokens
+    assert dict(again.headers) == dict(call.headers)
+    assert "Tenant" not in headers and "Hop-Count" not in headers
--- a/marigoldswitch/tests/test_platform_settings.py
+++ b/marigoldswitch/tests/test_platform_settings.py
@@ -41,6 +41,16 @@
     assert settings.retry_allowance == 20.0
 
 
+@pytest.mark.parametrize(
+    ("ports", "address"),
+    [([7340, 7355], "10.1.0.40:7341"), ([7340, 7341], ""), ([7340], "")],
+)
+def test_requests_of_other_hosts_have_a_port_of_their_own(tmp_path, ports, address):
+    fields = FIELDS | {"port_range": ports}
+    settings, _ = read_settings(write(tmp_path, fields)).unwrap()
+    assert settings.addresses.proxied == address
+
+
 @pytest.mark.parametrize(
     ("limits", "link_bytes"),
     [({"link_mbps": 20.0}, 2.5e6), ({"link_mbps": "fast"}, 125e6), (None, 125e6)],
