Don't say "not run" of a request that a lost host may have run

A request that may run again, whose first other host was lost after it had sent it on, got 503 "unreachable", not run, where no further host was left. It gets 502 now, as it may have run; a host that has it from another one still declines it if it has not run there. test_request_that_may_have_run_elsewhere_is_not_told_to_be_not_run failed before (503 instead of 502).

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -45,6 +45,7 @@
         new connection. The request has run all the same.
     :param connect_failures: targets to which no connection could be opened for it.
     :param is_proxied: another host has sent it here.
+    :param runs_elsewhere: runs by way of other hosts before it was sent here.
     """
 
     http: web.BaseRequest
@@ -61,6 +62,7 @@
     discounted_runs: int = 0
     connect_failures: int = 0
     is_proxied: bool = False
+    runs_elsewhere: int = 0
     response: web.StreamResponse | None = None
     """The answer to the caller; ``None`` until it has begun."""
     first_event: float | None = None
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -250,6 +250,7 @@
             send_count=terms.runs if terms else 0,
             run_count=terms.runs if terms else 0,
             is_proxied=terms is not None,
+            runs_elsewhere=terms.runs if terms else 0,
         )
         check_hold(self._parts, exchange)
         return exchange
@@ -311,7 +312,7 @@
             if exchange.response is not None:
                 abort(exchange)
                 raise AnswerAborted(detail) from None
-            raise RequestRefused(self._proxy.build_fault(detail)) from None
+            raise RequestRefused(self._proxy.build_fault(exchange, detail)) from None
         except RequestRefused as refused:
             may_run_elsewhere = (
                 refused.fault.kind in PROXIED_KINDS and exchange.connect_failures > 0
--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -136,7 +136,7 @@
         """Run a request through another host and return the answer to its caller.
 
         :param last_event: id of the last event that the caller has received, if any.
-        :return: ``None`` if no host has taken it.
+        :return: ``None`` if there is no host left that takes it.
         :raises RequestRefused: if it may have run and may not be sent again;
             :class:`AnswerAborted` once the answer has begun.
         """
@@ -145,8 +145,13 @@
         )
         return await run.run()
 
-    def build_fault(self, detail: str) -> Fault:
-        """Return the error for a request that no host could run."""
+    def build_fault(self, exchange: Exchange, detail: str) -> Fault:
+        """Return the error for a request that no other host takes.
+
+        One that another host has sent here is declined if it has not run here.
+        """
+        if exchange.run_count > exchange.runs_elsewhere:
+            return Fault(ErrorKind.TARGET_LOST, detail)
         delay = self._parts.source.uniform(*RETRY_AFTER_SECONDS)
         return Fault(ErrorKind.UNREACHABLE, detail, delay)
 
@@ -172,7 +177,7 @@
     async def run(self) -> web.StreamResponse | None:
         """Run the request to its end and return the answer to the caller.
 
-        :return: ``None`` if no host has taken it; it has not run anywhere then.
+        :return: ``None`` if there is no host left that takes it.
         :raises RequestRefused: if it may have run and may not be sent again;
             :class:`AnswerAborted` once the answer has begun.
         """
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -366,3 +366,17 @@
 def test_headers_between_hosts_are_dropped_and_others_kept():
     headers = build_headers(Proxy_Version="7", Proxy_Runs="1", X_Own="kept")
     assert dict(drop_own_headers(headers)) == {"X-Own": "kept"}
+
+
+def test_request_that_may_have_run_elsewhere_is_not_told_to_be_not_run():
+    async def scenario():
+        async with run_cut_site(hosts=2) as (site, _):
+            for desk in site.desks:
+                desk.unanswered = 100
+            call = asyncio.create_task(send(site, "/look/", 1))
+            await site.wait_until(lambda: len(list_arrivals(site)) == 1)
+            assert abort_proxied(site.hosts[1]) == 1
+            status, _, _ = await call
+            assert status == 502
+
+    run_scenario(scenario())
