Split the runs of requests and the listener for other hosts from the frontend

Where a request runs is decided in request_runs.py, what is taken from other hosts in proxy_listener.py, their headers are in proxy_terms.py.

--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -1,9 +1,7 @@
 """HTTP frontend of a gateway host: takes callers' requests and runs each to its end."""
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 
 import orjson
 import structlog
@@ -20,38 +18,28 @@
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
     CallerDisconnected,
-    ContactLost,
     Exchange,
     RequestRefused,
     RunParts,
     abort,
-    check_contact,
     check_hold,
     describe_timeout,
 )
 from marigoldswitch.gateway.metrics import GatewayMetrics
-from marigoldswitch.gateway.plain import PlainRun, PlainSelectors
 from marigoldswitch.gateway.ports import Call
-from marigoldswitch.gateway.proxying import (
+from marigoldswitch.gateway.proxy_terms import (
     DECLINED_HEADER,
-    PeerProxy,
     ProxyTerms,
     drop_own_headers,
-    read_terms,
 )
-from marigoldswitch.gateway.streams import StreamRun
+from marigoldswitch.gateway.request_runs import RequestRuns
 
 logger = structlog.get_logger(__name__)
 
-MAX_PROXIED_REQUESTS = 256
-"""Requests of other hosts that may run at once. Each takes some kilobytes."""
 DECLINED_KINDS = frozenset(
     {ErrorKind.UNREACHABLE, ErrorKind.DRAINING, ErrorKind.NO_BUNDLE}
 )
 """Faults of this host that another one may not have."""
-PROXIED_KINDS = frozenset({ErrorKind.NO_TARGET, ErrorKind.NOT_DELIVERED})
-"""Faults with which a request is sent through another host if this one could not
-connect to targets."""
 BODY_TIMEOUT_SECONDS = 10.0
 """Longest time to receive a request body. On usual links it takes milliseconds."""
 
@@ -59,21 +47,14 @@
 
 
 class Frontend:
-    """Handles callers' requests; each one ends exactly once.
-
-    :ivar streams: running requests that are handled as streams.
-    """
+    """Handles callers' requests; each one ends exactly once."""
 
     def __init__(
-        self, parts: RunParts, metrics: GatewayMetrics, proxy: PeerProxy
+        self, parts: RunParts, metrics: GatewayMetrics, runs: RequestRuns
     ) -> None:
-        self.streams: set[StreamRun] = set()
         self._parts = parts
         self._metrics = metrics
-        self._proxy = proxy
-        self._proxied_count = 0
-        """Running requests of other hosts' callers."""
-        self._selectors = PlainSelectors(parts)
+        self._runs = runs
         self._busy_connections: set[object] = set()
         """Connections with a running request; each has at most one at a time."""
         self._idle = asyncio.Event()
@@ -92,52 +73,6 @@
         """Wait until no request is running."""
         await self._idle.wait()
 
-    def recheck_streams(self, target: str) -> None:
-        """Make every stream through an engine check its chain at once."""
-        for run in self.list_streams(target):
-            run.chain_monitor.request_check()
-
-    def list_streams(self, target: str) -> list[StreamRun]:
-        """Return the running streams whose chain contains an engine."""
-        return [
-            run
-            for run in self.streams
-            if any(item.target == target for item in run.chain_monitor.stages)
-        ]
-
-    async def handle_proxied(self, http: web.BaseRequest) -> web.StreamResponse:
-        """Answer a request of another host's caller, or decline it at once."""
-        terms = read_terms(http.headers)
-        why = self._find_reason_to_decline(terms)
-        if why or terms is None:
-            logger.info("proxying_declined", why=why, running=self._proxied_count)
-            # A connection with unread bytes is reset, and the answer may be lost.
-            with contextlib.suppress(RequestRefused):
-                await self._read_body(http, ClientLimits())
-            return web.Response(
-                status=HTTPStatus.SERVICE_UNAVAILABLE, headers={DECLINED_HEADER: why}
-            )
-        self._proxied_count += 1
-        try:
-            return await self.handle(http, terms)
-        finally:
-            self._proxied_count -= 1
-
-    def _find_reason_to_decline(self, terms: ProxyTerms | None) -> str:
-        """Return why a request of another host is not taken; empty if it is."""
-        parts = self._parts
-        if terms is None:
-            return "malformed"
-        if parts.state.draining:
-            return ErrorKind.DRAINING.value
-        if parts.contact.is_lost:
-            return ErrorKind.UNREACHABLE.value
-        if not parts.directory.is_complete or parts.directory.version < terms.version:
-            return ErrorKind.NO_BUNDLE.value
-        if self._proxied_count >= MAX_PROXIED_REQUESTS:
-            return ErrorKind.SATURATED.value
-        return ""
-
     async def handle(
         self, http: web.BaseRequest, terms: ProxyTerms | None = None
     ) -> web.StreamResponse:
@@ -285,7 +220,7 @@
         remaining = exchange.deadline - self._parts.clock.monotonic()
         try:
             async with asyncio.timeout(max(0.0, remaining)):
-                response = await self._dispatch(exchange)
+                response = await self._runs.run(exchange)
         except TimeoutError:
             if exchange.response is None:
                 raise RequestRefused(describe_timeout(exchange)) from None
@@ -294,69 +229,6 @@
         self._record_end(exchange, f"answered {response.status}")
         return response
 
-    async def _dispatch(self, exchange: Exchange) -> web.StreamResponse:
-        """Run a request on targets, or through another host if this one reaches none.
-
-        :raises RequestRefused: if it fails before any part of an answer was sent.
-        :raises AnswerAborted: if the answer had begun and was cut off.
-        """
-        stream = StreamRun(self._parts, exchange) if exchange.is_stream else None
-        try:
-            return await self._run_here(exchange, stream)
-        except ContactLost:
-            last_event = stream.chain_monitor.last_event if stream else None
-            response = await self._run_elsewhere(exchange, last_event)
-            if response is not None:
-                return response
-            detail = "no other host takes the request"
-            if exchange.response is not None:
-                abort(exchange)
-                raise AnswerAborted(detail) from None
-            raise RequestRefused(self._proxy.build_fault(exchange, detail)) from None
-        except RequestRefused as refused:
-            may_run_elsewhere = (
-                refused.fault.kind in PROXIED_KINDS and exchange.connect_failures > 0
-            )
-            if not may_run_elsewhere or exchange.run_count or exchange.response:
-                raise
-            response = await self._run_elsewhere(exchange, None)
-            if response is None:
-                raise
-            return response
-
-    async def _run_elsewhere(
-        self, exchange: Exchange, last_event: str | None
-    ) -> web.StreamResponse | None:
-        """Run a request through another host; return ``None`` if none takes it.
-
-        What another host has sent here is not sent on.
-        """
-        if exchange.is_proxied:
-            return None
-        return await self._proxy.run(exchange, last_event)
-
-    async def _run_here(
-        self, exchange: Exchange, stream: StreamRun | None
-    ) -> web.StreamResponse:
-        """Run a request on targets that this host sends it to.
-
-        :param stream: its run, if it runs as a stream.
-        :raises ContactLost: if this host reaches no target.
-        """
-        service, parts = exchange.service, self._parts
-        check_contact(parts, exchange)
-        parts.directory.statements.limits.note_wanted(
-            service.name, parts.clock.monotonic()
-        )
-        if stream is None:
-            selector = self._selectors.get(service.name)
-            return await PlainRun(parts, exchange, selector).run()
-        self.streams.add(stream)
-        try:
-            return await stream.run()
-        finally:
-            self.streams.discard(stream)
-
     # Recording how requests end.
 
     def _finish_refused(
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -27,6 +27,8 @@
 from marigoldswitch.gateway.orderer import LayerOrderer
 from marigoldswitch.gateway.planner import LEAVING_USE_SECONDS
 from marigoldswitch.gateway.ports import HostDirectory, HostRecord, HostSettings
+from marigoldswitch.gateway.proxy_listener import ProxyListener
+from marigoldswitch.gateway.request_runs import RequestRuns
 from marigoldswitch.gateway.spread import DigestExchange
 from marigoldswitch.gateway.store_reading import StoreReading
 from marigoldswitch.metrics import Metrics
@@ -77,7 +79,9 @@
     settings: HostSettings
     state: HostState
     runs: RunParts
+    requests: RequestRuns
     front: Frontend
+    proxy_listener: ProxyListener
     metrics: Metrics
     network: PeerNetwork
     spread: DigestExchange
@@ -107,7 +111,7 @@
         directory = parts.runs.directory
         directory.registry.watch(self._handle_target_change)
         directory.registry.watch_restores(self._handle_store_restored)
-        directory.suspects.add_dead_listener(parts.front.recheck_streams)
+        directory.suspects.add_dead_listener(parts.requests.recheck_streams)
         directory.watch(self._apply_limits)
         parts.runs.contact.watch(self._handle_contact)
         self._use_bounds(parts.settings)
@@ -125,7 +129,7 @@
         await self._listen(addresses.callers, parts.front.handle)
         await self._listen(addresses.readiness, self._answer_readiness)
         if addresses.proxied:
-            await self._listen(addresses.proxied, parts.front.handle_proxied)
+            await self._listen(addresses.proxied, parts.proxy_listener.handle)
         if addresses.metrics:
             await self._listen(addresses.metrics, self._answer_readiness)
         for seed in parts.settings.seeds:
@@ -339,7 +343,7 @@
             self._schedule_chain_checks(target.id)
         if change is Change.ADDED:
             # A restarted engine keeps its id, but its streams are lost.
-            self.parts.front.recheck_streams(target.id)
+            self.parts.requests.recheck_streams(target.id)
         if change is Change.GONE:
             self.parts.runs.upstream.resends.forget(target.id)
         if change in (Change.LEAVING, Change.GONE):
@@ -353,7 +357,7 @@
         at once they would delay each other.
         """
         loop = asyncio.get_running_loop()
-        for run in self.parts.front.list_streams(target):
+        for run in self.parts.requests.list_streams(target):
             delay = self.parts.runs.source.uniform(0.0, REROUTE_SPREAD_SECONDS)
             loop.call_later(delay, run.chain_monitor.request_check)
 
--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -11,8 +11,6 @@
 import aiohttp
 import structlog
 from aiohttp import web
-from msgspec import Struct
-from multidict import CIMultiDict, CIMultiDictProxy
 
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.event_stream import EventTooLong
@@ -29,6 +27,11 @@
 )
 from marigoldswitch.gateway.forwarding import EventForwarder
 from marigoldswitch.gateway.proxy_hosts import ProxyHost, ProxyHosts
+from marigoldswitch.gateway.proxy_terms import (
+    DECLINED_HEADER,
+    RUNS_HEADER,
+    VERSION_HEADER,
+)
 from marigoldswitch.gateway.upstream import (
     EndOfBodyCheck,
     Lost,
@@ -46,41 +49,6 @@
 RETRY_AFTER_SECONDS = (0.3, 1.0)
 """Bounds of the time after which a caller may come back that no host could serve."""
 
-VERSION_HEADER = "Proxy-Version"
-"""Version of the configuration by which the sender has admitted the request."""
-RUNS_HEADER = "Proxy-Runs"
-"""Number of targets on which the request may have run."""
-DECLINED_HEADER = "Proxy-Declined"
-"""Why a host does not take the request of another one."""
-OWN_HEADERS = (VERSION_HEADER, RUNS_HEADER, DECLINED_HEADER)
-
-
-class ProxyTerms(Struct, frozen=True):
-    """What a host says of a request that it sends to another one.
-
-    :param version: of the configuration by which it was admitted.
-    :param runs: number of targets on which it may have run.
-    """
-
-    version: int
-    runs: int
-
-
-def read_terms(headers: CIMultiDictProxy[str]) -> ProxyTerms | None:
-    """Return the terms of a request of another host, ``None`` if they are malformed."""
-    values = [headers.get(name, "") for name in (VERSION_HEADER, RUNS_HEADER)]
-    if not all(item.isdecimal() for item in values):
-        return None
-    return ProxyTerms(int(values[0]), int(values[1]))
-
-
-def drop_own_headers(headers: CIMultiDictProxy[str]) -> CIMultiDictProxy[str]:
-    """Return headers without those that hosts add for each other."""
-    kept: CIMultiDict[str] = CIMultiDict(headers)
-    for name in OWN_HEADERS:
-        kept.popall(name, None)
-    return CIMultiDictProxy(kept)
-
 
 class _SilenceMonitor:
     """Closes the answer of a host that sends no events for too long."""
--- /dev/null
+++ b/marigoldswitch/gateway/request_runs.py
@@ -0,0 +1,110 @@
+"""Runs requests on targets, or through another host if this one reaches none."""
+
+from aiohttp import web
+
+from marigoldswitch.core.errors import ErrorKind
+from marigoldswitch.gateway.exchanges import (
+    AnswerAborted,
+    ContactLost,
+    Exchange,
+    RequestRefused,
+    RunParts,
+    abort,
+    check_contact,
+)
+from marigoldswitch.gateway.plain import PlainRun, PlainSelectors
+from marigoldswitch.gateway.proxying import PeerProxy
+from marigoldswitch.gateway.streams import StreamRun
+
+PROXIED_KINDS = frozenset({ErrorKind.NO_TARGET, ErrorKind.NOT_DELIVERED})
+"""Faults with which a request is sent through another host if this one could not
+connect to targets."""
+
+
+class RequestRuns:
+    """Runs requests to their ends.
+
+    :ivar streams: running requests that are handled as streams.
+    """
+
+    def __init__(self, parts: RunParts, proxy: PeerProxy) -> None:
+        self.streams: set[StreamRun] = set()
+        self._parts = parts
+        self._proxy = proxy
+        self._selectors = PlainSelectors(parts)
+
+    def recheck_streams(self, target: str) -> None:
+        """Make every stream through an engine check its chain at once."""
+        for run in self.list_streams(target):
+            run.chain_monitor.request_check()
+
+    def list_streams(self, target: str) -> list[StreamRun]:
+        """Return the running streams whose chain contains an engine."""
+        return [
+            run
+            for run in self.streams
+            if any(item.target == target for item in run.chain_monitor.stages)
+        ]
+
+    async def run(self, exchange: Exchange) -> web.StreamResponse:
+        """Run a request on targets, or through another host if this one reaches none.
+
+        :raises RequestRefused: if it fails before any part of an answer was sent.
+        :raises AnswerAborted: if the answer had begun and was cut off.
+        """
+        stream = StreamRun(self._parts, exchange) if exchange.is_stream else None
+        try:
+            return await self._run_here(exchange, stream)
+        except ContactLost:
+            last_event = stream.chain_monitor.last_event if stream else None
+            response = await self._run_elsewhere(exchange, last_event)
+            if response is not None:
+                return response
+            detail = "no other host takes the request"
+            if exchange.response is not None:
+                abort(exchange)
+                raise AnswerAborted(detail) from None
+            raise RequestRefused(self._proxy.build_fault(exchange, detail)) from None
+        except RequestRefused as refused:
+            may_run_elsewhere = (
+                refused.fault.kind in PROXIED_KINDS and exchange.connect_failures > 0
+            )
+            if not may_run_elsewhere or exchange.run_count or exchange.response:
+                raise
+            response = await self._run_elsewhere(exchange, None)
+            if response is None:
+                raise
+            return response
+
+    async def _run_elsewhere(
+        self, exchange: Exchange, last_event: str | None
+    ) -> web.StreamResponse | None:
+        """Run a request through another host; return ``None`` if none takes it.
+
+        What another host has sent here is not sent on.
+        """
+        if exchange.is_proxied:
+            return None
+        return await self._proxy.run(exchange, last_event)
+
+    async def _run_here(
+        self, exchange: Exchange, stream: StreamRun | None
+    ) -> web.StreamResponse:
+        """Run a request on targets that this host sends it to.
+
+        :param stream: its run, if it runs as a stream.
+        :raises ContactLost: if this host reaches no target.
+        """
+        service, parts = exchange.service, self._parts
+        check_contact(parts, exchange)
+        parts.directory.statements.limits.note_wanted(
+            service.name, parts.clock.monotonic()
+        )
+        if stream is None:
+            selector = self._selectors.get(service.name)
+            return await PlainRun(parts, exchange, selector).run()
+        self.streams.add(stream)
+        try:
+            return await stream.run()
+        finally:
+            self.streams.discard(stream)
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -36,7 +36,9 @@
 from marigoldswitch.gateway.ports import HostSettings
 from marigoldswitch.gateway.probing import EngineProbes
 from marigoldswitch.gateway.proxy_hosts import ProxyHosts
+from marigoldswitch.gateway.proxy_listener import ProxyListener
 from marigoldswitch.gateway.proxying import PeerProxy
+from marigoldswitch.gateway.request_runs import RequestRuns
 from marigoldswitch.gateway.spread import DigestExchange
 from marigoldswitch.gateway.state_sync import DigestExchangeParts
 from marigoldswitch.gateway.statements import TargetStatements
@@ -146,6 +148,8 @@
         )
     )
     proxy_hosts = ProxyHosts(spread.roster, home, proxy_port, clock, source)
+    requests = RequestRuns(runs, PeerProxy(runs, proxy_hosts, host_connections))
+    front = Frontend(runs, GatewayMetrics(metrics), requests)
     orderer = LayerOrderer(
         clock,
         store,
@@ -174,11 +178,9 @@
             settings,
             state,
             runs,
-            Frontend(
-                runs,
-                GatewayMetrics(metrics),
-                PeerProxy(runs, proxy_hosts, host_connections),
-            ),
+            requests,
+            front,
+            ProxyListener(runs, front),
             metrics,
             network,
             spread,
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -16,7 +16,7 @@
     LOCAL_TRIES,
     ProxyHosts,
 )
-from marigoldswitch.gateway.proxying import (
+from marigoldswitch.gateway.proxy_terms import (
     DECLINED_HEADER,
     RUNS_HEADER,
     VERSION_HEADER,
--- a/marigoldswitch/tests/test_statements.py
+++ b/marigoldswitch/tests/test_statements.py
@@ -220,7 +220,7 @@
             limited = site.desks[0]
             limited.statements = {"Server-Limit": "0.3"}
             await call_in_turn(site, "/look/", range(60))
-            selector = site.hosts[0].parts.front._selectors.get(ServiceName("desk"))
+            selector = site.hosts[0].parts.requests._selectors.get(ServiceName("desk"))
             assert selector.outliers.get_last_success(limited.name) is not None
 
     run_scenario(scenario())
