Go on after the caller's last event when a request is sent through another host

A caller that resumes a stream got events a second time where its request was sent through another host because no connection could be opened and no retry was left: the id of the last event was dropped on that way. Both ways take the id from the run of the stream now. test_stream_that_its_caller_resumes_goes_on_after_its_last_event[None] failed before (events from 1).

--- a/marigoldswitch/gateway/request_runs.py
+++ b/marigoldswitch/gateway/request_runs.py
@@ -56,8 +56,7 @@
         try:
             return await self._run_here(exchange, stream)
         except ContactLost:
-            last_event = stream.chain_monitor.last_event if stream else None
-            response = await self._run_elsewhere(exchange, last_event)
+            response = await self._run_elsewhere(exchange, stream)
             if response is not None:
                 return response
             detail = "no other host takes the request"
@@ -69,22 +68,26 @@
             may_run_elsewhere = (
                 refused.fault.kind in PROXIED_KINDS and exchange.connect_failures > 0
             )
-            if not may_run_elsewhere or exchange.run_count or exchange.response:
+            has_begun = exchange.run_count > 0 or exchange.response is not None
+            if not may_run_elsewhere or has_begun:
                 raise
-            response = await self._run_elsewhere(exchange, None)
+            response = await self._run_elsewhere(exchange, stream)
             if response is None:
                 raise
             return response
 
     async def _run_elsewhere(
-        self, exchange: Exchange, last_event: str | None
+        self, exchange: Exchange, stream: StreamRun | None
     ) -> web.StreamResponse | None:
         """Run a request through another host; return ``None`` if none takes it.
 
         What another host has sent here is not sent on.
+
+        :param stream: its run here, if it runs as a stream.
         """
         if exchange.is_proxied:
             return None
+        last_event = stream.chain_monitor.last_event if stream else None
         return await self._proxy.run(exchange, last_event)
 
     async def _run_here(
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -380,3 +380,22 @@
             assert status == 502
 
     run_scenario(scenario())
+
+
+@pytest.mark.parametrize("mode", [None, CutMode.HANG])
+def test_stream_that_its_caller_resumes_goes_on_after_its_last_event(mode):
+    """Without a known cut, the request finds out itself that no engine is reached."""
+
+    async def scenario():
+        async with run_cut_site(cut_off=() if mode is None else (0,)) as (site, _):
+            runs = site.hosts[0].parts.runs
+            if mode is None:
+                runs.contact.note_silence = lambda *_: None
+                runs.retries.update_limits(0.0, 0.0)
+                PathCut(site.hosts[0]).begin(CutMode.RESET)
+            headers = {"Last-Event-Id": "12"}
+            async with site.call("/draft/", 1, headers=headers) as answer:
+                assert answer.status == 200
+                assert list_event_ids(await answer.read()) == ALL_EVENTS[12:]
+
+    run_scenario(scenario())
