--- a/marigoldswitch/tests/test_restored_lease.py
+++ b/marigoldswitch/tests/test_restored_lease.py
@@ -71,7 +71,16 @@
     )
     host, home = HostId(name), DataCentre("north")
     return LayerOrderer(
-        clock, table, None, Directory(), None, spread, host, home, "isle"
+        clock,
+        table,
+        None,
+        Directory(),
+        None,
+        spread,
+        host,
+        home,
+        "isle",
+        SimpleNamespace(is_lost=False),
     )
 
 
