Read the list of hosts again when a host is cut off

If all hosts of such a data centre are cut off from targets, none could send its requests anywhere. The store, which still answers, lists the hosts: one read a host at the loss, at most every 15 s. test_host_that_has_forgotten_the_others_finds_them_when_it_is_cut_off failed before (no peer in 2 s).

--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -61,6 +61,9 @@
 REREGISTER_SPREAD_SECONDS = 3.0
 """Seconds over which hosts rewrite their rows after the store was restored, so that
 they don't all call it at once."""
+RELIST_SECONDS = 15.0
+"""Minimum time between two lists of the hosts that are read for cuts. A host of a large
+data centre hears of few hosts elsewhere, and needs them if its own ones are cut off."""
 RESTART_SECONDS = 1.0
 """Pause before a background task that an error has ended is started again."""
 METRICS_PATH = "/metrics"
@@ -108,6 +111,8 @@
         )
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._listed_at = float("-inf")
+        """When the list of the hosts was last read for a cut."""
         directory = parts.runs.directory
         directory.registry.watch(self._handle_target_change)
         directory.registry.watch_restores(self._handle_store_restored)
@@ -307,6 +312,13 @@
         parts.spread.announce()
         logger.info("hosts_met", hosts=len(parts.spread.roster.peers))
 
+    def _relist_hosts(self) -> None:
+        """Read the rows of the other hosts again, unless that was done lately."""
+        now = self.parts.runs.clock.monotonic()
+        if now - self._listed_at >= RELIST_SECONDS:
+            self._listed_at = now
+            self._spawn(self._read_rows)
+
     async def _write_row(self) -> None:
         """Write this host's row, retrying until it works."""
         while True:
@@ -334,6 +346,7 @@
         )
         if change.state is ContactState.LOST:
             self.parts.runs.admission.dismiss_waiting()
+            self._relist_hosts()
         if change.state is not ContactState.DOUBTED:
             self.parts.spread.send_urgent_digest()
 
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -8,6 +8,7 @@
 import pytest
 
 from marigoldswitch.core.contact import ContactState
+from marigoldswitch.gateway.hosts import read_port
 from marigoldswitch.gateway.proxy_terms import (
     DECLINED_HEADER,
     RUNS_HEADER,
@@ -294,3 +295,27 @@
                 assert list_event_ids(await answer.read()) == ALL_EVENTS[12:]
 
     run_scenario(scenario())
+
+
+def test_host_that_has_forgotten_the_others_finds_them_when_it_is_cut_off():
+    """Most hosts of a large data centre hear of those of others only at their start."""
+
+    async def scenario():
+        async with run_site(engines=2, desks=3, hosts=HOSTS) as site:
+            await site.wait_for_layout()
+            host = site.hosts[0]
+            host.parts.spread.roster.update_from_digest = lambda *_: False
+            host.parts.spread.roster.peers.clear()
+            PathCut(host).begin(CutMode.RESET)
+            contact = host.parts.runs.contact
+            await send(site, "/look/", 1)
+            await site.wait_until(lambda: contact.is_lost)
+            peers = host.parts.spread.roster.peers
+            await site.wait_until(lambda: len(peers) == HOSTS - 1, 2.0)
+            for other in site.hosts[1:]:
+                # Elsewhere all hosts listen at the same port.
+                addresses = other.parts.settings.addresses
+                peers[addresses.peers].proxy_port = read_port(addresses.proxied)
+            assert (await send(site, "/look/", 2))[0] == 200
+
+    run_scenario(scenario())
