Wait for slow answers of another host until the deadline

Found in a last read of the diff: a request that may run again and that went through another host was given up after 1.5 s without an answer and sent again. A plain request that takes longer could never be served that way (502), and cost retries; a stream that may not run again, or has no run left, was broken off by a gap. Only a stream that may run again is given up for silence now; any other answer may take until the request's deadline, which bounds the wait.

test_answer_that_takes_long_is_awaited_and_not_asked_for_again (502) and both cases of test_gap_ends_no_stream_that_may_not_run_again (payload not complete) failed before.

--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -44,24 +44,28 @@
 MAX_HOSTS = 4
 """Hosts to which one request is sent in turn while each declines."""
 SILENCE_SECONDS = 1.5
-"""Time without an answer or an event after which another host is asked, if the request
-may run again. Callers leave after 2 s."""
+"""Time without an event after which a stream goes on through another host, if it may
+run again. Callers leave after 2 s."""
 RETRY_AFTER_SECONDS = (0.3, 1.0)
 """Bounds of the time after which a caller may come back that no host could serve."""
 
 
 class _SilenceMonitor:
-    """Closes the answer of a host that sends no events for too long."""
+    """Closes the answer of a host that sends no events for too long.
+
+    :ivar is_active: whether it does so now; else silence is borne.
+    """
 
     def __init__(self, last_event: str | None) -> None:
         self.last_event = last_event
+        self.is_active = False
         self._timer: asyncio.TimerHandle | None = None
         self._response: aiohttp.ClientResponse | None = None
 
     def note_event(self) -> None:
         """Measure the silence from now on."""
         self._stop_timer()
-        if self._response is not None:
+        if self._response is not None and self.is_active:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(SILENCE_SECONDS, self._response.close)
 
@@ -186,9 +190,11 @@
         if exchange.route.is_idempotent:
             session = self._connections.choose_session(host.address)
         url, use = f"http://{host.address}{exchange.call.path}", ConnectionUse()
-        limit = SILENCE_SECONDS if exchange.route.is_idempotent else None
+        self._monitor.is_active = self._may_give_up()
         try:
-            async with asyncio.timeout(limit):
+            async with asyncio.timeout(
+                SILENCE_SECONDS if self._monitor.is_active else None
+            ):
                 result = await open_response(
                     session, exchange.call.method, url, headers, exchange.body, use
                 )
@@ -203,6 +209,19 @@
             return NotSent(declined)
         return result
 
+    def _may_give_up(self) -> bool:
+        """Return whether a silent host may be given up for another one.
+
+        Only that of a stream, which would have sent events. Other answers may take
+        until the deadline.
+        """
+        exchange = self._exchange
+        runs = exchange.run_count - exchange.discounted_runs + 1
+        may_run_again = exchange.route.is_idempotent and runs < (
+            exchange.route.max_targets
+        )
+        return exchange.is_stream and may_run_again
+
     async def _pass_on(self, reply: aiohttp.ClientResponse) -> web.StreamResponse:
         """Pass an answer on to the caller.
 
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -8,16 +8,20 @@
 import pytest
 
 from marigoldswitch.core.contact import ContactState
+from marigoldswitch.gateway import plain, proxying
 from marigoldswitch.gateway.hosts import read_port
 from marigoldswitch.gateway.proxy_terms import (
     DECLINED_HEADER,
     RUNS_HEADER,
     VERSION_HEADER,
 )
+from marigoldswitch.standins import platform_engines
+from marigoldswitch.standins.platform_engines import PlainStandin
 from marigoldswitch.tests.gateway_site import (
     ACCOUNT,
     ALL_EVENTS,
     KEY,
+    build_configuration,
     list_event_ids,
     run_scenario,
     run_site,
@@ -319,3 +323,41 @@
             assert (await send(site, "/look/", 2))[0] == 200
 
     run_scenario(scenario())
+
+
+def test_answer_that_takes_long_is_awaited_and_not_asked_for_again(monkeypatch):
+    handle = PlainStandin.handle
+
+    async def handle_slowly(desk, http):
+        await asyncio.sleep(0.5)
+        return await handle(desk, http)
+
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            status, _, _ = await send(site, "/look/", 1)
+            assert status == 200
+            assert len(list_arrivals(site)) == 1
+
+    monkeypatch.setattr(PlainStandin, "handle", handle_slowly)
+    monkeypatch.setattr(plain, "MIN_HEDGE_DELAY_SECONDS", 5.0)
+    monkeypatch.setattr(proxying, "SILENCE_SECONDS", 0.2)
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("is_resumable", [True, False])
+def test_gap_ends_no_stream_that_may_not_run_again(monkeypatch, is_resumable):
+    async def scenario():
+        configuration = build_configuration(version=2, attempts=1)
+        configuration["routes"][0]["resumable"] = is_resumable
+        async with run_cut_site() as (site, _):
+            site.store.put("op", "config", configuration)
+            directories = [host.parts.runs.directory for host in site.hosts]
+            await site.wait_until(
+                lambda: all(item.version == 2 for item in directories)
+            )
+            async with site.call("/draft/", 1) as answer:
+                assert list_event_ids(await answer.read()) == ALL_EVENTS
+
+    monkeypatch.setattr(platform_engines, "PAUSE_SECONDS", 0.1)
+    monkeypatch.setattr(proxying, "SILENCE_SECONDS", 0.05)
+    run_scenario(scenario())
