Read the parts of prompts, and log those of lost runs

The adapter decodes it to ids, never refusing a request for it; run_lost names them, target_ended counts those of the requests without an event. Nothing is decided by them yet.

--- a/marigoldswitch/core/crashes.py
+++ b/marigoldswitch/core/crashes.py
@@ -18,7 +18,7 @@
 
 from marigoldswitch.core.fingerprints import Fingerprint
 from marigoldswitch.core.gateway_messages import CrashNote, EndNote
-from marigoldswitch.core.ids import AccountId, TargetId
+from marigoldswitch.core.ids import AccountId, PromptPartId, TargetId
 
 OTHER_CAUSES_WEIGHT = 0.25
 """Weight of all other causes of a crash together; a request without an event and
@@ -61,11 +61,13 @@
     """A request that was running on a target when it crashed.
 
     :param had_event: whether it had received an event from the target.
+    :param parts: parts of its prompt that other requests may share.
     """
 
     fingerprint: Fingerprint
     account: AccountId | None
     had_event: bool
+    parts: tuple[PromptPartId, ...] = ()
 
 
 class Hold(Struct, frozen=True):
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -1,6 +1,7 @@
 """Detects the requests that crash the targets running them, and puts them on hold."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 import structlog
@@ -10,6 +11,7 @@
 from marigoldswitch.core.crashes import CrashLedger, Hold, InterruptedRequest, TargetRun
 from marigoldswitch.core.fingerprints import Fingerprint
 from marigoldswitch.core.gateway_messages import CrashNote
+from marigoldswitch.core.ids import PromptPartId
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.probing import EngineProbes
@@ -23,6 +25,8 @@
 """Time after the end of a target in which all interrupted requests report it."""
 MAX_LOGGED_FINGERPRINTS = 8
 """Maximum number of fingerprints in a log line."""
+MAX_LOGGED_PARTS = 8
+"""Maximum number of parts of prompts in a log line."""
 LATE_REPORT_SECONDS = 1.0
 """Time from the first report in which further requests may report that the target
 interrupted them."""
@@ -168,9 +172,18 @@
             without_event=[
                 item.fingerprint for item in interruption.requests if not item.had_event
             ][:MAX_LOGGED_FINGERPRINTS],
+            parts=_count_parts(interruption.requests),
         )
         return True
 
     def _note_end(self, start: TargetRun, interruption: _Interruption) -> None:
         self._ledger.note_crash(start, interruption.requests, self._clock.monotonic())
         self._send_if_urgent()
+
+
+def _count_parts(requests: list[InterruptedRequest]) -> list[tuple[PromptPartId, int]]:
+    """Return the parts of requests without an event, the most frequent ones first."""
+    counts = Counter(
+        part for item in requests if not item.had_event for part in item.parts
+    )
+    return counts.most_common(MAX_LOGGED_PARTS)
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -12,7 +12,7 @@
 from marigoldswitch.core.crashes import Hold, InterruptedRequest
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.fingerprints import Fingerprint, fingerprint_request
-from marigoldswitch.core.ids import AccountId, ServiceName
+from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName
 from marigoldswitch.core.loads import Loads
 from marigoldswitch.core.loans import LoanBook
 from marigoldswitch.core.ports import Clock
@@ -82,6 +82,14 @@
             )
         return self._fingerprint
 
+    @property
+    def shared_parts(self) -> tuple[PromptPartId, ...]:
+        """Return the parts of the prompt that other requests may share.
+
+        The last part is the request's own.
+        """
+        return self.call.prompt_parts[:-1]
+
     @property
     def is_stream(self) -> bool:
         """Return whether it runs as a stream.
@@ -319,7 +327,9 @@
 
     :param had_event: whether the target had delivered part of the answer.
     """
-    cut = InterruptedRequest(exchange.fingerprint, exchange.account, had_event)
+    cut = InterruptedRequest(
+        exchange.fingerprint, exchange.account, had_event, exchange.shared_parts
+    )
     await parts.crashes.note_cut_off(cut, target)
 
 
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -12,7 +12,7 @@
 from result import Result
 
 from marigoldswitch.core.catalogue import LayerRange, Load
-from marigoldswitch.core.ids import AccountId, RequestId, TargetId
+from marigoldswitch.core.ids import AccountId, PromptPartId, RequestId, TargetId
 from marigoldswitch.core.ports import Row, StoreFault
 from marigoldswitch.core.registry import TargetRow
 from marigoldswitch.core.routes import RoutingTable
@@ -30,6 +30,7 @@
     :param prompt_tokens: tokens of the prompt; 0 if unknown.
     :param answer_tokens: estimated tokens of the answer.
     :param headers: headers to forward.
+    :param prompt_parts: parts of the prompt, in order; empty if the caller names none.
     """
 
     id: RequestId
@@ -42,6 +43,7 @@
     prompt_tokens: int
     answer_tokens: int
     headers: CIMultiDict[str]
+    prompt_parts: tuple[PromptPartId, ...] = ()
 
     @property
     def tokens(self) -> int:
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -140,6 +140,7 @@
             "run_lost",
             request=exchange.call.id,
             fingerprint=exchange.fingerprint,
+            parts=exchange.call.prompt_parts,
             target=first.target,
             had_event=had_event,
             after=self.chain_monitor.last_event,
--- a/marigoldswitch/platform/headers.py
+++ b/marigoldswitch/platform/headers.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from marigoldswitch.core.catalogue import Load
-from marigoldswitch.core.ids import RequestId
+from marigoldswitch.core.ids import PromptPartId, RequestId
 from marigoldswitch.core.retry_after import parse_retry_after
 from marigoldswitch.core.stages import Stage
 from marigoldswitch.gateway.ports import Call, ForwardOptions, ReplyFacts
@@ -20,6 +20,8 @@
 """Tokens of the prompt and most tokens of the answer. Despite its name the header comes
 with the request, before any token is used."""
 PREFIX = "Prefix-Hash"
+"""Parts of the prompt in order, as ``id:tokens`` with hexadecimal ids, separated by
+commas."""
 LENGTH_HINT = "Length-Hint"
 """Length of the answer that the caller expects, in tokens."""
 LAST_EVENT_ID = "Last-Event-Id"
@@ -72,6 +74,8 @@
 them itself, so that callers cannot forge them."""
 MILLISECONDS_PER_SECOND = 1000.0
 LOWEST_PRIORITY = 9
+MAX_PROMPT_PARTS = 64
+"""Parts that are read of a prompt, as its caller may name any number."""
 HTTP_MISDIRECTED_REQUEST = 421
 HTTP_SERVICE_UNAVAILABLE = 503
 
@@ -101,6 +105,7 @@
                 prompt_tokens,
                 answer_tokens,
                 _copy_end_to_end(headers, UNFORWARDED_HEADERS),
+                _read_prompt_parts(headers.getall(PREFIX, ())),
             )
         )
 
@@ -239,6 +244,13 @@
     return int(prompt), expected
 
 
+def _read_prompt_parts(values: Sequence[str]) -> tuple[PromptPartId, ...]:
+    """Return the ids of a prompt's parts; entries without one are ignored."""
+    entries = ",".join(values).split(",")
+    names = (item.partition(":")[0].strip().lower() for item in entries)
+    return tuple(PromptPartId(item) for item in names if item)[:MAX_PROMPT_PARTS]
+
+
 def _read_key(text: str | None) -> str | None:
     """Return the key of an ``Authorization`` header of the scheme ``token``."""
     if text is None:
--- a/marigoldswitch/tests/test_platform_headers.py
+++ b/marigoldswitch/tests/test_platform_headers.py
@@ -46,6 +46,22 @@
     assert call.api_key == "secret"
     assert call.timeout == 20.0
     assert (call.prompt_tokens, call.answer_tokens) == (1460, 33)
+    assert call.prompt_parts == ("5c1e07a2", "91bd3f06")
+
+
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("", ()),
+        (",, :5", ()),
+        ("5C1E:800 , x", ("5c1e", "x")),
+        (",".join(f"{number:x}:1" for number in range(100)), 64),
+    ],
+)
+def test_parts_of_a_prompt_are_read_and_never_refused(text, parts):
+    call = read(HEADERS | {"Prefix-Hash": text}).unwrap()
+    assert parts in (call.prompt_parts, len(call.prompt_parts))
+    assert write(call)["Prefix-Hash"] == text
 
 
 def test_forged_headers_are_replaced_or_dropped():
