--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -59,7 +59,7 @@
         self.crashing: set[bytes] = set()
         """Bodies of requests that crash the target which starts to run them."""
         self.crashes: Counter[bytes] = Counter()
-        """Number of crashes that each of these bodies has caused."""
+        """Number of crashes that each of these bodies or parts has caused."""
         self._restart_tasks: set[asyncio.Task[None]] = set()
         self._runner: web.ServerRunner | None = None
         self._port_socket = socket.socket()
@@ -218,12 +218,15 @@
     :ivar held: the layers as ``(first, end)``; ``None`` while it holds none.
     :ivar sequence: revision of its layers; an order must name the current one.
     :ivar events: number of events in a stream.
+    :ivar crashing_parts: parts of prompts that crash the engine as it begins to answer,
+        unless they come last.
     """
 
     def __init__(self, name: str, site: EngineCluster) -> None:
         super().__init__(name)
         self.site = site
         self.held: tuple[int, int] | None = None
+        self.crashing_parts: set[str] = set()
         self.born = 0
         """Start time in Unix milliseconds; 0 if it does not report one."""
         self.sequence = 0
@@ -344,6 +347,9 @@
         try:
             if body in self.crashing:
                 await self.crash(body)
+            for part in read_prompt_parts(http)[:-1]:
+                if part in self.crashing_parts:
+                    await self.crash(part.encode())
             while body in self.site.crashing_second_stage:
                 await self.site.engines[record.path[1][0]].crash(body)
             await self._send_events(http, response, record)
@@ -386,6 +392,12 @@
         return True
 
 
+def read_prompt_parts(http: web.BaseRequest) -> list[str]:
+    """Return the ids of the parts of a request's prompt, in order."""
+    text = http.headers.get("Prefix-Hash", "")
+    return [item.partition(":")[0] for item in text.split(",")]
+
+
 def _read_path(text: str) -> list[tuple[str, int, int]]:
     path = []
     for item in text.split(","):
