Hold off requests by the part of their prompts that crashes targets

Cause: the unit of blame is narrower than the cause. The ledger knows requests by account, path and body; each new one starts without a history and ends two engines. Ruled out: late or lost knowledge (no fingerprint on hold ran again) and the repeat alone (it doubles the ends, no more).

Ends are counted by part as well, over all hosts; an answer that goes on clears. What a part on hold explains counts against no request, as streams that follow such requests from engine to engine were to be blamed for them.

Why it works: a part that crashes targets is never answered, one in use is answered many times a second.

--- a/marigoldswitch/core/crashes.py
+++ b/marigoldswitch/core/crashes.py
@@ -12,13 +12,14 @@
 
 import zlib
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from msgspec import Struct, field
 
 from marigoldswitch.core.fingerprints import Fingerprint
 from marigoldswitch.core.gateway_messages import CrashNote, EndNote
-from marigoldswitch.core.ids import AccountId, PromptPartId, TargetId
+from marigoldswitch.core.ids import AccountId
+from marigoldswitch.core.interruptions import Hold, InterruptedRequest, TargetRun
 
 OTHER_CAUSES_WEIGHT = 0.25
 """Weight of all other causes of a crash together; a request without an event and
@@ -47,40 +48,6 @@
 """Requests in one message; each takes some 50 bytes."""
 
 
-class TargetRun(Struct, frozen=True):
-    """One run of a target's process, from start to exit.
-
-    :param born: start time in ms since 1970; 0 if unknown.
-    """
-
-    target: TargetId
-    born: int
-
-
-class InterruptedRequest(Struct, frozen=True):
-    """A request that was running on a target when it crashed.
-
-    :param had_event: whether it had received an event from the target.
-    :param parts: parts of its prompt that other requests may share.
-    """
-
-    fingerprint: Fingerprint
-    account: AccountId | None
-    had_event: bool
-    parts: tuple[PromptPartId, ...] = ()
-
-
-class Hold(Struct, frozen=True):
-    """A ban on running a request, with its reason.
-
-    :param seconds_left: seconds until the request may run again.
-    :param ends: crashes attributed to the request, as target and age in seconds.
-    """
-
-    seconds_left: float
-    ends: tuple[tuple[TargetId, float], ...]
-
-
 class _Crash(Struct):
     """One crash of a target, as recorded for one request.
 
@@ -123,9 +90,16 @@
 
 
 class CrashLedger:
-    """Crash history by request, as known to this host; times are monotonic seconds."""
+    """Crash history by request, as known to this host; times are monotonic seconds.
 
-    def __init__(self) -> None:
+    :param is_explained: returns whether a crash is known to have another cause than a
+        single request. It then says nothing about the requests that ran there.
+    """
+
+    def __init__(
+        self, is_explained: Callable[[TargetRun], bool] = lambda _: False
+    ) -> None:
+        self._is_explained = is_explained
         self._records: dict[Fingerprint, _Record] = {}
         self._percents: dict[TargetRun, dict[Fingerprint, int]] = {}
         """Blame of each request for each crash, in percent."""
@@ -146,7 +120,7 @@
     def find_hold(self, fingerprint: Fingerprint, now: float) -> Hold | None:
         """Return the hold on a request, or ``None`` if it may run."""
         record = self._records.get(fingerprint)
-        if record is None or not record.is_held:
+        if record is None or not record.is_held or not self._is_to_blame(record):
             return None
         left = record.held_at + HOLD_SECONDS - now
         if left <= 0.0:
@@ -278,24 +252,36 @@
         return sum(
             crash.percent / max(100, sum(self._percents[run].values()))
             for run, crash in record.crashes.items()
-            if run != excluded
+            if run != excluded and not self._is_explained(run)
         )
 
     def _hold_if_blamed(self, fingerprint: Fingerprint) -> None:
         """Put a request on hold if too many crashes are attributed to it."""
         record = self._records.get(fingerprint)
-        if record is None or len(record.crashes) < 2:
-            return
-        likely_count = sum(
-            2 * crash.percent >= max(self._percents[run].values())
-            for run, crash in record.crashes.items()
-        )
-        if self._sum_blame(record) < HOLD_MIN_BLAME and likely_count < HOLD_MIN_CRASHES:
+        if record is None or not self._is_to_blame(record):
             return
         if not record.is_held:
             self._unsent[fingerprint] = None
         record.held_at = max(item.at for item in record.crashes.values())
 
+    def _is_to_blame(self, record: _Record) -> bool:
+        """Return whether enough crashes are attributed to a request."""
+        crashes = {
+            run: crash
+            for run, crash in record.crashes.items()
+            if not self._is_explained(run)
+        }
+        if len(crashes) < 2:
+            return False
+        likely_count = sum(
+            2 * crash.percent >= max(self._percents[run].values())
+            for run, crash in crashes.items()
+        )
+        return (
+            self._sum_blame(record) >= HOLD_MIN_BLAME
+            or likely_count >= HOLD_MIN_CRASHES
+        )
+
     def _add_crash(
         self,
         fingerprint: Fingerprint,
--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -13,6 +13,7 @@
     AccountId,
     DataCentre,
     HostId,
+    PromptPartId,
     ServiceName,
     TargetId,
 )
@@ -359,10 +360,43 @@
     cleared: float = -1.0
 
 
+class PartEndNote(Struct, frozen=True):
+    """An end of a target that had not answered a request with some part.
+
+    :param born: when the target had started, in ms since 1970; 0 if unknown.
+    :param age: seconds since the end.
+    :param sent: seconds since the request was sent to the target.
+    :param request: begin of the request's fingerprint.
+    :param account: client account of the request, if known.
+    """
+
+    target: TargetId
+    born: int
+    age: float
+    sent: float
+    request: str
+    account: AccountId | None = None
+
+
+class PartNote(Struct, frozen=True):
+    """What a host knows of one part of prompts with which targets ended.
+
+    :param ends: the ends since the part was last answered.
+    :param answered: seconds since a target last answered a request with the part;
+        negative if none is known to have.
+    """
+
+    service: ServiceName
+    part: PromptPartId
+    ends: tuple[PartEndNote, ...] = ()
+    answered: float = -1.0
+
+
 class CrashNotes(Struct, frozen=True):
-    """Records of requests that end targets."""
+    """Records of requests that end targets, and of parts of prompts that do."""
 
     notes: tuple[CrashNote, ...]
+    parts: tuple[PartNote, ...] = ()
 
 
 GatewayMessage = (
--- a/marigoldswitch/gateway/crash_note_exchange.py
+++ b/marigoldswitch/gateway/crash_note_exchange.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from marigoldswitch.core.gateway_messages import CrashNote, CrashNotes
+from marigoldswitch.core.gateway_messages import CrashNotes
 from marigoldswitch.core.ids import HostId
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.crashes import CrashWatch
@@ -54,15 +54,15 @@
         if now - self._resynced_at.get(sender, float("-inf")) < RESYNC_SECONDS:
             return
         self._resynced_at[sender] = now
-        self._network.send(sender, CrashNotes(self._crashes.list_notes()))
+        self._network.send(sender, self._crashes.list_notes())
 
-    def _broadcast(self, notes: tuple[CrashNote, ...]) -> None:
+    def _broadcast(self, notes: CrashNotes) -> None:
         """Send notes to other hosts, each of which forwards what is new to it."""
         for host in (
             *self._roster.choose_local_recipients(),
             *self._roster.choose_remote_recipients(),
         ):
-            self._network.send(host, CrashNotes(notes))
+            self._network.send(host, notes)
 
     def _handle_notes(self, sender: HostId, message: CrashNotes) -> None:
-        self._crashes.merge_notes(message.notes)
+        self._crashes.merge_notes(message)
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -2,16 +2,23 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import structlog
 from msgspec import Struct, field
 
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.crashes import CrashLedger, Hold, InterruptedRequest, TargetRun
+from marigoldswitch.core.crashes import CrashLedger
 from marigoldswitch.core.fingerprints import Fingerprint
-from marigoldswitch.core.gateway_messages import CrashNote
-from marigoldswitch.core.ids import PromptPartId
+from marigoldswitch.core.gateway_messages import CrashNotes
+from marigoldswitch.core.ids import AccountId, PromptPartId
+from marigoldswitch.core.interruptions import (
+    Hold,
+    InterruptedRequest,
+    PromptPart,
+    TargetRun,
+)
+from marigoldswitch.core.part_crashes import PartLedger
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.probing import EngineProbes
@@ -27,6 +34,8 @@
 """Maximum number of fingerprints in a log line."""
 MAX_LOGGED_PARTS = 8
 """Maximum number of parts of prompts in a log line."""
+URGENT_SECONDS = 0.1
+"""Least time between two messages on parts of prompts that may soon be on hold."""
 LATE_REPORT_SECONDS = 1.0
 """Time from the first report in which further requests may report that the target
 interrupted them."""
@@ -65,27 +74,36 @@
     def __init__(
         self, clock: Clock, directory: Directory, probes: EngineProbes
     ) -> None:
-        self.send_notes: Callable[[tuple[CrashNote, ...]], None] = lambda _: None
+        self.send_notes: Callable[[CrashNotes], None] = lambda _: None
         self._clock = clock
         self._directory = directory
         self._probes = probes
-        self._ledger = CrashLedger()
+        self._parts = PartLedger()
+        self._ledger = CrashLedger(self._parts.explains)
         self._interruptions: dict[TargetRun, _Interruption] = {}
+        self._urgent_sent_at = float("-inf")
+        self._logged_holds: frozenset[PromptPart] = frozenset()
 
     @property
     def checksum(self) -> int:
         """Return a checksum of the notes, equal on hosts that have the same ones."""
-        return self._ledger.checksum
+        return self._ledger.checksum ^ self._parts.checksum
 
     @property
     def is_empty(self) -> bool:
-        """Return whether there is no record of any request."""
-        return not len(self._ledger)
+        """Return whether no request or part of a prompt is suspected."""
+        return not len(self._ledger) and self._parts.is_empty
 
     def find_hold(self, fingerprint: Fingerprint) -> Hold | None:
         """Return the hold on a request, or ``None`` if it may run."""
         return self._ledger.find_hold(fingerprint, self._clock.monotonic())
 
+    def find_part_hold(
+        self, parts: Sequence[PromptPart], account: AccountId | None
+    ) -> Hold | None:
+        """Return the hold on requests of an account with these parts, if any."""
+        return self._parts.find_hold(parts, account, self._clock.monotonic())
+
     async def note_cut_off(self, request: InterruptedRequest, target: Target) -> None:
         """Record that a target broke a request off, perhaps because it ended.
 
@@ -129,30 +147,57 @@
         if self._ledger.note_completed(fingerprint, self._clock.monotonic()):
             logger.info("suspicion_cleared", fingerprint=fingerprint)
 
-    def list_notes(self) -> tuple[CrashNote, ...]:
+    def note_answering(self, parts: Sequence[PromptPart]) -> None:
+        """Record that a target answers a request with these parts, which clears
+        them."""
+        if self._parts.note_answered(parts, self._clock.monotonic()):
+            logger.info("parts_cleared", parts=[item.id for item in parts])
+            self._log_changed_holds()
+
+    def list_notes(self) -> CrashNotes:
         """Return all notes that a host without any must get."""
-        return self._ledger.list_notes(self._clock.monotonic())
+        now = self._clock.monotonic()
+        return CrashNotes(self._ledger.list_notes(now), self._parts.list_notes(now))
 
-    def merge_notes(self, notes: tuple[CrashNote, ...]) -> None:
+    def merge_notes(self, notes: CrashNotes) -> None:
         """Merge notes of another host, and forward new holds at once."""
-        self._ledger.merge(notes, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._parts.expire(now)
+        self._parts.merge(notes.parts, now)
+        self._ledger.merge(notes.notes, now)
+        self._log_changed_holds()
         self._send_if_urgent()
 
     def send_pending_notes(self) -> None:
         """Send other hosts the notes that are new since the last time, if any."""
-        notes = self._ledger.take_unsent_notes(self._clock.monotonic())
-        if notes:
+        now = self._clock.monotonic()
+        self._urgent_sent_at = now
+        notes = CrashNotes(
+            self._ledger.take_unsent_notes(now), self._parts.take_unsent_notes(now)
+        )
+        if notes.notes or notes.parts:
             self.send_notes(notes)
 
     def _send_if_urgent(self) -> None:
-        """Send pending notes at once if a request was put on hold.
+        """Send pending notes at once if a request was put on hold, or soon if a part of
+        a prompt may be.
 
         Notes on mere suspects wait and go together, as the loss of a rack leaves
         hundreds of them.
         """
-        if self._ledger.has_unsent_hold:
+        is_due = self._clock.monotonic() - self._urgent_sent_at >= URGENT_SECONDS
+        if self._ledger.has_unsent_hold or (is_due and self._parts.has_urgent_notes):
             self.send_pending_notes()
 
+    def _log_changed_holds(self) -> None:
+        """Log the parts of prompts that were put on hold or taken off it."""
+        held, known = self._parts.held_parts, self._logged_holds
+        self._logged_holds = held
+        for part in held - known:
+            logger.warning("part_on_hold", service=part.service, part=part.id)
+        for part in known - held:
+            logger.info("part_released", service=part.service, part=part.id)
+
     async def _confirm_end(
         self, start: TargetRun, target: Target, interruption: _Interruption
     ) -> bool:
@@ -177,13 +222,17 @@
         return True
 
     def _note_end(self, start: TargetRun, interruption: _Interruption) -> None:
-        self._ledger.note_crash(start, interruption.requests, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._parts.expire(now)
+        self._parts.note_crash(start, interruption.requests, now)
+        self._ledger.note_crash(start, interruption.requests, now)
+        self._log_changed_holds()
         self._send_if_urgent()
 
 
 def _count_parts(requests: list[InterruptedRequest]) -> list[tuple[PromptPartId, int]]:
     """Return the parts of requests without an event, the most frequent ones first."""
     counts = Counter(
-        part for item in requests if not item.had_event for part in item.parts
+        part.id for item in requests if not item.had_event for part in item.parts
     )
     return counts.most_common(MAX_LOGGED_PARTS)
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -14,6 +14,7 @@
 import aiohttp
 import structlog
 
+from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.gaps import MAX_TIMEOUT, StreamGaps
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import (
@@ -27,6 +28,7 @@
     Exchange,
     RunParts,
     find_hold,
+    note_answering,
     note_cut_off,
 )
 from marigoldswitch.gateway.ports import EngineStatus, OrderReply, OrderResult
@@ -52,6 +54,8 @@
 MAX_BACKOFF = 4.0
 """Each check multiplies the silence that later checks wait for, up to the maximum, as
 each costs the engines probes and a slow chain would be checked again and again."""
+ANSWERING_DELIVERIES = 2
+"""Deliveries of events from which an engine has got past the begin of an answer."""
 MAX_DETOUR_ATTEMPTS = 3
 """Chains tried for one detour; each attempt avoids the engine that refused the last."""
 
@@ -83,6 +87,8 @@
         """Checks of the chain since its last event."""
         self._delivering_stages: tuple[Stage, ...] = ()
         """The stages that delivered the last event."""
+        self._deliveries = 0
+        """Times that this chain has delivered events."""
         self._recorded_ends: set[TargetId] = set()
         """Engines of this chain whose end has been recorded as a possible crash."""
         self._started_at = 0.0
@@ -99,6 +105,7 @@
         self.stages = stages
         self._started_at = self._parts.clock.monotonic()
         self._delivering_stages = ()
+        self._deliveries = 0
         self._recorded_ends.clear()
         self._gaps.reset()
 
@@ -111,6 +118,22 @@
         """Return whether this chain has delivered an event through an engine."""
         return any(item.target == target for item in self._delivering_stages)
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether this chain has got past the begin of the answer."""
+        return self._deliveries >= ANSWERING_DELIVERIES
+
+    async def note_cut_off(self, target: Target) -> None:
+        """Record that an engine of the chain has cut the request off."""
+        await note_cut_off(
+            self._parts,
+            self._exchange,
+            target,
+            self._started_at,
+            self.has_delivered(target.id),
+            self.is_answering,
+        )
+
     def request_check(self) -> None:
         """Check the chain at once, as one of its engines is dead or leaving."""
         self._is_check_requested = True
@@ -124,6 +147,9 @@
             self._parts.probes.note_prompt_answer()
         self._progress_at = now
         self._delivering_stages = self.stages
+        self._deliveries += 1
+        if self._deliveries == ANSWERING_DELIVERIES:
+            note_answering(self._parts, self._exchange)
         self._gaps.note_event(self._progress_at)
         self._checks_since_event = 0
         self._parts.probes.note_alive(item.target for item in self.stages)
@@ -272,8 +298,7 @@
             row = parts.directory.registry.rows.get(name)
             if row is not None and parts.directory.suspects.is_dead(name, now):
                 self._recorded_ends.add(name)
-                had_event = self.has_delivered(name)
-                await note_cut_off(parts, exchange, row.target, had_event)
+                await self.note_cut_off(row.target)
         if find_hold(parts, exchange) is not None:
             raise ChainBroken("the request is held off, as it ends engines")
 
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -9,10 +9,10 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import TargetContact
-from marigoldswitch.core.crashes import Hold, InterruptedRequest
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.fingerprints import Fingerprint, fingerprint_request
-from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName
+from marigoldswitch.core.ids import AccountId, ServiceName
+from marigoldswitch.core.interruptions import Hold, InterruptedRequest, PromptPart
 from marigoldswitch.core.loads import Loads
 from marigoldswitch.core.loans import LoanBook
 from marigoldswitch.core.ports import Clock
@@ -83,12 +83,13 @@
         return self._fingerprint
 
     @property
-    def shared_parts(self) -> tuple[PromptPartId, ...]:
+    def shared_parts(self) -> tuple[PromptPart, ...]:
         """Return the parts of the prompt that other requests may share.
 
         The last part is the request's own.
         """
-        return self.call.prompt_parts[:-1]
+        names = self.call.prompt_parts[:-1]
+        return tuple(PromptPart(self.service.name, item) for item in names)
 
     @property
     def is_stream(self) -> bool:
@@ -285,7 +286,8 @@
     """Return why a request is held off, or ``None`` if it may run."""
     if parts.crashes.is_empty:
         return None
-    return parts.crashes.find_hold(exchange.fingerprint)
+    hold = parts.crashes.find_part_hold(exchange.shared_parts, exchange.account)
+    return hold or parts.crashes.find_hold(exchange.fingerprint)
 
 
 def check_hold(parts: RunParts, exchange: Exchange) -> None:
@@ -302,6 +304,7 @@
         request=exchange.call.id,
         fingerprint=exchange.fingerprint,
         account=exchange.account,
+        part=hold.part.id if hold.part else None,
         ends=[[name, round(age, 1)] for name, age in hold.ends],
         seconds_left=round(hold.seconds_left),
     )
@@ -321,18 +324,35 @@
 
 
 async def note_cut_off(
-    parts: RunParts, exchange: Exchange, target: Target, had_event: bool
+    parts: RunParts,
+    exchange: Exchange,
+    target: Target,
+    sent_at: float,
+    had_event: bool = False,
+    is_answering: bool = False,
 ) -> None:
     """Record that a target cut a request off, perhaps because it crashed.
 
+    :param sent_at: when the request was sent to it, in monotonic seconds.
     :param had_event: whether the target had delivered part of the answer.
+    :param is_answering: whether it had got past the begin of the answer.
     """
     cut = InterruptedRequest(
-        exchange.fingerprint, exchange.account, had_event, exchange.shared_parts
+        exchange.fingerprint,
+        exchange.account,
+        had_event,
+        () if is_answering else exchange.shared_parts,
+        sent_at,
     )
     await parts.crashes.note_cut_off(cut, target)
 
 
+def note_answering(parts: RunParts, exchange: Exchange) -> None:
+    """Record that a target answers a request, which clears the parts of its prompt."""
+    if exchange.call.prompt_parts:
+        parts.crashes.note_answering(exchange.shared_parts)
+
+
 def note_served(parts: RunParts, exchange: Exchange) -> None:
     """Record a success in the retry budget, and clear the request of suspicion."""
     now = parts.clock.monotonic()
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -17,7 +17,9 @@
     RunParts,
     check_contact,
     check_hold,
+    find_hold,
     needs_new_connection,
+    note_answering,
     note_cut_off,
     note_served,
     reserve_resend,
@@ -186,7 +188,7 @@
             ):
                 end = await parts.upstream.fetch(target, call, body, sending, True)
             if isinstance(end, Lost):
-                await note_cut_off(parts, exchange, target, had_event=False)
+                await note_cut_off(parts, exchange, target, sent_at=now)
             return end
         finally:
             parts.loads.release(target.id, usage)
@@ -315,6 +317,8 @@
         exchange = self._exchange
         if exchange.send_count >= exchange.route.max_targets:
             return False
+        if find_hold(self._parts, exchange) is not None:
+            return False
         return exchange.route.is_idempotent or exchange.run_count == 0
 
     def _spend_retry(self) -> bool:
@@ -356,6 +360,7 @@
         parts = self._parts
         if answer.status < 500:
             note_served(parts, exchange)
+            note_answering(parts, exchange)
         headers = parts.codec.write_reply(answer.headers)
         response = web.Response(status=answer.status, headers=headers, body=answer.body)
         exchange.response = response
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -33,7 +33,6 @@
     check_contact,
     check_hold,
     needs_new_connection,
-    note_cut_off,
     note_served,
     reserve_resend,
     spend_retry,
@@ -129,7 +128,7 @@
         row = parts.directory.registry.rows.get(first.target)
         if row is None:
             return
-        await note_cut_off(parts, self._exchange, row.target, had_event)
+        await self.chain_monitor.note_cut_off(row.target)
         await self._discount_run_if_ended(row.target)
 
     def _log_lost_run(self, first: Stage, why: str, had_event: bool) -> None:
@@ -288,6 +287,7 @@
         )
         if first_row is None:
             raise ChainBroken("its first engine is no longer registered")
+        self._check_hold()
         exchange.send_count += 1
         exchange.run_count += 1
         now = parts.clock.monotonic()
--- a/marigoldswitch/tests/test_crash_ledger.py
+++ b/marigoldswitch/tests/test_crash_ledger.py
@@ -7,9 +7,8 @@
     HOLD_SECONDS,
     MAX_PER_ACCOUNT,
     CrashLedger,
-    InterruptedRequest,
-    TargetRun,
 )
+from marigoldswitch.core.interruptions import InterruptedRequest, TargetRun
 
 
 def target_run(number, born=1):
--- a/marigoldswitch/tests/test_crashes.py
+++ b/marigoldswitch/tests/test_crashes.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from marigoldswitch.core.crashes import InterruptedRequest
+from marigoldswitch.core.interruptions import InterruptedRequest
 from marigoldswitch.gateway import exchanges
 from marigoldswitch.tests.gateway_site import (
     ALL_EVENTS,
@@ -136,7 +136,7 @@
             assert watch.is_empty
             await engine.stop()
             await watch.note_cut_off(InterruptedRequest("bad", None, False), target)
-            assert [item.fingerprint for item in watch.list_notes()] == ["bad"]
+            assert [item.fingerprint for item in watch.list_notes().notes] == ["bad"]
 
     run_scenario(scenario())
 
@@ -154,7 +154,7 @@
                 engine.crash = crash_once
             assert (await send(site, 1, 0, CRASHING))[0] == 200
             assert count_ends(site.engines.engines.values()) == 1
-            notes = site.hosts[0].parts.runs.crashes.list_notes()
+            notes = site.hosts[0].parts.runs.crashes.list_notes().notes
             assert [item.ends for item in notes] == [()]
 
     run_scenario(scenario())
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -69,7 +69,9 @@
             engines=self,
             contact=contact,
         )
-        call = SimpleNamespace(id="r", path="/", last_event=None, tokens=1)
+        call = SimpleNamespace(
+            id="r", path="/", last_event=None, tokens=1, prompt_parts=()
+        )
         route = SimpleNamespace(max_targets=2, is_idempotent=True)
         service = SimpleNamespace(name="m")
         self.exchange = Exchange(
