--- a/marigoldswitch/tests/path_cuts.py
+++ b/marigoldswitch/tests/path_cuts.py
@@ -1,9 +1,10 @@
-"""Cuts the path from one gateway host to all targets, in tests.
+"""Cuts the path from one gateway host to targets, in tests.
 
 Callers, the store and the other hosts still reach the host.
 """
 
 import asyncio
+from collections.abc import Collection
 from enum import Enum
 
 import aiohttp
@@ -25,9 +26,15 @@
 
 
 class PathCut:
-    """Cuts a host off from all targets, and connects it again."""
+    """Cuts a host off from targets, and connects it again.
 
-    def __init__(self, host: GatewayHost) -> None:
+    :param addresses: of these targets; ``None`` for all.
+    """
+
+    def __init__(
+        self, host: GatewayHost, addresses: Collection[str] | None = None
+    ) -> None:
+        self._addresses = addresses
         self.mode: CutMode | None = None
         """How it is cut off now, if it is."""
         connections = host.parts.runs.upstream._connections
@@ -58,18 +65,26 @@
             protocols += connector._acquired
             for kept in connector._conns.values():
                 protocols += [item[0] for item in kept]
-        return [item.transport for item in protocols if item.transport is not None]
+        return [
+            item.transport
+            for item in protocols
+            if item.transport is not None
+            and self._is_cut(*item.transport.get_extra_info("peername"))
+        ]
+
+    def _is_cut(self, host: str, port: int) -> bool:
+        return self._addresses is None or f"{host}:{port}" in self._addresses
 
     def _wrap_connect(self, connector) -> None:
         create = connector._create_connection
 
         async def create_unless_cut(request, *args, **fields):
+            key: ConnectionKey = request.connection_key
+            if self.mode is None or not self._is_cut(key.host, key.port):
+                return await create(request, *args, **fields)
             if self.mode is CutMode.HANG:
                 await asyncio.sleep(CONNECT_TIMEOUT)
                 raise TimeoutError
-            if self.mode is not None:
-                key: ConnectionKey = request.connection_key
-                raise aiohttp.ClientConnectorError(key, ConnectionRefusedError())
-            return await create(request, *args, **fields)
+            raise aiohttp.ClientConnectorError(key, ConnectionRefusedError())
 
         connector._create_connection = create_unless_cut
--- a/marigoldswitch/tests/test_cut_off_hosts.py
+++ b/marigoldswitch/tests/test_cut_off_hosts.py
@@ -60,34 +60,55 @@
         await asyncio.sleep(0.05)
 
 
+async def check_cut(site, cut_off, mode, paths, addresses=None):
+    """Cut hosts off, and check what callers get there from some seconds on.
+
+    :param cut_off: indexes of the hosts.
+    :param paths: requests that must be served as at other hosts.
+    :param addresses: of the targets from which they are cut off; ``None`` for all.
+    """
+    numbers, counts = iter(range(100_000)), CallerCounts()
+    await call_all(site, CallerCounts(), numbers, 10)
+    cuts = [PathCut(site.hosts[host], addresses) for host in cut_off]
+    for cut in cuts:
+        cut.begin(mode)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while loop.time() - began < DETECTION_SECONDS:
+        await call_all(site, CallerCounts(), numbers, 1)
+    await call_all(site, counts, numbers, 20)
+    others = set(range(HOSTS)) - set(cut_off)
+    for path in paths:
+        share = counts.get_share(cut_off, path)
+        assert share >= SERVED_SHARE * counts.get_share(others, path)
+    for cut in cuts:
+        cut.end()
+    runs = sum((item.runs for item in site.desks), Counter())
+    assert not [
+        name
+        for name, count in runs.items()
+        if count > 1 and int(name.removeprefix("try-")) >= ONCE_NUMBERS
+    ]
+
+
 @pytest.mark.parametrize("mode", list(CutMode))
 @pytest.mark.parametrize("cut_off", [(0,), (0, 2), (0, 1, 2)])
 def test_hosts_that_reach_no_target_serve_callers_as_others_do(cut_off, mode):
     async def scenario():
-        numbers = iter(range(100_000))
-        counts = CallerCounts()
         async with run_site(engines=4, desks=4, hosts=HOSTS) as site:
             await site.wait_for_layout()
-            await call_all(site, CallerCounts(), numbers, 10)
-            cuts = [PathCut(site.hosts[host]) for host in cut_off]
-            for cut in cuts:
-                cut.begin(mode)
-            loop = asyncio.get_running_loop()
-            began = loop.time()
-            while loop.time() - began < DETECTION_SECONDS:
-                await call_all(site, CallerCounts(), numbers, 1)
-            await call_all(site, counts, numbers, 20)
-            others = set(range(HOSTS)) - set(cut_off)
-            for path in PATHS:
-                share = counts.get_share(cut_off, path)
-                assert share >= SERVED_SHARE * counts.get_share(others, path)
-            for cut in cuts:
-                cut.end()
-            runs = sum((item.runs for item in site.desks), Counter())
-            assert not [
-                name
-                for name, count in runs.items()
-                if count > 1 and int(name.removeprefix("try-")) >= ONCE_NUMBERS
-            ]
+            await check_cut(site, cut_off, mode, PATHS)
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("mode", list(CutMode))
+@pytest.mark.parametrize("cut_off", [(0,), (0, 2), (0, 1, 2)])
+def test_hosts_that_reach_no_target_of_one_service_serve_its_callers(cut_off, mode):
+    async def scenario():
+        async with run_site(engines=4, desks=6, hosts=HOSTS) as site:
+            await site.wait_for_layout()
+            desks = {item.address for item in site.desks}
+            await check_cut(site, cut_off, mode, PATHS, desks)
 
     run_scenario(scenario())
