Keep the contact to each plain service apart from that to all targets

What callers see: at hosts that lose the path to the targets of one service alone, requests for it are refused, though other hosts would serve them.

Cause: the contact is one for all targets, so that engines which answer hide the cut; and a host that is sent a request by way of another one and fails to connect answers 503 instead of declining, which ends the search. Ruled out: too few hosts elsewhere (two reach the targets).

Now a contact is kept for each plain service, with the same doubts and probes, and such a host declines.

--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -330,6 +330,10 @@
         """Return the targets that run layers of a model, including leaving ones."""
         return [row.target for row in self._rows.values() if row.target.accelerator]
 
+    def list_engines_or_all(self) -> list[Target]:
+        """Return the engines, or all targets where there are none."""
+        return self.list_engines() or list(self.targets.values())
+
     def get_born(self, name: TargetId) -> int:
         """Return when a target started, in ms since 1970; 0 if unknown."""
         row = self._rows.get(name)
--- a/marigoldswitch/gateway/contact_probing.py
+++ b/marigoldswitch/gateway/contact_probing.py
@@ -1,14 +1,13 @@
-"""Asks targets for reports when this host doubts that it reaches any."""
+"""Asks targets for reports when this host doubts that it reaches any of them."""
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import ContactChange, ContactState, TargetContact
 from marigoldswitch.core.ids import DataCentre
 from marigoldswitch.core.ports import Clock
-from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import EngineControl, EngineGone
 
 PROBE_TIMEOUT_SECONDS = 0.2
@@ -23,19 +22,22 @@
 
 
 class ContactProber:
-    """Settles a doubt at once, and finds out when a cut has ended."""
+    """Settles a doubt at once, and finds out when a cut has ended.
+
+    :param list_targets: returns the targets that the contact is to.
+    """
 
     def __init__(
         self,
         engines: EngineControl,
-        directory: Directory,
+        list_targets: Callable[[], Sequence[Target]],
         contact: TargetContact,
         clock: Clock,
         home: DataCentre,
         source: random.Random,
     ) -> None:
         self._engines = engines
-        self._directory = directory
+        self._list_targets = list_targets
         self._contact = contact
         self._clock = clock
         self._home = home
@@ -79,8 +81,7 @@
 
     def _choose_targets(self) -> list[Target]:
         """Return targets to ask, drawn from those not yet tried in vain, if any."""
-        registry = self._directory.registry
-        known = list(registry.list_engines()) or list(registry.targets.values())
+        known = self._list_targets()
         near = [item for item in known if item.data_centre == self._home]
         far = [item for item in known if item.data_centre != self._home]
         return [*self._draw(near, NEAR_TARGETS), *self._draw(far, FAR_TARGETS)]
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -26,6 +26,7 @@
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import Call, CallCodec, EngineControl
 from marigoldswitch.gateway.probing import EngineProbes
+from marigoldswitch.gateway.service_contacts import ServiceContacts
 from marigoldswitch.gateway.upstream import Upstream
 
 logger = structlog.get_logger(__name__)
@@ -117,7 +118,7 @@
 
 
 class ContactLost(Exception):
-    """This host reaches no target; another one may run the request."""
+    """This host reaches no target of a request; another one may run it."""
 
 
 class AnswerAborted(Exception):
@@ -218,6 +219,7 @@
     source: random.Random
     home: str
     contact: TargetContact
+    services: ServiceContacts
 
 
 def needs_new_connection(parts: RunParts, exchange: Exchange) -> bool:
@@ -315,11 +317,12 @@
 
 
 def check_contact(parts: RunParts, exchange: Exchange) -> None:
-    """Check that this host reaches targets, if the request may run elsewhere.
+    """Check that this host reaches targets of a request, if it may run elsewhere.
 
     :raises ContactLost: if it doesn't.
     """
-    if parts.contact.is_lost and exchange.may_run_again:
+    is_lost = parts.contact.is_lost or parts.services.is_lost(exchange.service.name)
+    if is_lost and exchange.may_run_again:
         raise ContactLost
 
 
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -13,7 +13,7 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import ContactChange, ContactState
-from marigoldswitch.core.ids import TargetId
+from marigoldswitch.core.ids import ServiceName, TargetId
 from marigoldswitch.core.overload import OverloadGuard
 from marigoldswitch.core.registry import Change, StoreRestored
 from marigoldswitch.core.routes import RoutingTable
@@ -114,6 +114,7 @@
         )
         self._runners: list[web.ServerRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._is_cut_off = False
         self._listed_at = float("-inf")
         """When the list of the hosts was last read for a cut."""
         directory = parts.runs.directory
@@ -122,6 +123,7 @@
         directory.suspects.add_dead_listener(parts.requests.recheck_streams)
         directory.watch(self._apply_limits)
         parts.runs.contact.watch(self._handle_contact)
+        parts.runs.services.watch(self._handle_service_contact)
         self._use_bounds(parts.settings)
 
     @property
@@ -283,6 +285,7 @@
                 parts.spread.tick,
                 parts.runs.probes.recheck_dead,
                 parts.contact_prober.tick,
+                parts.runs.services.tick,
                 self._update_store_reading,
             ):
                 try:
@@ -358,11 +361,28 @@
             seconds=round(change.seconds, 2),
         )
         if change.state is ContactState.LOST:
+            self._is_cut_off = True
             self.parts.runs.admission.dismiss_waiting()
             self._relist_hosts()
+        elif change.state is ContactState.REACHED and self._is_cut_off:
+            self._is_cut_off = False
+            self.parts.runs.services.assume_reached()
         if change.state is not ContactState.DOUBTED:
             self.parts.spread.send_urgent_digest()
 
+    def _handle_service_contact(
+        self, service: ServiceName, change: ContactChange
+    ) -> None:
+        logger.warning(
+            "service_contact",
+            service=service,
+            state=change.state.value,
+            targets=change.targets,
+            seconds=round(change.seconds, 2),
+        )
+        if change.state is ContactState.LOST:
+            self._relist_hosts()
+
     def _handle_target_change(self, change: Change, target: Target) -> None:
         loop = asyncio.get_running_loop()
         if change is Change.UPDATED:
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -17,6 +17,7 @@
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import EngineControl, EngineStatus
 from marigoldswitch.gateway.questions import EngineStatusReader, build_default_status
+from marigoldswitch.gateway.service_contacts import ServiceContacts
 
 logger = structlog.get_logger(__name__)
 
@@ -40,13 +41,19 @@
         planner: ChainPlanner,
         clock: Clock,
         contact: TargetContact,
+        services: ServiceContacts,
     ) -> None:
         self._contact = contact
         self._directory = directory
         self._planner = planner
         self._clock = clock
         self._status_reader = EngineStatusReader(
-            engines, directory, clock, contact, self._get_last_event_time
+            engines,
+            directory,
+            clock,
+            contact,
+            services,
+            self._get_last_event_time,
         )
         self.gaps = HostGaps()
         """Gaps between the events of all streams, used to detect silence."""
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -21,6 +21,7 @@
     EngineStatus,
     EngineWithoutReport,
 )
+from marigoldswitch.gateway.service_contacts import ServiceContacts
 
 TRY_TIMEOUTS = (0.025, 0.035)
 """Timeouts of the first two tries, in seconds. Live engines answer in 2 to 6 ms, and
@@ -53,6 +54,7 @@
         directory: Directory,
         clock: Clock,
         contact: TargetContact,
+        services: ServiceContacts,
         get_last_event_time: Callable[[TargetId], float],
     ) -> None:
         self.health = LocalHealth()
@@ -60,6 +62,7 @@
         self._directory = directory
         self._clock = clock
         self._contact = contact
+        self._services = services
         self._get_last_event_time = get_last_event_time
         self._control_probes: dict[DataCentre, asyncio.Future[Any]] = {}
         """Running probes of control engines, at most one for each data centre."""
@@ -123,8 +126,8 @@
             match await self._engines.read(target.address, seconds):
                 case EngineGone():
                     now = self._clock.monotonic()
-                    self._contact.note_silence(target.id, asked, now)
-                    if self._contact.state is ContactState.REACHED:
+                    self._note_silence(target, asked, now)
+                    if not self._may_be_cut_off(target):
                         return True
                 case EngineWithoutReport(has_reports):
                     return bool(target.accelerator) and not has_reports
@@ -134,6 +137,15 @@
             await asyncio.sleep(seconds)
         return False
 
+    def _note_silence(self, target: Target, began: float, now: float) -> None:
+        self._contact.note_silence(target.id, began, now)
+        self._services.note_silence(target, began, now)
+
+    def _may_be_cut_off(self, target: Target) -> bool:
+        """Return whether this host may be cut off from a target and those like it."""
+        is_reached = self._contact.state is ContactState.REACHED
+        return not is_reached or self._services.is_doubted(target)
+
     def _is_explained(self, target: Target, began: float) -> bool:
         """Return whether two tries are enough to consider an engine dead."""
         now = self._clock.monotonic()
@@ -148,7 +160,7 @@
         answer = await self._engines.read(target.address, seconds)
         now = self._clock.monotonic()
         if answer is None or isinstance(answer, EngineGone):
-            self._contact.note_silence(target.id, asked, now)
+            self._note_silence(target, asked, now)
         if answer is not None:
             self.health.note_answer(target.data_centre, asked, now)
         return (
--- a/marigoldswitch/gateway/request_runs.py
+++ b/marigoldswitch/gateway/request_runs.py
@@ -1,4 +1,5 @@
-"""Runs requests on targets, or through another host if this one reaches none."""
+"""Runs requests on targets, or through another host if this one reaches none of
+theirs."""
 
 from aiohttp import web
 
@@ -68,9 +69,14 @@
             may_run_elsewhere = (
                 refused.fault.kind in PROXIED_KINDS and exchange.connect_failures > 0
             )
-            has_begun = exchange.run_count > 0 or exchange.response is not None
-            if not may_run_elsewhere or has_begun:
+            has_run = exchange.run_count > exchange.runs_elsewhere
+            if not may_run_elsewhere or has_run or exchange.response is not None:
                 raise
+            if exchange.is_proxied:
+                detail = refused.fault.detail
+                raise RequestRefused(
+                    self._proxy.build_fault(exchange, detail)
+                ) from None
             response = await self._run_elsewhere(exchange, stream)
             if response is None:
                 raise
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -286,7 +286,7 @@
             parts.directory.version,
             parts.directory.registry.revision,
             encode_usages(parts.loads.own),
-            () if is_cut_off else tuple(parts.directory.suspects.list_dead(now)),
+            () if is_cut_off else self._list_dead(now),
             slow if lease else (),
             tuple(
                 HeldLayers(
@@ -318,6 +318,16 @@
             proxy_port=parts.proxy_port,
         )
 
+    def _list_dead(self, now: float) -> tuple[TargetId, ...]:
+        """Return the targets found dead, less those that this host is cut off from."""
+        parts = self._parts
+        targets = parts.directory.registry.targets
+        return tuple(
+            name
+            for name in parts.directory.suspects.list_dead(now)
+            if name not in targets or not parts.services.is_doubted(targets[name])
+        )
+
     def _build_lease_note(self, now: float) -> LeaseNote | None:
         """Return the lease that this host holds, or that it forwards as a relay."""
         held = self.lease.get_held_row() if self.lease else None
--- a/marigoldswitch/gateway/state_sync.py
+++ b/marigoldswitch/gateway/state_sync.py
@@ -35,6 +35,7 @@
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import Identity, PlatformFeeds
 from marigoldswitch.gateway.probing import EngineProbes
+from marigoldswitch.gateway.service_contacts import ServiceContacts
 from marigoldswitch.peers import PeerNetwork
 
 logger = structlog.get_logger(__name__)
@@ -81,6 +82,7 @@
     identity: Identity
     source: random.Random
     contact: TargetContact
+    services: ServiceContacts
     proxy_port: int
 
 
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -13,6 +13,7 @@
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.ports import Call, CallCodec, ForwardOptions, ReplyFacts
 from marigoldswitch.gateway.resends import ResendGuard
+from marigoldswitch.gateway.service_contacts import ServiceContacts
 from marigoldswitch.gateway.statements import TargetStatements
 
 STALE_CONNECTION_SECONDS = 0.1
@@ -114,12 +115,14 @@
         clock: Clock,
         statements: TargetStatements,
         contact: TargetContact,
+        services: ServiceContacts,
     ) -> None:
         self._codec = codec
         self._connections = connections
         self._clock = clock
         self._statements = statements
         self._contact = contact
+        self._services = services
         self.resends = ResendGuard()
 
     async def send(
@@ -144,24 +147,29 @@
         now = self._clock.monotonic()
         match result:
             case NotSent():
-                self._contact.note_silence(target.id, began, now)
+                self._note_silence(target, began, now)
                 return result
             case Lost(why) if use.is_reused:
                 return Lost(why, now - began < STALE_CONNECTION_SECONDS)
             case Lost():
-                self._contact.note_silence(target.id, began, now)
+                self._note_silence(target, began, now)
                 self.resends.note_lost(target.id)
                 return result
         if not new_connection:
             self._connections.note_keep_alive(target.address, result.headers)
         if not use.is_reused:
             self._contact.note_answer(now)
+            self._services.note_answer(target, now)
         self.resends.note_answered(target.id)
         facts = self._codec.read_reply(result.status, result.headers)
         if facts.request == call.id:
             self._statements.note_answer(target.id, facts, began, now)
         return Reply(result, facts)
 
+    def _note_silence(self, target: Target, began: float, now: float) -> None:
+        self._contact.note_silence(target.id, began, now)
+        self._services.note_silence(target, began, now)
+
     async def fetch(
         self,
         target: Target,
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import random
+from collections.abc import Callable, Sequence
+from functools import partial
 
 from marigoldswitch.clocks import BootClock
+from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.gateway_messages import GatewayMessage
 from marigoldswitch.core.ids import DataCentre, HostId
@@ -40,6 +43,7 @@
 from marigoldswitch.gateway.proxy_listener import ProxyListener
 from marigoldswitch.gateway.proxying import PeerProxy
 from marigoldswitch.gateway.request_runs import RequestRuns
+from marigoldswitch.gateway.service_contacts import ServiceContacts
 from marigoldswitch.gateway.spread import DigestExchange
 from marigoldswitch.gateway.state_sync import DigestExchangeParts
 from marigoldswitch.gateway.statements import TargetStatements
@@ -85,17 +89,17 @@
     send_limits = SendLimits(home, lambda: planner.count_hosts(), source)
     statements = TargetStatements(send_limits)
     directory, loads, state = Directory(statements), Loads(home), HostState()
-    contact = TargetContact(clock.monotonic())
+    contact, services = TargetContact(clock.monotonic()), ServiceContacts(clock)
     planner = ChainPlanner(directory, loads, clock, home, source)
     owns_from = 0.0 if settings.is_first_start else clock.monotonic() + START_SECONDS
     loans = LoanBook(source.getrandbits(PROCESS_BITS), owns_from)
-    probes = EngineProbes(engines, directory, planner, clock, contact)
+    probes = EngineProbes(engines, directory, planner, clock, contact, services)
     crashes = CrashWatch(clock, directory, probes)
     runs = RunParts(
         state,
         clock,
         codec,
-        Upstream(codec, connections, clock, statements, contact),
+        Upstream(codec, connections, clock, statements, contact, services),
         engines,
         directory,
         loads,
@@ -113,6 +117,16 @@
         source,
         identity.data_centre,
         contact,
+        services,
+    )
+
+    def create_prober(
+        list_targets: Callable[[], Sequence[Target]], contact: TargetContact
+    ) -> ContactProber:
+        return ContactProber(engines, list_targets, contact, clock, home, source)
+
+    services.create_prober = lambda service, contact: create_prober(
+        partial(directory.registry.list_targets, service), contact
     )
     metrics = Metrics()
     network = PeerNetwork(
@@ -145,6 +159,7 @@
             identity,
             source,
             contact,
+            services,
             proxy_port,
         )
     )
@@ -191,7 +206,7 @@
             store,
             (store, connections, host_connections, session),
             reading,
-            ContactProber(engines, directory, contact, clock, home, source),
+            create_prober(directory.registry.list_engines_or_all, contact),
             OverloadGuard(),
         )
     )
--- a/marigoldswitch/tests/crash_network.py
+++ b/marigoldswitch/tests/crash_network.py
@@ -69,6 +69,7 @@
             targets=feed,
             identity=SimpleNamespace(host=own, data_centre=centre, strength=0),
             contact=SimpleNamespace(is_lost=False),
+            services=SimpleNamespace(is_doubted=lambda _: False),
             proxy_port=0,
             source=random.Random(str(own)),
         )
--- a/marigoldswitch/tests/fleet.py
+++ b/marigoldswitch/tests/fleet.py
@@ -60,6 +60,7 @@
                 crashes=SimpleNamespace(checksum=0, send_pending_notes=lambda: None),
                 identity=SimpleNamespace(host=name, data_centre=centre, strength=0),
                 contact=SimpleNamespace(is_lost=False),
+                services=SimpleNamespace(is_doubted=lambda _: False),
                 proxy_port=0,
                 source=source,
                 **parts | feeds,
--- a/marigoldswitch/tests/test_connections.py
+++ b/marigoldswitch/tests/test_connections.py
@@ -18,6 +18,7 @@
     may_keep_connections,
 )
 from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.service_contacts import ServiceContacts
 from marigoldswitch.gateway.upstream import Lost, Upstream
 from marigoldswitch.platform.headers import HeaderCodec
 from marigoldswitch.tests.gateway_site import (
@@ -100,8 +101,11 @@
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     row = Target(TargetId("t"), ServiceName("s"), DataCentre("d"), address, 1, None, "")
     clock = BootClock()
-    contact = TargetContact(clock.monotonic())
-    upstream = Upstream(codec, connections, clock, Directory().statements, contact)
+    contact, services = TargetContact(clock.monotonic()), ServiceContacts(clock)
+    services.create_prober = lambda service, contact: SimpleNamespace()
+    upstream = Upstream(
+        codec, connections, clock, Directory().statements, contact, services
+    )
 
     async def send(fresh=False, method="POST"):
         call = SimpleNamespace(id="1", method=method, path="/x")
--- a/marigoldswitch/tests/test_contact_probing.py
+++ b/marigoldswitch/tests/test_contact_probing.py
@@ -35,11 +35,10 @@
             SimpleNamespace(id=name, address=name, data_centre=name.partition("-")[0])
             for name in self.names
         ]
-        registry = SimpleNamespace(list_engines=lambda: engines, targets={})
         self.contact = TargetContact(clock.monotonic())
         self.prober = ContactProber(
             self,
-            SimpleNamespace(registry=registry),
+            lambda: engines,
             self.contact,
             clock,
             HOME,
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -15,6 +15,7 @@
 from marigoldswitch.gateway.exchanges import Exchange
 from marigoldswitch.gateway.ports import EngineStatus, OrderReply, OrderResult
 from marigoldswitch.gateway.probing import EngineProbes
+from marigoldswitch.gateway.service_contacts import ServiceContacts
 
 STAGES = tuple(
     Stage(TargetId(f"e{index}"), f"e{index}:80", LayerRange(4 * index, 4 * index + 4))
@@ -57,7 +58,9 @@
         )
         self.had_room = True
         contact = TargetContact(0.0)
-        self.probes = EngineProbes(self, self.directory, planner, clock, contact)
+        self.probes = EngineProbes(
+            self, self.directory, planner, clock, contact, ServiceContacts(clock)
+        )
         self.budget = SimpleNamespace(has_room=lambda now: True)
         parts = SimpleNamespace(
             clock=clock,
--- a/marigoldswitch/tests/test_probing.py
+++ b/marigoldswitch/tests/test_probing.py
@@ -20,6 +20,7 @@
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import EngineGone, EngineStatus, EngineWithoutReport
 from marigoldswitch.gateway.probing import RECHECK_INTERVAL, EngineProbes
+from marigoldswitch.gateway.service_contacts import ServiceContacts
 from marigoldswitch.tests.helpers import run_virtually
 
 ANSWER_SECONDS = 0.005
@@ -51,11 +52,14 @@
                 self._add(f"{centre}-{number}", centre)
         planner = SimpleNamespace(slowness={})
         self.contact = TargetContact(clock.monotonic())
-        self.probes = EngineProbes(self, self.directory, planner, clock, self.contact)
+        self.probes = EngineProbes(
+            self, self.directory, planner, clock, self.contact, ServiceContacts(clock)
+        )
 
     def _add(self, name, centre):
         target = SimpleNamespace(
             id=TargetId(name),
+            service="model",
             address=name,
             layers=LAYERS,
             data_centre=DataCentre(centre),
