Try requests with a part on hold now and then, and spare parts while all requests crash

Cause: a hold ended only with an answer, and had no control: nothing asked whether requests without the part are answered meanwhile. A part that was answered before is now held off only if they are, and one request with a part on hold runs on trial at one host, the holder of the orderer's lease: after 10 min, 80 min and 11 h, or after 5, 45 s and so on where nothing else was answered.

--- a/marigoldswitch/core/part_crashes.py
+++ b/marigoldswitch/core/part_crashes.py
@@ -19,7 +19,7 @@
 
 from marigoldswitch.core.crashes import EXPIRY_SECONDS, HOLD_SECONDS, Hold
 from marigoldswitch.core.gateway_messages import PartEndNote, PartNote
-from marigoldswitch.core.ids import AccountId
+from marigoldswitch.core.ids import AccountId, ServiceName
 from marigoldswitch.core.interruptions import (
     InterruptedRequest,
     PromptPart,
@@ -35,8 +35,19 @@
 HOLD_MIN_ROUNDS_PROVEN = 4
 """The same for a part that has lately been answered: what began to crash targets is
 then most likely something else."""
+MIN_OTHER_ANSWERS = 3
+"""Answers to requests without a part, between crashes with it, which show that targets
+don't crash on any request."""
 PROVEN_SECONDS = 600.0
 """Time for which an answer makes a part a proven one."""
+FIRST_TRIAL_SECONDS = 600.0
+"""Time from the last crash until one request with a part on hold may run on trial."""
+FIRST_TRIAL_SECONDS_ALONE = 5.0
+"""The same if no other requests were answered between the crashes: targets may have
+crashed on any request, and that may have been mended."""
+TRIAL_FACTOR = 8.0
+"""Each trial that crashes its target makes the time to the next one longer by this. A
+part gets three in a day."""
 MAX_ANSWERED_PARTS = 4096
 """Parts for which the last answer is kept; a few hundred are in use at a time."""
 MAX_SUSPECTS = 512
@@ -44,7 +55,7 @@
 """Suspects that requests of one account have added, so that no account can evict those
 of others."""
 MAX_CRASHES = 32
-"""Crashes kept for a part, the earliest ones."""
+"""Crashes kept for a part: the earliest ones and the last."""
 MAX_PART_NOTES = 32
 """Parts in one message; each takes some 100 bytes and 60 more for each crash."""
 AGE_ERROR_SECONDS = 0.05
@@ -74,11 +85,25 @@
 
     :ivar added_by: client account whose request has added it.
     :ivar is_shared: whether other hosts know of it.
+    :ivar other_answers: answers at this host to other requests, between the crashes.
+    :ivar recent_answers: the same since the last crash.
     """
 
     added_by: AccountId | None
     is_shared: bool
     crashes: dict[TargetRun, _PartCrash] = field(default_factory=dict)
+    other_answers: int = 0
+    recent_answers: int = 0
+
+    @property
+    def has_control(self) -> bool:
+        """Return whether other requests were answered while these crashed targets."""
+        return self.other_answers >= MIN_OTHER_ANSWERS
+
+    def add_crash(self, run: TargetRun, crash: _PartCrash) -> None:
+        self.crashes[run] = crash
+        self.other_answers += self.recent_answers
+        self.recent_answers = 0
 
     @property
     def last_crash_at(self) -> float:
@@ -101,6 +126,8 @@
         self._unsent: dict[PromptPart, set[TargetRun]] = {}
         """Parts with changes that other hosts have not been sent, and the crashes among
         these changes."""
+        self._tried_at: dict[PromptPart, float] = {}
+        """When a request with each part was last let run on trial by this host."""
         self._checksum: int | None = 0
         """``None`` if it must be recomputed."""
 
@@ -138,6 +165,25 @@
                 return Hold(left, tuple(ends), part)
         return None
 
+    def may_try(self, part: PromptPart, now: float) -> bool:
+        """Return whether one request with a part on hold may run on trial.
+
+        To be asked of one host only. The trial counts as begun.
+        """
+        suspect = self._suspects[part]
+        delay = FIRST_TRIAL_SECONDS_ALONE
+        if suspect.has_control:
+            delay = FIRST_TRIAL_SECONDS
+        due = float("inf")
+        for at in sorted(item.at for item in suspect.crashes.values()):
+            if at >= due:
+                delay *= TRIAL_FACTOR
+            due = at + delay
+        if now < max(due, self._tried_at.get(part, float("-inf")) + delay):
+            return False
+        self._tried_at[part] = now
+        return True
+
     def note_crash(
         self, run: TargetRun, requests: Iterable[InterruptedRequest], now: float
     ) -> None:
@@ -153,9 +199,14 @@
                 self._add_crash(part, run, crash, is_shared=False)
         self._update_holds(now)
 
-    def note_answered(self, parts: Iterable[PromptPart], now: float) -> bool:
+    def note_answered(
+        self, service: ServiceName, parts: Sequence[PromptPart], now: float
+    ) -> bool:
         """Clear the parts of a request whose answer goes on; return whether one was
         suspected."""
+        for part, suspect in self._suspects.items():
+            if part.service == service and part not in parts:
+                suspect.recent_answers += 1
         was_suspected = [self._set_answered(part, now) for part in parts]
         if any(was_suspected):
             self._update_holds(now)
@@ -326,11 +377,11 @@
             return
         if len(crashes) >= MAX_CRASHES:
             latest = max(crashes, key=lambda item: crashes[item].at)
-            if crash.at >= crashes[latest].at:
+            if crash.at <= crashes[latest].at:
                 return
             del crashes[latest]
         self._checksum = None
-        crashes[run] = crash
+        suspect.add_crash(run, crash)
         self._unsent.setdefault(part, set()).add(run)
 
     def _make_room(self, account: AccountId | None) -> None:
@@ -371,6 +422,9 @@
             ),
         )
         self._holds = {}
+        self._tried_at = {
+            part: at for part, at in self._tried_at.items() if part in self._suspects
+        }
         for part in left:
             if part in self._holds or not self._is_to_blame(part, now):
                 continue
@@ -392,9 +446,10 @@
             return False
         if len({item.request for item in crashes}) < HOLD_MIN_REQUESTS:
             return False
-        is_proven = self._is_proven(part, now)
-        rounds = HOLD_MIN_ROUNDS_PROVEN if is_proven else HOLD_MIN_ROUNDS
-        return _count_rounds(crashes) >= rounds
+        rounds = _count_rounds(crashes)
+        if not self._is_proven(part, now):
+            return rounds >= HOLD_MIN_ROUNDS
+        return rounds >= HOLD_MIN_ROUNDS_PROVEN and self._suspects[part].has_control
 
     def _list_inseparable(
         self, part: PromptPart, parts: Iterable[PromptPart], now: float
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -11,7 +11,7 @@
 from marigoldswitch.core.crashes import CrashLedger
 from marigoldswitch.core.fingerprints import Fingerprint
 from marigoldswitch.core.gateway_messages import CrashNotes
-from marigoldswitch.core.ids import AccountId, PromptPartId
+from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName
 from marigoldswitch.core.interruptions import (
     Hold,
     InterruptedRequest,
@@ -69,12 +69,15 @@
     """Records the ends of targets and the requests that they ran.
 
     :ivar send_notes: sends notes to other hosts.
+    :ivar may_decide_trials: returns whether this host is the only one that now lets
+        requests run on trial.
     """
 
     def __init__(
         self, clock: Clock, directory: Directory, probes: EngineProbes
     ) -> None:
         self.send_notes: Callable[[CrashNotes], None] = lambda _: None
+        self.may_decide_trials: Callable[[], bool] = lambda: False
         self._clock = clock
         self._directory = directory
         self._probes = probes
@@ -104,6 +107,12 @@
         """Return the hold on requests of an account with these parts, if any."""
         return self._parts.find_hold(parts, account, self._clock.monotonic())
 
+    def begin_trial(self, hold: Hold) -> bool:
+        """Return whether a request may run although it is on hold, as a trial."""
+        if hold.part is None or not self.may_decide_trials():
+            return False
+        return self._parts.may_try(hold.part, self._clock.monotonic())
+
     async def note_cut_off(self, request: InterruptedRequest, target: Target) -> None:
         """Record that a target broke a request off, perhaps because it ended.
 
@@ -147,10 +156,10 @@
         if self._ledger.note_completed(fingerprint, self._clock.monotonic()):
             logger.info("suspicion_cleared", fingerprint=fingerprint)
 
-    def note_answering(self, parts: Sequence[PromptPart]) -> None:
+    def note_answering(self, service: ServiceName, parts: Sequence[PromptPart]) -> None:
         """Record that a target answers a request with these parts, which clears
         them."""
-        if self._parts.note_answered(parts, self._clock.monotonic()):
+        if self._parts.note_answered(service, parts, self._clock.monotonic()):
             logger.info("parts_cleared", parts=[item.id for item in parts])
             self._log_changed_holds()
 
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -46,6 +46,7 @@
         new connection. The request has run all the same.
     :param connect_failures: targets to which no connection could be opened for it.
     :param is_proxied: another host has sent it here.
+    :param is_trial: it may run once although its prompt has a part on hold.
     :param runs_elsewhere: runs by way of other hosts before it was sent here.
     """
 
@@ -63,6 +64,7 @@
     discounted_runs: int = 0
     connect_failures: int = 0
     is_proxied: bool = False
+    is_trial: bool = False
     runs_elsewhere: int = 0
     response: web.StreamResponse | None = None
     """The answer to the caller; ``None`` until it has begun."""
@@ -286,7 +288,7 @@
 
 def find_hold(parts: RunParts, exchange: Exchange) -> Hold | None:
     """Return why a request is held off, or ``None`` if it may run."""
-    if parts.crashes.is_empty:
+    if parts.crashes.is_empty or (exchange.is_trial and has_not_run(exchange)):
         return None
     hold = parts.crashes.find_part_hold(exchange.shared_parts, exchange.account)
     return hold or parts.crashes.find_hold(exchange.fingerprint)
@@ -301,6 +303,10 @@
     hold = find_hold(parts, exchange)
     if hold is None:
         return
+    if has_not_run(exchange) and parts.crashes.begin_trial(hold):
+        exchange.is_trial = True
+        logger.warning("request_on_trial", request=exchange.call.id, part=hold.part)
+        return
     logger.warning(
         "request_held_off",
         request=exchange.call.id,
@@ -353,7 +359,7 @@
 def note_answering(parts: RunParts, exchange: Exchange) -> None:
     """Record that a target answers a request, which clears the parts of its prompt."""
     if exchange.call.prompt_parts:
-        parts.crashes.note_answering(exchange.shared_parts)
+        parts.crashes.note_answering(exchange.service.name, exchange.shared_parts)
 
 
 def note_served(parts: RunParts, exchange: Exchange) -> None:
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -187,6 +187,7 @@
     targets.get_pause_factor = spread.roster.choose_pause_factor
     planner.count_near = spread.roster.count_local
     spread.lease = orderer.lease
+    crashes.may_decide_trials = lambda: orderer.lease.get_held_row() is not None
     directory.suspects.add_dead_listener(lambda _: spread.send_urgent_digest())
     directory.suspects.add_closed_listener(lambda _: spread.send_urgent_digest())
     return GatewayHost(
