Tell hosts fewer crashes by part of prompts, and compare holds only

Cause: hosts compared the crashes of all suspected parts, and sent each other full lists while these differed; hosts that only hear of news passed it on to the relays they had it from.

--- a/marigoldswitch/core/part_crashes.py
+++ b/marigoldswitch/core/part_crashes.py
@@ -15,8 +15,6 @@
 from collections import Counter, OrderedDict
 from collections.abc import Container, Iterable, Sequence
 
-from msgspec import Struct, field
-
 from marigoldswitch.core.crashes import EXPIRY_SECONDS, HOLD_SECONDS, Hold
 from marigoldswitch.core.gateway_messages import PartEndNote, PartNote
 from marigoldswitch.core.ids import AccountId, ServiceName
@@ -25,6 +23,12 @@
     PromptPart,
     TargetRun,
 )
+from marigoldswitch.core.part_suspects import (
+    MAX_FOREMOST_CRASHES,
+    PartCrash,
+    PartSuspect,
+    list_rounds,
+)
 
 HOLD_MIN_CRASHES = 3
 """Crashes from which a part is put on hold."""
@@ -35,9 +39,6 @@
 HOLD_MIN_ROUNDS_PROVEN = 4
 """The same for a part that has lately been answered: what began to crash targets is
 then most likely something else."""
-MIN_OTHER_ANSWERS = 3
-"""Answers to requests without a part, between crashes with it, which show that targets
-don't crash on any request."""
 PROVEN_SECONDS = 600.0
 """Time for which an answer makes a part a proven one."""
 FIRST_TRIAL_SECONDS = 600.0
@@ -65,57 +66,12 @@
 """Characters of a fingerprint by which requests at crashes are told apart."""
 
 
-class _PartCrash(Struct, frozen=True):
-    """A crash of a target that had not answered a request with a part.
-
-    :param at: monotonic time, in seconds.
-    :param sent_at: when the request was sent to the target.
-    :param request: begin of the fingerprint of one such request.
-    :param account: client account of that request.
-    """
-
-    at: float
-    sent_at: float
-    request: str
-    account: AccountId | None
-
-
-class _Suspect(Struct):
-    """Crashes of targets with requests that have a part, since it was last answered.
-
-    :ivar added_by: client account whose request has added it.
-    :ivar is_shared: whether other hosts know of it.
-    :ivar other_answers: answers at this host to other requests, between the crashes.
-    :ivar recent_answers: the same since the last crash.
-    """
-
-    added_by: AccountId | None
-    is_shared: bool
-    crashes: dict[TargetRun, _PartCrash] = field(default_factory=dict)
-    other_answers: int = 0
-    recent_answers: int = 0
-
-    @property
-    def has_control(self) -> bool:
-        """Return whether other requests were answered while these crashed targets."""
-        return self.other_answers >= MIN_OTHER_ANSWERS
-
-    def add_crash(self, run: TargetRun, crash: _PartCrash) -> None:
-        self.crashes[run] = crash
-        self.other_answers += self.recent_answers
-        self.recent_answers = 0
-
-    @property
-    def last_crash_at(self) -> float:
-        return max(item.at for item in self.crashes.values())
-
-
 class PartLedger:
     """Crashes by part of prompts, as known to this host; times are monotonic
     seconds."""
 
     def __init__(self) -> None:
-        self._suspects: dict[PromptPart, _Suspect] = {}
+        self._suspects: dict[PromptPart, PartSuspect] = {}
         self._answered_at: OrderedDict[PromptPart, float] = OrderedDict()
         """When each part was last answered, least recent first."""
         self._holds: dict[PromptPart, frozenset[PromptPart]] = {}
@@ -128,8 +84,6 @@
         these changes."""
         self._tried_at: dict[PromptPart, float] = {}
         """When a request with each part was last let run on trial by this host."""
-        self._checksum: int | None = 0
-        """``None`` if it must be recomputed."""
 
     @property
     def is_empty(self) -> bool:
@@ -189,7 +143,7 @@
     ) -> None:
         """Record a crash; may be repeated for the same one."""
         for request in requests:
-            crash = _PartCrash(
+            crash = PartCrash(
                 now,
                 request.sent_at,
                 request.fingerprint[:SHORT_FINGERPRINT_LENGTH],
@@ -223,24 +177,17 @@
         for part in expired:
             del self._suspects[part]
         if expired:
-            self._checksum = None
             self._update_holds(now)
 
     # Exchange with other hosts.
 
     @property
     def checksum(self) -> int:
-        """Return a checksum of the crashes, to compare hosts; 0 if none."""
-        if self._checksum is None:
-            self._checksum = self._compute_checksum()
-        return self._checksum
-
-    def _compute_checksum(self) -> int:
-        crashes = sorted(
-            (part, sorted((run.target, run.born) for run in item.crashes))
-            for part, item in self._suspects.items()
-        )
-        return zlib.crc32(repr(crashes).encode()) if crashes else 0
+        """Return a checksum of the parts on hold, to compare hosts; 0 if none.
+
+        Mere suspicions need not be the same on all hosts, as they soon end.
+        """
+        return zlib.crc32(repr(sorted(self._holds)).encode()) if self._holds else 0
 
     @property
     def has_urgent_notes(self) -> bool:
@@ -254,11 +201,10 @@
         )
 
     def list_notes(self, now: float) -> tuple[PartNote, ...]:
-        """Return the notes for a host without any, parts on hold first."""
-        ordered = sorted(self._suspects, key=lambda part: part not in self._holds)
+        """Return notes on the parts on hold, for a host that lacks them."""
         return tuple(
-            self._build_note(part, self._suspects[part].crashes, now)
-            for part in ordered[:MAX_PART_NOTES]
+            self._build_note(part, self._suspects[part].list_foremost(), now)
+            for part in sorted(self._holds)[:MAX_PART_NOTES]
         )
 
     def take_unsent_notes(self, now: float) -> tuple[PartNote, ...]:
@@ -271,12 +217,26 @@
             for part in ordered[:MAX_PART_NOTES]
         )
 
-    def merge(self, notes: Iterable[PartNote], now: float) -> None:
+    def merge(
+        self, notes: Iterable[PartNote], now: float, passes_on: bool = True
+    ) -> None:
         """Merge the notes of another host.
 
-        What is new is passed on. So is a later answer, if the other host does not know
-        of it.
+        A later answer that the other host does not know of is told in any case.
+
+        :param passes_on: whether this host passes on what is new to it.
         """
+        unsent = {part: set(runs) for part, runs in self._unsent.items()}
+        refuted = self._merge_all(notes, now)
+        if not passes_on:
+            self._unsent = unsent
+        for part in refuted:
+            self._unsent.setdefault(part, set())
+        self._update_holds(now)
+
+    def _merge_all(self, notes: Iterable[PartNote], now: float) -> list[PromptPart]:
+        """Merge notes, and return the parts of which this host knows a later answer."""
+        refuted = []
         for note in notes:
             part = PromptPart(note.service, note.part)
             was_proven = part in self._answered_at
@@ -287,16 +247,18 @@
                     self._unsent.setdefault(part, set())
             for item in note.ends:
                 run = TargetRun(item.target, item.born)
-                crash = _PartCrash(
+                crash = PartCrash(
                     now - item.age, now - item.sent, item.request, item.account
                 )
                 if self._is_refuted(part, crash):
-                    self._unsent.setdefault(part, set())
+                    refuted.append(part)
                 else:
                     self._add_crash(part, run, crash, is_shared=True)
-        self._update_holds(now)
+                    if part in self._answered_at and note.answered < 0.0:
+                        refuted.append(part)
+        return refuted
 
-    def _is_refuted(self, part: PromptPart, crash: _PartCrash) -> bool:
+    def _is_refuted(self, part: PromptPart, crash: PartCrash) -> bool:
         """Return whether a part was answered after a crash that another host tells."""
         return crash.at <= self._get_answered_at(part) + AGE_ERROR_SECONDS
 
@@ -305,7 +267,7 @@
     ) -> PartNote:
         """Return a note on a part, with those of its crashes that are in ``runs``."""
         suspect = self._suspects.get(part)
-        crashes: dict[TargetRun, _PartCrash] = {}
+        crashes: dict[TargetRun, PartCrash] = {}
         if suspect is not None:
             suspect.is_shared = True
             crashes = suspect.crashes
@@ -348,7 +310,6 @@
             item.at > at + error for item in suspect.crashes.values()
         ):
             return False
-        self._checksum = None
         suspect.crashes = {
             run: item for run, item in suspect.crashes.items() if item.at > at + error
         }
@@ -360,7 +321,7 @@
         return True
 
     def _add_crash(
-        self, part: PromptPart, run: TargetRun, crash: _PartCrash, is_shared: bool
+        self, part: PromptPart, run: TargetRun, crash: PartCrash, is_shared: bool
     ) -> None:
         """Record a crash since the last answer.
 
@@ -371,7 +332,7 @@
         suspect = self._suspects.get(part)
         if suspect is None:
             self._make_room(crash.account)
-            suspect = self._suspects[part] = _Suspect(crash.account, is_shared)
+            suspect = self._suspects[part] = PartSuspect(crash.account, is_shared)
         crashes = suspect.crashes
         if run in crashes:
             return
@@ -380,9 +341,9 @@
             if crash.at <= crashes[latest].at:
                 return
             del crashes[latest]
-        self._checksum = None
         suspect.add_crash(run, crash)
-        self._unsent.setdefault(part, set()).add(run)
+        if len(suspect.crashes) <= MAX_FOREMOST_CRASHES or part in self._holds:
+            self._unsent.setdefault(part, set()).add(run)
 
     def _make_room(self, account: AccountId | None) -> None:
         """Evict a suspect of the account, or of the largest one, if a limit is hit."""
@@ -394,7 +355,6 @@
         parts = [
             part for part, item in self._suspects.items() if item.added_by == account
         ]
-        self._checksum = None
         del self._suspects[min(parts, key=self._get_eviction_rank)]
 
     def _get_eviction_rank(self, part: PromptPart) -> tuple[bool, int, float]:
@@ -446,7 +406,7 @@
             return False
         if len({item.request for item in crashes}) < HOLD_MIN_REQUESTS:
             return False
-        rounds = _count_rounds(crashes)
+        rounds = len(list_rounds(crashes))
         if not self._is_proven(part, now):
             return rounds >= HOLD_MIN_ROUNDS
         return rounds >= HOLD_MIN_ROUNDS_PROVEN and self._suspects[part].has_control
@@ -465,13 +425,3 @@
 
     def _get_requests(self, part: PromptPart) -> dict[TargetRun, str]:
         return {run: item.request for run, item in self._suspects[part].crashes.items()}
-
-
-def _count_rounds(crashes: Iterable[_PartCrash]) -> int:
-    """Return the longest series of crashes of which each was of a request that had been
-    sent after the crash before."""
-    count, last_at = 0, float("-inf")
-    for crash in sorted(crashes, key=lambda item: item.at):
-        if crash.sent_at >= last_at:
-            count, last_at = count + 1, crash.at
-    return count
--- a/marigoldswitch/gateway/crash_note_exchange.py
+++ b/marigoldswitch/gateway/crash_note_exchange.py
@@ -65,4 +65,5 @@
             self._network.send(host, notes)
 
     def _handle_notes(self, sender: HostId, message: CrashNotes) -> None:
-        self._crashes.merge_notes(message)
+        passes_on = self._roster.is_mesh or self._roster.is_relay
+        self._crashes.merge_notes(message, passes_on)
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -168,11 +168,14 @@
         now = self._clock.monotonic()
         return CrashNotes(self._ledger.list_notes(now), self._parts.list_notes(now))
 
-    def merge_notes(self, notes: CrashNotes) -> None:
-        """Merge notes of another host, and forward new holds at once."""
+    def merge_notes(self, notes: CrashNotes, passes_on: bool = True) -> None:
+        """Merge notes of another host, and forward new holds at once.
+
+        :param passes_on: whether this host passes on news on parts of prompts.
+        """
         now = self._clock.monotonic()
         self._parts.expire(now)
-        self._parts.merge(notes.parts, now)
+        self._parts.merge(notes.parts, now, passes_on)
         self._ledger.merge(notes.notes, now)
         self._log_changed_holds()
         self._send_if_urgent()
--- a/marigoldswitch/tests/test_crash_spread.py
+++ b/marigoldswitch/tests/test_crash_spread.py
@@ -3,6 +3,11 @@
 import pytest
 
 from marigoldswitch.core.gateway_messages import CrashNotes
+from marigoldswitch.core.interruptions import (
+    InterruptedRequest,
+    PromptPart,
+    TargetRun,
+)
 from marigoldswitch.tests.crash_network import SimulatedNetwork
 
 
@@ -67,3 +72,27 @@
         hosts.run_for(0.1)
     hosts.run_for(5.0)
     assert sum(hosts.note_bytes.values()) <= len(hosts.names) * 60 * 2_000
+
+
+@pytest.mark.parametrize("hosts_per_centre", [3, 20])
+def test_notes_on_parts_of_prompts_after_the_loss_of_a_rack_take_few_bytes(
+    hosts_per_centre,
+):
+    """The requests share some parts that have been answered and some that have not."""
+    hosts = SimulatedNetwork(hosts_per_centre)
+    common = PromptPart("model", "common")
+    for watch in hosts.watches.values():
+        watch.note_answering("model", (common,))
+    hosts.run_for(3.0)
+    for number in range(30):
+        run = TargetRun(f"engine-{number}", 1)
+        for index, (host, _) in enumerate(hosts.names):
+            if (index + number) % 3 == 0:
+                parts = (common, PromptPart("model", f"{(index + number) % 40:08x}"))
+                cut = InterruptedRequest(
+                    f"{number:04}{index:04}", "a", False, parts, hosts.now
+                )
+                hosts.report_interruptions(host, run, [cut])
+        hosts.run_for(0.1)
+    hosts.run_for(5.0)
+    assert sum(hosts.note_bytes.values()) <= len(hosts.names) * 60 * 2_000
