Log the part of a request on trial by its id, and play a trial on real hosts

The log line had the whole part, which the log's encoding need not know. The trial was played in the ledger and on a virtual clock only; now a part that was on hold is released on both of two hosts once a request on trial is answered.

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -303,16 +303,17 @@
     hold = find_hold(parts, exchange)
     if hold is None:
         return
+    part = hold.part.id if hold.part else None
     if has_not_run(exchange) and parts.crashes.begin_trial(hold):
         exchange.is_trial = True
-        logger.warning("request_on_trial", request=exchange.call.id, part=hold.part)
+        logger.warning("request_on_trial", request=exchange.call.id, part=part)
         return
     logger.warning(
         "request_held_off",
         request=exchange.call.id,
         fingerprint=exchange.fingerprint,
         account=exchange.account,
-        part=hold.part.id if hold.part else None,
+        part=part,
         ends=[[name, round(age, 1)] for name, age in hold.ends],
         seconds_left=round(hold.seconds_left),
     )
--- a/marigoldswitch/tests/test_prompt_parts.py
+++ b/marigoldswitch/tests/test_prompt_parts.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 
+from marigoldswitch.core import part_crashes
 from marigoldswitch.tests.gateway_site import (
     ALL_EVENTS,
     list_event_ids,
@@ -77,3 +78,27 @@
                 assert sound == (200, ALL_EVENTS)
 
     run_scenario(scenario())
+
+
+def test_part_is_released_on_all_hosts_when_a_request_on_trial_is_answered(monkeypatch):
+    monkeypatch.setattr(part_crashes, "FIRST_TRIAL_SECONDS", 0.0)
+    monkeypatch.setattr(part_crashes, "FIRST_TRIAL_SECONDS_ALONE", 0.0)
+
+    async def scenario():
+        async with run_site(hosts=2) as site:
+            engines = await add_engines(site, 8)
+            watches = [host.parts.runs.crashes for host in site.hosts]
+            for watch in watches:
+                watch.may_decide_trials = lambda: False
+            for number in range(8):
+                await send(site, number, (CRASHING_PART,), number % 2)
+            await site.wait_until(lambda: all(item.alive for item in engines))
+            assert (await send(site, 10, (CRASHING_PART,), 0))[0] == 503
+            for engine in engines:
+                engine.crashing_parts = set()
+            watches[0].may_decide_trials = lambda: True
+            assert (await send(site, 11, (CRASHING_PART,), 0))[0] == 200
+            await site.wait_until(lambda: not any(w._parts.held_parts for w in watches))
+            assert (await send(site, 12, (CRASHING_PART,), 1))[0] == 200
+
+    run_scenario(scenario())
