--- a/marigoldswitch/tests/test_part_plays.py
+++ b/marigoldswitch/tests/test_part_plays.py
@@ -56,6 +56,7 @@
         self._verdicts = []
         self.bad_arrivals, self.crashes, self.sound = [], [], []
         self.bad_from = 2.0
+        self.trials = []
         self.all_crash_from = self.all_crash_until = 0.0
         self.network.watches[self.network.names[0][0]].may_decide_trials = lambda: True
 
@@ -93,6 +94,7 @@
         hold = watch.find_part_hold(request.parts, request.account)
         if hold is not None and request.runs == 0 and watch.begin_trial(hold):
             hold = None
+            self.trials.append(self.now)
         is_held = hold or watch.find_hold(f"{request.number:08}")
         if is_held or not live or request.runs >= MAX_RUNS:
             self._finish(request)
@@ -190,7 +192,7 @@
     play = Play(seed, bad_share=0.1)
     source = random.Random(seed)
     play.run_until(6.0)
-    arrivals = 0
+    arrivals = trials = 0
     for _ in range(6):
         names = source.sample(play.network.names, 3)
         for name, centre in names[:2]:
@@ -200,10 +202,12 @@
         play.run_until(play.now + source.uniform(0.5, 3.0))
         play.network.partitioned = set()
         play.run_until(play.now + CONTACT_SECONDS)
-        begin = len(play.bad_arrivals)
+        begin, trials_begin = len(play.bad_arrivals), len(play.trials)
         play.run_until(play.now + 2.0)
         arrivals += len(play.bad_arrivals) - begin
-    assert arrivals <= MAX_LATE_ARRIVALS
+        trials += len(play.trials) - trials_begin
+    assert arrivals == trials
+    assert trials <= MAX_LATE_ARRIVALS
 
 
 @pytest.mark.parametrize("seed", range(6))
