Count a request that another host runs before its time can end

The run was counted only once the other host had answered or was lost, so the time-out took it for not run. Ruled out: the other host's own answer (its target answered 504 at the same moment). Change: the run is counted before the request is sent and taken back if the host declines.

--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -158,8 +158,12 @@
             if host is None:
                 return None
             self._tried.add(host.host)
+            runs_before = self._exchange.run_count
+            # The deadline may end the wait at any moment, and the request may have run.
+            self._exchange.run_count += 1
             response = await self._send(host)
             if isinstance(response, NotSent):
+                self._exchange.run_count = runs_before
                 self._note_end(host, f"declined: {response.why}")
                 self._hosts.note_declined(host.host)
                 continue
@@ -170,7 +174,6 @@
                 answer = await self._pass_on(response)
             except _Broken as broken:
                 self._note_end(host, f"lost: {broken}")
-                self._exchange.run_count += 1
                 self._require_another_host(str(broken))
                 continue
             self._note_end(host, f"answered {answer.status}")
@@ -185,7 +188,8 @@
             exchange.call, left, self._monitor.last_event
         )
         headers[VERSION_HEADER] = str(parts.directory.version)
-        headers[RUNS_HEADER] = str(exchange.run_count - exchange.discounted_runs)
+        runs_before = exchange.run_count - 1 - exchange.discounted_runs
+        headers[RUNS_HEADER] = str(runs_before)
         session = self._connections.single_use
         if exchange.route.is_idempotent:
             session = self._connections.choose_session(host.address)
@@ -216,7 +220,7 @@
         until the deadline.
         """
         exchange = self._exchange
-        runs = exchange.run_count - exchange.discounted_runs + 1
+        runs = exchange.run_count - exchange.discounted_runs
         may_run_again = exchange.route.is_idempotent and runs < (
             exchange.route.max_targets
         )
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -282,6 +282,19 @@
     run_scenario(scenario())
 
 
+def test_request_whose_time_ends_at_another_host_is_not_told_to_be_not_run():
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            for desk in site.desks:
+                desk.unanswered = 100
+            headers = {"Deadline-Ms": "500"}
+            status, _, _ = await send(site, "/once/", 1, headers=headers)
+            assert len(list_arrivals(site)) == 1
+            assert status == 504
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("mode", [None, CutMode.HANG])
 def test_stream_that_its_caller_resumes_goes_on_after_its_last_event(mode):
     """Without a known cut, the request finds out itself that no engine is reached."""
