Bound what is read from targets, the store and other hosts, in bytes and time

Answers, heads and streams without end were read for the whole time of a request and into memory without a limit. Readers now take their bounds from core/read_bounds.py, close the connection beyond them, and fail over or tell the caller; targets that send such answers are left out after a few.

--- a/marigoldswitch/core/event_stream.py
+++ b/marigoldswitch/core/event_stream.py
@@ -20,15 +20,24 @@
     id: str | None
     content: bytes
 
+    @property
+    def has_data(self) -> bool:
+        """Return whether it has a ``data`` field; comments have none."""
+        return self.content.startswith(b"data") or b"\ndata" in self.content
+
 
 class EventTooLong(Exception):
     """An event exceeds the size limit, as where the bytes are no event stream."""
 
 
 class EventSplitter:
-    """Buffers bytes and returns the events that are complete."""
+    """Buffers bytes and returns the events that are complete.
+
+    :param max_bytes: longest event that is accepted.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._buffer = b""
 
     @property
@@ -49,7 +58,7 @@
             events.append(Event(_read_id(piece), piece))
             begin = end
         self._buffer = data[begin:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
+        if len(self._buffer) > self._max_bytes:
             raise EventTooLong
         return events
 
--- a/marigoldswitch/core/selection.py
+++ b/marigoldswitch/core/selection.py
@@ -104,6 +104,13 @@
             self.outliers.update_streak_limit()
             self.outliers.note_failure(target, 1.0, now)
 
+    def note_unbounded(self, target: TargetId, seconds: float, now: float) -> None:
+        """Record a request that a target answered with bytes without end."""
+        if target in self._stats:
+            self._update_stats(target, seconds, 1.0, now)
+            self.outliers.update_streak_limit()
+            self.outliers.note_unbounded(target, now)
+
     def note_refusal(self, target: TargetId, now: float) -> None:
         """Record that a target refused a request for lack of room."""
         if target in self._stats:
--- /dev/null
+++ b/marigoldswitch/gateway/bounded_connections.py
@@ -0,0 +1,162 @@
+"""Client connections whose heads and framing are bounded.
+
+The HTTP client bounds a line and the number of lines of one head, but neither the heads
+with a status 1xx before an answer, nor the time of a head, nor what surrounds the bytes
+of a body.
+"""
+
+import asyncio
+import functools
+from typing import Any, cast
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import _EXC_SENTINEL as _NO_CAUSE
+from aiohttp.http_exceptions import HttpProcessingError
+
+from marigoldswitch.core.read_bounds import Excess, ReadBounds
+from marigoldswitch.gateway.bounded_reads import AnswerUnbounded, ReadGuard
+from marigoldswitch.stalls import StallWatch
+
+SWITCHING_PROTOCOLS = 101
+FIRST_FINAL_STATUS = 200
+
+
+class BoundedHandler(ResponseHandler):
+    """Protocol of a connection that is reset when what it receives exceeds a bound."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, guard: ReadGuard) -> None:
+        super().__init__(loop)
+        self._guard = guard
+        self._is_head_open = False
+        """Whether the head of an answer is awaited."""
+        self._head_size = 0
+        self._head_began = 0.0
+        self._head_watch: StallWatch | None = None
+        self._informational_heads = 0
+        self._framing_size = 0
+        self._body_size = 0
+        self._is_cut = False
+
+    @property
+    def _bounds(self) -> ReadBounds:
+        return self._guard.bounds
+
+    def set_response_params(self, **params: Any) -> None:
+        """Await the head of an answer."""
+        self._is_head_open = True
+        self._head_size = self._informational_heads = 0
+        self._framing_size = self._body_size = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrives, and count it."""
+        if self._is_cut:
+            return
+        if self._is_head_open:
+            self._note_head_bytes(len(data))
+        super().data_received(data)
+        if self._is_cut or not data:
+            return
+        if self._is_head_open:
+            self._check_open_head()
+        else:
+            self._count_framing(len(data))
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Take a head that is complete."""
+        if self._is_cut:
+            return
+        status = data[0].code
+        if not self._is_head_open:
+            self._cut("framing_bytes", self._head_size)
+            return
+        if status < FIRST_FINAL_STATUS and status != SWITCHING_PROTOCOLS:
+            self._informational_heads += 1
+            if self._informational_heads > self._bounds.informational_heads:
+                self._cut("informational_heads", self._head_size)
+                return
+            if self._head_watch is not None:
+                # Silence after it is the time that the target takes for the answer.
+                self._head_watch.suspend()
+        else:
+            self._is_head_open = False
+            self._stop_head_watch()
+        super().feed_data(data, size)
+
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException = _NO_CAUSE
+    ) -> None:
+        """Fail the reader; a head that can't be parsed may also be too long."""
+        is_head = self._is_head_open and isinstance(exc, HttpProcessingError)
+        if is_head and self._head_size > self._bounds.head_bytes:
+            self._cut("head_bytes", self._head_size)
+        else:
+            super().set_exception(exc, exc_cause)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop measuring."""
+        self._stop_head_watch()
+        super().connection_lost(exc)
+
+    def _note_head_bytes(self, size: int) -> None:
+        if not self._head_size:
+            self._head_began = self._loop.time()
+        self._head_size += size
+        if self._head_watch is not None:
+            self._head_watch.resume()
+
+    def _check_open_head(self) -> None:
+        """Check the part of a head that has arrived."""
+        if self._head_size > self._bounds.head_bytes:
+            self._cut("head_bytes", self._head_size)
+        elif self._head_watch is None:
+            self._head_watch = StallWatch(
+                self._bounds.head_seconds, self._end_late_head
+            )
+
+    def _count_framing(self, size: int) -> None:
+        body = self._payload
+        if body is None:
+            return
+        if body.total_bytes != self._body_size:
+            self._body_size, self._framing_size = body.total_bytes, 0
+            return
+        self._framing_size += size
+        if self._framing_size > self._bounds.framing_bytes:
+            self._cut("framing_bytes", self._framing_size)
+
+    def _end_late_head(self, _: float) -> None:
+        self._cut("head_seconds", self._head_size)
+
+    def _stop_head_watch(self) -> None:
+        if self._head_watch is not None:
+            self._head_watch.stop()
+            self._head_watch = None
+
+    def _cut(self, bound: str, size: int) -> None:
+        """Reset the connection and fail whoever reads it."""
+        self._is_cut = True
+        self._stop_head_watch()
+        began = self._head_began or self._loop.time()
+        error = AnswerUnbounded(Excess(bound, size, self._loop.time() - began))
+        body, transport = self._payload, self.transport
+        # Otherwise the end of the connection would look like that of the body.
+        self._payload = self._parser = None
+        self.set_exception(error)
+        if body is not None:
+            body.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Opens connections whose reading is bounded."""
+
+    def __init__(self, guard: ReadGuard, **options: Any) -> None:
+        super().__init__(**options)
+        # Private: the client has no other place for the protocol of a connection.
+        self._factory = cast(
+            functools.partial[ResponseHandler],
+            functools.partial(BoundedHandler, loop=self._loop, guard=guard),
+        )
--- /dev/null
+++ b/marigoldswitch/gateway/bounded_reads.py
@@ -0,0 +1,176 @@
+"""Reads answers within bounds, and records those that exceed them."""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+import aiohttp
+import structlog
+
+from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.read_bounds import Excess, ReadBounds
+from marigoldswitch.core.routes import ClientLimits
+from marigoldswitch.stalls import StallWatch
+
+logger = structlog.get_logger(__name__)
+
+LOG_INTERVAL_SECONDS = 1.0
+"""Least time between two log lines on the same reader of the same target."""
+
+
+class Reader(Enum):
+    """What read an unbounded answer."""
+
+    HEAD = "head"
+    ANSWER = "answer"
+    STREAM = "stream"
+    PROXIED = "proxied"
+    REPORT = "report"
+    ORDER = "order"
+    STORE = "store"
+    PEER = "peer"
+
+
+class AnswerUnbounded(aiohttp.ClientError):
+    """An answer has exceeded a bound; its connection is closed."""
+
+    def __init__(self, excess: Excess) -> None:
+        super().__init__(excess.bound, excess.size, round(excess.seconds, 3))
+        self.excess = excess
+
+
+class ReadGuard:
+    """The bounds in force, and the record of what has exceeded them.
+
+    :param clock: ``None`` to log every time.
+    :param count: counts an unbounded answer, by its reader.
+    :ivar bounds: the bounds in force.
+    """
+
+    def __init__(
+        self,
+        clock: Clock | None = None,
+        count: Callable[[str], None] = lambda _: None,
+    ) -> None:
+        self.bounds = ReadBounds()
+        self._clock = clock
+        self._count = count
+        self._logged_at: dict[tuple[str, Reader], float] = {}
+        self._unlogged = 0
+
+    def apply_limits(self, limits: ClientLimits) -> None:
+        """Put the limits of a configuration in force."""
+        self.bounds = ReadBounds().apply_limits(limits)
+
+    def note(self, target: str, reader: Reader, excess: Excess) -> None:
+        """Log and count an unbounded answer.
+
+        :param target: id or address of the process that sent it.
+        """
+        self._count(reader.value)
+        now = self._clock.monotonic() if self._clock is not None else 0.0
+        self._logged_at = {
+            key: at
+            for key, at in self._logged_at.items()
+            if 0.0 < now < at + LOG_INTERVAL_SECONDS
+        }
+        if (target, reader) in self._logged_at:
+            self._unlogged += 1
+            return
+        self._logged_at[target, reader] = now
+        logger.warning(
+            "answer_unbounded",
+            target=target,
+            reader=reader.value,
+            bound=excess.bound,
+            bytes=excess.size,
+            seconds=round(excess.seconds, 3),
+            unlogged=self._unlogged,
+        )
+        self._unlogged = 0
+
+
+class BodyReader:
+    """Reads the body of an answer while it makes progress.
+
+    :ivar size: bytes read so far.
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse, bounds: ReadBounds) -> None:
+        self.size = 0
+        self._response = response
+        self._progress_bytes = bounds.progress_bytes
+        self._began = asyncio.get_running_loop().time()
+        self._marked_size = 0
+        self._stall: Excess | None = None
+        self._watch = StallWatch(bounds.progress_seconds, self._end_stalled)
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the body; none at its end.
+
+        Time between two calls does not count.
+
+        :raises AnswerUnbounded: if the body makes no progress; also what reading raises
+            otherwise.
+        """
+        self._watch.resume()
+        try:
+            content = await self._response.content.readany()
+        except (aiohttp.ClientError, OSError):
+            if self._stall is not None:
+                raise AnswerUnbounded(self._stall) from None
+            raise
+        self.size += len(content)
+        if self.size - self._marked_size >= self._progress_bytes:
+            self._marked_size = self.size
+            self._watch.note_progress()
+        self._watch.suspend()
+        return content
+
+    def fail(self, bound: str) -> AnswerUnbounded:
+        """Close the connection; return the error that names a bound."""
+        self._response.close()
+        seconds = asyncio.get_running_loop().time() - self._began
+        return AnswerUnbounded(Excess(bound, self.size, seconds))
+
+    def stop(self) -> None:
+        """Stop measuring progress."""
+        self._watch.stop()
+
+    def _end_stalled(self, seconds: float) -> None:
+        self._stall = Excess("progress_seconds", self.size, seconds)
+        self._response.close()
+
+
+async def read_whole(
+    response: aiohttp.ClientResponse, bounds: ReadBounds, bound: str
+) -> bytes:
+    """Return the body of an answer.
+
+    :param bound: name of the bound on its length.
+    :raises AnswerUnbounded: if it exceeds a bound; the connection is then closed. Also
+        what reading raises otherwise.
+    """
+    max_bytes: int = getattr(bounds, bound)
+    reader = BodyReader(response, bounds)
+    parts: list[bytes] = []
+    try:
+        if get_stated_length(response) > max_bytes:
+            raise reader.fail(bound)
+        while content := await reader.read():
+            if reader.size > max_bytes:
+                raise reader.fail(bound)
+            parts.append(content)
+    finally:
+        reader.stop()
+    return b"".join(parts)
+
+
+def get_stated_length(response: aiohttp.ClientResponse) -> int:
+    """Return the length that an answer states of its body; 0 if it states none."""
+    if response.method == "HEAD":
+        return 0
+    try:
+        return response.content_length or 0
+    except ValueError:
+        return 0
--- a/marigoldswitch/gateway/connections.py
+++ b/marigoldswitch/gateway/connections.py
@@ -13,6 +13,8 @@
 from msgspec import Struct
 from multidict import CIMultiDictProxy
 
+from marigoldswitch.gateway.bounded_connections import BoundedConnector
+from marigoldswitch.gateway.bounded_reads import ReadGuard
 from marigoldswitch.sockets import PROBED_USER_TIMEOUT_MS, set_silence_timeouts
 
 CONNECT_TIMEOUT = 0.25
@@ -50,12 +52,21 @@
     return created
 
 
-def open_session(idle_seconds: float) -> aiohttp.ClientSession:
+MAX_HEADER_LINES = 2**15
+"""Lines of one head that the HTTP client accepts; the bound on the bytes of heads is
+reached first."""
+
+
+def open_session(
+    idle_seconds: float, guard: ReadGuard | None = None
+) -> aiohttp.ClientSession:
     """Return a client session that forwards bodies and headers unchanged.
 
     :param idle_seconds: how long connections are kept idle; 0 to use each only once.
+    :param guard: holds the bounds on what is read.
     """
-    connector = aiohttp.TCPConnector(
+    connector = BoundedConnector(
+        guard or ReadGuard(),
         limit=0,
         force_close=not idle_seconds,
         keepalive_timeout=idle_seconds or None,
@@ -71,18 +82,23 @@
         read_bufsize=2**16,
         max_line_size=2**16,
         max_field_size=2**16,
+        max_headers=MAX_HEADER_LINES,
         trace_configs=[_trace_use()],
     )
 
 
 class Connections:
-    """The connections of one host to all targets, pooled by their idle time."""
+    """The connections of one host to all targets, pooled by their idle time.
+
+    :ivar guard: holds the bounds on what is read from them.
+    """
 
-    def __init__(self) -> None:
-        self.single_use = open_session(0.0)
+    def __init__(self, guard: ReadGuard | None = None) -> None:
+        self.guard = guard or ReadGuard()
+        self.single_use = open_session(0.0, self.guard)
         """For requests that must not be sent on a reused connection."""
-        self._short = open_session(SHORT_IDLE_SECONDS)
-        self._long = open_session(LONG_IDLE_SECONDS)
+        self._short = open_session(SHORT_IDLE_SECONDS, self.guard)
+        self._long = open_session(LONG_IDLE_SECONDS, self.guard)
         self._short_idle_targets: set[str] = set()
         """Addresses of targets that keep idle connections only for a short time."""
 
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -24,6 +24,7 @@
     find_refusing_stage,
 )
 from marigoldswitch.core.suspects import Finding
+from marigoldswitch.gateway.broken_chains import ChainBroken
 from marigoldswitch.gateway.exchanges import (
     Exchange,
     RunParts,
@@ -62,10 +63,6 @@
 T = TypeVar("T")
 
 
-class ChainBroken(Exception):
-    """The chain will deliver no more of the answer."""
-
-
 class ChainMonitor:
     """Monitors the chain that one request uses now.
 
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -1,15 +1,24 @@
 """Forwards the events of an answer to the caller, without those it already has."""
 
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
 import aiohttp
+from aiohttp import web
 
-from marigoldswitch.core.event_stream import Event, EventSplitter
+from marigoldswitch.core.event_stream import Event, EventSplitter, EventTooLong
 from marigoldswitch.core.ports import Clock
-from marigoldswitch.gateway.detours import ChainBroken
-from marigoldswitch.gateway.exchanges import Exchange, write
-from marigoldswitch.gateway.upstream import EndOfBodyCheck
+from marigoldswitch.core.read_bounds import EventProgress, Excess, ReadBounds
+from marigoldswitch.gateway.bounded_reads import AnswerUnbounded
+from marigoldswitch.gateway.broken_chains import ChainBroken
+from marigoldswitch.gateway.exchanges import (
+    AnswerAborted,
+    Exchange,
+    abort,
+    write,
+)
+from marigoldswitch.gateway.upstream import EndOfBodyCheck, LongBody
 
 
 class StreamMonitor(Protocol):
@@ -21,7 +30,7 @@
     last_event: str | None
 
     def note_event(self) -> None:
-        """Record that events have arrived."""
+        """Record that events which bring the stream forward have arrived."""
         ...
 
     def monitor(
@@ -34,36 +43,63 @@
 class EventForwarder:
     """Forwards the events of one request over its successive answers.
 
+    :param bounds: returns the bounds in force.
     :ivar last_sent: when the last event was forwarded, in monotonic seconds.
     """
 
     def __init__(
-        self, clock: Clock, exchange: Exchange, monitor: StreamMonitor
+        self,
+        clock: Clock,
+        exchange: Exchange,
+        monitor: StreamMonitor,
+        bounds: Callable[[], ReadBounds],
     ) -> None:
         self.last_sent: float | None = None
         self._clock = clock
         self._exchange = exchange
         self._monitor = monitor
+        self._get_bounds = bounds
 
     async def forward(self, response: aiohttp.ClientResponse) -> None:
         """Forward events until the answer is complete.
 
         :raises ChainBroken: if the answer ends early or the chain breaks.
+        :raises AnswerUnbounded: if the answer exceeds a bound.
         """
-        splitter, end_check = EventSplitter(), EndOfBodyCheck(response)
+        bounds, clock = self._get_bounds(), self._clock
+        splitter = EventSplitter(bounds.event_bytes)
+        end_check = EndOfBodyCheck(response)
+        progress = EventProgress(bounds, self._exchange.route.is_resumable)
+        began = clock.monotonic()
         async with self._monitor.monitor(response):
             while content := await response.content.readany():
-                events = splitter.feed(content)
-                if events:
+                try:
+                    events = splitter.feed(content)
+                except EventTooLong:
+                    response.close()
+                    seconds = clock.monotonic() - began
+                    size = bounds.event_bytes + 1
+                    excess = Excess("event_bytes", size, seconds)
+                    raise AnswerUnbounded(excess) from None
+                is_progress = progress.count(len(content), events, clock.monotonic())
+                if is_progress:
                     self._monitor.note_event()
-                    await self._write_unseen(events)
+                if events:
+                    await self._write_unseen(events, is_progress)
+                found = progress.find_excess(clock.monotonic())
+                if found is not None:
+                    response.close()
+                    raise AnswerUnbounded(found)
         if splitter.has_remainder:
             raise ChainBroken("the answer ended within an event")
         if not end_check.is_complete():
             raise ChainBroken("the connection was reset at the end of the answer")
 
-    async def _write_unseen(self, events: list[Event]) -> None:
-        """Write the events that the caller has not received yet."""
+    async def _write_unseen(self, events: list[Event], is_progress: bool) -> None:
+        """Write the events that the caller has not received yet.
+
+        :param is_progress: whether they bring the stream forward, unlike comments.
+        """
         unseen = []
         for event in events:
             if self._is_duplicate(event):
@@ -72,7 +108,8 @@
                 self._monitor.last_event = event.id
             unseen.append(event.content)
         if unseen:
-            self._record_gap()
+            if is_progress:
+                self._record_gap()
             await write(self._exchange, b"".join(unseen))
 
     def _record_gap(self) -> None:
@@ -96,3 +133,24 @@
         if event.id.isdigit() and last.isdigit():
             return int(event.id) <= int(last)
         return event.id == last
+
+
+async def pass_long_body(
+    exchange: Exchange, response: web.StreamResponse, body: LongBody
+) -> None:
+    """Pass a body on to the caller as it arrives.
+
+    :param response: its head, which has not been sent.
+    :raises AnswerAborted: if the body ends early; the caller's connection is reset, so
+        that it can't look complete.
+    """
+    response.content_length = body.length
+    await response.prepare(exchange.http)
+    exchange.response = response
+    try:
+        while content := await body.read():
+            await write(exchange, content)
+    except (aiohttp.ClientError, OSError) as error:
+        abort(exchange)
+        raise AnswerAborted(f"{type(error).__name__}: {error}") from error
+    await response.write_eof()
--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -21,3 +21,10 @@
         self._metrics.requests.inc({"service": service, "end": end})
         if seconds is not None:
             self._metrics.request_seconds.observe({"service": service}, seconds)
+
+    def count_unbounded(self, reader: str) -> None:
+        """Count one answer that exceeded a bound.
+
+        :param reader: what read it.
+        """
+        self._metrics.answers_unbounded.inc({"reader": reader})
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -9,6 +9,7 @@
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.ids import DataCentre, ServiceName, TargetId
 from marigoldswitch.core.loads import Usage
+from marigoldswitch.core.read_bounds import Excess
 from marigoldswitch.core.selection import PlainSelector
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.exchanges import (
@@ -25,6 +26,7 @@
     reserve_resend,
     spend_retry,
 )
+from marigoldswitch.gateway.forwarding import pass_long_body
 from marigoldswitch.gateway.ports import ForwardOptions
 from marigoldswitch.gateway.upstream import Answered, Lost, NotSent, SendResult
 
@@ -86,11 +88,11 @@
         :raises RequestRefused: if there is no answer of a target to pass on.
         """
         try:
-            return self._build_response(await self._find_answer())
+            return await self._pass_on(await self._find_answer())
         except RequestRefused:
             if self._fallback is None:
                 raise
-            return self._build_response(self._fallback)
+            return await self._pass_on(self._fallback)
 
     async def _find_answer(self) -> Answered:
         """Send the request to targets until one answers.
@@ -116,7 +118,9 @@
                     return answer
         finally:
             for task in pending:
-                task.cancel()
+                is_ended = not task.cancel() and not task.cancelled()
+                if is_ended and task.exception() is None:
+                    _close_rest(task.result())
 
     async def _await_answer(
         self, pending: set[asyncio.Task[SendResult]]
@@ -138,6 +142,7 @@
                 answer = self._process_end(task.result())
                 if answer is not None:
                     return answer
+                _close_rest(task.result())
         return None
 
     def _choose_hedge_delay(self, pending: int) -> float | None:
@@ -187,7 +192,7 @@
                 and await reserve_resend(parts, exchange, target)
             ):
                 end = await parts.upstream.fetch(target, call, body, sending, True)
-            if isinstance(end, Lost):
+            if isinstance(end, Lost) and end.excess is None:
                 await note_cut_off(parts, exchange, target, sent_at=now)
             return end
         finally:
@@ -262,6 +267,9 @@
                     # other hosts also leave out a target that is marked as dead here.
                     parts.directory.suspects.note(target.id, Finding.FAILED, now)
                     parts.probes.check_in_background(target)
+            case Lost(why, excess=Excess()):
+                outcome = f"lost: {why}"
+                self._selector.note_unbounded(target.id, elapsed, now)
             case Lost(why):
                 outcome = f"lost: {why}"
                 self._selector.note_failure(target.id, elapsed, now)
@@ -346,6 +354,22 @@
             kind = ErrorKind.NOT_DELIVERED
         return Fault(kind, why, self._choose_retry_after())
 
+    async def _pass_on(self, answer: Answered) -> web.StreamResponse:
+        """Return the response that passes a target's answer on to the caller.
+
+        A long body is sent here, the rest by the HTTP server.
+
+        :raises RequestRefused: if there is no such response; :class:`AnswerAborted` if
+            a long body ends early.
+        """
+        try:
+            response = self._build_response(answer)
+            if answer.rest is not None:
+                await pass_long_body(self._exchange, response, answer.rest)
+            return response
+        finally:
+            _close_rest(answer)
+
     def _build_response(self, answer: Answered) -> web.StreamResponse:
         """Return the response that passes a target's answer on to the caller.
 
@@ -362,6 +386,14 @@
             note_served(parts, exchange)
             note_answering(parts, exchange)
         headers = parts.codec.write_reply(answer.headers)
+        if answer.rest is not None:
+            return web.StreamResponse(status=answer.status, headers=headers)
         response = web.Response(status=answer.status, headers=headers, body=answer.body)
         exchange.response = response
         return response
+
+
+def _close_rest(end: SendResult) -> None:
+    """Close the connection of an answer whose body has not been read."""
+    if isinstance(end, Answered) and end.rest is not None:
+        end.rest.close()
--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -13,10 +13,16 @@
 from aiohttp import web
 
 from marigoldswitch.core.errors import ErrorKind, Fault
-from marigoldswitch.core.event_stream import EventTooLong
 from marigoldswitch.core.ids import HostId
+from marigoldswitch.core.read_bounds import Excess
+from marigoldswitch.gateway.bounded_reads import (
+    AnswerUnbounded,
+    Reader,
+    get_stated_length,
+    read_whole,
+)
+from marigoldswitch.gateway.broken_chains import ChainBroken
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
-from marigoldswitch.gateway.detours import ChainBroken
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
     Exchange,
@@ -25,7 +31,7 @@
     abort,
     spend_retry,
 )
-from marigoldswitch.gateway.forwarding import EventForwarder
+from marigoldswitch.gateway.forwarding import EventForwarder, pass_long_body
 from marigoldswitch.gateway.proxy_hosts import ProxyHost, ProxyHosts
 from marigoldswitch.gateway.proxy_terms import (
     DECLINED_HEADER,
@@ -34,6 +40,7 @@
 )
 from marigoldswitch.gateway.upstream import (
     EndOfBodyCheck,
+    LongBody,
     Lost,
     NotSent,
     open_response,
@@ -166,8 +173,9 @@
             self._exchange.send_count += 1
             try:
                 if isinstance(response, Lost):
+                    self._note_excess(host, response.excess)
                     raise _Broken(response.why)
-                answer = await self._pass_on(response)
+                answer = await self._pass_on(host, response)
             except _Broken as broken:
                 self._note_end(host, f"lost: {broken}")
                 self._exchange.run_count += 1
@@ -222,10 +230,19 @@
         )
         return exchange.is_stream and may_run_again
 
-    async def _pass_on(self, reply: aiohttp.ClientResponse) -> web.StreamResponse:
+    def _note_excess(self, host: ProxyHost, excess: Excess | None) -> None:
+        """Record an answer that exceeds a bound, and avoid its host for a while."""
+        if excess is not None:
+            self._hosts.note_declined(host.host)
+            self._connections.guard.note(host.host, Reader.PROXIED, excess)
+
+    async def _pass_on(
+        self, host: ProxyHost, reply: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
         """Pass an answer on to the caller.
 
-        :raises _Broken: if it is not complete.
+        :raises _Broken: if it is not complete; :class:`AnswerAborted` if that shows
+            only once it has begun and can't go on.
         """
         exchange = self._exchange
         try:
@@ -233,15 +250,24 @@
                 return await self._pass_events_on(reply)
             if exchange.response is not None:
                 raise _Broken(f"status {reply.status}")
-            return await self._pass_whole_on(reply)
-        except (aiohttp.ClientError, OSError, EventTooLong, ChainBroken) as error:
+            return await self._pass_whole_on(host, reply)
+        except AnswerUnbounded as error:
+            self._note_excess(host, error.excess)
+            raise _Broken(f"unbounded: {error}") from error
+        except (aiohttp.ClientError, OSError, ChainBroken) as error:
             raise _Broken(f"{type(error).__name__}: {error}") from error
         finally:
             reply.close()
 
-    async def _pass_whole_on(self, reply: aiohttp.ClientResponse) -> web.Response:
+    async def _pass_whole_on(
+        self, host: ProxyHost, reply: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        guard = self._connections.guard
+        length = get_stated_length(reply)
+        if guard.bounds.body_bytes < length <= guard.bounds.declared_bytes:
+            return await self._pass_long_on(host, reply)
         end_check = EndOfBodyCheck(reply)
-        body = await reply.read()
+        body = await read_whole(reply, guard.bounds, "body_bytes")
         if not end_check.is_complete():
             raise _Broken("the connection was reset at the end of the answer")
         headers = self._parts.codec.write_reply(reply.headers)
@@ -249,6 +275,19 @@
         self._exchange.response = response
         return response
 
+    async def _pass_long_on(
+        self, host: ProxyHost, reply: aiohttp.ClientResponse
+    ) -> web.StreamResponse:
+        headers = self._parts.codec.write_reply(reply.headers)
+        response = web.StreamResponse(status=reply.status, headers=headers)
+        guard = self._connections.guard
+        body = LongBody(reply, guard, host.host, Reader.PROXIED)
+        try:
+            await pass_long_body(self._exchange, response, body)
+        finally:
+            body.close()
+        return response
+
     async def _pass_events_on(
         self, reply: aiohttp.ClientResponse
     ) -> web.StreamResponse:
@@ -261,7 +300,10 @@
                 response.force_close()
             await response.prepare(exchange.http)
             exchange.response = response
-        forwarder = EventForwarder(self._parts.clock, exchange, self._monitor)
+        guard = self._connections.guard
+        forwarder = EventForwarder(
+            self._parts.clock, exchange, self._monitor, lambda: guard.bounds
+        )
         await forwarder.forward(reply)
         await exchange.response.write_eof()
         return exchange.response
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -14,7 +14,6 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.errors import ErrorKind, Fault
-from marigoldswitch.core.event_stream import EventTooLong
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import (
     Chain,
@@ -23,7 +22,9 @@
     find_refusing_stage,
 )
 from marigoldswitch.core.suspects import Finding
-from marigoldswitch.gateway.detours import ChainBroken, ChainMonitor
+from marigoldswitch.gateway.bounded_reads import AnswerUnbounded, Reader, read_whole
+from marigoldswitch.gateway.broken_chains import ChainBroken, log_lost_run
+from marigoldswitch.gateway.detours import ChainMonitor
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
     Exchange,
@@ -58,8 +59,6 @@
 RETRY_AFTER_SECONDS = (0.8, 2.4)
 """Range of the delay after which a caller is told to retry: engines that take over
 layers need at least 1.4 s to load them. A random delay spreads the retries."""
-MAX_ERROR_BODY_BYTES = 1024 * 1024
-"""Bytes of an engine's error answer that are forwarded."""
 
 
 class Completed(Struct, frozen=True):
@@ -82,7 +81,10 @@
         self.chain_monitor = ChainMonitor(parts, exchange)
         self._parts = parts
         self._exchange = exchange
-        self._forwarder = EventForwarder(parts.clock, exchange, self.chain_monitor)
+        guard = parts.upstream.guard
+        self._forwarder = EventForwarder(
+            parts.clock, exchange, self.chain_monitor, lambda: guard.bounds
+        )
         self._failed_first_engines: set[TargetId] = set()
         """First engines of broken chains; later chains avoid them."""
         self._refusals = 0
@@ -107,7 +109,7 @@
                 self._exchange.attempt_log.append(f"broken: {broken}")
                 self._failed_first_engines.add(chain.stages[0].target)
                 if self._exchange.run_count > runs_before:
-                    await self._record_lost_run(chain.stages[0], str(broken))
+                    await self._record_lost_run(chain.stages[0], broken)
                 check_contact(self._parts, self._exchange)
                 self._check_retry_allowed(str(broken))
                 continue
@@ -120,34 +122,19 @@
                 case EnginesRefused(at_fault):
                     self._handle_refusal(chain.stages, at_fault)
 
-    async def _record_lost_run(self, first: Stage, why: str) -> None:
+    async def _record_lost_run(self, first: Stage, broken: ChainBroken) -> None:
         """Log a lost run and report it as a possible crash of its first engine."""
         had_event = self.chain_monitor.has_delivered(first.target)
-        self._log_lost_run(first, why, had_event)
-        parts = self._parts
+        parts, last_event = self._parts, self.chain_monitor.last_event
+        log_lost_run(parts, self._exchange, first, broken, had_event, last_event)
+        if broken.is_unbounded:
+            return
         row = parts.directory.registry.rows.get(first.target)
         if row is None:
             return
         await self.chain_monitor.note_cut_off(row.target)
         await self._discount_run_if_ended(row.target)
 
-    def _log_lost_run(self, first: Stage, why: str, had_event: bool) -> None:
-        exchange, parts = self._exchange, self._parts
-        now = parts.clock.monotonic()
-        budget = parts.retries.get(exchange.service.name)
-        logger.info(
-            "run_lost",
-            request=exchange.call.id,
-            fingerprint=exchange.fingerprint,
-            parts=exchange.call.prompt_parts,
-            target=first.target,
-            had_event=had_event,
-            after=self.chain_monitor.last_event,
-            why=why,
-            repeats=budget.retries.count(now),
-            repeats_allowed=round(budget.get_limit(now), 1),
-        )
-
     # Waiting for a chain and retrying.
 
     async def _acquire_chain(self) -> Chain | None:
@@ -317,10 +304,16 @@
                 now = parts.clock.monotonic()
                 parts.directory.suspects.note(first_row.target.id, Finding.FAILED, now)
                 parts.probes.check_in_background(first_row.target)
-                raise ChainBroken(f"no answer: {why}")
+                is_unbounded = result.excess is not None
+                raise ChainBroken(f"no answer: {why}", is_unbounded)
         try:
             return await self._relay_answer(result)
-        except (aiohttp.ClientError, OSError, EventTooLong) as error:
+        except AnswerUnbounded as error:
+            now = parts.clock.monotonic()
+            parts.upstream.guard.note(first_row.target.id, Reader.STREAM, error.excess)
+            parts.directory.suspects.note(first_row.target.id, Finding.FAILED, now)
+            raise ChainBroken(f"unbounded: {error}", is_unbounded=True) from error
+        except (aiohttp.ClientError, OSError) as error:
             raise ChainBroken(f"{type(error).__name__}: {error}") from error
         finally:
             result.response.close()
@@ -412,7 +405,8 @@
             raise ChainBroken(f"status {reply.status}")
         if may_retry and exchange.run_count < exchange.route.max_targets:
             raise ChainBroken(f"status {reply.status}")
-        body = await reply.content.read(MAX_ERROR_BODY_BYTES)
+        bounds = self._parts.upstream.guard.bounds
+        body = await read_whole(reply, bounds, "error_bytes")
         headers = self._parts.codec.write_reply(reply.headers)
         response = web.Response(status=reply.status, headers=headers, body=body)
         await response.prepare(exchange.http)
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -10,6 +10,15 @@
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.read_bounds import Excess
+from marigoldswitch.gateway.bounded_reads import (
+    AnswerUnbounded,
+    BodyReader,
+    Reader,
+    ReadGuard,
+    get_stated_length,
+    read_whole,
+)
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.ports import Call, CallCodec, ForwardOptions, ReplyFacts
 from marigoldswitch.gateway.resends import ResendGuard
@@ -22,12 +31,17 @@
 
 
 class Answered(Struct, frozen=True):
-    """The target sent a complete answer."""
+    """The target sent a complete answer.
+
+    :param rest: a body that is too long to be kept and is passed on as it arrives;
+        ``body`` is then empty. Whoever gets the answer must close it.
+    """
 
     status: int
     headers: CIMultiDictProxy[str]
     body: bytes
     facts: ReplyFacts
+    rest: "LongBody | None" = None
 
 
 class NotSent(Struct, frozen=True):
@@ -45,10 +59,13 @@
 
     :param is_stale: it was sent on a reused connection that broke at once. The target
         has most likely closed or forgotten it, which is no sign of a failing target.
+    :param excess: the bound that the answer exceeded, if it did; the request is then
+        not what made the target fail.
     """
 
     why: str
     is_stale: bool = False
+    excess: Excess | None = None
 
 
 SendResult = Answered | NotSent | Lost
@@ -94,10 +111,19 @@
         return NotSent(str(error.os_error or error), is_connection_refused(error))
     except aiohttp.ConnectionTimeoutError:
         return NotSent("connecting timed out")
+    except AnswerUnbounded as error:
+        return build_unbounded(error)
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Lost(f"{type(error).__name__}: {error}")
 
 
+def build_unbounded(error: AnswerUnbounded) -> Lost:
+    """Return the end of a sending whose answer has exceeded a bound."""
+    excess = error.excess
+    why = f"unbounded answer: {excess.size} bytes in {excess.seconds:.2f} s"
+    return Lost(f"{why}, beyond {excess.bound}", excess=excess)
+
+
 class Upstream:
     """Sends requests to targets.
 
@@ -106,6 +132,7 @@
     others reuse connections, as opening new ones costs targets time.
 
     :ivar resends: which targets may be sent a request again after it broke off.
+    :ivar guard: the bounds on what is read.
     """
 
     def __init__(
@@ -124,6 +151,7 @@
         self._contact = contact
         self._services = services
         self.resends = ResendGuard()
+        self.guard = connections.guard
 
     async def send(
         self,
@@ -149,6 +177,10 @@
             case NotSent():
                 self._note_silence(target, began, now)
                 return result
+            case Lost(excess=Excess() as excess):
+                self.resends.note_lost(target.id)
+                self.guard.note(target.id, Reader.HEAD, excess)
+                return result
             case Lost(why) if use.is_reused:
                 return Lost(why, now - began < STALE_CONNECTION_SECONDS)
             case Lost():
@@ -183,19 +215,27 @@
             async with asyncio.timeout(sending.timeout):
                 result = await self.send(target, call, body, sending, new_connection)
                 if isinstance(result, Reply):
-                    return await self._read_whole(call, result)
+                    return await self._read_answer(target, call, result)
                 return result
         except TimeoutError:
             return Lost("no complete answer in time")
 
-    async def _read_whole(self, call: Call, reply: Reply) -> Answered | Lost:
+    async def _read_answer(
+        self, target: Target, call: Call, reply: Reply
+    ) -> Answered | Lost:
         response, facts = reply.response, reply.facts
         if facts.request != call.id:
             response.close()
             return Lost(f"answer to another request: {facts.request}")
+        if self._is_passed_on(reply):
+            rest = LongBody(response, self.guard, target.id)
+            return Answered(response.status, response.headers, b"", facts, rest)
         end_check = EndOfBodyCheck(response)
         try:
-            body = await response.read()
+            body = await read_whole(response, self.guard.bounds, "body_bytes")
+        except AnswerUnbounded as error:
+            self.guard.note(target.id, Reader.ANSWER, error.excess)
+            return build_unbounded(error)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Lost(f"{type(error).__name__}: {error}")
         finally:
@@ -205,6 +245,59 @@
             return Lost("the connection was reset at the end of the answer")
         return Answered(response.status, response.headers, body, facts)
 
+    def _is_passed_on(self, reply: Reply) -> bool:
+        """Return whether a body is long, and may be passed on as it arrives.
+
+        It must state its length, as one without an end is none. Errors and refusals are
+        kept until another target has answered.
+        """
+        response, facts, bounds = reply.response, reply.facts, self.guard.bounds
+        if response.status >= 400 or facts.not_run:
+            return False
+        if not facts.is_signed or facts.is_encoded:
+            return False
+        length = get_stated_length(response)
+        return bounds.body_bytes < length <= bounds.declared_bytes
+
+
+class LongBody:
+    """A body with a stated length that is read while it is passed on.
+
+    :param sender: id or address of the process that sends it, for the log.
+    :ivar length: its length in bytes.
+    """
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        guard: ReadGuard,
+        sender: str,
+        reader: Reader = Reader.ANSWER,
+    ) -> None:
+        self.length = get_stated_length(response)
+        self._response = response
+        self._guard = guard
+        self._sender = sender
+        self._reader = reader
+        self._body = BodyReader(response, guard.bounds)
+
+    async def read(self) -> bytes:
+        """Return the next bytes; none at the end.
+
+        :raises aiohttp.ClientError: if the body ends early or makes no progress; also
+            ``OSError``.
+        """
+        try:
+            return await self._body.read()
+        except AnswerUnbounded as error:
+            self._guard.note(self._sender, self._reader, error.excess)
+            raise
+
+    def close(self) -> None:
+        """Close the connection unless the whole body has been read."""
+        self._body.stop()
+        self._response.close()
+
 
 class EndOfBodyCheck:
     """Checks whether a response body without a length is complete.
--- a/marigoldswitch/peer_connections.py
+++ b/marigoldswitch/peer_connections.py
@@ -16,7 +16,9 @@
     AcknowledgementWatch,
 )
 from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.read_bounds import Excess, ReadBounds
 from marigoldswitch.sockets import set_silence_timeouts
+from marigoldswitch.stalls import StallWatch
 
 ACK_BYTES = 8
 
@@ -27,6 +29,8 @@
     SILENT = "no acknowledgement"
     BLOCKED = "drain"
     """No acknowledgement, and more is waiting than the operating system takes."""
+    UNBOUNDED = "unbounded"
+    """The other end returns bytes that acknowledge nothing."""
     RESET = "reset"
     CLOSED = "closed"
     """The other end closed it."""
@@ -64,6 +68,8 @@
         """Set while more is waiting than the operating system takes."""
         self._tail = b""
         """The beginning of an acknowledgement whose rest has not arrived."""
+        self._stray_bytes = 0
+        """Received since the last acknowledgement of anything new."""
         self._is_ended = False
         self._is_given_up = False
 
@@ -75,15 +81,28 @@
 
     def data_received(self, data: bytes) -> None:
         """Read acknowledgements; the last one says all."""
+        received = len(data)
         data = self._tail + data
         end = len(data) - len(data) % ACK_BYTES
         self._tail = data[end:]
         total = int.from_bytes(data[max(0, end - ACK_BYTES) : end], "big")
         is_first = not self.watch.acknowledged
         now = self._clock.monotonic()
-        if self.watch.note_acknowledged(total, now) and is_first:
+        if not self.watch.note_acknowledged(total, now):
+            self._note_stray(received)
+            return
+        self._stray_bytes = 0
+        if is_first:
             self._on_acknowledged()
 
+    def _note_stray(self, size: int) -> None:
+        """Count bytes that acknowledge nothing new; reset the connection at a bound."""
+        self._stray_bytes += size
+        if self._stray_bytes > ReadBounds().stray_ack_bytes and not self._is_ended:
+            self._end(Loss.UNBOUNDED)
+            if self._transport is not None:
+                self._transport.abort()
+
     def pause_writing(self) -> None:
         """Make writers wait."""
         self._writable = self._loop.create_future()
@@ -163,16 +182,49 @@
 
 
 class AcknowledgingReader:
-    """The receiving end of a connection: reads it and acknowledges what it has read."""
+    """The receiving end of a connection: reads it and acknowledges what it has read.
+
+    :ivar excess: the bound that a frame has exceeded, which ended the connection.
+    """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        bounds: ReadBounds | None = None,
     ) -> None:
+        self._bounds = bounds or ReadBounds()
         self._reader = reader
         self._writer = writer
         self._loop = asyncio.get_running_loop()
         self._total = 0
         self._timer: asyncio.TimerHandle | None = None
+        self.excess: Excess | None = None
+
+    async def read_rest(self, size: int) -> bytes:
+        """Read what follows the first bytes of a frame, while it makes progress.
+
+        :raise asyncio.IncompleteReadError: the connection was closed.
+        :raise OSError: the connection was lost, or reset as the frame stalled.
+        """
+        began, marked = self._total, self._total
+
+        def end_stalled(seconds: float) -> None:
+            size = self._total - began
+            self.excess = Excess("progress_seconds", size, seconds)
+            self._writer.transport.abort()
+
+        watch = StallWatch(self._bounds.progress_seconds, end_stalled)
+        parts = bytearray()
+        try:
+            while len(parts) < size:
+                parts += await self._read_part(size - len(parts))
+                if self._total - marked >= self._bounds.progress_bytes:
+                    marked = self._total
+                    watch.note_progress()
+        finally:
+            watch.stop()
+        return bytes(parts)
 
     async def read_exactly(self, size: int) -> bytes:
         """Read a number of bytes, acknowledging the parts as they arrive.
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -18,6 +18,7 @@
 from marigoldswitch.core.retry_pool import START_SECONDS
 from marigoldswitch.core.send_limits import SendLimits
 from marigoldswitch.gateway.admission import Admission
+from marigoldswitch.gateway.bounded_reads import Reader, ReadGuard
 from marigoldswitch.gateway.connections import (
     SHORT_IDLE_SECONDS,
     Connections,
@@ -81,14 +82,19 @@
     source = source or random.Random()
     identity = settings.identity
     home = DataCentre(identity.data_centre)
-    connections, session = Connections(), open_session(SHORT_IDLE_SECONDS)
-    host_connections = Connections()
+    metrics = Metrics()
+    gateway_metrics = GatewayMetrics(metrics)
+    guard = ReadGuard(clock, gateway_metrics.count_unbounded)
+    connections, session = Connections(guard), open_session(SHORT_IDLE_SECONDS, guard)
+    host_connections = Connections(guard)
     proxy_port = read_port(settings.addresses.proxied)
-    store, engines = PlatformStore(session, store_address), EngineClient(connections)
+    store = PlatformStore(session, store_address, guard)
+    engines = EngineClient(connections)
     codec = HeaderCodec()
     send_limits = SendLimits(home, lambda: planner.count_hosts(), source)
     statements = TargetStatements(send_limits)
     directory, loads, state = Directory(statements), Loads(home), HostState()
+    directory.watch(lambda table: guard.apply_limits(table.limits))
     contact, services = TargetContact(clock.monotonic()), ServiceContacts(clock)
     planner = ChainPlanner(directory, loads, clock, home, source)
     owns_from = 0.0 if settings.is_first_start else clock.monotonic() + START_SECONDS
@@ -128,7 +134,6 @@
     services.create_prober = lambda service, contact: create_prober(
         partial(directory.registry.list_targets, service), contact
     )
-    metrics = Metrics()
     network = PeerNetwork(
         HostId(identity.host),
         [PEER_SECRET],
@@ -136,6 +141,7 @@
         MessageCodec(GatewayMessage),
         Pacer(settings.link_bytes, clock),
         clock,
+        lambda sender, excess: guard.note(sender, Reader.PEER, excess),
     )
     switches = ReadSwitches(asyncio.Event(), asyncio.Event())
     waits = choose_waits(settings.touch_seconds, settings.leaving_seconds)
@@ -165,7 +171,7 @@
     )
     proxy_hosts = ProxyHosts(spread.roster, home, proxy_port, clock, source)
     requests = RequestRuns(runs, PeerProxy(runs, proxy_hosts, host_connections))
-    front = Frontend(runs, GatewayMetrics(metrics), requests)
+    front = Frontend(runs, gateway_metrics, requests)
     orderer = LayerOrderer(
         clock,
         store,
--- a/marigoldswitch/platform/engines.py
+++ b/marigoldswitch/platform/engines.py
@@ -10,6 +10,11 @@
 from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.ids import RequestId
 from marigoldswitch.core.stages import Stage
+from marigoldswitch.gateway.bounded_reads import (
+    AnswerUnbounded,
+    Reader,
+    read_whole,
+)
 from marigoldswitch.gateway.connections import Connections
 from marigoldswitch.gateway.ports import (
     EngineAnswer,
@@ -67,10 +72,13 @@
                 session = self._connections.choose_session(address)
             url = f"http://{address}/report"
             async with session.get(url, timeout=client_timeout) as response:
-                content = await response.read()
+                content = await self._read_whole(response)
                 if response.status != 200:
                     logger.info("report_refused", address=address, at=response.status)
                     return EngineWithoutReport(response.status != HTTP_NOT_FOUND)
+        except AnswerUnbounded as error:
+            self._connections.guard.note(address, Reader.REPORT, error.excess)
+            return EngineWithoutReport()
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             logger.info("report_missing", address=address, why=repr(error))
             return EngineGone() if is_connection_refused(error) else None
@@ -119,17 +127,24 @@
                 headers={"Content-Type": "application/json"},
                 timeout=client_timeout,
             ) as response:
-                content = await response.read()
+                content = await self._read_whole(response)
                 result = ORDER_RESULTS.get(response.status, OrderResult.UNKNOWN)
                 if result is OrderResult.UNKNOWN:
                     logger.warning(
                         "order_answer_unknown", address=address, at=response.status
                     )
                 return OrderReply(result, _read_at_fault(content))
+        except AnswerUnbounded as error:
+            self._connections.guard.note(address, Reader.ORDER, error.excess)
+            return OrderReply(OrderResult.UNKNOWN)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             logger.info("order_unanswered", address=address, why=repr(error))
             return OrderReply(OrderResult.UNKNOWN)
 
+    async def _read_whole(self, response: aiohttp.ClientResponse) -> bytes:
+        bounds = self._connections.guard.bounds
+        return await read_whole(response, bounds, "report_bytes")
+
 
 def _read_at_fault(content: bytes) -> str | None:
     """Return the address of the engine that an answer blames, if it names one."""
--- a/marigoldswitch/platform/store.py
+++ b/marigoldswitch/platform/store.py
@@ -13,6 +13,7 @@
 from marigoldswitch.core.ports import Row, StoreFault
 from marigoldswitch.core.registry import TargetRow
 from marigoldswitch.core.revisions import get_era, get_version
+from marigoldswitch.gateway.bounded_reads import ReadGuard
 from marigoldswitch.gateway.ports import (
     FeedFault,
     HostRecord,
@@ -58,8 +59,13 @@
     Implements ``PlatformFeeds``, ``VersionedTable`` and ``HostDirectory``.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
-        self._calls = StoreCalls(session, address)
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        guard: ReadGuard | None = None,
+    ) -> None:
+        self._calls = StoreCalls(session, address, guard)
         self._reads = PatientReads()
         self._unreadable_row: StoredRow | None = None
         """The last configuration that could not be read; logged once."""
--- a/marigoldswitch/platform/store_calls.py
+++ b/marigoldswitch/platform/store_calls.py
@@ -12,6 +12,12 @@
 from result import Err, Ok, Result
 
 from marigoldswitch.core.revisions import get_era, make_revision
+from marigoldswitch.gateway.bounded_reads import (
+    AnswerUnbounded,
+    Reader,
+    ReadGuard,
+    read_whole,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -71,7 +77,13 @@
 class StoreCalls:
     """Makes the calls, and logs when the store begins or ceases to answer them."""
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        guard: ReadGuard | None = None,
+    ) -> None:
+        self._guard = guard or ReadGuard()
         self._session = session
         self._base = f"http://{address}"
         self._era = 0
@@ -122,12 +134,15 @@
                     total=timeout, sock_connect=CALL_TIMEOUT_SECONDS
                 ),
             ) as response:
-                content = await response.read()
+                content = await read_whole(response, self._guard.bounds, "store_bytes")
                 era = self._update_era(response.headers.get(ERA_HEADER))
             answer = _read_answer(response.status, content, era, method == "GET")
             fault, why = None, ""
         except TimeoutError as error:
             fault, why = CallFault.TIMEOUT, repr(error)
+        except AnswerUnbounded as error:
+            self._guard.note(self._base, Reader.STORE, error.excess)
+            fault, why = CallFault.MALFORMED, repr(error)
         except (aiohttp.ClientError, OSError) as error:
             fault, why = CallFault.UNREACHABLE, repr(error)
         except ValueError as error:
--- /dev/null
+++ b/marigoldswitch/stalls.py
@@ -0,0 +1,57 @@
+"""Notices that a connection makes no progress while it is read."""
+
+import asyncio
+from collections.abc import Callable
+
+LATE_SECONDS = 0.25
+"""Delay of a timer that shows that this process itself stood still. What arrived
+meanwhile has not been read yet, so that no peer can be blamed."""
+
+
+class StallWatch:
+    """Calls back once if too little is received for too long.
+
+    :param seconds: longest time without progress.
+    :param on_stall: called with the seconds since the last progress.
+    """
+
+    def __init__(self, seconds: float, on_stall: Callable[[float], None]) -> None:
+        self._seconds = seconds
+        self._on_stall = on_stall
+        self._loop = asyncio.get_running_loop()
+        self._since = self._loop.time()
+        self._suspended_at: float | None = None
+        self._timer = self._schedule(seconds)
+
+    def note_progress(self) -> None:
+        """Measure from now on."""
+        self._since = self._loop.time()
+
+    def suspend(self) -> None:
+        """Leave out the time until :meth:`resume`, as this process does not read."""
+        self._suspended_at = self._loop.time()
+
+    def resume(self) -> None:
+        """Measure again."""
+        if self._suspended_at is not None:
+            self._since += self._loop.time() - self._suspended_at
+            self._suspended_at = None
+
+    def stop(self) -> None:
+        """Stop measuring."""
+        self._timer.cancel()
+
+    def _schedule(self, seconds: float) -> asyncio.TimerHandle:
+        self._due = self._loop.time() + seconds
+        return self._loop.call_at(self._due, self._check)
+
+    def _check(self) -> None:
+        now = self._loop.time()
+        if now - self._due > LATE_SECONDS:
+            self._since = now
+        until = now if self._suspended_at is None else self._suspended_at
+        stalled = until - self._since
+        if self._suspended_at is None and stalled >= self._seconds:
+            self._on_stall(stalled)
+        else:
+            self._timer = self._schedule(max(LATE_SECONDS, self._seconds - stalled))
