--- a/marigoldswitch/standins/floods.py
+++ b/marigoldswitch/standins/floods.py
@@ -6,8 +6,11 @@
 from collections.abc import AsyncIterator
 from enum import Enum
 
+from aiohttp import web
 from msgspec import Struct
 
+from marigoldswitch.standins.platform_engines import PlainStandin
+
 CHUNK_BYTES = 16_384
 TRICKLE_SECONDS = 0.02
 """Pause after each byte of a slow flood."""
@@ -182,6 +185,50 @@
                 yield again[position : position + 1]
 
 
+class EndlessAnswer(Struct, frozen=True):
+    """An answer without end, and the monotonic times of its begin and of its end.
+
+    :param request: id of the request that it answered.
+    """
+
+    request: str
+    began: float
+    ended: float
+
+
+class FloodingDesk(PlainStandin):
+    """Target of a plain service that answers without end for some time.
+
+    :ivar is_flooding: whether it does so now.
+    :ivar endless: its answers without end that were closed.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self.is_flooding = False
+        self.endless: list[EndlessAnswer] = []
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        if not self.is_flooding:
+            return await super().handle(http)
+        await http.read()
+        refusal = self.check_head(http)
+        if refusal is not None:
+            return refusal
+        response = web.StreamResponse(headers=self.sign(http))
+        response.enable_chunked_encoding()
+        began = time.monotonic()
+        try:
+            await response.prepare(http)
+            while True:
+                await response.write(b"x" * CHUNK_BYTES)
+                await asyncio.sleep(0.0)
+        finally:
+            request = http.headers["Attempt-Id"]
+            self.endless.append(EndlessAnswer(request, began, time.monotonic()))
+
+
 async def _read_request(reader: asyncio.StreamReader) -> tuple[str, str]:
     """Read a request; return its path and its id, if it has one."""
     head = await reader.readuntil(b"\r\n\r\n")
--- a/marigoldswitch/tests/test_peer_soak.py
+++ b/marigoldswitch/tests/test_peer_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from marigoldswitch.standins.floods import EndlessAnswer
 from marigoldswitch.tools.peer_soak import play
 from marigoldswitch.tools.peer_soak_checks import (
     Leave,
@@ -158,3 +159,9 @@
                 await reader.read(1)
 
     run_link(scenario)
+
+
+@pytest.mark.parametrize(("seconds", "is_late"), [(0.9, False), (1.1, True)])
+def test_host_that_reads_an_endless_answer_for_long_is_late(seconds, is_late):
+    endless = [EndlessAnswer(f"{HOST}-7", 11.0, 11.0 + seconds)]
+    assert bool(find_breaches(Record(endless=endless), 2.0)) is is_late
--- a/marigoldswitch/tools/peer_soak.py
+++ b/marigoldswitch/tools/peer_soak.py
@@ -18,6 +18,7 @@
 import aiohttp
 import defopt
 
+from marigoldswitch.standins.floods import FloodingDesk
 from marigoldswitch.standins.platform_engines import PlainStandin
 from marigoldswitch.standins.platform_store import StoreStandin
 from marigoldswitch.tools.peer_soak_checks import (
@@ -91,7 +92,7 @@
         self._links: dict[tuple[int, int], Link] = {}
         self._store = StoreStandin()
         self._targets = [
-            PlainStandin(f"{name}-{number}") for name in SERVICES for number in (0, 1)
+            FloodingDesk(f"{name}-{number}") for name in SERVICES for number in (0, 1)
         ]
 
     async def run(self) -> None:
@@ -122,6 +123,7 @@
             await self._store.stop()
             self._reserved.close()
         self.record.store_calls = self._store.calls
+        self.record.endless = [a for target in self._targets for a in target.endless]
         for host, process in self._processes.items():
             read_log(self.record, host, process.log.read_bytes())
 
@@ -172,6 +174,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._change_configurations())
                 group.create_task(self._move_targets())
+                group.create_task(self._flood())
                 for fault in self.faults:
                     group.create_task(self._inject(session, fault))
             await self._sleep_until(self._seconds)
@@ -214,6 +217,17 @@
             self.record.leaves.append(Leave(target, left, time.monotonic()))
             self._put_target(target, "ready")
 
+    async def _flood(self) -> None:
+        """Let one target after the other answer without end for a while."""
+        source, at = Random(f"floods {self._seed}"), 0.0
+        while (at := at + source.uniform(1.0, 4.0)) < self._seconds - 5.0:
+            await self._sleep_until(at)
+            target = source.choice(self._targets)
+            target.is_flooding = True
+            at += source.uniform(0.5, 2.0)
+            await self._sleep_until(at)
+            target.is_flooding = False
+
     async def _inject(self, session: aiohttp.ClientSession, fault: Fault) -> None:
         await self._sleep_until(fault.at)
         links = [self._links[fault.host, item] for item in fault.receivers]
--- a/marigoldswitch/tools/peer_soak_checks.py
+++ b/marigoldswitch/tools/peer_soak_checks.py
@@ -8,6 +8,7 @@
 import orjson
 from msgspec import Struct, field
 
+from marigoldswitch.standins.floods import EndlessAnswer
 from marigoldswitch.standins.platform_engines import PlainStandin
 from marigoldswitch.tools.peer_soak_proxy import Fault
 
@@ -17,6 +18,9 @@
 """Time from the acknowledgement of a configuration until it must be in force."""
 DRAIN_SECONDS = 2.0
 """Time from the record that a target leaves until no request may reach it."""
+ENDLESS_SECONDS = 1.0
+"""Time within which a host must close a connection that brings bytes without end; as
+fast as they come, they reach the bound within milliseconds."""
 CONTACT_SECONDS = 3.0
 """Time after a host's own trouble for which it is excused."""
 REFUSALS = (401, 403, 404)
@@ -83,6 +87,7 @@
     :ivar delays: (begin, end) of the delays of each process's event loop, in order.
     :ivar harms: (begin, end) of the times in which a host itself was harmed.
     :ivar lines: the hosts' log lines about configurations.
+    :ivar endless: answers without end that targets have sent.
     :ivar store_calls: paths of the calls that the store got.
     """
 
@@ -91,6 +96,7 @@
     replies: list[Reply] = field(default_factory=list)
     leaves: list[Leave] = field(default_factory=list)
     lines: dict[int, list[dict[str, Any]]] = field(default_factory=dict)
+    endless: list[EndlessAnswer] = field(default_factory=list)
     store_calls: list[str] = field(default_factory=list)
     delays: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
     harms: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
@@ -176,6 +182,10 @@
             if leave.left < at < leave.back:
                 host = int(headers["Attempt-Id"].partition("-")[0])
                 check(host, f"leaving {target.name}", leave.left, at, DRAIN_SECONDS)
+    for answer in record.endless:
+        host = int(answer.request.partition("-")[0])
+        what = f"endless answer to {answer.request}"
+        check(host, what, answer.began, answer.ended, ENDLESS_SECONDS)
     return sorted(breaches.values(), key=lambda breach: (breach.host, breach.since))
 
 
@@ -190,6 +200,8 @@
     print(f"faults: {dict(kinds)}")
     print(f"versions: {len(record.versions)}, targets left: {len(record.leaves)}")
     print(f"requests: {len(record.replies)}, {dict(outcomes)}")
+    longest = max((a.ended - a.began for a in record.endless), default=0.0)
+    print(f"answers without end: {len(record.endless)}, longest {longest:.1f} s")
     print(f"calls of the store: {dict(Counter(record.store_calls))}")
     print(f"seconds of delays by process, {RIG} is the rig: {delayed}")
     failed = [
