--- a/marigoldswitch/gateway/bounded_reads.py
+++ b/marigoldswitch/gateway/bounded_reads.py
@@ -152,6 +152,9 @@
         what reading raises otherwise.
     """
     max_bytes: int = getattr(bounds, bound)
+    # A short answer mostly arrives together with its head.
+    if response.content.is_eof() and response.content.total_bytes <= max_bytes:
+        return await response.read()
     reader = BodyReader(response, bounds)
     parts: list[bytes] = []
     try:
