Spread requests over plain targets by averaged use and their own reports

Hosts acted on counts of other hosts that are 0.2 to 1.5 s old, while a request takes 70 ms: all chose the target that had been idle, which refused while others had room.

--- a/marigoldswitch/core/selection.py
+++ b/marigoldswitch/core/selection.py
@@ -4,19 +4,22 @@
 equal shares of the load, an equal share of the callers would suffer. Instead a request
 goes to the target with the lowest expected time, by its running requests and recent
 answer times. A slow target gets few requests until its measurements, which lose weight
-with age, are back to normal.
+with age, are back to normal. So does one that is nearly full, before it refuses any.
+The costs have a random part, which grows with the number of hosts: they see the same
+loads and must not all choose the same target.
 """
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from msgspec import Struct
 
-from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.catalogue import Load, Target
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads
 from marigoldswitch.core.outliers import Health, OutlierDetector
+from marigoldswitch.core.target_use import TargetUse
 
 INITIAL_SECONDS = 0.03
 """Answer time assumed for a target that has not answered yet."""
@@ -29,6 +32,21 @@
 REMOTE_COST_FACTOR = 1.1
 """Factor on the cost of a target in another data centre: requests stay local while
 loads are similar, as each crossing to another data centre has its cost."""
+SHARED_REMOTE_COST_FACTOR = 1.5
+"""The same where costs have a large random part, which hides a smaller factor."""
+MIN_SHARED_TARGETS = 3
+"""Targets from which the requests of all hosts are spread by estimated use. With two,
+each is the only way out of the other."""
+BASE_JITTER = 0.05
+JITTER_PER_HOST = 0.05
+MAX_JITTER = 3.0
+"""Largest random part of a cost, as a share of it. At 66 hosts that is as good as a
+choice at random among targets of like cost."""
+EXTRA_SLOWNESS_POWER = 0.5
+"""Power of the answer time by which a slow target's cost rises once more: its requests
+also stay longer, and occupy its slots beyond what old counts show."""
+MIN_FREE_SHARE = 0.1
+"""Share of a target's slots that counts as free at least, in the cost of a full one."""
 FAILURE_WEIGHT = 4.0
 """Relative extra cost of a target that always fails: one that fails half of its
 requests counts as three times as slow."""
@@ -50,6 +68,9 @@
 
     def __init__(self, home: DataCentre, rng: random.Random) -> None:
         self.outliers = OutlierDetector()
+        self.count_hosts: Callable[[], int] = lambda: 1
+        """Returns the number of hosts that send to the same targets."""
+        self._use = TargetUse()
         self._home = home
         self._rng = rng
         self._stats: dict[TargetId, _TargetStats] = {}
@@ -81,7 +102,14 @@
         candidates = healthy or untried
         if not candidates:
             return None
-        return min(candidates, key=lambda item: self._cost(item, loads, now))
+        if len(known) < MIN_SHARED_TARGETS:
+            return min(candidates, key=lambda item: self._cost(item, loads, now))
+        jitter = min(
+            MAX_JITTER, BASE_JITTER + JITTER_PER_HOST * (self.count_hosts() - 1)
+        )
+        return min(
+            candidates, key=lambda item: self._shared_cost(item, loads, now, jitter)
+        )
 
     def estimate_seconds(self, target: TargetId, now: float) -> float:
         """Return the expected answer time of a target, in seconds."""
@@ -104,6 +132,11 @@
             self.outliers.update_streak_limit()
             self.outliers.note_failure(target, 1.0, now)
 
+    def note_load(self, target: TargetId, load: Load, now: float) -> None:
+        """Record the load that a target has stated with an answer."""
+        if target in self._stats:
+            self._use.note_report(target, load, now)
+
     def note_refusal(self, target: TargetId, now: float) -> None:
         """Record that a target refused a request for lack of room."""
         if target in self._stats:
@@ -126,16 +159,36 @@
         return sum(half) / len(half)
 
     def _cost(self, target: Target, loads: Loads, now: float) -> float:
-        usage = loads.get(target.id)
-        cost = self.estimate_seconds(target.id, now) * (1.0 + usage.requests)
-        stats = self._stats[target.id]
-        cost *= 1.0 + FAILURE_WEIGHT * stats.failure_rate * _decay(stats, now)
+        cost = self._estimate_cost(target, loads.get(target.id).requests, now)
         if target.data_centre != self._home:
             cost *= REMOTE_COST_FACTOR
-        return cost * (1.0 + 0.05 * self._rng.random())
+        return cost * (1.0 + BASE_JITTER * self._rng.random())
+
+    def _shared_cost(
+        self, target: Target, loads: Loads, now: float, jitter: float
+    ) -> float:
+        """Return the cost of a target that many hosts send to.
+
+        :param jitter: largest random part, as a share of it.
+        """
+        requests = self._use.estimate(target.id, loads, now)
+        cost = self._estimate_cost(target, requests, now)
+        cost *= self.estimate_seconds(target.id, now) ** EXTRA_SLOWNESS_POWER
+        if target.slots > 0:
+            cost /= max(MIN_FREE_SHARE, 1.0 - requests / target.slots)
+        if target.data_centre != self._home:
+            cost *= SHARED_REMOTE_COST_FACTOR
+        return cost * (1.0 + jitter * self._rng.random())
+
+    def _estimate_cost(self, target: Target, requests: float, now: float) -> float:
+        """Return the expected seconds of one more request, raised by failures."""
+        cost = self.estimate_seconds(target.id, now) * (1.0 + requests)
+        stats = self._stats[target.id]
+        return cost * (1.0 + FAILURE_WEIGHT * stats.failure_rate * _decay(stats, now))
 
     def _set_targets(self, names: set[TargetId]) -> None:
         self.outliers.set_targets(names)
+        self._use.keep(names)
         self._stats = {
             name: self._stats.get(name) or _TargetStats() for name in sorted(names)
         }
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -25,7 +25,7 @@
     reserve_resend,
     spend_retry,
 )
-from marigoldswitch.gateway.ports import ForwardOptions
+from marigoldswitch.gateway.ports import ForwardOptions, ReplyFacts
 from marigoldswitch.gateway.upstream import Answered, Lost, NotSent, SendResult
 
 logger = structlog.get_logger(__name__)
@@ -62,6 +62,7 @@
         if selector is None:
             home = DataCentre(self._parts.home)
             selector = PlainSelector(home, self._parts.source)
+            selector.count_hosts = lambda: self._parts.planner.count_hosts()
             self._selectors[service] = selector
         return selector
 
@@ -243,6 +244,8 @@
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
         elapsed = now - started
+        if isinstance(end, Answered):
+            self._note_load(target, end.facts, now)
         match end:
             case Answered(status, _, _, facts) if facts.not_run:
                 outcome = f"refused {status}"
@@ -277,6 +280,12 @@
             revision=parts.directory.registry.revision,
         )
 
+    def _note_load(self, target: Target, facts: ReplyFacts, now: float) -> None:
+        """Record the load that a target states, if the answer is its own."""
+        is_own = (facts.is_signed or facts.not_run) and not facts.wrong_target
+        if is_own and facts.load is not None:
+            self._selector.note_load(target.id, facts.load, now)
+
     def _process_end(self, end: SendResult) -> Answered | None:
         """Return the answer if it is to be passed on, or ``None`` to go on.
 
