Place streams over data centres by forecasts, and prefer fewer stages

A chain at home won as long as any had room below 0.85 of its engines' memory, however slow it was. Forecasts of chains, corrected by measured runs, now rate data centres, and each host moves a slowly growing share of new requests to one that is expected to lose less; a stage costs 1 ms for each token, and fast engines keep a reserve for urgent and large requests. Active for engines whose speeds differ fourfold, in two data centres or more.

--- a/marigoldswitch/core/models.py
+++ b/marigoldswitch/core/models.py
@@ -39,6 +39,9 @@
     :param crossing_seconds_per_token: time that one token of a prompt occupies the link
         between data centres.
     :param accelerators: accelerator kinds by name.
+    :param prefill_chunk: most tokens of a prompt that are processed between two decode
+        steps of other requests.
+    :param event_tokens: tokens in an event of a stream.
     """
 
     layers: int
@@ -52,6 +55,8 @@
     loads_at_once: int = 1
     crossing_seconds_per_token: float = 0.0
     accelerators: Mapping[str, Accelerator] = field(default_factory=dict)
+    prefill_chunk: int = 512
+    event_tokens: int = 1
 
     def count_layers(self, accelerator: Accelerator, tokens: float) -> int:
         """Return how many layers fit beside the KV cache of some tokens."""
--- a/marigoldswitch/core/path_search.py
+++ b/marigoldswitch/core/path_search.py
@@ -50,6 +50,7 @@
     :param span: the layers to run.
     :param jitter: largest random part of a cost, as a share of it.
     :param max_fill: share of an engine's memory that may be used.
+    :param hop_cost: seconds that each stage adds to the cost.
     """
 
     def __init__(
@@ -59,7 +60,9 @@
         rng: random.Random,
         jitter: float,
         max_fill: float,
+        hop_cost: float = HOP_COST,
     ) -> None:
+        self._hop_cost = hop_cost
         self._span = span
         self._offers = offers
         self._max_layers = [item.count_free_layers(max_fill) for item in offers]
@@ -107,6 +110,7 @@
                 entry_cost, centre = _choose_entry(reached, offer.data_centre)
                 predecessor = predecessors.get((start, centre))
                 if predecessor is None or predecessor.offer is not offer:
+                    entry_cost += self._hop_cost
                     self._relax(index, start, entry_cost, centre, best, predecessors)
         ends = best.get(span.end)
         if not ends:
@@ -179,7 +183,7 @@
         (cost + (0.0 if name == centre else CROSSING_COST), name)
         for name, cost in reached.items()
     )
-    return cost + HOP_COST, previous
+    return cost, previous
 
 
 class LayerPath:
--- a/marigoldswitch/core/paths.py
+++ b/marigoldswitch/core/paths.py
@@ -11,7 +11,7 @@
 
 from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.ids import DataCentre, TargetId
-from marigoldswitch.core.path_search import PathSearch
+from marigoldswitch.core.path_search import HOP_COST, PathSearch
 from marigoldswitch.core.stages import (
     MAX_FILL,
     MAX_STAGES,
@@ -43,6 +43,7 @@
     jitter: float = BASE_JITTER,
     max_fill: float = MAX_FILL,
     allow_partial: bool = True,
+    hop_cost: float = HOP_COST,
 ) -> Chain | None:
     """Return the cheapest chain over a range of layers, or ``None`` if none has room.
 
@@ -54,12 +55,14 @@
     :param jitter: largest random part of a cost; see :func:`choose_jitter`.
     :param max_fill: share of an engine's memory that may be used.
     :param allow_partial: whether to try engines with memory for a part of their layers.
+    :param hop_cost: seconds that each stage adds to the cost.
     """
     whole = [item for item in offers if item.has_room(max_fill)]
-    path = PathSearch(whole, span, rng, jitter, max_fill).run(previous_centre)
+    path = PathSearch(whole, span, rng, jitter, max_fill, hop_cost).run(previous_centre)
     if path is None and allow_partial:
         usable = [item for item in offers if item.count_free_layers(max_fill) > 0]
-        path = PathSearch(usable, span, rng, jitter, max_fill).run(previous_centre)
+        search = PathSearch(usable, span, rng, jitter, max_fill, hop_cost)
+        path = search.run(previous_centre)
     return path.build_chain() if path is not None else None
 
 
@@ -109,6 +112,7 @@
     home: DataCentre,
     rng: random.Random,
     jitter: float = BASE_JITTER,
+    hop_cost: float = HOP_COST,
 ) -> Chain | None:
     """Return the cheapest chain within one data centre, or ``None`` if none has room.
 
@@ -119,6 +123,7 @@
     :param layers: number of layers of the model.
     :param home: data centre of this host.
     :param jitter: largest random part of a cost; see :func:`choose_jitter`.
+    :param hop_cost: seconds that each stage adds to the cost.
     """
     grouped: dict[DataCentre, list[StageOffer]] = {}
     for item in offers:
@@ -129,7 +134,7 @@
     attempts.append((grouped, MAX_FILL, True))
     for centres, max_fill, allow_partial in attempts:
         chain = _find_cheapest(
-            centres, layers, home, rng, jitter, max_fill, allow_partial
+            centres, layers, home, rng, jitter, max_fill, allow_partial, hop_cost
         )
         if chain is not None:
             return chain
@@ -144,6 +149,7 @@
     jitter: float,
     max_fill: float,
     allow_partial: bool,
+    hop_cost: float,
 ) -> Chain | None:
     """Return the cheapest chain that stays in one of some data centres."""
     best: Chain | None = None
@@ -157,6 +163,7 @@
             jitter=jitter,
             max_fill=max_fill,
             allow_partial=allow_partial,
+            hop_cost=hop_cost,
         )
         if chain is None:
             continue
--- a/marigoldswitch/gateway/admission.py
+++ b/marigoldswitch/gateway/admission.py
@@ -140,7 +140,7 @@
     def _try_admit(self, state: _QueueState, ticket: Ticket) -> Chain | None:
         """Reserve room on a chain, or return ``None`` if no chain has room."""
         chain = self._planner.find(
-            state.service, ticket.tokens, ticket.avoid, ticket.is_new
+            state.service, ticket.tokens, ticket.avoid, ticket.is_new, ticket.priority
         )
         if chain is not None:
             self._planner.take(state.service, chain, ticket.tokens)
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -9,6 +9,7 @@
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.detours import ChainBroken
 from marigoldswitch.gateway.exchanges import Exchange, write
+from marigoldswitch.gateway.forecast_checks import ForecastCheck
 from marigoldswitch.gateway.upstream import EndOfBodyCheck
 
 
@@ -35,12 +36,14 @@
     """Forwards the events of one request over its successive answers.
 
     :ivar last_sent: when the last event was forwarded, in monotonic seconds.
+    :ivar check: of the current chain's forecast.
     """
 
     def __init__(
         self, clock: Clock, exchange: Exchange, monitor: StreamMonitor
     ) -> None:
         self.last_sent: float | None = None
+        self.check: ForecastCheck | None = None
         self._clock = clock
         self._exchange = exchange
         self._monitor = monitor
@@ -84,6 +87,8 @@
             gap = now - self.last_sent
             exchange.longest_gap = max(exchange.longest_gap, gap)
         self.last_sent = now
+        if self.check is not None:
+            self.check.note_read(now)
 
     def _is_duplicate(self, event: Event) -> bool:
         """Return whether the caller has received an event before.
--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -1,5 +1,6 @@
 """Request metrics of a gateway, kept in the metrics registry of its host."""
 
+from marigoldswitch.gateway.placing import Placing
 from marigoldswitch.metrics import Metrics
 
 
@@ -9,6 +10,17 @@
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
 
+    def watch_placing(self, placing: Placing) -> None:
+        """Set the gauges of placing before each scrape."""
+
+        def collect() -> None:
+            for service, share in placing.list_shares().items():
+                self._metrics.moved_share.set({"service": service}, share)
+                moved = placing.moved.get(service, 0)
+                self._metrics.moved_requests.set({"service": service}, moved)
+
+        self._metrics.add_collector(collect)
+
     def count_end(self, service: str, end: str, seconds: float | None) -> None:
         """Count one request that has ended.
 
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -5,6 +5,7 @@
 
 from marigoldswitch.core.catalogue import LayerRange, Target
 from marigoldswitch.core.crossings import CrossingBudget
+from marigoldswitch.core.forecasts import ChainForecast
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads, Usage
 from marigoldswitch.core.models import ModelSpec
@@ -26,6 +27,8 @@
     count_crossings,
 )
 from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.forecaster import Forecaster
+from marigoldswitch.gateway.placing import Placing
 
 LEAVING_USE_SECONDS = 0.8
 """Time for which a leaving engine may still get requests if its data centre has no
@@ -55,6 +58,8 @@
         self._clock = clock
         self._home = home
         self._source = source
+        self.forecaster = Forecaster(directory, loads, clock, self.slowness)
+        self.placing = Placing(directory, loads, clock, home, source, self.forecaster)
         self._crossing_budget = CrossingBudget()
         self.count_hosts: Callable[[], int] = lambda: 1
         """Returns the number of hosts that share bounds, silent ones included."""
@@ -67,15 +72,18 @@
         tokens: int,
         avoid: frozenset[TargetId] = frozenset(),
         is_new: bool = True,
+        priority: int = 0,
     ) -> Chain | None:
         """Return a chain for a request, or ``None`` if there is no capacity.
 
         Prefers a chain inside this data centre, if necessary over engines that are
-        leaving or have failed a request, to one that crosses data centres.
+        leaving or have failed a request, to one that crosses data centres. A share of
+        the new requests is placed in another one that serves them better.
 
         :param tokens: context tokens to reserve memory for.
         :param avoid: targets that have just failed this request.
         :param is_new: whether the caller has received no part of the answer yet.
+        :param priority: rank of the request; 0 comes first.
         """
         model = service.model
         if model is None:
@@ -83,9 +91,19 @@
         offers = self._list_offers(service, model, tokens)
         offers = [item for item in offers if item.target not in avoid]
         jitter = choose_jitter(self.count_near())
+        if is_new and self.placing.is_active(service):
+            far_jitter = choose_jitter(self.count_hosts())
+            placed = self.placing.find(
+                service, offers, tokens, priority, (jitter, far_jitter)
+            )
+            if placed is not None:
+                return placed
+        hop_cost = self.placing.choose_hop_cost(service)
         near = find_single_centre_chain(
-            offers, model.layers, self._home, self._source, jitter
+            offers, model.layers, self._home, self._source, jitter, hop_cost
         )
+        if is_new and self.placing.is_active(service):
+            self.placing.note_choice(service, near, tokens, is_drawn=False)
         if near is not None:
             return near
         for list_fallback in (self._list_leaving, self._list_failing):
@@ -110,6 +128,22 @@
             else None
         )
 
+    def forecast(
+        self,
+        service: ServiceSpec,
+        chain: Chain,
+        tokens: int,
+        prompt: int | None = None,
+    ) -> ChainForecast:
+        """Return what a request would get on a chain now.
+
+        :param tokens: expected context.
+        :param prompt: tokens to be prefilled; by default most of the context.
+        """
+        return self.forecaster.forecast(
+            service, chain.stages, tokens, prompt, chain.crossings
+        )
+
     def get_shortest_pause(self, service: ServiceSpec) -> float:
         """Return the seconds for which every engine that begins chains wants none.
 
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -37,6 +37,7 @@
     reserve_resend,
     spend_retry,
 )
+from marigoldswitch.gateway.forecast_checks import describe_choice, start_check
 from marigoldswitch.gateway.forwarding import EventForwarder
 from marigoldswitch.gateway.ports import ForwardOptions
 from marigoldswitch.gateway.upstream import Lost, NotSent, Reply
@@ -161,6 +162,7 @@
             frozenset(self._failed_first_engines),
             is_new=exchange.response is None,
         )
+        check = self._forwarder.check = start_check(parts, exchange, chain)
         logger.info(
             "chain_chosen" if chain else "chain_missing",
             request=exchange.call.id,
@@ -170,7 +172,7 @@
             waiting=parts.admission.count_waiting(),
             revision=parts.directory.registry.revision,
             after=self.chain_monitor.last_event,
-            **(self._describe_shortage() if chain is None else {}),
+            **describe_choice(parts, exchange, check, chain is not None),
         )
         return chain
 
@@ -184,12 +186,6 @@
         silence = now - (self._forwarder.last_sent or exchange.arrived)
         return max(0.0, route.caller_patience - RESUME_SECONDS - silence)
 
-    def _describe_shortage(self) -> dict[str, object]:
-        exchange = self._exchange
-        return self._parts.planner.describe_shortage(
-            exchange.service, exchange.call.tokens
-        )
-
     def _check_retry_allowed(self, why: str) -> None:
         """Spend a retry, or fail the request if it may not be sent again.
 
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -165,7 +165,9 @@
     )
     proxy_hosts = ProxyHosts(spread.roster, home, proxy_port, clock, source)
     requests = RequestRuns(runs, PeerProxy(runs, proxy_hosts, host_connections))
-    front = Frontend(runs, GatewayMetrics(metrics), requests)
+    gateway_metrics = GatewayMetrics(metrics)
+    gateway_metrics.watch_placing(planner.placing)
+    front = Frontend(runs, gateway_metrics, requests)
     orderer = LayerOrderer(
         clock,
         store,
--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -24,6 +24,8 @@
 
 TOKENS_PER_K = 1000.0
 MEGA = 1e6
+PREFILL_CHUNK = 512
+"""Most tokens of a prompt between two decode steps, where engines don't say."""
 """Bytes in a megabyte, bits in a megabit."""
 BITS_PER_BYTE = 8
 MIN_CALLER_PATIENCE_SECONDS = 2.0
@@ -231,6 +233,8 @@
         int(engine.get("loads_at_once") or 1),
         _read_crossing_seconds(engine),
         {item["name"]: _read_accelerator(item) for item in engine["kinds"]},
+        int(engine.get("chunk") or PREFILL_CHUNK),
+        int(engine.get("stride") or 1),
     )
 
 
