--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -18,6 +18,7 @@
     abort,
     write,
 )
+from marigoldswitch.gateway.forecast_checks import ForecastCheck
 from marigoldswitch.gateway.upstream import EndOfBodyCheck, LongBody
 
 
@@ -45,6 +46,7 @@
 
     :param bounds: returns the bounds in force.
     :ivar last_sent: when the last event was forwarded, in monotonic seconds.
+    :ivar check: of the current chain's forecast.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         bounds: Callable[[], ReadBounds],
     ) -> None:
         self.last_sent: float | None = None
+        self.check: ForecastCheck | None = None
         self._clock = clock
         self._exchange = exchange
         self._monitor = monitor
@@ -121,6 +124,8 @@
             gap = now - self.last_sent
             exchange.longest_gap = max(exchange.longest_gap, gap)
         self.last_sent = now
+        if self.check is not None:
+            self.check.note_read(now)
 
     def _is_duplicate(self, event: Event) -> bool:
         """Return whether the caller has received an event before.
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -171,6 +171,7 @@
     )
     proxy_hosts = ProxyHosts(spread.roster, home, proxy_port, clock, source)
     requests = RequestRuns(runs, PeerProxy(runs, proxy_hosts, host_connections))
+    gateway_metrics.watch_placing(planner.placing)
     front = Frontend(runs, gateway_metrics, requests)
     orderer = LayerOrderer(
         clock,
