Plan the replacements of a lost engine for the streams of all hosts

Cause: all hosts chose the replacements of a lost engine by decode steps, without the prefill that the streams bring there, and resumed streams that had lost their first engine in the busy data centre.

Change: each host plans paths for all streams of the engine, from the usage that all hosts report, so that engines are ready at the same time, and draws those of its own streams at random. Whole new chains are drawn over all data centres in proportion to what they can prefill. A backlog of prefill for each engine is raised by losses and by what this host sends; new requests avoid it. Active for services with a route that limits pauses.

--- a/marigoldswitch/core/models.py
+++ b/marigoldswitch/core/models.py
@@ -6,6 +6,9 @@
 
 from marigoldswitch.core.catalogue import LayerRange
 
+PREFILL_CHUNK_TOKENS = 512
+"""Tokens of a prompt that engines process between two decode steps."""
+
 
 class Accelerator(Struct, frozen=True):
     """A kind of accelerator.
@@ -88,3 +91,10 @@
             + self.context_seconds_per_token * context_tokens
         )
         return accelerator.step_factor * model_seconds / self.layers
+
+    def estimate_prefill_seconds(
+        self, accelerator: Accelerator, tokens: float
+    ) -> float:
+        """Return the seconds in which one layer processes a context."""
+        seconds = tokens * self.prefill_seconds_per_token / self.layers
+        return accelerator.prefill_factor * seconds
--- a/marigoldswitch/core/path_search.py
+++ b/marigoldswitch/core/path_search.py
@@ -135,8 +135,9 @@
         furthest = min(
             offer.layers.end, self._span.end, start + self._max_layers[index]
         )
+        begin = max(entry_cost, offer.wait) + offer.entry_cost
         for end in self._list_ends(start, furthest, offer.layers.end):
-            total = entry_cost + (end - start) * self._costs[index]
+            total = begin + (end - start) * self._costs[index]
             if start == 0:
                 total += offer.begin_cost
             known = best.setdefault(end, {})
--- a/marigoldswitch/core/paths.py
+++ b/marigoldswitch/core/paths.py
@@ -69,6 +69,7 @@
     offers: Sequence[StageOffer],
     centres: Mapping[TargetId, DataCentre],
     rng: random.Random,
+    jitter: float = BASE_JITTER,
 ) -> Chain | None:
     """Return a chain in which other engines replace the lost stages, or ``None``.
 
@@ -77,6 +78,7 @@
 
     :param lost: targets to replace; the first stage of a chain can't be replaced.
     :param centres: data centre of each target of the chain.
+    :param jitter: largest random part of a cost; see :func:`choose_jitter`.
     """
     if stages[0].target in lost:
         return None
@@ -90,7 +92,7 @@
             repaired.append(stage)
             continue
         previous_centre = centre_of[repaired[-1].target]
-        part = find_chain(candidates, stage.layers, rng, previous_centre)
+        part = find_chain(candidates, stage.layers, rng, previous_centre, jitter)
         if part is None:
             return None
         repaired += part.stages
--- a/marigoldswitch/core/routes.py
+++ b/marigoldswitch/core/routes.py
@@ -124,8 +124,17 @@
     accounts: Mapping[str, RoutedAccount]
     limits: ClientLimits
     routes_by_host: Mapping[str, tuple[Route, ...]] = field(init=False)
+    services_with_gap_limit: frozenset[ServiceName] = field(init=False)
+    """Services of the routes that limit the pauses of their streams."""
 
     def __post_init__(self) -> None:
+        limited = frozenset(
+            item.service
+            for route in self.routes
+            if route.max_event_gap > 0.0
+            for item in route.services
+        )
+        object.__setattr__(self, "services_with_gap_limit", limited)
         object.__setattr__(self, "routes_by_host", _group_routes(self.routes))
 
     @property
--- a/marigoldswitch/core/stages.py
+++ b/marigoldswitch/core/stages.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from msgspec import Struct
+from msgspec import Struct, structs
 
 from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.ids import DataCentre, TargetId
@@ -26,6 +26,13 @@
 """Extra cost of beginning a chain at an engine without a free slot, in decode steps of
 the reference accelerator. Chains thus begin at several engines before any is full:
 requests beyond the slots wait, and an engine's end loses all streams that it began."""
+BACKLOG_COST_FACTOR = 0.05
+"""Cost of an engine for a new request, in seconds for each token and second of prefill
+that the engine has before it. A backlog of 0.1 s weighs as much as two usual stages, so
+new prompts go elsewhere while streams are resumed there, unless no other engine has
+room."""
+FIRST_EVENT_TOKENS = 3.0
+"""Tokens of the first event after a resumption."""
 MAX_STAGES = 32
 """Most stages of a chain that engines accept."""
 
@@ -80,6 +87,13 @@
     :param expected_share: share that other hosts have probably taken since their last
         report.
     :param begin_cost: extra cost of beginning a chain there, in seconds.
+    :param prefill_seconds: seconds that one layer takes for the context of the request.
+    :param backlog: seconds of prefill that the engine has before it.
+    :param chunks: parts in which it processes that context; a decode step of its other
+        requests follows each.
+    :param wait: seconds from now before which the engine can't begin; only in searches
+        for the earliest next event of a stream.
+    :param entry_cost: cost of each stage there, in seconds.
     """
 
     target: TargetId
@@ -91,6 +105,22 @@
     share_per_layer: float
     expected_share: float = 0.0
     begin_cost: float = 0.0
+    prefill_seconds: float = 0.0
+    backlog: float = 0.0
+    chunks: int = 1
+    wait: float = 0.0
+    entry_cost: float = 0.0
+
+    def for_resuming(self) -> "StageOffer":
+        """Return the offer with the times until the next event of a stream as costs."""
+        seconds = self.prefill_seconds + FIRST_EVENT_TOKENS * self.layer_seconds
+        held = self.layers.end - self.layers.first
+        return structs.replace(
+            self,
+            layer_seconds=seconds,
+            wait=self.backlog,
+            entry_cost=self.chunks * held * self.layer_seconds,
+        )
 
     def count_free_layers(self, max_fill: float = MAX_FILL) -> int:
         """Return how many layers of the request the engine has memory for.
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -1,13 +1,15 @@
 """Chooses chains of engines for requests by the engine loads known to this host."""
 
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 
 from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.continuations import can_resume, find_resumed_chain
 from marigoldswitch.core.crossings import CrossingBudget
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads, Usage
-from marigoldswitch.core.models import ModelSpec
+from marigoldswitch.core.models import PREFILL_CHUNK_TOKENS, ModelSpec
 from marigoldswitch.core.paths import (
     choose_jitter,
     covers_model,
@@ -18,6 +20,7 @@
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.core.stages import (
+    BACKLOG_COST_FACTOR,
     Chain,
     Stage,
     StageOffer,
@@ -26,6 +29,7 @@
     count_crossings,
 )
 from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.prefill_work import PrefillWork
 
 LEAVING_USE_SECONDS = 0.8
 """Time for which a leaving engine may still get requests if its data centre has no
@@ -55,6 +59,7 @@
         self._clock = clock
         self._home = home
         self._source = source
+        self.prefill = PrefillWork(directory, loads, clock, source)
         self._crossing_budget = CrossingBudget()
         self.count_hosts: Callable[[], int] = lambda: 1
         """Returns the number of hosts that share bounds, silent ones included."""
@@ -82,6 +87,10 @@
             return None
         offers = self._list_offers(service, model, tokens)
         offers = [item for item in offers if item.target not in avoid]
+        if not is_new and self.prefill.limits_pauses(service.name):
+            resumed = find_resumed_chain(offers, model.layers, self._source)
+            if resumed is not None:
+                return resumed
         jitter = choose_jitter(self.count_near())
         near = find_single_centre_chain(
             offers, model.layers, self._home, self._source, jitter
@@ -132,6 +141,7 @@
             self._crossing_budget.spend(seconds)
         first, now = chain.stages[0].target, self._clock.monotonic()
         self._directory.statements.note_sent(first, now)
+        self.prefill.note_sent(service, chain.stages, tokens)
         self.hold(chain.stages, tokens)
 
     def find_detour(
@@ -157,21 +167,57 @@
         centres = self._list_centres(stages)
         home = centres.get(stages[0].target)
         offers = self._list_offers(service, model, tokens)
+        old_crossings = count_crossings([centres[item.target] for item in stages])
+        is_limited = self.prefill.limits_pauses(service.name)
+        if is_limited:
+            planned = self.prefill.continuations.find(
+                stages,
+                lost,
+                {item.target: item for item in offers},
+                centres,
+                self._clock.monotonic(),
+            )
+            if planned is not None and planned.crossings <= old_crossings:
+                return planned
+            offers = [item.for_resuming() for item in offers]
         near = [item for item in offers if item.data_centre == home]
         rest = {item.target for item in stages[1:]}
         attempts = ((lost, near), (lost, offers), (rest, near), (rest, offers))
-        old_crossings = count_crossings([centres[item.target] for item in stages])
+        jitter = choose_jitter(self.count_near() if is_limited else 1)
         for excluded, candidates in attempts:
-            chain = repair_chain(stages, excluded, candidates, centres, self._source)
+            chain = repair_chain(
+                stages, excluded, candidates, centres, self._source, jitter
+            )
             if chain is None:
                 continue
             added_crossings = max(0, chain.crossings - old_crossings)
             seconds = _estimate_crossing_seconds(added_crossings, model, tokens)
             now = self._clock.monotonic()
             if self._crossing_budget.try_spend(seconds, self.count_hosts(), now):
+                new = [item for item in chain.stages if item not in stages]
+                self.prefill.note_sent(service, new, tokens)
                 return chain
         return None
 
+    def has_chain_elsewhere(
+        self, service: ServiceSpec, tokens: int, first: TargetId
+    ) -> bool:
+        """Return whether another data centre has room for a whole chain.
+
+        :param first: an engine of the data centre to leave.
+        """
+        row = self._directory.registry.rows.get(first)
+        if service.model is None or row is None:
+            return False
+        offers = self._list_offers(service, service.model, tokens)
+        centre = row.target.data_centre
+        elsewhere = [item for item in offers if item.data_centre != centre]
+        return can_resume(elsewhere, service.model.layers)
+
+    def plan_loss(self, lost: TargetId) -> None:
+        """Plan how the streams of an engine that was found dead continue."""
+        self.prefill.plan_loss(lost, self._build_offers)
+
     def _list_centres(self, stages: Sequence[Stage]) -> dict[TargetId, DataCentre]:
         """Return the data centre of each engine; unknown engines count as local."""
         rows = self._directory.registry.rows
@@ -309,17 +355,23 @@
         if offered is None:
             return None
         context = usage.memory / (layers.end - layers.first)
+        slowness = self.slowness.get(target.id, 1.0)
         seconds = model.estimate_layer_seconds(accelerator, usage.requests, context)
+        backlog = self.prefill.get_seconds(target.id)
         return StageOffer(
             target.id,
             target.address,
             target.data_centre,
             offered,
-            seconds * self.slowness.get(target.id, 1.0),
+            seconds * slowness,
             usage.memory / capacity,
             tokens / capacity,
             self._loads.get_unreported_memory(target.id) * peers / capacity,
             compute_begin_cost(usage.begun, target.slots, model.step_seconds),
+            slowness * model.estimate_prefill_seconds(accelerator, tokens),
+            backlog,
+            math.ceil(tokens / PREFILL_CHUNK_TOKENS),
+            entry_cost=BACKLOG_COST_FACTOR * backlog,
         )
 
 
