Give chains first to the resumed streams with the least of their pause left

Cause: streams that had begun waited for a chain by priority and arrival, also behind those whose pause was already too long.

Change: tickets of resumed streams are ordered by the moment at which they need a chain; late ones come after the others, but before new requests.

Measured: test_waiting.py, order of streams with 0.1 s, 0.3 s and no time left.

--- a/marigoldswitch/core/waiting.py
+++ b/marigoldswitch/core/waiting.py
@@ -9,6 +9,7 @@
 
 import bisect
 import itertools
+import math
 from dataclasses import dataclass, field
 
 from marigoldswitch.core.ids import TargetId
@@ -22,10 +23,14 @@
 
 @dataclass(order=True, slots=True)
 class Ticket:
-    """A request's place in the queue, ordered by its first three fields.
+    """A request's place in the queue, ordered by its first five fields.
 
     :param is_new: whether the caller has received no part of an answer yet. Requests
         whose answer has begun go first, as that part is lost if they find no room.
+    :param is_late: whether a resumed stream can no longer keep its longest pause. The
+        others go first.
+    :param due: when a resumed stream must have a chain to keep its longest pause, in
+        monotonic seconds; 0 for new requests.
     :param priority: rank; 0 comes first.
     :param number: order of arrival, for equal priorities.
     :param tokens: size of the request.
@@ -33,6 +38,8 @@
     """
 
     is_new: bool
+    is_late: bool
+    due: float
     priority: int
     number: int
     tokens: int = field(compare=False)
@@ -53,9 +60,28 @@
         tokens: int,
         avoid: frozenset[TargetId] = frozenset(),
         is_new: bool = True,
+        due: float = math.inf,
     ) -> Ticket:
-        """Return a new ticket without adding it to the queue."""
-        return Ticket(is_new, priority, next(self._sequence), tokens, avoid)
+        """Return a new ticket without adding it to the queue.
+
+        :param due: when a stream that has begun must have a chain, in monotonic
+            seconds; infinite if its pauses are not limited.
+        """
+        due = 0.0 if is_new else due
+        number = next(self._sequence)
+        return Ticket(is_new, False, due, priority, number, tokens, avoid)
+
+    def demote_late(self, now: float) -> None:
+        """Put resumed streams that can't keep their longest pause behind the others."""
+        late = [
+            item
+            for item in self.tickets
+            if not item.is_new and not item.is_late and item.due < now
+        ]
+        if late:
+            for item in late:
+                item.is_late = True
+            self.tickets.sort()
 
     def estimate_wait(self, ticket: Ticket, now: float) -> float:
         """Return the seconds that a ticket would wait at its place in the queue."""
--- a/marigoldswitch/gateway/admission.py
+++ b/marigoldswitch/gateway/admission.py
@@ -1,6 +1,7 @@
 """Queues model requests, in order of priority, until a chain of engines has room."""
 
 import asyncio
+import math
 
 from msgspec import Struct
 
@@ -60,6 +61,7 @@
         max_wait: float,
         avoid: frozenset[TargetId] = frozenset(),
         is_new: bool = True,
+        due: float = math.inf,
     ) -> Chain | None:
         """Reserve room for a request on a chain and return the chain.
 
@@ -72,10 +74,12 @@
         :param max_wait: longest wait in seconds.
         :param avoid: targets that have just failed the request.
         :param is_new: its caller has received no part of an answer yet.
+        :param due: when it must have a chain to keep its longest pause, in monotonic
+            seconds.
         """
         state = self._get_queue(service)
         now = self._clock.monotonic()
-        ticket = state.queue.make_ticket(priority, tokens, avoid, is_new)
+        ticket = state.queue.make_ticket(priority, tokens, avoid, is_new, due)
         if not state.queue.tickets or ticket < state.queue.tickets[0]:
             chain = self._try_admit(state, ticket)
             if chain is not None:
@@ -123,6 +127,7 @@
 
     def _admit_waiting(self, state: _QueueState) -> None:
         """Give chains to the waiting requests for which there is room."""
+        state.queue.demote_late(self._clock.monotonic())
         failed = 0
         for ticket in list(state.queue.tickets):
             waiter = state.waiters.get(ticket.number)
--- a/marigoldswitch/tests/test_waiting.py
+++ b/marigoldswitch/tests/test_waiting.py
@@ -55,3 +55,17 @@
         queue.add(ticket)
     assert queue.tickets == [begun, urgent]
     assert queue.estimate_wait(queue.make_ticket(2, 1, is_new=False), 0.0) == 0.0
+
+
+def test_stream_with_the_least_of_its_pause_left_goes_first_and_late_ones_last():
+    queue = WaitQueue()
+    dues = (10.3, 10.1, float("inf"), 9.9)
+    tickets = [queue.make_ticket(2, 1, is_new=False, due=due) for due in dues]
+    new = queue.make_ticket(0, 1)
+    for ticket in (new, *tickets):
+        queue.add(ticket)
+    queue.demote_late(10.0)
+    soon, unlimited = [tickets[1], tickets[0]], tickets[2]
+    assert queue.tickets == [*soon, unlimited, tickets[3], new]
+    queue.remove(tickets[3])
+    assert tickets[3] not in queue.tickets
