Move all streams off a dead engine at once, and past engines lost with it

Cause: each stream through a lost engine noticed that by its own silence, and streams whose first engine was lost were refused by engines of the same loss. A detour was taken also where its engines had more contexts to process than the pause allowed.

Change: an engine that resets a stream, refuses although it had room or does not answer an order is probed at once, and all limited streams through a dead engine check their chains. Once the lost engine is found dead, the engines of its data centre that were not heard of since are probed, and avoided until they answer. A stream whose detour would be late is resumed over a whole chain elsewhere if a retry beside the reserve is left. Resumed streams are sent with the highest priority. Each interruption logs one line with its steps and is counted. An engine that delivers events during a lost probe isn't dead.

The new fields in the fixture of test_detours.py are those that the monitor reads now.

--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -8,22 +8,22 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator, Coroutine, Iterable
 from typing import Any, TypeVar
 
 import aiohttp
-import structlog
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.gaps import MAX_TIMEOUT, StreamGaps
 from marigoldswitch.core.ids import TargetId
-from marigoldswitch.core.stages import (
-    Chain,
-    Stage,
-    describe_stages,
-    find_refusing_stage,
+from marigoldswitch.core.stages import Stage
+from marigoldswitch.gateway.detour_orders import (
+    DetourLate,
+    DetourOrders,
+    is_lost,
+    suspect_blocking_engine,
+    suspect_unresponsive_engine,
 )
-from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.exchanges import (
     Exchange,
     RunParts,
@@ -31,9 +31,7 @@
     note_answering,
     note_cut_off,
 )
-from marigoldswitch.gateway.ports import EngineStatus, OrderReply, OrderResult
-
-logger = structlog.get_logger(__name__)
+from marigoldswitch.gateway.interruption_log import InterruptionLog, LossKind
 
 FIRST_EVENT_TIMEOUT = 0.7
 """Seconds without a first event after which a request moves to another chain although
@@ -56,8 +54,6 @@
 each costs the engines probes and a slow chain would be checked again and again."""
 ANSWERING_DELIVERIES = 2
 """Deliveries of events from which an engine has got past the begin of an answer."""
-MAX_DETOUR_ATTEMPTS = 3
-"""Chains tried for one detour; each attempt avoids the engine that refused the last."""
 
 T = TypeVar("T")
 
@@ -66,6 +62,10 @@
     """The chain will deliver no more of the answer."""
 
 
+class ChainLeft(ChainBroken):
+    """The chain is given up for a quicker one although its first engine lives."""
+
+
 class ChainMonitor:
     """Monitors the chain that one request uses now.
 
@@ -91,6 +91,10 @@
         """Times that this chain has delivered events."""
         self._recorded_ends: set[TargetId] = set()
         """Engines of this chain whose end has been recorded as a possible crash."""
+        self.interruptions = InterruptionLog(
+            exchange.call.id, exchange.route.max_event_gap, parts.record_pause
+        )
+        self._detours = DetourOrders(parts, exchange, self.interruptions)
         self._started_at = 0.0
         """When the request was given this chain."""
         self._progress_at = 0.0
@@ -151,6 +155,7 @@
         if self._deliveries == ANSWERING_DELIVERIES:
             note_answering(self._parts, self._exchange)
         self._gaps.note_event(self._progress_at)
+        self.interruptions.note_event(now)
         self._checks_since_event = 0
         self._parts.probes.note_alive(item.target for item in self.stages)
         self._restart_silence()
@@ -242,7 +247,8 @@
             self._set_timer(self._silence_limit - silence)
 
     def _choose_silence_limit(self) -> float:
-        return self._gaps.get_timeout(self._backoff)
+        longest_pause = self._exchange.route.max_event_gap
+        return self._gaps.get_timeout(self._backoff, longest_pause)
 
     async def _handle_check_request(self) -> None:
         """Replace the engines of the chain that are dead or leaving.
@@ -264,6 +270,7 @@
         :raises ChainBroken: if the request is idempotent.
         """
         if self._exchange.route.is_idempotent:
+            self._note_loss([self.stages[0].target])
             raise ChainBroken(why)
 
     async def _replace_lost_stages(self) -> None:
@@ -273,9 +280,10 @@
             room, or if the request is held off.
         """
         exchange, parts = self._exchange, self._parts
-        lost = {item.target for item in self.stages[1:] if self._is_lost(item)}
+        lost = {item.target for item in self.stages[1:] if is_lost(parts, item)}
         if not lost:
             return
+        self._note_loss(lost)
         await self._record_engine_ends(lost)
         if await self._take_detour(lost) or not exchange.may_run_again:
             return
@@ -287,6 +295,13 @@
         if parts.planner.find(exchange.service, tokens, is_new=False) is not None:
             raise ChainBroken("no detour around a dead engine")
 
+    def _note_loss(self, lost: Iterable[TargetId]) -> None:
+        """Record that dead engines interrupt the stream."""
+        now, suspects = self._parts.clock.monotonic(), self._parts.directory.suspects
+        for name in lost:
+            if suspects.is_dead(name, now):
+                self.interruptions.note_loss(LossKind.SILENCE, name, now)
+
     async def _record_engine_ends(self, lost: set[TargetId]) -> None:
         """Record dead later engines as possible crashes caused by the request.
 
@@ -302,21 +317,6 @@
         if find_hold(parts, exchange) is not None:
             raise ChainBroken("the request is held off, as it ends engines")
 
-    def _is_lost(self, stage: Stage) -> bool:
-        """Return whether the engine of a stage is dead, ending, or giving up its
-        layers.
-
-        An engine that is ordered to hold other layers first waits for its streams:
-        while they stayed, one took over 8 s to begin loading layers that were missing.
-        """
-        directory, now = self._parts.directory, self._parts.clock.monotonic()
-        if directory.suspects.is_dead(stage.target, now):
-            return True
-        if directory.registry.is_ending(stage.target, now):
-            return True
-        held = directory.registry.rows[stage.target].target.layers
-        return held is None or not held.contains(stage.layers)
-
     async def _check_chain(self) -> None:
         """Probe the engines of a silent chain, and replace those that are lost.
 
@@ -347,7 +347,9 @@
             if first_status is None:
                 self._break_if_idempotent("its first engine does not answer")
             else:
-                self._suspect_blocking_engine(first_status)
+                suspect_blocking_engine(
+                    parts, self._exchange.call.id, stages, first_status
+                )
         await self._replace_lost_stages()
         self._break_if_stalled()
 
@@ -366,91 +368,27 @@
             return
         if not parts.retries.get(exchange.service.name).has_room(now):
             return
-        self._suspect_unresponsive_first_engine(now)
-        raise ChainBroken("its engines live and bring nothing")
-
-    def _suspect_unresponsive_first_engine(self, now: float) -> None:
-        """Exclude the first engine of a chain that has been silent for too long.
-
-        Its reports may be good although it answers no request. If it surely had room,
-        this chain has delivered nothing, and others of this host were quick meanwhile,
-        all hosts are told: each would otherwise find out by a late request of its own.
-        """
-        parts, first = self._parts, self.stages[0]
-        is_closed = (
-            not self.has_delivered(first.target)
-            and parts.probes.has_prompt_answer(self._started_at)
-            and parts.planner.had_room(
-                self._exchange.service, first, self._exchange.call.tokens
-            )
+        first = self.stages[0]
+        suspect_unresponsive_engine(
+            parts, exchange, first, self._started_at, self.has_delivered(first.target)
         )
-        parts.directory.suspects.note_refusal(first.target, is_closed, now)
-
-    def _suspect_blocking_engine(self, first_status: EngineStatus) -> None:
-        """Mark the engine dead that the first engine reports it is waiting for."""
-        parts = self._parts
-        now = parts.clock.monotonic()
-        for item in first_status.stalled:
-            if item.request != self._exchange.call.id:
-                continue
-            for stage in self.stages[1:]:
-                if stage.address == item.address:
-                    parts.directory.suspects.note(stage.target, Finding.DEAD, now)
+        raise ChainBroken("its engines live and bring nothing")
 
     async def _take_detour(self, lost: set[TargetId]) -> bool:
-        """Order a detour around lost engines; return whether the first one took it."""
-        exchange, parts = self._exchange, self._parts
-        tokens = exchange.call.tokens
-        for _ in range(MAX_DETOUR_ATTEMPTS):
-            chain = parts.planner.find_detour(
-                exchange.service, tokens, self.stages, lost
-            )
-            if chain is None:
-                logger.info("detour_missing", request=exchange.call.id)
-                return False
-            replaced = self.stages
-            reply = await self._order_detour(chain)
-            logger.info(
-                "detour_ordered",
-                request=exchange.call.id,
-                stages=describe_stages(chain.stages),
-                replaced=describe_stages(replaced),
-                result=reply.result.value,
-                at_fault=reply.at_fault,
-                after=self.last_event,
-            )
-            match reply.result:
-                case OrderResult.BEGUN | OrderResult.DONE:
-                    return True
-                case OrderResult.CONFLICT if reply.at_fault:
-                    stage = find_refusing_stage(chain.stages, reply.at_fault).target
-                    now = parts.clock.monotonic()
-                    parts.directory.suspects.note(stage, Finding.REFUSED, now)
-                    lost = lost | {stage}
-                case _:
-                    return False
-        return False
-
-    async def _order_detour(self, chain: Chain) -> OrderReply:
-        """Order one detour, and count its load before the engine has taken it.
-
-        Thirty streams that lose an engine at once all read their prompts again: without
-        that load counted, they would all choose the same replacement.
+        """Order a detour around lost engines; return whether the first one took it.
+
+        :raises ChainLeft: if the request is to be resumed over another chain.
         """
-        parts, tokens = self._parts, self._exchange.call.tokens
-        parts.planner.hold(chain.stages, tokens)
-        released = chain.stages
         try:
-            reply = await parts.engines.reroute(
-                chain.stages[0].address, self._exchange.call.id, chain.stages
-            )
-            if reply.result in (OrderResult.BEGUN, OrderResult.DONE):
-                self.stages, released = chain.stages, self.stages
-                # The new engines read the prompt first, so the timeout restarts.
-                self._progress_at = parts.clock.monotonic()
-        finally:
-            parts.planner.release(released, tokens)
-        return reply
+            stages = await self._detours.take(self.stages, lost, self.last_event)
+        except DetourLate as late:
+            raise ChainLeft("its detour would be late") from late
+        if stages is None:
+            return False
+        self.stages = stages
+        # The new engines read the prompt first, so the timeout restarts.
+        self._progress_at = self._parts.clock.monotonic()
+        return True
 
 
 def _close_broken(task: asyncio.Future[None], response: aiohttp.ClientResponse) -> None:
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -23,6 +23,7 @@
 from marigoldswitch.gateway.connections import may_keep_connections
 from marigoldswitch.gateway.crashes import CrashWatch
 from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.interruption_log import RecordPause, ignore_pause
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import Call, CallCodec, EngineControl
 from marigoldswitch.gateway.probing import EngineProbes
@@ -222,6 +223,7 @@
     home: str
     contact: TargetContact
     services: ServiceContacts
+    record_pause: RecordPause = ignore_pause
 
 
 def needs_new_connection(parts: RunParts, exchange: Exchange) -> bool:
@@ -383,22 +385,3 @@
     return Fault(
         ErrorKind.DEADLINE_EXCEEDED, "the target did not finish before the deadline"
     )
-
-
-def abort(exchange: Exchange) -> None:
-    """Reset the caller's connection, so that a partial answer can't look complete."""
-    transport = exchange.http.transport
-    if transport is not None:
-        transport.abort()
-
-
-async def write(exchange: Exchange, content: bytes) -> None:
-    """Write bytes of an answer that has begun.
-
-    :raises CallerDisconnected: if the caller has closed its connection.
-    """
-    assert exchange.response is not None
-    try:
-        await exchange.response.write(content)
-    except (ConnectionError, RuntimeError) as error:
-        raise CallerDisconnected(str(error)) from error
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -7,11 +7,16 @@
 
 from marigoldswitch.core.event_stream import Event, EventSplitter
 from marigoldswitch.core.ports import Clock
+from marigoldswitch.gateway.caller_writes import write
 from marigoldswitch.gateway.detours import ChainBroken
-from marigoldswitch.gateway.exchanges import Exchange, write
+from marigoldswitch.gateway.exchanges import Exchange
 from marigoldswitch.gateway.upstream import EndOfBodyCheck
 
 
+class AnswerCut(ChainBroken):
+    """The answer ended before it was complete."""
+
+
 class StreamMonitor(Protocol):
     """Follows the progress of a stream.
 
@@ -48,7 +53,8 @@
     async def forward(self, response: aiohttp.ClientResponse) -> None:
         """Forward events until the answer is complete.
 
-        :raises ChainBroken: if the answer ends early or the chain breaks.
+        :raises AnswerCut: if the answer ends early.
+        :raises ChainBroken: if the chain breaks.
         """
         splitter, end_check = EventSplitter(), EndOfBodyCheck(response)
         async with self._monitor.monitor(response):
@@ -58,9 +64,9 @@
                     self._monitor.note_event()
                     await self._write_unseen(events)
         if splitter.has_remainder:
-            raise ChainBroken("the answer ended within an event")
+            raise AnswerCut("the answer ended within an event")
         if not end_check.is_complete():
-            raise ChainBroken("the connection was reset at the end of the answer")
+            raise AnswerCut("the connection was reset at the end of the answer")
 
     async def _write_unseen(self, events: list[Event]) -> None:
         """Write the events that the caller has not received yet."""
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -15,13 +15,13 @@
     RoutedAccount,
     RoutingTable,
 )
+from marigoldswitch.gateway.caller_writes import abort
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
     CallerDisconnected,
     Exchange,
     RequestRefused,
     RunParts,
-    abort,
     check_hold,
     describe_timeout,
 )
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -27,9 +27,24 @@
 RECHECK_INTERVAL = 0.6
 """Minimum time between two probes of an engine that was found dead. Shorter than its
 exclusion, so that no request has to find out whether it is alive."""
+NEVER = float("-inf")
 SLOW_FACTOR = 1.3
 """Slowness from which an engine counts as slow; lower values are noise."""
 
+CONFIRM_SECONDS = 0.006
+"""Time to wait for the probe of an engine that reset a stream. The closed port of one
+that has ended answers within 1 ms."""
+SURVEY_SECONDS = 0.01
+"""Time to wait for probes after a loss; live engines answer in 2 to 6 ms. A stream that
+is sent to a lost engine instead is refused in about 2 ms, but each refusal costs a
+retry, and three quarters of all chains contain one of four lost engines."""
+LATE_EVENT_SECONDS = 0.02
+"""Time after which events of an engine that has ended no longer arrive. One that
+delivers later events than that after a probe began is alive, although the probe was
+lost: all its streams would move away from it."""
+SURVEY_INTERVAL = 0.3
+"""Minimum time between two surveys of a data centre; one loss is noticed within it."""
+
 
 class EngineProbes:
     """Probes suspected engines and caches their status for a short time."""
@@ -68,7 +83,9 @@
         """When each engine was last probed."""
         self._last_event_at: dict[TargetId, float] = {}
         """When an event last arrived over a chain through each engine."""
-        self._prompt_answer_at = float("-inf")
+        self._surveyed_at: dict[DataCentre, float] = {}
+        """When the engines of each data centre were last probed after a loss."""
+        self._prompt_answer_at = NEVER
         """When a chain of this host last delivered its first event in good time."""
 
     def note_alive(self, targets: Iterable[TargetId]) -> None:
@@ -101,7 +118,7 @@
         return target in self._last_event_at
 
     def _get_last_event_time(self, target: TargetId) -> float:
-        return self._last_event_at.get(target, float("-inf"))
+        return self._last_event_at.get(target, NEVER)
 
     async def check(self, target: Target) -> EngineStatus | None:
         """Return the status of an engine, or ``None`` if it is dead.
@@ -213,6 +230,57 @@
                 lambda _: self._background_checks.pop(target.id, None)
             )
 
+    async def find_unheard(self, lost: Target, since: float) -> frozenset[TargetId]:
+        """Return engines that may have been lost together with another one.
+
+        If that one is found dead, the engines of its data centre that were not heard of
+        since are probed. Returns those that have not answered after ``SURVEY_SECONDS``;
+        none if the engine is not dead.
+
+        :param since: when its loss was noticed, in monotonic seconds.
+        """
+        suspects = self._directory.suspects
+        self.check_in_background(lost)
+        await asyncio.wait([self._background_checks[lost.id]], timeout=CONFIRM_SECONDS)
+        now = self._clock.monotonic()
+        if not suspects.is_dead(lost.id, now):
+            return frozenset()
+        engines = [
+            item
+            for item in self._directory.registry.list_engines()
+            if item.data_centre == lost.data_centre
+            and not suspects.is_excluded(item.id, now)
+            and not self._was_heard(item.id, since)
+        ]
+        if now - self._surveyed_at.get(lost.data_centre, NEVER) >= SURVEY_INTERVAL:
+            self._surveyed_at[lost.data_centre] = now
+            for item in engines:
+                self.check_in_background(item)
+        checks = [
+            self._background_checks[item.id]
+            for item in engines
+            if item.id in self._background_checks
+        ]
+        if checks:
+            await asyncio.wait(checks, timeout=SURVEY_SECONDS)
+        unheard = frozenset(
+            item.id for item in engines if not self._was_heard(item.id, since)
+        )
+        logger.info(
+            "loss_surveyed",
+            target=lost.id,
+            asked=len(engines),
+            unheard=len(unheard),
+            took=round(self._clock.monotonic() - now, 4),
+        )
+        return unheard
+
+    def _was_heard(self, target: TargetId, since: float) -> bool:
+        """Return whether an engine has delivered an event or answered a probe."""
+        seen = self._cached_statuses.get(target)
+        has_answered = seen is not None and seen[0] >= since and seen[1] is not None
+        return has_answered or self.is_alive(target, since)
+
     def forget(self, target: TargetId) -> None:
         """Discard all state of an engine that is gone."""
         self._cached_statuses.pop(target, None)
@@ -228,7 +296,8 @@
             self._record_status(target, answer, now)
             return answer
         took = round(now - began, 4)
-        if answer is Cause.HOST:
+        has_delivered = self.is_alive(target.id, began + LATE_EVENT_SECONDS)
+        if answer is Cause.HOST or (answer is not Cause.GONE and has_delivered):
             logger.info("probe_inconclusive", target=target.id, took=took)
             return build_default_status(target)
         logger.warning(
--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -15,6 +15,7 @@
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.event_stream import EventTooLong
 from marigoldswitch.core.ids import HostId
+from marigoldswitch.gateway.caller_writes import abort
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.detours import ChainBroken
 from marigoldswitch.gateway.exchanges import (
@@ -22,7 +23,6 @@
     Exchange,
     RequestRefused,
     RunParts,
-    abort,
     spend_retry,
 )
 from marigoldswitch.gateway.forwarding import EventForwarder
--- a/marigoldswitch/gateway/request_runs.py
+++ b/marigoldswitch/gateway/request_runs.py
@@ -4,13 +4,13 @@
 from aiohttp import web
 
 from marigoldswitch.core.errors import ErrorKind
+from marigoldswitch.gateway.caller_writes import abort
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
     ContactLost,
     Exchange,
     RequestRefused,
     RunParts,
-    abort,
     check_contact,
 )
 from marigoldswitch.gateway.plain import PlainRun, PlainSelectors
@@ -39,6 +39,16 @@
         for run in self.list_streams(target):
             run.chain_monitor.request_check()
 
+    def check_limited_streams(self, target: str) -> None:
+        """Make the streams through a dead engine take their detours at once.
+
+        Only those whose route limits the pauses of its streams; the others move away as
+        they notice its silence.
+        """
+        for run in self.list_streams(target):
+            if run.limits_pauses:
+                run.chain_monitor.request_check()
+
     def list_streams(self, target: str) -> list[StreamRun]:
         """Return the running streams whose chain contains an engine."""
         return [
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -392,7 +392,7 @@
         parts = self._parts
         for name in names:
             target = parts.directory.registry.targets.get(name)
-            if target is None or parts.directory.suspects.is_excluded(name, now):
+            if target is None or parts.directory.suspects.is_dead(name, now):
                 continue
             if self._must_probe(target):
                 parts.probes.check_in_background(target)
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -15,7 +15,6 @@
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.event_stream import EventTooLong
-from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import (
     Chain,
     Stage,
@@ -23,13 +22,13 @@
     find_refusing_stage,
 )
 from marigoldswitch.core.suspects import Finding
-from marigoldswitch.gateway.detours import ChainBroken, ChainMonitor
+from marigoldswitch.gateway.caller_writes import abort
+from marigoldswitch.gateway.detours import ChainBroken, ChainLeft, ChainMonitor
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
     Exchange,
     RequestRefused,
     RunParts,
-    abort,
     check_contact,
     check_hold,
     needs_new_connection,
@@ -37,8 +36,11 @@
     reserve_resend,
     spend_retry,
 )
-from marigoldswitch.gateway.forwarding import EventForwarder
+from marigoldswitch.gateway.forwarding import AnswerCut, EventForwarder
+from marigoldswitch.gateway.interruption_log import LossKind
+from marigoldswitch.gateway.lost_runs import record_lost_run
 from marigoldswitch.gateway.ports import ForwardOptions
+from marigoldswitch.gateway.stream_losses import StreamLosses
 from marigoldswitch.gateway.upstream import Lost, NotSent, Reply
 
 logger = structlog.get_logger(__name__)
@@ -50,6 +52,7 @@
 """Time that a stream which has begun needs from getting a new chain to its next event.
 It waits for a chain until its caller would leave before that event: aborting it loses
 what the caller has received."""
+HIGHEST_PRIORITY = 0
 MAX_REFUSALS = 4
 """Refusals by engines after which the caller is told to retry later."""
 MAX_RESUME_REFUSALS = 8
@@ -83,10 +86,14 @@
         self._parts = parts
         self._exchange = exchange
         self._forwarder = EventForwarder(parts.clock, exchange, self.chain_monitor)
-        self._failed_first_engines: set[TargetId] = set()
-        """First engines of broken chains; later chains avoid them."""
+        self._losses = StreamLosses(parts, exchange, self.chain_monitor.interruptions)
         self._refusals = 0
 
+    @property
+    def limits_pauses(self) -> bool:
+        """Return whether the route limits the pauses of the stream."""
+        return self._exchange.route.max_event_gap > 0.0
+
     async def run(self) -> web.StreamResponse:
         """Run the request to its end and return the answer sent to the caller.
 
@@ -105,9 +112,16 @@
                 result = await self._run_over_chain()
             except ChainBroken as broken:
                 self._exchange.attempt_log.append(f"broken: {broken}")
-                self._failed_first_engines.add(chain.stages[0].target)
-                if self._exchange.run_count > runs_before:
-                    await self._record_lost_run(chain.stages[0], str(broken))
+                self._losses.note_broken_chain(chain.stages[0].target)
+                has_run = self._exchange.run_count > runs_before
+                if has_run and not isinstance(broken, ChainLeft):
+                    await record_lost_run(
+                        self._parts,
+                        self._exchange,
+                        self.chain_monitor,
+                        chain.stages[0],
+                        str(broken),
+                    )
                 check_contact(self._parts, self._exchange)
                 self._check_retry_allowed(str(broken))
                 continue
@@ -120,47 +134,22 @@
                 case EnginesRefused(at_fault):
                     self._handle_refusal(chain.stages, at_fault)
 
-    async def _record_lost_run(self, first: Stage, why: str) -> None:
-        """Log a lost run and report it as a possible crash of its first engine."""
-        had_event = self.chain_monitor.has_delivered(first.target)
-        self._log_lost_run(first, why, had_event)
-        parts = self._parts
-        row = parts.directory.registry.rows.get(first.target)
-        if row is None:
-            return
-        await self.chain_monitor.note_cut_off(row.target)
-        await self._discount_run_if_ended(row.target)
-
-    def _log_lost_run(self, first: Stage, why: str, had_event: bool) -> None:
-        exchange, parts = self._exchange, self._parts
-        now = parts.clock.monotonic()
-        budget = parts.retries.get(exchange.service.name)
-        logger.info(
-            "run_lost",
-            request=exchange.call.id,
-            fingerprint=exchange.fingerprint,
-            parts=exchange.call.prompt_parts,
-            target=first.target,
-            had_event=had_event,
-            after=self.chain_monitor.last_event,
-            why=why,
-            repeats=budget.retries.count(now),
-            repeats_allowed=round(budget.get_limit(now), 1),
-        )
-
     # Waiting for a chain and retrying.
 
     async def _acquire_chain(self) -> Chain | None:
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
+        interruptions = self.chain_monitor.interruptions
         chain = await parts.admission.acquire(
             exchange.service,
             exchange.call.tokens,
             exchange.priority,
             self._compute_max_wait(now),
-            frozenset(self._failed_first_engines),
+            await self._losses.list_avoided(),
             is_new=exchange.response is None,
+            due=now + interruptions.get_seconds_left(now) - RESUME_SECONDS,
         )
+        interruptions.note_chain(parts.clock.monotonic())
         logger.info(
             "chain_chosen" if chain else "chain_missing",
             request=exchange.call.id,
@@ -247,6 +236,9 @@
             held=parts.loads.get(stage.target).requests,
             finding=finding.value,
         )
+        row = parts.directory.registry.rows.get(stage.target)
+        if finding is Finding.CLOSED and row is not None:
+            self._losses.note(LossKind.REFUSAL, row.target)
 
     def _spend_retry(self) -> bool:
         """Take a retry from the service's budget; return whether one was left.
@@ -295,7 +287,8 @@
             first_row.target.id,
             exchange.deadline - now,
             exchange.account,
-            exchange.priority,
+            # Engines process the context of an interrupted stream first.
+            HIGHEST_PRIORITY if self._losses.limits_pause else exchange.priority,
             self.chain_monitor.stages,
             self.chain_monitor.last_event,
         )
@@ -311,16 +304,22 @@
             case NotSent(why):
                 exchange.run_count -= 1
                 exchange.connect_failures += 1
-                self._suspect_unreachable(first_row.target, result)
+                self._losses.suspect_unreachable(first_row.target, result)
                 raise ChainBroken(f"not sent: {why}")
             case Lost(why):
                 now = parts.clock.monotonic()
                 parts.directory.suspects.note(first_row.target.id, Finding.FAILED, now)
                 parts.probes.check_in_background(first_row.target)
                 raise ChainBroken(f"no answer: {why}")
+        now = parts.clock.monotonic()
+        self.chain_monitor.interruptions.note_order_answered(now)
         try:
             return await self._relay_answer(result)
+        except AnswerCut:
+            self._losses.note(LossKind.CUT, first_row.target)
+            raise
         except (aiohttp.ClientError, OSError, EventTooLong) as error:
+            self._losses.note(LossKind.RESET, first_row.target)
             raise ChainBroken(f"{type(error).__name__}: {error}") from error
         finally:
             result.response.close()
@@ -342,36 +341,6 @@
         request = self._parts.upstream.send(target, call, body, sending, new_connection)
         return await self.chain_monitor.run_monitored(request)
 
-    def _suspect_unreachable(self, target: Target, not_sent: NotSent) -> None:
-        """Avoid an engine that could not be connected to.
-
-        It is marked dead only if it refused the connection. Otherwise it is probed
-        first: the SYN may have been lost, and marking an engine dead makes all streams
-        through it move away.
-        """
-        parts = self._parts
-        now = parts.clock.monotonic()
-        if not_sent.is_connection_refused:
-            parts.directory.suspects.note(target.id, Finding.DEAD, now)
-            return
-        parts.directory.suspects.note(target.id, Finding.REFUSED, now)
-        parts.probes.check_in_background(target)
-
-    async def _discount_run_if_ended(self, first: Target) -> None:
-        """Exempt a run from the route's limit on targets if its engine has ended.
-
-        In a rollout, an engine cuts its streams off just before it closes its port. It
-        is probed only if the request could not run again otherwise. A silent engine
-        does not count: it may still run the request, which would then exceed the limit.
-        """
-        exchange = self._exchange
-        if exchange.may_run_again or not exchange.route.is_idempotent:
-            return
-        parts = self._parts
-        born = parts.directory.registry.get_born(first.id)
-        if await parts.probes.has_ended(first, born):
-            exchange.discounted_runs += 1
-
     async def _relay_answer(self, answer: Reply) -> Completed | EnginesRefused:
         """Forward the answer of the first engine to the caller.
 
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -165,7 +165,9 @@
     )
     proxy_hosts = ProxyHosts(spread.roster, home, proxy_port, clock, source)
     requests = RequestRuns(runs, PeerProxy(runs, proxy_hosts, host_connections))
-    front = Frontend(runs, GatewayMetrics(metrics), requests)
+    gateway_metrics = GatewayMetrics(metrics)
+    runs.record_pause = gateway_metrics.count_pause
+    front = Frontend(runs, gateway_metrics, requests)
     orderer = LayerOrderer(
         clock,
         store,
@@ -188,6 +190,8 @@
     planner.count_near = spread.roster.count_local
     spread.lease = orderer.lease
     crashes.may_decide_trials = lambda: orderer.lease.get_held_row() is not None
+    directory.suspects.add_dead_listener(planner.plan_loss)
+    directory.suspects.add_dead_listener(requests.check_limited_streams)
     directory.suspects.add_dead_listener(lambda _: spread.send_urgent_digest())
     directory.suspects.add_closed_listener(lambda _: spread.send_urgent_digest())
     return GatewayHost(
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -10,9 +10,10 @@
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import Stage
 from marigoldswitch.core.suspects import Finding
-from marigoldswitch.gateway.detours import ChainBroken, ChainMonitor
+from marigoldswitch.gateway.detours import ChainBroken, ChainLeft, ChainMonitor
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.exchanges import Exchange
+from marigoldswitch.gateway.interruption_log import InterruptionLog, ignore_pause
 from marigoldswitch.gateway.ports import EngineStatus, OrderReply, OrderResult
 from marigoldswitch.gateway.probing import EngineProbes
 from marigoldswitch.gateway.service_contacts import ServiceContacts
@@ -52,11 +53,13 @@
             slowness={},
             find_detour=lambda *_: self.detour,
             find=lambda *_, **__: None,
+            has_chain_elsewhere=lambda *_: self.has_room_elsewhere,
             hold=lambda *_: None,
             release=lambda *_: None,
             had_room=lambda *_: self.had_room,
         )
         self.had_room = True
+        self.has_room_elsewhere = True
         contact = TargetContact(0.0)
         self.probes = EngineProbes(
             self, self.directory, planner, clock, contact, ServiceContacts(clock)
@@ -71,11 +74,12 @@
             crashes=SimpleNamespace(is_empty=True, note_cut_off=self._note_cut_off),
             engines=self,
             contact=contact,
+            record_pause=ignore_pause,
         )
         call = SimpleNamespace(
             id="r", path="/", last_event=None, tokens=1, prompt_parts=()
         )
-        route = SimpleNamespace(max_targets=2, is_idempotent=True)
+        route = SimpleNamespace(max_targets=2, is_idempotent=True, max_event_gap=0.0)
         service = SimpleNamespace(name="m")
         self.exchange = Exchange(
             None,
@@ -236,9 +240,45 @@
 def test_timeout_restarts_after_a_detour():
     chain = MonitoredChain()
     chain.dead.add(NAMES[1])
-    chain.detour = SimpleNamespace(stages=(STAGES[0], STAGES[2]))
+    chain.detour = SimpleNamespace(stages=(STAGES[0], STAGES[2]), cost=0.0)
     chain.check(after=0.8)
     assert chain.monitor.stages == chain.detour.stages
     chain.check(after=0.6)
     with pytest.raises(ChainBroken):
         chain.check(after=0.2)
+
+
+def lose_a_later_engine(chain, ready_in=0.3):
+    """Let a stream whose pauses may last 0.25 s notice a loss after 0.08 s."""
+    chain.exchange.route.max_event_gap = 0.25
+    chain.monitor.interruptions = chain.monitor._detours._interruptions = (
+        InterruptionLog("r", 0.25)
+    )
+    chain.monitor.interruptions.note_event(chain.now)
+    chain.monitor.last_event = "3"
+    chain.dead.add(NAMES[1])
+    chain.directory.suspects.note(NAMES[1], Finding.DEAD, chain.now)
+    chain.detour = SimpleNamespace(stages=(STAGES[0], STAGES[2]), cost=ready_in)
+    chain.now += 0.08
+    asyncio.run(chain.monitor._handle_check_request())
+
+
+def test_stream_leaves_a_detour_that_would_be_late():
+    """Replacements with a queue of contexts took 0.13 to 0.2 s after the order."""
+    chain = MonitoredChain()
+    with pytest.raises(ChainLeft):
+        lose_a_later_engine(chain)
+
+
+@pytest.mark.parametrize("why", ["in time", "no budget", "ran twice", "nowhere else"])
+def test_stream_takes_a_late_detour_if_it_has_no_other_chain(why):
+    chain = MonitoredChain()
+    match why:
+        case "no budget":
+            chain.budget.has_room = lambda now: False
+        case "ran twice":
+            chain.exchange.run_count = 2
+        case "nowhere else":
+            chain.has_room_elsewhere = False
+    lose_a_later_engine(chain, 0.05 if why == "in time" else 0.3)
+    assert chain.monitor.stages == chain.detour.stages
