--- a/marigoldswitch/core/models.py
+++ b/marigoldswitch/core/models.py
@@ -93,3 +93,10 @@
             + self.context_seconds_per_token * context_tokens
         )
         return accelerator.step_factor * model_seconds / self.layers
+
+    def estimate_prefill_seconds(
+        self, accelerator: Accelerator, tokens: float
+    ) -> float:
+        """Return the seconds in which one layer processes a context."""
+        seconds = tokens * self.prefill_seconds_per_token / self.layers
+        return accelerator.prefill_factor * seconds
--- a/marigoldswitch/gateway/broken_chains.py
+++ b/marigoldswitch/gateway/broken_chains.py
@@ -1,12 +1,5 @@
 """The ends of chains that deliver no more of an answer."""
 
-import structlog
-
-from marigoldswitch.core.stages import Stage
-from marigoldswitch.gateway.exchanges import Exchange, RunParts
-
-logger = structlog.get_logger(__name__)
-
 
 class ChainBroken(Exception):
     """The chain will deliver no more of the answer.
@@ -20,31 +13,5 @@
         self.is_unbounded = is_unbounded
 
 
-def log_lost_run(
-    parts: RunParts,
-    exchange: Exchange,
-    first: Stage,
-    broken: ChainBroken,
-    had_event: bool,
-    last_event: str | None,
-) -> None:
-    """Log a run that broke off.
-
-    :param first: first stage of its chain.
-    :param had_event: whether that had delivered an event.
-    :param last_event: id of the last event that the caller has received, if any.
-    """
-    now = parts.clock.monotonic()
-    budget = parts.retries.get(exchange.service.name)
-    logger.info(
-        "run_lost",
-        request=exchange.call.id,
-        fingerprint=exchange.fingerprint,
-        parts=exchange.call.prompt_parts,
-        target=first.target,
-        had_event=had_event,
-        after=last_event,
-        why=str(broken),
-        repeats=budget.retries.count(now),
-        repeats_allowed=round(budget.get_limit(now), 1),
-    )
+class ChainLeft(ChainBroken):
+    """The chain is given up for a quicker one although its first engine lives."""
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -12,16 +12,16 @@
 from marigoldswitch.core.read_bounds import EventProgress, Excess, ReadBounds
 from marigoldswitch.gateway.bounded_reads import AnswerUnbounded
 from marigoldswitch.gateway.broken_chains import ChainBroken
-from marigoldswitch.gateway.exchanges import (
-    AnswerAborted,
-    Exchange,
-    abort,
-    write,
-)
+from marigoldswitch.gateway.caller_writes import abort, write
+from marigoldswitch.gateway.exchanges import AnswerAborted, Exchange
 from marigoldswitch.gateway.forecast_checks import ForecastCheck
 from marigoldswitch.gateway.upstream import EndOfBodyCheck, LongBody
 
 
+class AnswerCut(ChainBroken):
+    """The answer ended before it was complete."""
+
+
 class StreamMonitor(Protocol):
     """Follows the progress of a stream.
 
@@ -66,7 +66,8 @@
     async def forward(self, response: aiohttp.ClientResponse) -> None:
         """Forward events until the answer is complete.
 
-        :raises ChainBroken: if the answer ends early or the chain breaks.
+        :raises AnswerCut: if the answer ends early.
+        :raises ChainBroken: if the chain breaks.
         :raises AnswerUnbounded: if the answer exceeds a bound.
         """
         bounds, clock = self._get_bounds(), self._clock
@@ -94,9 +95,9 @@
                     response.close()
                     raise AnswerUnbounded(found)
         if splitter.has_remainder:
-            raise ChainBroken("the answer ended within an event")
+            raise AnswerCut("the answer ended within an event")
         if not end_check.is_complete():
-            raise ChainBroken("the connection was reset at the end of the answer")
+            raise AnswerCut("the connection was reset at the end of the answer")
 
     async def _write_unseen(self, events: list[Event], is_progress: bool) -> None:
         """Write the events that the caller has not received yet.
--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -22,13 +22,13 @@
     read_whole,
 )
 from marigoldswitch.gateway.broken_chains import ChainBroken
+from marigoldswitch.gateway.caller_writes import abort
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
     Exchange,
     RequestRefused,
     RunParts,
-    abort,
     spend_retry,
 )
 from marigoldswitch.gateway.forwarding import EventForwarder, pass_long_body
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -172,6 +172,7 @@
     proxy_hosts = ProxyHosts(spread.roster, home, proxy_port, clock, source)
     requests = RequestRuns(runs, PeerProxy(runs, proxy_hosts, host_connections))
     gateway_metrics.watch_placing(planner.placing)
+    runs.record_pause = gateway_metrics.count_pause
     front = Frontend(runs, gateway_metrics, requests)
     orderer = LayerOrderer(
         clock,
@@ -195,6 +196,8 @@
     planner.count_near = spread.roster.count_local
     spread.lease = orderer.lease
     crashes.may_decide_trials = lambda: orderer.lease.get_held_row() is not None
+    directory.suspects.add_dead_listener(planner.plan_loss)
+    directory.suspects.add_dead_listener(requests.check_limited_streams)
     directory.suspects.add_dead_listener(lambda _: spread.send_urgent_digest())
     directory.suspects.add_closed_listener(lambda _: spread.send_urgent_digest())
     return GatewayHost(
