Resume streams elsewhere without waiting for probes of the engines that remain

Cause: a stream that lost its first engine waited for probes of thirty engines although other data centres had room.

Change: engines not heard of since the loss are avoided at once where others have room; only otherwise are they probed, within 20 ms of the loss.

--- a/marigoldswitch/gateway/detour_orders.py
+++ b/marigoldswitch/gateway/detour_orders.py
@@ -4,8 +4,8 @@
 
 import structlog
 
-from marigoldswitch.core.continuations import is_quicker_elsewhere
 from marigoldswitch.core.ids import RequestId, TargetId
+from marigoldswitch.core.resumption import is_quicker_elsewhere
 from marigoldswitch.core.stages import (
     Chain,
     Stage,
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Collection, Sequence
 
 from marigoldswitch.core.catalogue import LayerRange, Target
-from marigoldswitch.core.continuations import can_resume, find_resumed_chain
 from marigoldswitch.core.crossings import CrossingBudget
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads, Usage
@@ -18,6 +17,7 @@
     repair_chain,
 )
 from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.resumption import can_resume, find_resumed_chain
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.core.stages import (
     BACKLOG_COST_FACTOR,
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -31,9 +31,9 @@
 SLOW_FACTOR = 1.3
 """Slowness from which an engine counts as slow; lower values are noise."""
 
-CONFIRM_SECONDS = 0.006
+CONFIRM_SECONDS = 0.02
 """Time to wait for the probe of an engine that reset a stream. The closed port of one
-that has ended answers within 1 ms."""
+that has ended answers within 1 ms, unless this host is busy."""
 SURVEY_SECONDS = 0.01
 """Time to wait for probes after a loss; live engines answer in 2 to 6 ms. A stream that
 is sent to a lost engine instead is refused in about 2 ms, but each refusal costs a
@@ -230,6 +230,18 @@
                 lambda _: self._background_checks.pop(target.id, None)
             )
 
+    def list_unheard(self, lost: Target, since: float) -> frozenset[TargetId]:
+        """Return the engines of a lost one's data centre that were not heard of since.
+
+        :param since: in monotonic seconds.
+        """
+        return frozenset(
+            item.id
+            for item in self._directory.registry.list_engines()
+            if item.data_centre == lost.data_centre
+            and not self._was_heard(item.id, since)
+        )
+
     async def find_unheard(self, lost: Target, since: float) -> frozenset[TargetId]:
         """Return engines that may have been lost together with another one.
 
--- a/marigoldswitch/gateway/stream_losses.py
+++ b/marigoldswitch/gateway/stream_losses.py
@@ -9,6 +9,11 @@
 from marigoldswitch.gateway.interruption_log import InterruptionLog, LossKind
 from marigoldswitch.gateway.upstream import NotSent
 
+SHARED_LOSS_SECONDS = 1.0
+"""Time after a loss in which engines that were not heard of since are avoided; probes
+have shown by then which of them are dead."""
+MAX_LOSSES = 4
+
 
 class _Loss(Struct, frozen=True):
     """An engine that a stream has probably lost.
@@ -31,8 +36,8 @@
         self._interruptions = interruptions
         self._failed_first_engines: set[TargetId] = set()
         """First engines of broken chains; later chains avoid them."""
-        self._newest: _Loss | None = None
-        """The newest loss since the last chain was chosen."""
+        self._losses: list[_Loss] = []
+        """The losses that the next chain should allow for."""
 
     @property
     def limits_pause(self) -> bool:
@@ -48,7 +53,7 @@
         if self._exchange.route.max_event_gap <= 0.0:
             return
         now = self._parts.clock.monotonic()
-        self._newest = _Loss(target, now)
+        self._add(target, now)
         self._parts.probes.check_in_background(target)
         self._interruptions.note_loss(kind, target.id, now)
 
@@ -58,27 +63,45 @@
         now, directory = self._parts.clock.monotonic(), self._parts.directory
         row = directory.registry.rows.get(first)
         is_dead = directory.suspects.is_dead(first, now)
-        if self._newest is None and row is not None and is_dead:
-            self._newest = _Loss(row.target, now)
+        if row is not None and is_dead:
+            self._add(row.target, now)
+
+    def _add(self, target: Target, now: float) -> None:
+        """Remember a loss, once for each engine, and the newest few."""
+        if all(item.target.id != target.id for item in self._losses):
+            self._losses = [*self._losses[1 - MAX_LOSSES :], _Loss(target, now)]
 
     async def list_avoided(self) -> frozenset[TargetId]:
         """Return the engines that the next chain should avoid.
 
-        A stream whose first engine was lost avoids engines of its data centre that were
-        not heard of since, if others have room: several engines are often lost at once.
+        Several engines are often lost at once. A stream whose first engine was lost
+        avoids those of its data centre that were not heard of since, if others have
+        room, such as those of another data centre. Otherwise it waits until those that
+        live have answered.
         """
-        exchange, parts = self._exchange, self._parts
+        parts = self._parts
         failed = frozenset(self._failed_first_engines)
-        loss, self._newest = self._newest, None
-        if loss is None or not self.limits_pause:
+        now = parts.clock.monotonic()
+        if not self.limits_pause or not self._losses:
             return failed
-        unheard = await parts.probes.find_unheard(loss.target, loss.noticed_at)
-        avoided = failed | unheard
-        if avoided == failed:
+        self._losses = [
+            item for item in self._losses if now - item.noticed_at < SHARED_LOSS_SECONDS
+        ]
+        for loss in self._losses:
+            failed |= parts.probes.list_unheard(loss.target, loss.noticed_at)
+        if self._has_chain(failed):
             return failed
+        failed = frozenset(self._failed_first_engines)
+        for loss in self._losses:
+            failed |= await parts.probes.find_unheard(loss.target, loss.noticed_at)
+        if self._has_chain(failed):
+            return failed
+        return frozenset(self._failed_first_engines)
+
+    def _has_chain(self, avoided: frozenset[TargetId]) -> bool:
+        exchange, planner = self._exchange, self._parts.planner
         tokens = exchange.call.tokens
-        chain = parts.planner.find(exchange.service, tokens, avoided, is_new=False)
-        return avoided if chain is not None else failed
+        return planner.find(exchange.service, tokens, avoided, False) is not None
 
     def suspect_unreachable(self, target: Target, not_sent: NotSent) -> None:
         """Avoid an engine that could not be connected to.
--- a/marigoldswitch/tests/loss_plays.py
+++ b/marigoldswitch/tests/loss_plays.py
@@ -13,11 +13,11 @@
 
 from marigoldswitch.clocks import ManualClock
 from marigoldswitch.core.catalogue import LayerRange, Target
-from marigoldswitch.core.continuations import is_quicker_elsewhere
 from marigoldswitch.core.ids import DataCentre, HostId, ServiceName, TargetId
 from marigoldswitch.core.loads import Loads, Usage
 from marigoldswitch.core.models import Accelerator, ModelSpec
 from marigoldswitch.core.registry import TargetRow
+from marigoldswitch.core.resumption import is_quicker_elsewhere
 from marigoldswitch.core.stages import Stage
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.directory import Directory
