--- a/marigoldswitch/tests/test_queueing.py
+++ b/marigoldswitch/tests/test_queueing.py
@@ -6,11 +6,11 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from marigoldswitch.core import queueing
+from marigoldswitch.core.admitting import queueing
+from marigoldswitch.core.admitting.queueing import FairQueue, WaitingRequest
 from marigoldswitch.core.catalogue import Priority
 from marigoldswitch.core.ledger import InvariantViolation
 from marigoldswitch.core.pace import Pace
-from marigoldswitch.core.queueing import FairQueue, WaitingRequest
 from marigoldswitch.tests.helpers import build_ask
 
 
