Order waiting model requests by urgency and fairly over accounts

Each host ordered its waiting requests by priority and arrival alone: an account with most of the traffic took most of the capacity, urgent requests at one host waited while another one admitted less urgent ones, and refused callers came back after a random 0.8 to 2.4 s. A service that several priorities or accounts share now has a queue that serves begun and resumed streams first, then by urgency, then fairly over accounts by size; hosts report what waits and hold back for more urgent requests elsewhere; Retry-After is the time at which the request would be admitted; requests without a chance are refused at once; an engine that has refused a request doesn't get it again while its load is unchanged. Other services are ordered as before.

--- /dev/null
+++ b/marigoldswitch/core/admitting/applicants.py
@@ -0,0 +1,84 @@
+"""What the gateway knows of a request that asks for capacity."""
+
+from msgspec import Struct
+
+from marigoldswitch.core.ids import AccountId, RequestId
+from marigoldswitch.core.routes import Route, RoutingTable
+
+NO_ACCOUNT = AccountId("")
+"""Account of the requests that belong to none."""
+MAX_CREDITED_SHARE = 1.0 / 3.0
+"""Longest time since the first arrival that is believed, as a share of the route's
+timeout: callers honour ``Retry-After`` up to a third of the time they have left."""
+
+
+class Applicant(Struct, frozen=True):
+    """A request that asks for capacity. Times are monotonic seconds.
+
+    :param account: its client account; :data:`NO_ACCOUNT` if it has none.
+    :param first_arrival: when its caller first sent it, to any host.
+    :param objective_at: when its first event should arrive.
+    :param deadline_at: when its answer must be complete.
+    :param answer_tokens: expected length of its answer.
+    :param is_resumed: its caller has received part of an answer.
+    :param is_early: its caller was told to come back later than this.
+    :param is_first_ask: it has not asked for capacity here before.
+    :param weight: weight of its account.
+    """
+
+    account: AccountId
+    first_arrival: float
+    objective_at: float
+    deadline_at: float
+    answer_tokens: int = 0
+    is_resumed: bool = False
+    is_early: bool = False
+    is_first_ask: bool = True
+    weight: float = 1.0
+    request: RequestId = RequestId("")
+
+
+class FirstArrivals:
+    """Tells when a request was first sent from the time that its caller has left.
+
+    A caller that returns after a refusal has less time left than one that comes for the
+    first time. No other state is needed, so the place of a first arrival holds at every
+    host.
+    """
+
+    def __init__(self) -> None:
+        self._least_used: dict[str, float] = {}
+        """Least time, in seconds, that callers of each route had used up."""
+
+    def find(self, route: Route, time_left: float | None, arrived: float) -> float:
+        """Return when a request first arrived, in monotonic seconds.
+
+        :param time_left: seconds that its caller waits for the answer, if stated.
+        :param arrived: when it arrived here, in monotonic seconds.
+        """
+        if time_left is None or time_left >= route.timeout:
+            self._least_used[route.name] = 0.0
+            return arrived
+        used = route.timeout - time_left
+        least = min(used, self._least_used.get(route.name, used))
+        self._least_used[route.name] = least
+        credited = used - least
+        if credited > MAX_CREDITED_SHARE * route.timeout:
+            return arrived
+        return arrived - credited
+
+
+def find_shared_services(table: RoutingTable) -> frozenset[str]:
+    """Return the model services whose requests differ in priority or account."""
+    priorities: dict[str, set[int]] = {}
+    for route in table.routes:
+        for item in route.services:
+            priorities.setdefault(item.service, set()).add(route.priority)
+    accounts = {item.id: item for item in table.accounts.values()}
+    own = {item.priority for item in accounts.values() if item.priority is not None}
+    return frozenset(
+        name
+        for name, service in table.services.items()
+        if service.model is not None
+        and (len(accounts) > 1 or len(priorities.get(name, set()) | own) > 1)
+    )
--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -8,12 +8,11 @@
 
 from msgspec import Struct
 
-from marigoldswitch.core.fingerprints import Fingerprint
+from marigoldswitch.core.crash_messages import CrashNotes
 from marigoldswitch.core.ids import (
     AccountId,
     DataCentre,
     HostId,
-    PromptPartId,
     ServiceName,
     TargetId,
 )
@@ -130,6 +129,33 @@
     born: int = 0
 
 
+class WaitingNote(Struct, frozen=True):
+    """Model requests that wait for room at a host or in a whole data centre.
+
+    :param account: client account; empty for those of none or of several.
+    :param tokens: total size.
+    :param oldest_ms: milliseconds that the first one has waited.
+    """
+
+    service: ServiceName
+    priority: int
+    account: AccountId
+    requests: int
+    tokens: int
+    oldest_ms: int
+
+
+class CentreWaiting(Struct, frozen=True):
+    """What waits at the hosts of a data centre.
+
+    :param hosts: number of hosts that are included.
+    """
+
+    data_centre: DataCentre
+    hosts: int
+    notes: tuple[WaitingNote, ...]
+
+
 class CentreCounts(Struct, frozen=True):
     """Sums over the hosts of a data centre.
 
@@ -205,6 +231,8 @@
     :param process: random number of the sender's process.
     :param is_cut_off: whether the sender reaches no target.
     :param proxy_port: at which the sender takes requests of other hosts; 0 if unknown.
+    :param waiting: what waits at the sender, for the hosts that sum it up; ``None`` in
+        digests to others.
     """
 
     data_centre: DataCentre
@@ -230,6 +258,7 @@
     process: int = 0
     is_cut_off: bool = False
     proxy_port: int = 0
+    waiting: tuple[WaitingNote, ...] | None = None
 
 
 class CentreUsage(Struct, frozen=True):
@@ -255,6 +284,8 @@
     :param hosts: the hosts of its data centre; sent only in some summaries, else empty.
     :param counts: what the hosts count together, by data centre.
     :param members: number of hosts of each data centre, silent ones included.
+    :param waiting: what waits, by data centre; those of ``usages`` that are missing
+        have nothing waiting.
     """
 
     usages: tuple[CentreUsage, ...]
@@ -263,6 +294,7 @@
     hosts: tuple[HostId, ...] = ()
     counts: tuple[CentreCounts, ...] = ()
     members: tuple[CentreMembers, ...] = ()
+    waiting: tuple[CentreWaiting, ...] = ()
 
 
 class FetchConfiguration(Struct, frozen=True):
@@ -329,76 +361,6 @@
     lapsed: tuple[TargetId, ...] = ()
 
 
-class EndNote(Struct, frozen=True):
-    """An end of a target while it ran a request.
-
-    :param born: when the target had started, in ms since 1970; 0 if unknown.
-    :param age: seconds since the end.
-    :param blame: share of the blame that the request bears, in hundredths.
-    """
-
-    target: TargetId
-    born: int
-    age: float
-    blame: int
-
-
-class CrashNote(Struct, frozen=True):
-    """What a host knows of one request that was running when targets ended.
-
-    :param account: client account of the request, if known.
-    :param ends: the ends of targets during the request.
-    :param held: seconds since the last end for which the request was held off; negative
-        if it is not held off.
-    :param cleared: seconds since the request last completed; negative if it never has.
-    """
-
-    fingerprint: Fingerprint
-    account: AccountId | None
-    ends: tuple[EndNote, ...]
-    held: float = -1.0
-    cleared: float = -1.0
-
-
-class PartEndNote(Struct, frozen=True):
-    """An end of a target that had not answered a request with some part.
-
-    :param born: when the target had started, in ms since 1970; 0 if unknown.
-    :param age: seconds since the end.
-    :param sent: seconds since the request was sent to the target.
-    :param request: begin of the request's fingerprint.
-    :param account: client account of the request, if known.
-    """
-
-    target: TargetId
-    born: int
-    age: float
-    sent: float
-    request: str
-    account: AccountId | None = None
-
-
-class PartNote(Struct, frozen=True):
-    """What a host knows of one part of prompts with which targets ended.
-
-    :param ends: the ends since the part was last answered.
-    :param answered: seconds since a target last answered a request with the part;
-        negative if none is known to have.
-    """
-
-    service: ServiceName
-    part: PromptPartId
-    ends: tuple[PartEndNote, ...] = ()
-    answered: float = -1.0
-
-
-class CrashNotes(Struct, frozen=True):
-    """Records of requests that end targets, and of parts of prompts that do."""
-
-    notes: tuple[CrashNote, ...]
-    parts: tuple[PartNote, ...] = ()
-
-
 GatewayMessage = (
     LoadDigest
     | LoadSummary
--- a/marigoldswitch/gateway/admission.py
+++ b/marigoldswitch/gateway/admission.py
@@ -1,56 +1,83 @@
-"""Queues model requests, in order of priority, until a chain of engines has room."""
-
-import asyncio
-
-from msgspec import Struct
-
+"""Admits model requests to chains of engines, in order, when they have room."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Hashable
+
+from marigoldswitch.core.admitting.applicants import (
+    Applicant,
+    FirstArrivals,
+    find_shared_services,
+)
+from marigoldswitch.core.admitting.elsewhere import WaitCount, WaitCounts, WaitKey
+from marigoldswitch.core.admitting.engine_refusals import EngineRefusals
+from marigoldswitch.core.admitting.feasibility import ChainForecaster, NoForecaster
 from marigoldswitch.core.ids import ServiceName, TargetId
 from marigoldswitch.core.ports import Clock
-from marigoldswitch.core.routes import ServiceSpec
+from marigoldswitch.core.routes import RoutingTable, ServiceSpec
 from marigoldswitch.core.stages import Chain
-from marigoldswitch.core.waiting import Ticket, WaitQueue
+from marigoldswitch.gateway.lines import ArrivalLine, ChainRequest
 from marigoldswitch.gateway.planner import ChainPlanner
-
-POLL_SECONDS = 0.02
-"""Pause between two searches for room while requests wait: no event on this host tells
-when other hosts free room or targets return. The pause is a few decode steps long."""
-MAX_FAILED_TRIES = 3
-"""Requests that may find no room before a search ends: a large request at the head must
-not block small ones for good, and a search must not try the whole queue."""
+from marigoldswitch.gateway.shared_line import SharedLine, SharedPorts
 
 
-class _QueueState(Struct):
-    """The waiting requests of one service.
+class Admission:
+    """Admits model requests to chains, with one line for each service.
 
-    :param waiters: futures that receive the chains, by ticket number.
-    :param service: as configured when the last request asked for a chain.
-    :param task: searches for room as long as requests wait.
+    Services that several priorities or client accounts share have a
+    :class:`SharedLine`, the others an :class:`ArrivalLine`.
     """
 
-    queue: WaitQueue
-    waiters: dict[int, asyncio.Future[Chain | None]]
-    service: ServiceSpec
-    task: asyncio.Task[None] | None = None
-
-
-class Admission:
-    """Admits model requests to chains, with one queue for each service."""
-
-    def __init__(self, planner: ChainPlanner, clock: Clock) -> None:
+    def __init__(
+        self,
+        planner: ChainPlanner,
+        clock: Clock,
+        source: random.Random | None = None,
+        forecaster: ChainForecaster | None = None,
+    ) -> None:
+        self.first_arrivals = FirstArrivals()
+        self.get_elsewhere: Callable[[float], WaitCounts] = lambda now: {}
+        """Returns what waits at other hosts, at a monotonic time."""
+        self.count_refusal: Callable[[str, str], None] = lambda service, why: None
+        """Counts a refused request by service and reason."""
         self._planner = planner
         self._clock = clock
-        self._queues: dict[ServiceName, _QueueState] = {}
+        self._ports = SharedPorts(
+            forecaster or NoForecaster(),
+            source or random.Random(),
+            lambda now: self.get_elsewhere(now),
+            lambda service, why: self.count_refusal(service, why),
+        )
+        self._lines: dict[ServiceName, ArrivalLine | SharedLine] = {}
+        self._shared: frozenset[str] = frozenset()
+
+    def apply_table(self, table: RoutingTable) -> None:
+        """Find out which services are shared by a new configuration."""
+        self._shared = find_shared_services(table)
 
     def count_waiting(self) -> int:
         """Return the number of waiting requests, over all services."""
-        return sum(len(item.waiters) for item in self._queues.values())
+        return sum(len(item.waiters) for item in self._lines.values())
+
+    def count_own(self, now: float) -> dict[WaitKey, WaitCount]:
+        """Return what waits at this host for services that are shared."""
+        counts: dict[WaitKey, WaitCount] = {}
+        for line in self._lines.values():
+            if isinstance(line, SharedLine) and line.waiters:
+                counts |= line.count_waiting(now)
+        return counts
+
+    def count_by_priority(self) -> dict[tuple[str, int], int]:
+        """Return the waiting requests by service and priority."""
+        counts: Counter[tuple[str, int]] = Counter()
+        for key, count in self.count_own(self._clock.monotonic()).items():
+            counts[key.service, key.priority] += count.requests
+        return counts
 
     def dismiss_waiting(self) -> None:
         """End the wait of all requests, as no engine can be reached."""
-        for state in self._queues.values():
-            for waiter in state.waiters.values():
-                if not waiter.done():
-                    waiter.set_result(None)
+        for line in self._lines.values():
+            line.dismiss()
 
     async def acquire(
         self,
@@ -60,6 +87,8 @@
         max_wait: float,
         avoid: frozenset[TargetId] = frozenset(),
         is_new: bool = True,
+        applicant: Applicant | None = None,
+        refusals: EngineRefusals | None = None,
     ) -> Chain | None:
         """Reserve room for a request on a chain and return the chain.
 
@@ -72,85 +101,69 @@
         :param max_wait: longest wait in seconds.
         :param avoid: targets that have just failed the request.
         :param is_new: its caller has received no part of an answer yet.
+        :param applicant: whose request it is, where that counts.
+        :param refusals: engines that have refused it.
         """
-        state = self._get_queue(service)
-        now = self._clock.monotonic()
-        ticket = state.queue.make_ticket(priority, tokens, avoid, is_new)
-        if not state.queue.tickets or ticket < state.queue.tickets[0]:
-            chain = self._try_admit(state, ticket)
-            if chain is not None:
-                return chain
-        wait = max(
-            state.queue.estimate_wait(ticket, now),
-            self._planner.get_shortest_pause(service),
+        return await self._get_line(service).acquire(
+            ChainRequest(tokens, priority, max_wait, avoid, is_new, applicant, refusals)
         )
-        if wait > max_wait:
+
+    def choose_retry_after(
+        self,
+        service: ServiceSpec,
+        key: Hashable,
+        priority: int,
+        applicant: Applicant,
+        tokens: int,
+    ) -> float | None:
+        """Return the seconds after which a refused caller should return.
+
+        Returns ``None`` if the service isn't shared.
+
+        :param key: identifies the request.
+        """
+        line = self._get_line(service)
+        if not isinstance(line, SharedLine):
             return None
-        return await self._wait(state, ticket, max_wait)
+        return line.choose_retry_after(key, priority, applicant, tokens)
 
-    async def _wait(
-        self, state: _QueueState, ticket: Ticket, max_wait: float
-    ) -> Chain | None:
-        future: asyncio.Future[Chain | None]
-        future = asyncio.get_running_loop().create_future()
-        state.queue.add(ticket)
-        state.waiters[ticket.number] = future
-        if state.task is None:
-            state.task = asyncio.create_task(self._poll(state))
-        try:
-            async with asyncio.timeout(max_wait):
-                return await future
-        except TimeoutError:
-            granted = future.done() and not future.cancelled()
-            return future.result() if granted else None
-        except asyncio.CancelledError:
-            chain = (
-                future.result() if future.done() and not future.cancelled() else None
-            )
-            if chain is not None:
-                self._planner.release(chain.stages, ticket.tokens)
-            raise
-        finally:
-            state.queue.remove(ticket)
-            state.waiters.pop(ticket.number, None)
-
-    async def _poll(self, state: _QueueState) -> None:
-        """Search for room periodically while requests wait."""
-        while state.waiters:
-            self._admit_waiting(state)
-            await asyncio.sleep(POLL_SECONDS)
-        state.task = None
-
-    def _admit_waiting(self, state: _QueueState) -> None:
-        """Give chains to the waiting requests for which there is room."""
-        failed = 0
-        for ticket in list(state.queue.tickets):
-            waiter = state.waiters.get(ticket.number)
-            if waiter is None or waiter.done():
-                continue
-            chain = self._try_admit(state, ticket)
-            if chain is None:
-                failed += 1
-                if failed >= MAX_FAILED_TRIES:
-                    return
-                continue
-            state.queue.remove(ticket)
-            waiter.set_result(chain)
-
-    def _try_admit(self, state: _QueueState, ticket: Ticket) -> Chain | None:
-        """Reserve room on a chain, or return ``None`` if no chain has room."""
-        chain = self._planner.find(
-            state.service, ticket.tokens, ticket.avoid, ticket.is_new
-        )
-        if chain is not None:
-            self._planner.take(state.service, chain, ticket.tokens)
-            state.queue.note_admitted(self._clock.monotonic())
-        return chain
-
-    def _get_queue(self, service: ServiceSpec) -> _QueueState:
-        """Return the queue of a service, creating it at its first use."""
-        state = self._queues.get(service.name)
-        if state is None:
-            state = self._queues[service.name] = _QueueState(WaitQueue(), {}, service)
-        state.service = service
-        return state
+    def note_return(
+        self, service: ServiceSpec, get_key: Callable[[], Hashable]
+    ) -> bool:
+        """Record an arrival; return whether its caller was told to come later.
+
+        :param get_key: returns what identifies the request.
+        """
+        line = self._get_line(service)
+        return isinstance(line, SharedLine) and line.note_return(get_key)
+
+    def note_refused(self, service: ServiceSpec) -> None:
+        """Record that an engine refused a request for want of room."""
+        line = self._get_line(service)
+        if isinstance(line, SharedLine):
+            line.pace.note_refused(self._clock.monotonic())
+
+    def note_accepted(self, service: ServiceSpec) -> None:
+        """Record that an engine began to answer a request."""
+        line = self._get_line(service)
+        if isinstance(line, SharedLine):
+            line.pace.note_accepted()
+
+    def _get_line(self, service: ServiceSpec) -> ArrivalLine | SharedLine:
+        """Return the line of a service.
+
+        Its kind follows the configuration as soon as no request waits in it.
+        """
+        line, is_shared = self._lines.get(service.name), service.name in self._shared
+        is_other = line is not None and isinstance(line, SharedLine) != is_shared
+        if line is None or (is_other and not line.waiters):
+            line = self._lines[service.name] = self._create_line(service, is_shared)
+        line.service = service
+        return line
+
+    def _create_line(
+        self, service: ServiceSpec, is_shared: bool
+    ) -> ArrivalLine | SharedLine:
+        if is_shared:
+            return SharedLine(self._planner, self._clock, service, self._ports)
+        return ArrivalLine(self._planner, self._clock, service)
--- a/marigoldswitch/gateway/count_exchange.py
+++ b/marigoldswitch/gateway/count_exchange.py
@@ -1,12 +1,29 @@
-"""Exchange of what hosts count together: requests to targets with a limit."""
+"""Exchange of what hosts count together.
 
-from marigoldswitch.core.gateway_messages import CentreCounts, LoadDigest, LoadSummary
+These are the requests to targets with a limit, and the requests that wait for room.
+"""
+
+from marigoldswitch.core.admitting.elsewhere import (
+    WaitCount,
+    WaitingElsewhere,
+    WaitKey,
+    limit_groups,
+)
+from marigoldswitch.core.gateway_messages import (
+    CentreCounts,
+    CentreWaiting,
+    LoadDigest,
+    LoadSummary,
+    WaitingNote,
+)
 from marigoldswitch.core.host_counts import GroupCounts
 from marigoldswitch.core.ids import DataCentre, HostId
 from marigoldswitch.core.send_limits import SendLimits
 from marigoldswitch.gateway.message_counts import (
     decode_sends,
+    decode_waiting,
     encode_sends,
+    encode_waiting,
 )
 
 
@@ -14,15 +31,19 @@
     """Converts the counts of this host and its peers to and from their messages.
 
     :param home: data centre of this host.
+    :ivar waiting: what waits at all hosts; ``None`` if this host takes no requests.
     """
 
     def __init__(self, home: DataCentre, sends: SendLimits) -> None:
         self._home = home
         self._sends = sends
+        self.waiting: WaitingElsewhere | None = None
 
     def expire(self, now: float) -> None:
         """Drop reports that are too old to count."""
         self._sends.expire(now)
+        if self.waiting is not None:
+            self.waiting.expire(now)
 
     def sum_up(self, now: float, with_others: bool) -> tuple[CentreCounts, ...]:
         """Return the sums of this data centre.
@@ -37,8 +58,37 @@
             for centre, group in sorted(sends.items())
         )
 
+    def encode_waiting(self, now: float) -> tuple[WaitingNote, ...]:
+        """Return what waits at this host."""
+        if self.waiting is None:
+            return ()
+        return encode_waiting(self.waiting.report_own(now))
+
+    def sum_up_waiting(
+        self, now: float, with_others: bool
+    ) -> tuple[CentreWaiting, ...]:
+        """Return what waits in this data centre, if anything.
+
+        :param with_others: whether to add the other known data centres.
+        """
+        if self.waiting is None:
+            return ()
+        groups = {self._home: self.waiting.sum_home(now)}
+        if with_others:
+            groups |= self.waiting.get_other_centres()
+        return tuple(
+            CentreWaiting(
+                centre, group.hosts, encode_waiting(limit_groups(group.counts))
+            )
+            for centre, group in sorted(groups.items())
+            if group.counts
+        )
+
     def take_digest(self, sender: HostId, digest: LoadDigest, now: float) -> None:
         """Adopt the counts of a peer that reports any."""
+        if self.waiting is not None and digest.waiting is not None:
+            waiting = decode_waiting(digest.waiting)
+            self.waiting.set_peer_counts(sender, digest.data_centre, waiting, now)
         if digest.sends is None:
             return
         sends = decode_sends(digest.sends)
@@ -49,3 +99,11 @@
         for part in summary.counts:
             sends = GroupCounts(part.hosts, decode_sends(part.sends))
             self._sends.set_centre_counts(part.data_centre, sends, now)
+        if self.waiting is None:
+            return
+        for usage in summary.usages:
+            nothing: GroupCounts[WaitKey, WaitCount] = GroupCounts(0, {})
+            self.waiting.set_centre_counts(usage.data_centre, nothing, now)
+        for item in summary.waiting:
+            group = GroupCounts(item.hosts, decode_waiting(item.notes))
+            self.waiting.set_centre_counts(item.data_centre, group, now)
--- a/marigoldswitch/gateway/message_counts.py
+++ b/marigoldswitch/gateway/message_counts.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Iterable, Mapping
 
+from marigoldswitch.core.admitting.elsewhere import WaitCount, WaitCounts, WaitKey
 from marigoldswitch.core.gateway_messages import (
     LimitNote,
     SendNote,
     TargetUsage,
+    WaitingNote,
 )
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.loads import Usage
+from marigoldswitch.core.loans import MILLISECONDS_PER_SECOND
 from marigoldswitch.core.send_limits import SendCount
 from marigoldswitch.core.stated_limits import StatedLimit
 
@@ -46,6 +49,35 @@
     }
 
 
+def encode_waiting(counts: WaitCounts) -> tuple[WaitingNote, ...]:
+    """Return what waits, by service, priority and account."""
+    return tuple(
+        WaitingNote(
+            key.service,
+            key.priority,
+            key.account,
+            item.requests,
+            item.tokens,
+            round(item.oldest * MILLISECONDS_PER_SECOND),
+        )
+        for key, item in sorted(counts.items(), key=lambda pair: _rank(pair[0]))
+    )
+
+
+def _rank(key: WaitKey) -> tuple[str, int, str]:
+    return key.service, key.priority, key.account
+
+
+def decode_waiting(notes: Iterable[WaitingNote]) -> dict[WaitKey, WaitCount]:
+    """Return what waits, by service, priority and account."""
+    return {
+        WaitKey(item.service, item.priority, item.account): WaitCount(
+            item.requests, item.tokens, item.oldest_ms / MILLISECONDS_PER_SECOND
+        )
+        for item in notes
+    }
+
+
 def encode_limits(
     limits: Mapping[TargetId, StatedLimit], now: float
 ) -> tuple[LimitNote, ...]:
--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Request metrics of a gateway, kept in the metrics registry of its host."""
 
+from collections.abc import Callable, Mapping
+
 from marigoldswitch.metrics import Metrics
 
 
@@ -8,6 +10,8 @@
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
+        self._shown: set[tuple[str, int]] = set()
+        """Services and priorities whose gauge has been set."""
 
     def count_end(self, service: str, end: str, seconds: float | None) -> None:
         """Count one request that has ended.
@@ -21,3 +25,25 @@
         self._metrics.requests.inc({"service": service, "end": end})
         if seconds is not None:
             self._metrics.request_seconds.observe({"service": service}, seconds)
+
+    def watch_waiting(
+        self, count_waiting: Callable[[], Mapping[tuple[str, int], int]]
+    ) -> None:
+        """Set the gauge of waiting requests at each scrape.
+
+        :param count_waiting: returns the waiting requests by service and priority.
+        """
+
+        def collect() -> None:
+            counts = count_waiting()
+            self._shown.update(counts)
+            for service, priority in self._shown:
+                labels = {"service": service, "priority": str(priority)}
+                count = counts.get((service, priority), 0)
+                self._metrics.requests_waiting.set(labels, count)
+
+        self._metrics.add_collector(collect)
+
+    def count_admission_refusal(self, service: str, why: str) -> None:
+        """Count a request that was refused for want of capacity."""
+        self._metrics.admission_refusals.inc({"service": service, "why": why})
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -32,6 +32,10 @@
 chain without it. It serves for 2 s after the store records that it leaves, which this
 host learns up to half a second later; a new holder of its layers needs 1.5 s."""
 
+DEAD_BEYOND_DOUBT_SECONDS = 0.5
+"""Time after which an engine that is excluded as dead isn't expected back: live ones
+are probed again, and found alive, within it."""
+
 
 class ChainPlanner:
     """Chooses chains and tracks the load that their requests put on engines.
@@ -218,6 +222,42 @@
         offers = self._build_offers([row.target], service.model, tokens)
         return any(item.has_ample_room(stage.layers) for item in offers)
 
+    def may_cover(self, service: ServiceSpec) -> bool:
+        """Return whether the engines that may still serve hold all layers.
+
+        Engines without room count, and those that were found dead only just now: they
+        may have been taken for dead wrongly. Loading missing layers takes longer than
+        any new request waits.
+        """
+        model, now = service.model, self._clock.monotonic()
+        if model is None:
+            return False
+        registry, suspects = self._directory.registry, self._directory.suspects
+        targets = [
+            item
+            for item in registry.list_targets(service.name)
+            if not suspects.has_been_dead(item.id, DEAD_BEYOND_DOUBT_SECONDS, now)
+        ]
+        targets += registry.list_leaving(service.name, now - LEAVING_USE_SECONDS)
+        ranges = [item.layers for item in targets if item.layers is not None]
+        return covers_model(ranges, model.layers)
+
+    def measure_parallelism(self, service: ServiceSpec) -> float:
+        """Return how many engines hold each layer on average."""
+        if service.model is None:
+            return 0.0
+        targets = self._directory.registry.list_targets(service.name)
+        held = [item.layers for item in targets if item.layers is not None]
+        return sum(item.end - item.first for item in held) / service.model.layers
+
+    def count_begun(self) -> int:
+        """Return the number of requests that this host runs on chains."""
+        return sum(item.begun for item in self._loads.own.values())
+
+    def get_usage(self, target: TargetId) -> Usage:
+        """Return the load of an engine by the requests of all known hosts."""
+        return self._loads.get(target)
+
     def hold(self, stages: Sequence[Stage], tokens: int) -> None:
         """Add a request to the load of its chain's engines."""
         for item in stages:
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -91,7 +91,7 @@
             parts.source,
             parts.identity.strength,
         )
-        self._counts = CountExchange(self._home, parts.directory.statements.limits)
+        self.counts = CountExchange(self._home, parts.directory.statements.limits)
         self._loans = LoanExchange(parts.clock, parts.network, parts.loans, self.roster)
         self._statements = StatementExchange(parts.directory)
         self._lease_note: LeaseNote | None = None
@@ -172,7 +172,7 @@
         now = self._parts.clock.monotonic()
         roster = self.roster
         self._parts.loads.expire(now)
-        self._counts.expire(now)
+        self.counts.expire(now)
         roster.expire()
         self._lateness.forget(set(roster.peers))
         self._crash_notes.tick()
@@ -205,7 +205,7 @@
             summing = [host for host in hosts if host in relays]
         for host in summing:
             self._parts.network.send(host, digest)
-        stripped = replace(digest, usages=(), sends=None)
+        stripped = replace(digest, usages=(), sends=None, waiting=None)
         if to_all or not self._sent.has_sent_stripped(stripped, now):
             for host in hosts:
                 if host not in summing:
@@ -218,7 +218,7 @@
         if hosts and not self.roster.is_mesh:
             now = self._parts.clock.monotonic()
             sums = {self._home: self._parts.loads.sum_home_usage()}
-            stripped = replace(digest, usages=(), readers=(), sends=None)
+            stripped = replace(digest, usages=(), readers=(), sends=None, waiting=None)
             messages = [stripped, self._build_summary(sums, now)]
         for host in hosts:
             for message in messages:
@@ -236,8 +236,7 @@
             sums |= loads.get_other_centres()
         summary = self._build_summary(sums, now, with_others)
         if self._sent.mark_if_due(now, "hosts", HOST_LIST_SECONDS):
-            hosts = tuple(sorted(self.roster.list_local()))
-            summary = replace(summary, hosts=hosts)
+            summary = replace(summary, hosts=tuple(sorted(self.roster.list_local())))
         for host in self.roster.list_local():
             self._parts.network.send(host, summary)
 
@@ -255,15 +254,15 @@
             CentreUsage(centre, encode_usages(held))
             for centre, held in sorted(sums.items())
         )
-        roster = self.roster
         return LoadSummary(
             usages,
-            roster.count_local(),
-            roster.count_live(),
-            counts=self._counts.sum_up(now, with_others),
+            self.roster.count_local(),
+            self.roster.count_live(),
+            counts=self.counts.sum_up(now, with_others),
+            waiting=self.counts.sum_up_waiting(now, with_others),
             members=tuple(
                 CentreMembers(centre, hosts)
-                for centre, hosts in sorted(roster.count_by_centre().items())
+                for centre, hosts in sorted(self.roster.count_by_centre().items())
             ),
         )
 
@@ -316,6 +315,7 @@
             process=parts.loans.process,
             is_cut_off=is_cut_off,
             proxy_port=parts.proxy_port,
+            waiting=self.counts.encode_waiting(now),
         )
 
     def _list_dead(self, now: float) -> tuple[TargetId, ...]:
@@ -362,7 +362,7 @@
             parts.network.send(sender, self._build_digest())
         usages = decode_usages(digest.usages)
         parts.loads.set_peer_usage(sender, digest.data_centre, usages, now)
-        self._counts.take_digest(sender, digest, now)
+        self.counts.take_digest(sender, digest, now)
         self._statements.take_digest(sender, digest, now)
         self._probe_reported_dead(digest.dead, now)
         for item in digest.closed:
@@ -418,7 +418,7 @@
         for item in summary.usages:
             usages = decode_usages(item.usages)
             self._parts.loads.set_centre_usage(item.data_centre, usages, now)
-        self._counts.take_summary(summary, now)
+        self.counts.take_summary(summary, now)
 
     def _forget_orderer(self, now: float) -> None:
         """Record that the orderer has given its lease up."""
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -17,12 +17,10 @@
 from marigoldswitch.core.event_stream import EventTooLong
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import (
-    Chain,
     Stage,
-    describe_stages,
-    find_refusing_stage,
 )
 from marigoldswitch.core.suspects import Finding
+from marigoldswitch.gateway.chain_waiting import ChainWait
 from marigoldswitch.gateway.detours import ChainBroken, ChainMonitor
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
@@ -43,21 +41,11 @@
 
 logger = structlog.get_logger(__name__)
 
-MAX_WAIT_SHARE = 0.6
-"""Fraction of the route's latency target that a request may wait for a chain with room.
-The engines need the rest to read its prompt."""
-RESUME_SECONDS = 0.2
-"""Time that a stream which has begun needs from getting a new chain to its next event.
-It waits for a chain until its caller would leave before that event: aborting it loses
-what the caller has received."""
 MAX_REFUSALS = 4
 """Refusals by engines after which the caller is told to retry later."""
 MAX_RESUME_REFUSALS = 8
 """The same for a stream that has begun. It is higher because aborting the stream loses
 what its caller has received."""
-RETRY_AFTER_SECONDS = (0.8, 2.4)
-"""Range of the delay after which a caller is told to retry: engines that take over
-layers need at least 1.4 s to load them. A random delay spreads the retries."""
 MAX_ERROR_BODY_BYTES = 1024 * 1024
 """Bytes of an engine's error answer that are forwarded."""
 
@@ -85,6 +73,7 @@
         self._forwarder = EventForwarder(parts.clock, exchange, self.chain_monitor)
         self._failed_first_engines: set[TargetId] = set()
         """First engines of broken chains; later chains avoid them."""
+        self._chain_wait = ChainWait(parts, exchange)
         self._refusals = 0
 
     async def run(self) -> web.StreamResponse:
@@ -95,7 +84,11 @@
         """
         while True:
             check_contact(self._parts, self._exchange)
-            chain = await self._acquire_chain()
+            chain = await self._chain_wait.acquire(
+                frozenset(self._failed_first_engines),
+                self._forwarder.last_sent,
+                self.chain_monitor.last_event,
+            )
             if chain is None:
                 check_contact(self._parts, self._exchange)
                 return self._fail_request(ErrorKind.SATURATED, "no chain with room")
@@ -150,46 +143,6 @@
 
     # Waiting for a chain and retrying.
 
-    async def _acquire_chain(self) -> Chain | None:
-        exchange, parts = self._exchange, self._parts
-        now = parts.clock.monotonic()
-        chain = await parts.admission.acquire(
-            exchange.service,
-            exchange.call.tokens,
-            exchange.priority,
-            self._compute_max_wait(now),
-            frozenset(self._failed_first_engines),
-            is_new=exchange.response is None,
-        )
-        logger.info(
-            "chain_chosen" if chain else "chain_missing",
-            request=exchange.call.id,
-            service=exchange.service.name,
-            stages=describe_stages(chain.stages) if chain else None,
-            waited=round(parts.clock.monotonic() - now, 4),
-            waiting=parts.admission.count_waiting(),
-            revision=parts.directory.registry.revision,
-            after=self.chain_monitor.last_event,
-            **(self._describe_shortage() if chain is None else {}),
-        )
-        return chain
-
-    def _compute_max_wait(self, now: float) -> float:
-        """Return the seconds that the request may wait for a chain with room."""
-        exchange = self._exchange
-        route = exchange.route
-        if exchange.response is None:
-            waited = now - exchange.arrived
-            return max(0.0, MAX_WAIT_SHARE * route.latency_target - waited)
-        silence = now - (self._forwarder.last_sent or exchange.arrived)
-        return max(0.0, route.caller_patience - RESUME_SECONDS - silence)
-
-    def _describe_shortage(self) -> dict[str, object]:
-        exchange = self._exchange
-        return self._parts.planner.describe_shortage(
-            exchange.service, exchange.call.tokens
-        )
-
     def _check_retry_allowed(self, why: str) -> None:
         """Spend a retry, or fail the request if it may not be sent again.
 
@@ -222,32 +175,17 @@
         :raises RequestRefused: if it fails; :class:`AnswerAborted` once the answer has
             begun.
         """
-        exchange, parts = self._exchange, self._parts
-        now = parts.clock.monotonic()
+        exchange = self._exchange
         exchange.run_count -= 1
         self._refusals += 1
         exchange.attempt_log.append(f"refused by {at_fault or stages[0].address}")
-        self._exclude_refusing_engine(find_refusing_stage(stages, at_fault), now)
+        self._chain_wait.exclude_refusing_engine(stages, at_fault)
         has_begun = exchange.response is not None
         if self._refusals >= (MAX_RESUME_REFUSALS if has_begun else MAX_REFUSALS):
             self._fail_request(ErrorKind.TARGET_REFUSED, "the engines have no room")
         if not self._spend_retry():
             self._fail_request(ErrorKind.TARGET_REFUSED, "no retry left")
 
-    def _exclude_refusing_engine(self, stage: Stage, now: float) -> None:
-        """Exclude an engine that refused, for longer if it surely had room."""
-        exchange, parts = self._exchange, self._parts
-        had_room = parts.planner.had_room(exchange.service, stage, exchange.call.tokens)
-        finding = parts.directory.suspects.note_refusal(stage.target, had_room, now)
-        logger.info(
-            "engine_refused",
-            request=exchange.call.id,
-            target=stage.target,
-            address=stage.address,
-            held=parts.loads.get(stage.target).requests,
-            finding=finding.value,
-        )
-
     def _spend_retry(self) -> bool:
         """Take a retry from the service's budget; return whether one was left.
 
@@ -271,7 +209,7 @@
             kind = ErrorKind.NOT_DELIVERED
         retry_after = None
         if exchange.run_count == 0:
-            retry_after = self._parts.source.uniform(*RETRY_AFTER_SECONDS)
+            retry_after = self._chain_wait.choose_retry_after()
         raise RequestRefused(Fault(kind, detail, retry_after))
 
     # Running over one chain.
@@ -383,6 +321,7 @@
             raise ChainBroken(f"answer to another request: {facts.request}")
         if facts.not_run:
             return EnginesRefused(facts.at_fault)
+        self._parts.admission.note_accepted(exchange.service)
         if reply.status != web.HTTPOk.status_code:
             return await self._relay_error(reply)
         if not facts.is_signed or facts.is_encoded:
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from marigoldswitch.clocks import BootClock
+from marigoldswitch.core.admitting.elsewhere import WaitingElsewhere
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.gateway_messages import GatewayMessage
@@ -95,6 +96,10 @@
     loans = LoanBook(source.getrandbits(PROCESS_BITS), owns_from)
     probes = EngineProbes(engines, directory, planner, clock, contact, services)
     crashes = CrashWatch(clock, directory, probes)
+    admission = Admission(planner, clock, source)
+    directory.watch(admission.apply_table)
+    waiting = WaitingElsewhere(home, lambda: planner.count_hosts(), admission.count_own)
+    admission.get_elsewhere = waiting.get
     runs = RunParts(
         state,
         clock,
@@ -104,7 +109,7 @@
         directory,
         loads,
         planner,
-        Admission(planner, clock),
+        admission,
         probes,
         crashes,
         RetryBudgets(
@@ -165,7 +170,11 @@
     )
     proxy_hosts = ProxyHosts(spread.roster, home, proxy_port, clock, source)
     requests = RequestRuns(runs, PeerProxy(runs, proxy_hosts, host_connections))
-    front = Frontend(runs, GatewayMetrics(metrics), requests)
+    spread.counts.waiting = waiting
+    gateway_metrics = GatewayMetrics(metrics)
+    gateway_metrics.watch_waiting(admission.count_by_priority)
+    admission.count_refusal = gateway_metrics.count_admission_refusal
+    front = Frontend(runs, gateway_metrics, requests)
     orderer = LayerOrderer(
         clock,
         store,
