Charge retries to their account and refuse callers that return too early

A caller that retried at once stayed in the queue and was served more often than one that returned as told. Retries now cost their account, a request whose caller was told a later time isn't queued, and Retry-After leaves out the capacity that more urgent arrivals take.

--- a/marigoldswitch/core/admitting/applicants.py
+++ b/marigoldswitch/core/admitting/applicants.py
@@ -11,12 +11,17 @@
 """Longest time since the first arrival that is believed, as a share of the route's
 timeout: callers honour ``Retry-After`` up to a third of the time they have left."""
 
+RETRY_SECONDS = 0.005
+"""Least time since the first arrival of a request that was sent again. It is above the
+rounding of the times that callers state."""
+
 
 class Applicant(Struct, frozen=True):
     """A request that asks for capacity. Times are monotonic seconds.
 
     :param account: its client account; :data:`NO_ACCOUNT` if it has none.
     :param first_arrival: when its caller first sent it, to any host.
+    :param arrived: when it arrived at this host.
     :param objective_at: when its first event should arrive.
     :param deadline_at: when its answer must be complete.
     :param answer_tokens: expected length of its answer.
@@ -28,6 +33,7 @@
 
     account: AccountId
     first_arrival: float
+    arrived: float
     objective_at: float
     deadline_at: float
     answer_tokens: int = 0
@@ -37,6 +43,11 @@
     weight: float = 1.0
     request: RequestId = RequestId("")
 
+    @property
+    def is_retry(self) -> bool:
+        """Return whether its caller has sent it before."""
+        return self.is_early or self.arrived - self.first_arrival > RETRY_SECONDS
+
 
 class FirstArrivals:
     """Tells when a request was first sent from the time that its caller has left.
--- a/marigoldswitch/core/admitting/elsewhere.py
+++ b/marigoldswitch/core/admitting/elsewhere.py
@@ -14,8 +14,12 @@
 MAX_REPORTED = 12
 """Most groups that a host or a relay reports. About 30 bytes each, which keeps to some
 hundred bytes a message; the accounts with fewest waiting requests are summed up."""
-MAX_HELD_SHARE = 0.5
-"""Part of its allowed wait for which a request may be held back."""
+MAX_HELD_SHARE = 0.3
+"""Part of its allowed wait for which a request may be held back. All hosts hold back
+for the same urgent request; with half of the wait a fortieth of the capacity stays
+idle in a burst, and the urgent requests gain nothing (tests/admission_plays.py)."""
+REUSE_SECONDS = 0.02
+"""Time for which sums are used again; a host searches for room this often."""
 REST = AccountId("")
 """Stands for all accounts that are summed up."""
 
@@ -64,6 +68,9 @@
         self._count_own = count_own
         self._reported: WaitCounts = {}
         """What this host last reported."""
+        self._found: WaitCounts = {}
+        """What was last found to wait elsewhere, at ``_found_at``."""
+        self._found_at = float("-inf")
 
     def count_own(self, now: float) -> WaitCounts:
         """Return what waits at this host."""
@@ -72,12 +79,14 @@
     def report_own(self, now: float) -> WaitCounts:
         """Return what waits at this host, to be reported."""
         self._reported = limit_groups(self._count_own(now))
+        self._found_at = float("-inf")
         return self._reported
 
     def set_peer_counts(
         self, peer: HostId, centre: DataCentre, counts: WaitCounts, now: float
     ) -> None:
         """Replace the report of a peer; one without waiting requests is dropped."""
+        self._found_at = float("-inf")
         if counts:
             super().set_peer_counts(peer, centre, counts, now)
         else:
@@ -87,6 +96,7 @@
         self, centre: DataCentre, group: GroupCounts[WaitKey, WaitCount], now: float
     ) -> None:
         """Replace the sums of a data centre; empty ones are dropped."""
+        self._found_at = float("-inf")
         if group.counts:
             super().set_centre_counts(centre, group, now)
         else:
@@ -99,6 +109,11 @@
         """
         if not self._peers and not self._centres:
             return {}
+        if now - self._found_at >= REUSE_SECONDS:
+            self._found, self._found_at = self._find(now), now
+        return self._found
+
+    def _find(self, now: float) -> WaitCounts:
         self.expire(now)
         total = self.sum_all(now).counts
         own = self._reported if self.home in self._centres else self.count_own(now)
--- a/marigoldswitch/core/admitting/floors.py
+++ b/marigoldswitch/core/admitting/floors.py
@@ -70,13 +70,13 @@
         counts = self._groups.get(group)
         if counts is None:
             return False
-        for item in (counts, self._total):
-            item.decay(now)
-        if counts.arrived < MIN_ARRIVED or self._total.arrived <= 0.0:
+        total = self._total
+        overall = min(1.0, total.served / total.arrived) if total.arrived else 0.0
+        # Both counts of a group decay alike, so their ratio needs no update.
+        if counts.served >= FLOOR_SHARE * FLOOR_MARGIN * overall * counts.arrived:
             return False
-        overall = min(1.0, self._total.served / self._total.arrived)
-        floor = FLOOR_SHARE * FLOOR_MARGIN * overall
-        return counts.served < floor * counts.arrived
+        counts.decay(now)
+        return counts.arrived >= MIN_ARRIVED
 
     def _list(self, groups: tuple[Hashable, ...], now: float) -> list[_Counts]:
         """Return the counts of some groups and of all requests, as of now."""
--- a/marigoldswitch/core/admitting/flows.py
+++ b/marigoldswitch/core/admitting/flows.py
@@ -154,6 +154,43 @@
             self._insert_head(flow, long)
         self._remove_if_empty(flow)
 
+    def charge(self, account: AccountId, weight: float, cost: float) -> None:
+        """Charge an account for work that takes none of the capacity shared here.
+
+        Its next requests come that much later; the other accounts aren't affected.
+        """
+        flow = self.flows.get(account)
+        if flow is None:
+            start = max(self._virtual_time, self._virtual_finishes.get(account, 0.0))
+            self._virtual_finishes[account] = start + cost / weight
+            return
+        flow.virtual_finish = max(self._virtual_time, flow.virtual_finish)
+        flow.virtual_finish += cost / weight
+        for long, lane in enumerate(flow.lanes):
+            if lane.head is not None:
+                start, sequence, _ = lane.head
+                self._heads[long].remove(lane.head)
+                lane.head = (start + cost / weight, sequence, account)
+                self._heads[long].add(lane.head)
+
+    def count_rivals(self, account: AccountId) -> int:
+        """Return the other accounts whose next request goes before one of an account.
+
+        The request is assumed to arrive now.
+        """
+        flow = self.flows.get(account)
+        if flow is not None:
+            starts = [lane.head[0] for lane in flow.lanes if lane.head is not None]
+            start = min(starts)
+        else:
+            finish = self._virtual_finishes.get(account, 0.0)
+            start = max(self._virtual_time, finish)
+        return sum(
+            head[0] <= start and head[2] != account
+            for heads in self._heads
+            for head in heads
+        )
+
     def _insert_head(self, flow: Flow[ItemT], long: bool) -> None:
         """Update the position of a lane's first request in the class order."""
         lane = flow.lanes[long]
--- a/marigoldswitch/core/admitting/returns.py
+++ b/marigoldswitch/core/admitting/returns.py
@@ -16,8 +16,9 @@
 HONOURED_SHARE = 0.31
 """Longest ``Retry-After``, as a share of the time that the caller has left: callers
 honour up to a third of it."""
-MIN_RETURN_SECONDS = 0.05
-"""Shortest ``Retry-After``; a few searches for room."""
+MIN_RETURN_SECONDS = 0.1
+"""Shortest ``Retry-After``; a few searches for room. A request whose caller first sent
+it less than this ago surely returns too early, also from another host."""
 NO_RATE_SECONDS = (0.8, 2.4)
 """Range where nothing is being admitted: engines that take over layers need at least
 1.4 s to load them. The random part spreads the returns."""
@@ -70,6 +71,9 @@
         :param now: monotonic seconds.
         """
         self._expire(now)
+        known = self._returns.get(key)
+        if known is not None and now < known.early_until:
+            return known.due - now
         longest = max(MIN_RETURN_SECONDS, HONOURED_SHARE * left)
         if rate > 0.0:
             place = ahead + self.count_ahead(priority, account) + 1
--- a/marigoldswitch/core/admitting/shared_queue.py
+++ b/marigoldswitch/core/admitting/shared_queue.py
@@ -21,6 +21,9 @@
 from marigoldswitch.core.retries import SlidingWindowCounter
 from marigoldswitch.core.waiting import MIN_CAPACITY, RATE_WINDOW_SECONDS
 
+RETRY_CHARGE = 0.5
+"""Part of a request's cost that its account is charged for each retry of its caller."""
+
 
 @dataclass(slots=True, eq=False)
 class SharedTicket:
@@ -155,7 +158,7 @@
         others = sum(len(f) for a, f in group.flows.items() if a != ticket.account)
         flow = group.flows.get(ticket.account)
         own = flow.lanes[0].items.bisect_left(ticket.sequence) if flow else 0
-        rivals = len(group.flows) - (flow is not None)
+        rivals = group.count_rivals(ticket.account)
         return ahead + own + min(others, (own + 1) * rivals)
 
     def get_rate(self, now: float) -> float:
@@ -199,11 +202,11 @@
             group.push(ticket, now)
         group.take(ticket, now)
 
-    def charge(self, ticket: SharedTicket, now: float) -> None:
-        """Charge the account of a request that is refused as it came too early."""
+    def charge_retry(self, ticket: SharedTicket) -> None:
+        """Charge the account of a request for having been sent again."""
         group = self._get_class(ticket.priority)
-        group.push(ticket, now)
-        group.take(ticket, now)
+        cost = RETRY_CHARGE * ticket.cost
+        group.charge(ticket.account, ticket.weight, cost)
 
     def _get_class(self, priority: int) -> FairFlows[SharedTicket]:
         return self._classes.setdefault(priority, FairFlows())
--- a/marigoldswitch/gateway/shared_line.py
+++ b/marigoldswitch/gateway/shared_line.py
@@ -20,6 +20,7 @@
     Feasibility,
     assess,
 )
+from marigoldswitch.core.admitting.floors import FLOOR_SHARE
 from marigoldswitch.core.admitting.reserve import (
     UrgentArrivals,
     compute_reserved_tokens,
@@ -91,7 +92,9 @@
             applicant,
             now + request.max_wait,
         )
-        if applicant.is_first_ask and not applicant.is_early:
+        if applicant.is_first_ask and applicant.is_retry:
+            queue.charge_retry(ticket)
+        elif applicant.is_first_ask:
             queue.shares.note_arrived(ticket.groups, now)
             self._arrivals.note(request.priority, now)
         if request.refusals is not None:
@@ -113,10 +116,11 @@
         self._short_until = now + SHORT_SECONDS
         place, estimate = queue.count_ahead(ticket), queue.estimate_wait(ticket, now)
         wait = max(estimate, self._planner.get_shortest_pause(self.service))
-        if wait > max_wait or self._is_hopeless(ticket, now):
-            if ticket.applicant.is_early:
-                queue.charge(ticket, now)
-            outcome = "hopeless" if ticket.number in self._hopeless else "too_long"
+        is_early = ticket.applicant.is_early and not ticket.goes_before_new
+        if is_early or wait > max_wait or self._is_hopeless(ticket, now):
+            outcome = "too_early" if is_early else "too_long"
+            if ticket.number in self._hopeless:
+                outcome = "hopeless"
             self._log_wait(ticket, now, place, wait, outcome)
             return None
         chain = await self._wait(ticket, max_wait)
@@ -139,6 +143,8 @@
         )
         ahead = self._queue.count_ahead(ticket)
         rate = self._queue.get_rate(now)
+        urgent = self._arrivals.get_rate_above(priority, now)
+        rate = max(rate - urgent, FLOOR_SHARE * rate)
         if not self._planner.may_cover(self.service):
             rate = 0.0
         left = applicant.deadline_at - now
@@ -341,4 +347,4 @@
 def _describe_unknown(request: ChainRequest, now: float) -> Applicant:
     """Return the applicant of a request of which nothing else is known."""
     latest = now + request.max_wait
-    return Applicant(NO_ACCOUNT, now, latest, float("inf"))
+    return Applicant(NO_ACCOUNT, now, now, latest, float("inf"))
--- a/marigoldswitch/tests/test_admitting.py
+++ b/marigoldswitch/tests/test_admitting.py
@@ -55,7 +55,7 @@
 
 
 def build_applicant(account="a", first=0.0, **fields):
-    return Applicant(AccountId(account), first, 1.0, 20.0, **fields)
+    return Applicant(AccountId(account), first, first, 1.0, 20.0, **fields)
 
 
 def add(queue, account="a", priority=1, tokens=100, first=0.0, is_new=True, **fields):
