Play shortages in virtual time, and let resumed streams go first after a start

Callers were told to return by the rate of admissions, which after a start says how empty the engines were; the rate at which chains end counts as well now. For 3 s after its start a host lets new requests leave room to resumed ones while those arrive.

--- a/marigoldswitch/core/admitting/flows.py
+++ b/marigoldswitch/core/admitting/flows.py
@@ -154,6 +154,18 @@
             self._insert_head(flow, long)
         self._remove_if_empty(flow)
 
+    def take_directly(self, item: ItemT, now: float) -> None:
+        """Charge the flow of a request that is served without having waited."""
+        if self.flows:
+            self.push(item, now)
+            self.take(item, now)
+            return
+        finish = self._virtual_finishes.get(item.account, 0.0)
+        self._virtual_time = max(self._virtual_time, finish)
+        finish = self._virtual_time + item.cost / item.weight
+        self._virtual_finishes[item.account] = finish
+        self._forget_past()
+
     def charge(self, account: AccountId, weight: float, cost: float) -> None:
         """Charge an account for work that takes none of the capacity shared here.
 
@@ -220,6 +232,10 @@
             self.flow_weight = 0.0
         if flow.virtual_finish > self._virtual_time:
             self._virtual_finishes[flow.account] = flow.virtual_finish
+        self._forget_past()
+
+    def _forget_past(self) -> None:
+        """Drop virtual finishes in the past once there are many."""
         if len(self._virtual_finishes) > 2 * len(self.flows) + 64:
             self._virtual_finishes = {
                 name: finish
--- a/marigoldswitch/core/admitting/shared_queue.py
+++ b/marigoldswitch/core/admitting/shared_queue.py
@@ -199,8 +199,9 @@
             return
         group = self._get_class(ticket.priority)
         if self._waiting.pop(ticket.number, None) is None:
-            group.push(ticket, now)
-        group.take(ticket, now)
+            group.take_directly(ticket, now)
+        else:
+            group.take(ticket, now)
 
     def charge_retry(self, ticket: SharedTicket) -> None:
         """Charge the account of a request for having been sent again."""
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -16,6 +16,7 @@
     repair_chain,
 )
 from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.retries import SlidingWindowCounter
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.core.stages import (
     Chain,
@@ -25,6 +26,7 @@
     compute_begin_cost,
     count_crossings,
 )
+from marigoldswitch.core.waiting import RATE_WINDOW_SECONDS
 from marigoldswitch.gateway.directory import Directory
 
 LEAVING_USE_SECONDS = 0.8
@@ -60,6 +62,8 @@
         self._home = home
         self._source = source
         self._crossing_budget = CrossingBudget()
+        self._ended = SlidingWindowCounter(RATE_WINDOW_SECONDS, bucket=0.1)
+        """Chains of this host that have ended."""
         self.count_hosts: Callable[[], int] = lambda: 1
         """Returns the number of hosts that share bounds, silent ones included."""
         self.count_near: Callable[[], int] = lambda: 1
@@ -254,6 +258,10 @@
         """Return the number of requests that this host runs on chains."""
         return sum(item.begun for item in self._loads.own.values())
 
+    def get_end_rate(self) -> float:
+        """Return how many chains of this host end a second."""
+        return self._ended.count(self._clock.monotonic()) / RATE_WINDOW_SECONDS
+
     def get_usage(self, target: TargetId) -> Usage:
         """Return the load of an engine by the requests of all known hosts."""
         return self._loads.get(target)
@@ -265,6 +273,7 @@
 
     def release(self, stages: Sequence[Stage], tokens: int) -> None:
         """Remove an ended request from the load of its chain's engines."""
+        self._ended.add(self._clock.monotonic())
         for item in stages:
             self._loads.release(item.target, _build_usage(item, tokens))
 
--- a/marigoldswitch/gateway/shared_line.py
+++ b/marigoldswitch/gateway/shared_line.py
@@ -37,6 +37,13 @@
 
 SHORT_SECONDS = 5.0
 """Time for which capacity counts as short after a request found none."""
+START_SECONDS = 3.0
+"""Time after the start of a process in which callers resume streams that ended with an
+earlier one."""
+RESUMING_SECONDS = 0.5
+"""Time after the last resumed request for which more are expected after a start."""
+START_HELD_SHARE = 0.3
+"""Part of their allowed wait for which new requests leave room to resumed ones then."""
 RECHECK_TOLERANCE = 1.25
 """A waiting request is refused early only if its wait is estimated to be longer than
 this multiple of what it may still wait, so that noise doesn't remove those that fit."""
@@ -79,6 +86,9 @@
         self._hopeless: set[int] = set()
         """Requests that have been found hopeless and are being refused."""
         self._short_until = float("-inf")
+        self._started = clock.monotonic()
+        self._resumed_at = float("-inf")
+        """When a resumed request last arrived, in monotonic seconds."""
 
     async def acquire(self, request: ChainRequest) -> Chain | None:
         """Reserve room for a request; see :meth:`Admission.acquire`."""
@@ -92,6 +102,8 @@
             applicant,
             now + request.max_wait,
         )
+        if applicant.is_resumed:
+            self._resumed_at = now
         if applicant.is_first_ask and applicant.is_retry:
             queue.charge_retry(ticket)
         elif applicant.is_first_ask:
@@ -142,7 +154,9 @@
             priority, tokens, frozenset(), True, applicant, now
         )
         ahead = self._queue.count_ahead(ticket)
-        rate = self._queue.get_rate(now)
+        # After a start, admissions tell how empty engines were, not how fast room is
+        # freed.
+        rate = min(self._queue.get_rate(now), self._planner.get_end_rate())
         urgent = self._arrivals.get_rate_above(priority, now)
         rate = max(rate - urgent, FLOOR_SHARE * rate)
         if not self._planner.may_cover(self.service):
@@ -257,12 +271,19 @@
             return False
         if self.pace.is_blocked(now):
             return True
+        if self._is_after_start(now) and held_share < START_HELD_SHARE:
+            return True
         elsewhere = self._ports.get_elsewhere(now)
         if not elsewhere or self._queue.is_below_floor(ticket, now):
             return False
         name = self.service.name
         return must_hold_back(name, ticket.priority, elsewhere, held_share)
 
+    def _is_after_start(self, now: float) -> bool:
+        """Return whether the streams of an earlier process still return here."""
+        is_new = now < self._started + START_SECONDS
+        return is_new and now < self._resumed_at + RESUMING_SECONDS
+
     def _get_held_share(self, ticket: SharedTicket, now: float) -> float:
         """Return the part of its allowed wait that a request has waited."""
         began = self._arrived[ticket.number]
