--- a/marigoldswitch/gateway/shared_line.py
+++ b/marigoldswitch/gateway/shared_line.py
@@ -37,6 +37,9 @@
 
 SHORT_SECONDS = 5.0
 """Time for which capacity counts as short after a request found none."""
+UNCOVERED_SECONDS = 0.3
+"""Time for which engines must lack layers before requests are refused at once. Until
+then this host may only not have heard of a change of layers yet."""
 START_SECONDS = 3.0
 """Time after the start of a process in which callers resume streams that ended with an
 earlier one."""
@@ -86,6 +89,8 @@
         self._hopeless: set[int] = set()
         """Requests that have been found hopeless and are being refused."""
         self._short_until = float("-inf")
+        self._uncovered_since: float | None = None
+        """Since when the engines are known to lack layers, in monotonic seconds."""
         self._started = clock.monotonic()
         self._resumed_at = float("-inf")
         """When a resumed request last arrived, in monotonic seconds."""
@@ -313,16 +318,23 @@
             return True
         if ticket.goes_before_new:
             return False
-        if now > ticket.applicant.deadline_at or not self._planner.may_cover(
-            self.service
-        ):
+        if now > ticket.applicant.deadline_at or self._lacks_layers(now):
             self._hopeless.add(ticket.number)
             return True
         return False
 
+    def _lacks_layers(self, now: float) -> bool:
+        """Return whether the engines have lacked layers for some time."""
+        if self._planner.may_cover(self.service):
+            self._uncovered_since = None
+            return False
+        if self._uncovered_since is None:
+            self._uncovered_since = now
+        return now - self._uncovered_since >= UNCOVERED_SECONDS
+
     def _refuse_hopeless(self, now: float) -> None:
         """Refuse the waiting requests that have become hopeless."""
-        covers = self._planner.may_cover(self.service)
+        covers = not self._lacks_layers(now)
         for ticket in self._queue.tickets:
             if ticket.goes_before_new:
                 continue
