--- a/marigoldswitch/tests/test_admission_plays.py
+++ b/marigoldswitch/tests/test_admission_plays.py
@@ -137,6 +137,17 @@
     assert short >= 0.85
 
 
+def test_priority_below_most_of_the_requests_gets_a_quarter_of_the_overall_share():
+    def draw_urgent(rng):
+        priority = 0 if rng.random() < 0.7 else 2
+        return {"priority": priority, "account": f"s{rng.randrange(12)}"}
+
+    result = play(lambda site: site.offer(80, 12, draw_urgent), seed=1)
+    last = measure_share(select(result.calls, priority=2))
+    assert last >= 0.25 * measure_share(result.calls)
+    assert last < measure_share(select(result.calls, priority=0))
+
+
 def test_calm_traffic_waits_for_nothing():
     result = play(lambda site: site.offer(10, 10, draw), seed=1)
     waits = [call.admitted - call.arrivals[0] for call in result.calls]
