Don't take the first request of a slow caller for an early return

A caller that takes 5 to 100 ms to open its connection has as much less time left, and was refused instead of queued. Only times that this host has told count as told now, and a retry is one from 50 ms after the first arrival.

--- a/marigoldswitch/core/admitting/applicants.py
+++ b/marigoldswitch/core/admitting/applicants.py
@@ -11,9 +11,10 @@
 """Longest time since the first arrival that is believed, as a share of the route's
 timeout: callers honour ``Retry-After`` up to a third of the time they have left."""
 
-RETRY_SECONDS = 0.005
-"""Least time since the first arrival of a request that was sent again. It is above the
-rounding of the times that callers state."""
+RETRY_SECONDS = 0.05
+"""Least time since the first arrival of a request that was sent again as told. A caller
+that sends its request for the first time may have used up some milliseconds, to open a
+connection for example."""
 
 
 class Applicant(Struct, frozen=True):
--- a/marigoldswitch/core/admitting/returns.py
+++ b/marigoldswitch/core/admitting/returns.py
@@ -17,8 +17,7 @@
 """Longest ``Retry-After``, as a share of the time that the caller has left: callers
 honour up to a third of it."""
 MIN_RETURN_SECONDS = 0.1
-"""Shortest ``Retry-After``; a few searches for room. A request whose caller first sent
-it less than this ago surely returns too early, also from another host."""
+"""Shortest ``Retry-After``; a few searches for room."""
 NO_RATE_SECONDS = (0.8, 2.4)
 """Range where nothing is being admitted: engines that take over layers need at least
 1.4 s to load them. The random part spreads the returns."""
--- a/marigoldswitch/gateway/chain_waiting.py
+++ b/marigoldswitch/gateway/chain_waiting.py
@@ -7,11 +7,9 @@
 
 from marigoldswitch.core.admitting.applicants import (
     NO_ACCOUNT,
-    RETRY_SECONDS,
     Applicant,
 )
 from marigoldswitch.core.admitting.engine_refusals import EngineRefusals
-from marigoldswitch.core.admitting.returns import MIN_RETURN_SECONDS
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.loads import Usage
 from marigoldswitch.core.stages import (
@@ -128,7 +126,6 @@
         call, arrived = exchange.call, exchange.arrived
         is_early = admission.note_return(exchange.service, lambda: exchange.fingerprint)
         first = admission.first_arrivals.find(exchange.route, call.timeout, arrived)
-        is_early |= RETRY_SECONDS < arrived - first < MIN_RETURN_SECONDS
         applicant = Applicant(
             exchange.account or NO_ACCOUNT,
             arrived if is_early else first,
