--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Request metrics of a gateway, kept in the metrics registry of its host."""
 
+from collections.abc import Callable, Mapping
+
 from marigoldswitch.gateway.interruption_log import LossKind
 from marigoldswitch.gateway.placing import Placing
 from marigoldswitch.metrics import Metrics
@@ -10,6 +12,8 @@
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
+        self._shown: set[tuple[str, int]] = set()
+        """Services and priorities whose gauge has been set."""
 
     def watch_placing(self, placing: Placing) -> None:
         """Set the gauges of placing before each scrape."""
@@ -51,3 +55,25 @@
         kept = "yes" if is_kept else "no"
         self._metrics.interruptions.inc({"kind": kind.value, "kept": kept})
         self._metrics.pause_seconds.observe({"kind": kind.value}, seconds)
+
+    def watch_waiting(
+        self, count_waiting: Callable[[], Mapping[tuple[str, int], int]]
+    ) -> None:
+        """Set the gauge of waiting requests at each scrape.
+
+        :param count_waiting: returns the waiting requests by service and priority.
+        """
+
+        def collect() -> None:
+            counts = count_waiting()
+            self._shown.update(counts)
+            for service, priority in self._shown:
+                labels = {"service": service, "priority": str(priority)}
+                count = counts.get((service, priority), 0)
+                self._metrics.requests_waiting.set(labels, count)
+
+        self._metrics.add_collector(collect)
+
+    def count_admission_refusal(self, service: str, why: str) -> None:
+        """Count a request that was refused for want of capacity."""
+        self._metrics.admission_refusals.inc({"service": service, "why": why})
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -19,6 +19,7 @@
 )
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.resumption import can_resume, find_resumed_chain
+from marigoldswitch.core.retries import SlidingWindowCounter
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.core.stages import (
     BACKLOG_COST_FACTOR,
@@ -29,6 +30,7 @@
     compute_begin_cost,
     count_crossings,
 )
+from marigoldswitch.core.waiting import RATE_WINDOW_SECONDS
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.forecaster import Forecaster
 from marigoldswitch.gateway.placing import Placing
@@ -39,6 +41,10 @@
 chain without it. It serves for 2 s after the store records that it leaves, which this
 host learns up to half a second later; a new holder of its layers needs 1.5 s."""
 
+DEAD_BEYOND_DOUBT_SECONDS = 0.5
+"""Time after which an engine that is excluded as dead isn't expected back: live ones
+are probed again, and found alive, within it."""
+
 
 class ChainPlanner:
     """Chooses chains and tracks the load that their requests put on engines.
@@ -67,6 +73,8 @@
         self.prefill = PrefillWork(directory, loads, clock, source)
         self.forecaster.get_backlog = self.prefill.get_seconds
         self._crossing_budget = CrossingBudget()
+        self._ended = SlidingWindowCounter(RATE_WINDOW_SECONDS, bucket=0.1)
+        """Chains of this host that have ended."""
         self.count_hosts: Callable[[], int] = lambda: 1
         """Returns the number of hosts that share bounds, silent ones included."""
         self.count_near: Callable[[], int] = lambda: 1
@@ -299,6 +307,46 @@
         offers = self._build_offers([row.target], service.model, tokens)
         return any(item.has_ample_room(stage.layers) for item in offers)
 
+    def may_cover(self, service: ServiceSpec) -> bool:
+        """Return whether the engines that may still serve hold all layers.
+
+        Engines without room count, and those that were found dead only just now: they
+        may have been taken for dead wrongly. Loading missing layers takes longer than
+        any new request waits.
+        """
+        model, now = service.model, self._clock.monotonic()
+        if model is None:
+            return False
+        registry, suspects = self._directory.registry, self._directory.suspects
+        targets = [
+            item
+            for item in registry.list_targets(service.name)
+            if not suspects.has_been_dead(item.id, DEAD_BEYOND_DOUBT_SECONDS, now)
+        ]
+        targets += registry.list_leaving(service.name, now - LEAVING_USE_SECONDS)
+        ranges = [item.layers for item in targets if item.layers is not None]
+        return covers_model(ranges, model.layers)
+
+    def measure_parallelism(self, service: ServiceSpec) -> float:
+        """Return how many engines hold each layer on average."""
+        if service.model is None:
+            return 0.0
+        targets = self._directory.registry.list_targets(service.name)
+        held = [item.layers for item in targets if item.layers is not None]
+        return sum(item.end - item.first for item in held) / service.model.layers
+
+    def count_begun(self) -> int:
+        """Return the number of requests that this host runs on chains."""
+        return sum(item.begun for item in self._loads.own.values())
+
+    def get_end_rate(self) -> float:
+        """Return how many chains of this host end a second."""
+        return self._ended.count(self._clock.monotonic()) / RATE_WINDOW_SECONDS
+
+    def get_usage(self, target: TargetId) -> Usage:
+        """Return the load of an engine by the requests of all known hosts."""
+        return self._loads.get(target)
+
     def hold(self, stages: Sequence[Stage], tokens: int) -> None:
         """Add a request to the load of its chain's engines."""
         for item in stages:
@@ -306,6 +354,7 @@
 
     def release(self, stages: Sequence[Stage], tokens: int) -> None:
         """Remove an ended request from the load of its chain's engines."""
+        self._ended.add(self._clock.monotonic())
         for item in stages:
             self._loads.release(item.target, _build_usage(item, tokens))
 
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -14,16 +14,12 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.errors import ErrorKind, Fault
-from marigoldswitch.core.stages import (
-    Chain,
-    Stage,
-    describe_stages,
-    find_refusing_stage,
-)
+from marigoldswitch.core.stages import Chain, Stage
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.bounded_reads import AnswerUnbounded, Reader, read_whole
 from marigoldswitch.gateway.broken_chains import ChainBroken, ChainLeft
 from marigoldswitch.gateway.caller_writes import abort
+from marigoldswitch.gateway.chain_waiting import ChainWait
 from marigoldswitch.gateway.detours import ChainMonitor
 from marigoldswitch.gateway.exchanges import (
     AnswerAborted,
@@ -37,7 +33,6 @@
     reserve_resend,
     spend_retry,
 )
-from marigoldswitch.gateway.forecast_checks import describe_choice, start_check
 from marigoldswitch.gateway.forwarding import AnswerCut, EventForwarder
 from marigoldswitch.gateway.interruption_log import LossKind
 from marigoldswitch.gateway.lost_runs import record_lost_run
@@ -47,22 +42,12 @@
 
 logger = structlog.get_logger(__name__)
 
-MAX_WAIT_SHARE = 0.6
-"""Fraction of the route's latency target that a request may wait for a chain with room.
-The engines need the rest to read its prompt."""
-RESUME_SECONDS = 0.2
-"""Time that a stream which has begun needs from getting a new chain to its next event.
-It waits for a chain until its caller would leave before that event: aborting it loses
-what the caller has received."""
 HIGHEST_PRIORITY = 0
 MAX_REFUSALS = 4
 """Refusals by engines after which the caller is told to retry later."""
 MAX_RESUME_REFUSALS = 8
 """The same for a stream that has begun. It is higher because aborting the stream loses
 what its caller has received."""
-RETRY_AFTER_SECONDS = (0.8, 2.4)
-"""Range of the delay after which a caller is told to retry: engines that take over
-layers need at least 1.4 s to load them. A random delay spreads the retries."""
 
 
 class Completed(Struct, frozen=True):
@@ -90,6 +75,7 @@
             parts.clock, exchange, self.chain_monitor, lambda: guard.bounds
         )
         self._losses = StreamLosses(parts, exchange, self.chain_monitor.interruptions)
+        self._chain_wait = ChainWait(parts, exchange)
         self._refusals = 0
 
     @property
@@ -140,43 +126,17 @@
     # Waiting for a chain and retrying.
 
     async def _acquire_chain(self) -> Chain | None:
-        exchange, parts = self._exchange, self._parts
-        now = parts.clock.monotonic()
-        interruptions = self.chain_monitor.interruptions
-        chain = await parts.admission.acquire(
-            exchange.service,
-            exchange.call.tokens,
-            exchange.priority,
-            self._compute_max_wait(now),
+        monitor, clock = self.chain_monitor, self._parts.clock
+        chain = await self._chain_wait.acquire(
             await self._losses.list_avoided(),
-            is_new=exchange.response is None,
-            due=now + interruptions.get_seconds_left(now) - RESUME_SECONDS,
-        )
-        check = self._forwarder.check = start_check(parts, exchange, chain)
-        interruptions.note_chain(parts.clock.monotonic())
-        logger.info(
-            "chain_chosen" if chain else "chain_missing",
-            request=exchange.call.id,
-            service=exchange.service.name,
-            stages=describe_stages(chain.stages) if chain else None,
-            waited=round(parts.clock.monotonic() - now, 4),
-            waiting=parts.admission.count_waiting(),
-            revision=parts.directory.registry.revision,
-            after=self.chain_monitor.last_event,
-            **describe_choice(parts, exchange, check, chain is not None),
+            self._forwarder.last_sent,
+            monitor.last_event,
+            monitor.interruptions.get_seconds_left(clock.monotonic()),
         )
+        self._forwarder.check = self._chain_wait.check
+        monitor.interruptions.note_chain(clock.monotonic())
         return chain
 
-    def _compute_max_wait(self, now: float) -> float:
-        """Return the seconds that the request may wait for a chain with room."""
-        exchange = self._exchange
-        route = exchange.route
-        if exchange.response is None:
-            waited = now - exchange.arrived
-            return max(0.0, MAX_WAIT_SHARE * route.latency_target - waited)
-        silence = now - (self._forwarder.last_sent or exchange.arrived)
-        return max(0.0, route.caller_patience - RESUME_SECONDS - silence)
-
     def _check_retry_allowed(self, why: str) -> None:
         """Spend a retry, or fail the request if it may not be sent again.
 
@@ -209,35 +169,19 @@
         :raises RequestRefused: if it fails; :class:`AnswerAborted` once the answer has
             begun.
         """
-        exchange, parts = self._exchange, self._parts
-        now = parts.clock.monotonic()
+        exchange = self._exchange
         exchange.run_count -= 1
         self._refusals += 1
         exchange.attempt_log.append(f"refused by {at_fault or stages[0].address}")
-        self._exclude_refusing_engine(find_refusing_stage(stages, at_fault), now)
+        closed = self._chain_wait.exclude_refusing_engine(stages, at_fault)
+        if closed is not None:
+            self._losses.note(LossKind.REFUSAL, closed)
         has_begun = exchange.response is not None
         if self._refusals >= (MAX_RESUME_REFUSALS if has_begun else MAX_REFUSALS):
             self._fail_request(ErrorKind.TARGET_REFUSED, "the engines have no room")
         if not self._spend_retry():
             self._fail_request(ErrorKind.TARGET_REFUSED, "no retry left")
 
-    def _exclude_refusing_engine(self, stage: Stage, now: float) -> None:
-        """Exclude an engine that refused, for longer if it surely had room."""
-        exchange, parts = self._exchange, self._parts
-        had_room = parts.planner.had_room(exchange.service, stage, exchange.call.tokens)
-        finding = parts.directory.suspects.note_refusal(stage.target, had_room, now)
-        logger.info(
-            "engine_refused",
-            request=exchange.call.id,
-            target=stage.target,
-            address=stage.address,
-            held=parts.loads.get(stage.target).requests,
-            finding=finding.value,
-        )
-        row = parts.directory.registry.rows.get(stage.target)
-        if finding is Finding.CLOSED and row is not None:
-            self._losses.note(LossKind.REFUSAL, row.target)
-
     def _spend_retry(self) -> bool:
         """Take a retry from the service's budget; return whether one was left.
 
@@ -261,7 +205,7 @@
             kind = ErrorKind.NOT_DELIVERED
         retry_after = None
         if exchange.run_count == 0:
-            retry_after = self._parts.source.uniform(*RETRY_AFTER_SECONDS)
+            retry_after = self._chain_wait.choose_retry_after()
         raise RequestRefused(Fault(kind, detail, retry_after))
 
     # Running over one chain.
@@ -356,6 +300,7 @@
             raise ChainBroken(f"answer to another request: {facts.request}")
         if facts.not_run:
             return EnginesRefused(facts.at_fault)
+        self._parts.admission.note_accepted(exchange.service)
         if reply.status != web.HTTPOk.status_code:
             return await self._relay_error(reply)
         if not facts.is_signed or facts.is_encoded:
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 from marigoldswitch.clocks import BootClock
+from marigoldswitch.core.admitting.elsewhere import WaitingElsewhere
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.gateway_messages import GatewayMessage
@@ -101,6 +102,10 @@
     loans = LoanBook(source.getrandbits(PROCESS_BITS), owns_from)
     probes = EngineProbes(engines, directory, planner, clock, contact, services)
     crashes = CrashWatch(clock, directory, probes)
+    admission = Admission(planner, clock, source, planner)
+    directory.watch(admission.apply_table)
+    waiting = WaitingElsewhere(home, lambda: planner.count_hosts(), admission.count_own)
+    admission.get_elsewhere = waiting.get
     runs = RunParts(
         state,
         clock,
@@ -110,7 +115,7 @@
         directory,
         loads,
         planner,
-        Admission(planner, clock),
+        admission,
         probes,
         crashes,
         RetryBudgets(
@@ -173,6 +178,9 @@
     requests = RequestRuns(runs, PeerProxy(runs, proxy_hosts, host_connections))
     gateway_metrics.watch_placing(planner.placing)
     runs.record_pause = gateway_metrics.count_pause
+    spread.counts.waiting = waiting
+    gateway_metrics.watch_waiting(admission.count_by_priority)
+    admission.count_refusal = gateway_metrics.count_admission_refusal
     front = Frontend(runs, gateway_metrics, requests)
     orderer = LayerOrderer(
         clock,
