Find the pace of new and recovered targets over all hosts together

A target that has just started looks idle to all hosts at once, and the gateway sent it its full load, or more, before it was warm.

Hosts report answers and demand in their digests while a ramp runs.

--- a/marigoldswitch/core/crashes.py
+++ b/marigoldswitch/core/crashes.py
@@ -16,8 +16,8 @@
 
 from msgspec import Struct, field
 
+from marigoldswitch.core.crash_notes import CrashNote, EndNote
 from marigoldswitch.core.fingerprints import Fingerprint
-from marigoldswitch.core.gateway_messages import CrashNote, EndNote
 from marigoldswitch.core.ids import AccountId
 from marigoldswitch.core.interruptions import Hold, InterruptedRequest, TargetRun
 
--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -8,15 +8,14 @@
 
 from msgspec import Struct
 
-from marigoldswitch.core.fingerprints import Fingerprint
+from marigoldswitch.core.crash_notes import CrashNotes
 from marigoldswitch.core.ids import (
-    AccountId,
     DataCentre,
     HostId,
-    PromptPartId,
     ServiceName,
     TargetId,
 )
+from marigoldswitch.core.pace_finding.records import RampNote
 
 
 class TargetUsage(Struct, frozen=True):
@@ -142,6 +141,7 @@
     hosts: int
     retries: tuple[Any, ...] = ()
     sends: tuple[SendNote, ...] = ()
+    ramps: tuple[RampNote, ...] = ()
 
 
 class HeldLayers(Struct, frozen=True):
@@ -205,6 +205,8 @@
     :param process: random number of the sender's process.
     :param is_cut_off: whether the sender reaches no target.
     :param proxy_port: at which the sender takes requests of other hosts; 0 if unknown.
+    :param ramps: what the sender has counted of targets on a ramp, for the hosts that
+        sum it up; ``None`` in digests to others.
     """
 
     data_centre: DataCentre
@@ -230,6 +232,7 @@
     process: int = 0
     is_cut_off: bool = False
     proxy_port: int = 0
+    ramps: tuple[RampNote, ...] | None = None
 
 
 class CentreUsage(Struct, frozen=True):
@@ -300,6 +303,7 @@
     :param revision: revision of the row.
     :param layers: index of the first layer and that after the last; empty if none.
     :param born: when the target started, in ms since 1970; 0 if unknown.
+    :param cold_ms: how much longer it stays slow after its start, in ms.
     """
 
     target: TargetId
@@ -312,6 +316,7 @@
     revision: int
     layers: tuple[int, ...] = ()
     born: int = 0
+    cold_ms: int = 0
 
 
 class TargetsContent(Struct, frozen=True):
@@ -329,76 +334,6 @@
     lapsed: tuple[TargetId, ...] = ()
 
 
-class EndNote(Struct, frozen=True):
-    """An end of a target while it ran a request.
-
-    :param born: when the target had started, in ms since 1970; 0 if unknown.
-    :param age: seconds since the end.
-    :param blame: share of the blame that the request bears, in hundredths.
-    """
-
-    target: TargetId
-    born: int
-    age: float
-    blame: int
-
-
-class CrashNote(Struct, frozen=True):
-    """What a host knows of one request that was running when targets ended.
-
-    :param account: client account of the request, if known.
-    :param ends: the ends of targets during the request.
-    :param held: seconds since the last end for which the request was held off; negative
-        if it is not held off.
-    :param cleared: seconds since the request last completed; negative if it never has.
-    """
-
-    fingerprint: Fingerprint
-    account: AccountId | None
-    ends: tuple[EndNote, ...]
-    held: float = -1.0
-    cleared: float = -1.0
-
-
-class PartEndNote(Struct, frozen=True):
-    """An end of a target that had not answered a request with some part.
-
-    :param born: when the target had started, in ms since 1970; 0 if unknown.
-    :param age: seconds since the end.
-    :param sent: seconds since the request was sent to the target.
-    :param request: begin of the request's fingerprint.
-    :param account: client account of the request, if known.
-    """
-
-    target: TargetId
-    born: int
-    age: float
-    sent: float
-    request: str
-    account: AccountId | None = None
-
-
-class PartNote(Struct, frozen=True):
-    """What a host knows of one part of prompts with which targets ended.
-
-    :param ends: the ends since the part was last answered.
-    :param answered: seconds since a target last answered a request with the part;
-        negative if none is known to have.
-    """
-
-    service: ServiceName
-    part: PromptPartId
-    ends: tuple[PartEndNote, ...] = ()
-    answered: float = -1.0
-
-
-class CrashNotes(Struct, frozen=True):
-    """Records of requests that end targets, and of parts of prompts that do."""
-
-    notes: tuple[CrashNote, ...]
-    parts: tuple[PartNote, ...] = ()
-
-
 GatewayMessage = (
     LoadDigest
     | LoadSummary
--- /dev/null
+++ b/marigoldswitch/core/pace_finding/__init__.py
@@ -0,0 +1,1 @@
+"""Slow start of new and recovered targets."""
--- a/marigoldswitch/core/part_crashes.py
+++ b/marigoldswitch/core/part_crashes.py
@@ -15,8 +15,8 @@
 from collections import Counter, OrderedDict
 from collections.abc import Container, Iterable, Sequence
 
+from marigoldswitch.core.crash_notes import PartEndNote, PartNote
 from marigoldswitch.core.crashes import EXPIRY_SECONDS, HOLD_SECONDS, Hold
-from marigoldswitch.core.gateway_messages import PartEndNote, PartNote
 from marigoldswitch.core.ids import AccountId, ServiceName
 from marigoldswitch.core.interruptions import (
     InterruptedRequest,
--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -51,12 +51,15 @@
     :param revision: revision of the row; a higher one is newer.
     :param born: when the target started, in ms since 1970; 0 if unknown. A target that
         restarts under the same id has lost everything that it held.
+    :param cold_seconds: how much longer it stays slow after its start, as it has stated
+        in this row.
     """
 
     target: Target
     leaving: bool
     revision: int
     born: int = 0
+    cold_seconds: float = 0.0
 
 
 class StoreRestored(Struct, frozen=True):
--- a/marigoldswitch/core/selection.py
+++ b/marigoldswitch/core/selection.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections.abc import Iterable
+from typing import Protocol
 
 from msgspec import Struct
 
@@ -17,6 +18,7 @@
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads
 from marigoldswitch.core.outliers import Health, OutlierDetector
+from marigoldswitch.core.pace_finding.sharing import TargetRoom
 
 INITIAL_SECONDS = 0.03
 """Answer time assumed for a target that has not answered yet."""
@@ -34,6 +36,32 @@
 requests counts as three times as slow."""
 
 
+SLOW_ANSWER_FACTOR = 2.5
+SLOW_ANSWER_MARGIN = 0.01
+"""Factor on the usual answer time, and seconds added to it, beyond which an answer of a
+target on a ramp counts as slow. Requests differ by about as much."""
+
+
+class TargetPace(Protocol):
+    """Limits the load of targets that have started or recovered."""
+
+    def may_send(self, target: TargetId, room: TargetRoom, now: float) -> bool:
+        """Return whether this host may send a target one more request now."""
+        ...
+
+    def note_answer(self, target: TargetId, is_good: bool, now: float) -> None:
+        """Record how a request at a target ended."""
+        ...
+
+    def note_back(self, target: TargetId, now: float) -> None:
+        """Record that a target has recovered from failures."""
+        ...
+
+    def note_lost(self, target: TargetId, now: float) -> None:
+        """Record that a target is out of use for its failures."""
+        ...
+
+
 class _TargetStats(Struct):
     """Moving averages of one target's answer time and failure rate."""
 
@@ -46,9 +74,16 @@
     """Chooses among the targets of one plain service.
 
     :param home: data centre of this host.
+    :param pace: limits the load of targets that have started or recovered.
     """
 
-    def __init__(self, home: DataCentre, rng: random.Random) -> None:
+    def __init__(
+        self,
+        home: DataCentre,
+        rng: random.Random,
+        pace: TargetPace | None = None,
+    ) -> None:
+        self._pace = pace
         self.outliers = OutlierDetector()
         self._home = home
         self._rng = rng
@@ -78,11 +113,33 @@
             for item in untried
             if self.outliers.get_health(item.id) is not Health.EJECTED
         ]
-        candidates = healthy or untried
+        candidates = self._list_within_pace(healthy or untried, loads, now)
         if not candidates:
             return None
         return min(candidates, key=lambda item: self._cost(item, loads, now))
 
+    def _list_within_pace(
+        self, targets: list[Target], loads: Loads, now: float
+    ) -> list[Target]:
+        """Return the targets that may get one more request; all, if none may."""
+        pace = self._pace
+        if pace is None:
+            return targets
+        open_targets = [
+            item
+            for item in targets
+            if pace.may_send(
+                item.id,
+                TargetRoom(
+                    item.slots,
+                    loads.get(item.id).requests,
+                    self.estimate_seconds(item.id, now),
+                ),
+                now,
+            )
+        ]
+        return open_targets or targets
+
     def estimate_seconds(self, target: TargetId, now: float) -> float:
         """Return the expected answer time of a target, in seconds."""
         stats = self._stats.get(target)
@@ -94,20 +151,44 @@
     def note_answer(self, target: TargetId, seconds: float, now: float) -> None:
         """Record an answer of a target."""
         if target in self._stats:
+            is_slow = self._is_slow(target, seconds)
             self._update_stats(target, seconds, 0.0, now)
-            self.outliers.note_success(target, now)
+            has_recovered = self.outliers.note_success(target, now)
+            if self._pace is not None:
+                if has_recovered and not self.outliers.is_refusing(target):
+                    self._pace.note_back(target, now)
+                self._pace.note_answer(target, not is_slow, now)
 
     def note_failure(self, target: TargetId, seconds: float, now: float) -> None:
         """Record a request that failed at a target."""
         if target in self._stats:
             self._update_stats(target, seconds, 1.0, now)
             self.outliers.update_streak_limit()
-            self.outliers.note_failure(target, 1.0, now)
+            self._note_miss(target, self.outliers.note_failure(target, 1.0, now), now)
 
     def note_refusal(self, target: TargetId, now: float) -> None:
         """Record that a target refused a request for lack of room."""
         if target in self._stats:
-            self.outliers.note_refusal(target, now)
+            self._note_miss(target, self.outliers.note_refusal(target, now), now)
+
+    def _note_miss(self, target: TargetId, is_ejected: bool, now: float) -> None:
+        if self._pace is None:
+            return
+        self._pace.note_answer(target, False, now)
+        if is_ejected and not self.outliers.is_refusing(target):
+            self._pace.note_lost(target, now)
+
+    def _is_slow(self, target: TargetId, seconds: float) -> bool:
+        """Return whether an answer took long compared with those of other targets."""
+        others = sorted(
+            item.mean_seconds
+            for name, item in self._stats.items()
+            if name != target and item.updated_at > 0.0
+        )
+        if not others:
+            return False
+        usual = others[(len(others) - 1) // 2]
+        return seconds > SLOW_ANSWER_FACTOR * usual + SLOW_ANSWER_MARGIN
 
     def _update_stats(
         self, target: TargetId, seconds: float, failed: float, now: float
--- a/marigoldswitch/core/send_limits.py
+++ b/marigoldswitch/core/send_limits.py
@@ -167,6 +167,11 @@
         wanted.add(now)
         wanted.count(now)  # Drops those that are too old.
 
+    def count_wanted(self, service: ServiceName, now: float) -> int:
+        """Return the requests for a service within ``DEMAND_SECONDS``."""
+        wanted = self._wanted.get(service)
+        return wanted.count(now) if wanted is not None else 0
+
     def estimate_wait(self, target: TargetId, now: float) -> float:
         """Return the mean seconds until this host may send a target a request.
 
--- a/marigoldswitch/core/suspects.py
+++ b/marigoldswitch/core/suspects.py
@@ -86,6 +86,12 @@
         """Register a callback for each target that this host newly finds closed."""
         self._listeners[Finding.CLOSED].append(listener)
 
+    def add_listener(
+        self, finding: Finding, listener: Callable[[TargetId], None]
+    ) -> None:
+        """Register a callback for each target newly excluded by this host."""
+        self._listeners[finding].append(listener)
+
     def is_excluded(self, target: TargetId, now: float) -> bool:
         """Return whether a target is excluded now."""
         suspicion = self._suspicions.get(target)
--- a/marigoldswitch/gateway/count_exchange.py
+++ b/marigoldswitch/gateway/count_exchange.py
@@ -1,11 +1,21 @@
-"""Exchange of what hosts count together: requests to targets with a limit."""
+"""Exchange of what hosts count together: requests to targets with a limit, and answers
+of targets on a ramp."""
 
-from marigoldswitch.core.gateway_messages import CentreCounts, LoadDigest, LoadSummary
+from collections.abc import Mapping
+
+from marigoldswitch.core.gateway_messages import (
+    CentreCounts,
+    LoadDigest,
+    LoadSummary,
+)
 from marigoldswitch.core.host_counts import GroupCounts
-from marigoldswitch.core.ids import DataCentre, HostId
-from marigoldswitch.core.send_limits import SendLimits
+from marigoldswitch.core.ids import DataCentre, HostId, TargetId
+from marigoldswitch.core.pace_finding.records import RampCount, RampNote
+from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.message_counts import (
+    decode_ramps,
     decode_sends,
+    encode_ramps,
     encode_sends,
 )
 
@@ -16,13 +26,17 @@
     :param home: data centre of this host.
     """
 
-    def __init__(self, home: DataCentre, sends: SendLimits) -> None:
+    def __init__(self, home: DataCentre, directory: Directory) -> None:
         self._home = home
-        self._sends = sends
+        self._sends = directory.statements.limits
+        self._ramps = directory.ramps
+        self._registry = directory.registry
 
-    def expire(self, now: float) -> None:
-        """Drop reports that are too old to count."""
+    def tick(self, now: float) -> None:
+        """Drop reports that are too old to count, and advance the ramps."""
         self._sends.expire(now)
+        self._ramps.counts.expire(now)
+        self._ramps.advance(now)
 
     def sum_up(self, now: float, with_others: bool) -> tuple[CentreCounts, ...]:
         """Return the sums of this data centre.
@@ -30,15 +44,36 @@
         :param with_others: whether to add those of the other known data centres.
         """
         sends = {self._home: self._sends.sum_home(now)}
+        ramps = {self._home: self._ramps.counts.sum_home(now)}
         if with_others:
             sends |= self._sends.get_other_centres()
+            ramps |= self._ramps.counts.get_other_centres()
         return tuple(
-            CentreCounts(centre, group.hosts, sends=encode_sends(group.counts))
+            CentreCounts(
+                centre,
+                group.hosts,
+                sends=encode_sends(group.counts),
+                ramps=self._encode_ramps(
+                    ramps[centre].counts if centre in ramps else {}
+                ),
+            )
             for centre, group in sorted(sends.items())
         )
 
+    def encode_own_ramps(self, now: float) -> tuple[RampNote, ...]:
+        """Return what this host has counted of targets on a ramp."""
+        return self._encode_ramps(self._ramps.counts.count_own(now))
+
+    def _encode_ramps(
+        self, counts: Mapping[TargetId, RampCount]
+    ) -> tuple[RampNote, ...]:
+        return encode_ramps(counts, self._registry.get_born)
+
     def take_digest(self, sender: HostId, digest: LoadDigest, now: float) -> None:
         """Adopt the counts of a peer that reports any."""
+        if digest.ramps is not None:
+            ramps = decode_ramps(digest.ramps, self._registry.get_born)
+            self._ramps.counts.set_peer_counts(sender, digest.data_centre, ramps, now)
         if digest.sends is None:
             return
         sends = decode_sends(digest.sends)
@@ -49,3 +84,6 @@
         for part in summary.counts:
             sends = GroupCounts(part.hosts, decode_sends(part.sends))
             self._sends.set_centre_counts(part.data_centre, sends, now)
+            counts = decode_ramps(part.ramps, self._registry.get_born)
+            ramps = GroupCounts(part.hosts, counts)
+            self._ramps.counts.set_centre_counts(part.data_centre, ramps, now)
--- a/marigoldswitch/gateway/crash_note_exchange.py
+++ b/marigoldswitch/gateway/crash_note_exchange.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from marigoldswitch.core.gateway_messages import CrashNotes
+from marigoldswitch.core.crash_notes import CrashNotes
 from marigoldswitch.core.ids import HostId
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.crashes import CrashWatch
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -8,9 +8,9 @@
 from msgspec import Struct, field
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.crash_notes import CrashNotes
 from marigoldswitch.core.crashes import CrashLedger
 from marigoldswitch.core.fingerprints import Fingerprint
-from marigoldswitch.core.gateway_messages import CrashNotes
 from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName
 from marigoldswitch.core.interruptions import (
     Hold,
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -142,9 +142,11 @@
     def note_event(self) -> None:
         """Record that events have arrived, and update the usual gap between them."""
         now = self._parts.clock.monotonic()
-        is_first = not self._delivering_stages
-        if is_first and now - self._started_at <= PROMPT_SHARE * FIRST_EVENT_TIMEOUT:
-            self._parts.probes.note_prompt_answer()
+        if not self._delivering_stages:
+            service, took = self._exchange.service.name, now - self._started_at
+            self._parts.directory.ramps.note_first_event(service, self.stages, took)
+            if took <= PROMPT_SHARE * FIRST_EVENT_TIMEOUT:
+                self._parts.probes.note_prompt_answer()
         self._progress_at = now
         self._delivering_stages = self.stages
         self._deliveries += 1
@@ -279,8 +281,7 @@
         await self._record_engine_ends(lost)
         if await self._take_detour(lost) or not exchange.may_run_again:
             return
-        now = parts.clock.monotonic()
-        suspects = parts.directory.suspects
+        now, suspects = parts.clock.monotonic(), parts.directory.suspects
         if not any(suspects.is_dead(item.target, now) for item in self.stages[1:]):
             return
         tokens = exchange.call.tokens
--- a/marigoldswitch/gateway/directory.py
+++ b/marigoldswitch/gateway/directory.py
@@ -13,6 +13,7 @@
 from marigoldswitch.core.send_limits import SendLimits
 from marigoldswitch.core.suspects import Suspects
 from marigoldswitch.gateway.ports import StoredConfiguration
+from marigoldswitch.gateway.ramps import TargetRamps
 from marigoldswitch.gateway.statements import TargetStatements
 
 logger = structlog.get_logger(__name__)
@@ -24,10 +25,15 @@
     A configuration is replaced only by one of a higher version.
 
     :param statements: what targets state of themselves; by default to a single host.
+    :param source: random numbers for requests to targets on a ramp.
     :ivar has_targets: a complete list of targets was received.
     """
 
-    def __init__(self, statements: TargetStatements | None = None) -> None:
+    def __init__(
+        self,
+        statements: TargetStatements | None = None,
+        source: random.Random | None = None,
+    ) -> None:
         self.registry = TargetRegistry()
         self.suspects = Suspects()
         self.statements = statements or TargetStatements(
@@ -37,6 +43,14 @@
         self.statements.limits.find_service = self._find_service
         self.stored: StoredConfiguration | None = None
         self.has_targets = False
+        self.ramps = TargetRamps(
+            self.registry,
+            self.suspects,
+            self.statements.limits,
+            source or random.Random(),
+        )
+        self.ramps.get_table = lambda: self.table
+        self.ramps.knows_all = lambda: self.has_targets
         self._listeners: list[Callable[[RoutingTable], None]] = []
         self.registry.watch(self._note_change)
         self.registry.watch_restores(self._note_restored)
--- a/marigoldswitch/gateway/message_counts.py
+++ b/marigoldswitch/gateway/message_counts.py
@@ -1,6 +1,6 @@
 """Converts counts and limits to and from the messages between hosts."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from marigoldswitch.core.gateway_messages import (
     LimitNote,
@@ -9,6 +9,7 @@
 )
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.loads import Usage
+from marigoldswitch.core.pace_finding.records import RampCount, RampNote
 from marigoldswitch.core.send_limits import SendCount
 from marigoldswitch.core.stated_limits import StatedLimit
 
@@ -46,6 +47,28 @@
     }
 
 
+def encode_ramps(
+    counts: Mapping[TargetId, RampCount], get_born: Callable[[TargetId], int]
+) -> tuple[RampNote, ...]:
+    """Return the counts of targets on a ramp.
+
+    :param get_born: returns when a target started, in ms since 1970; 0 if unknown.
+    """
+    return tuple(
+        RampNote(target, get_born(target), count)
+        for target, count in sorted(counts.items())
+    )
+
+
+def decode_ramps(
+    notes: Iterable[RampNote], get_born: Callable[[TargetId], int]
+) -> dict[TargetId, RampCount]:
+    """Return counts by target, without those of another start of their target."""
+    return {
+        item.target: item.count for item in notes if item.born == get_born(item.target)
+    }
+
+
 def encode_limits(
     limits: Mapping[TargetId, StatedLimit], now: float
 ) -> tuple[LimitNote, ...]:
--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -1,5 +1,9 @@
 """Request metrics of a gateway, kept in the metrics registry of its host."""
 
+from collections import Counter
+from collections.abc import Callable
+
+from marigoldswitch.core.ids import ServiceName
 from marigoldswitch.metrics import Metrics
 
 
@@ -8,6 +12,18 @@
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
+        self._ramping_services: set[ServiceName] = set()
+        """Services that have had a target on a ramp."""
+
+    def set_ramping(self, count: Callable[[], Counter[ServiceName]]) -> None:
+        """Set the number of targets on a ramp.
+
+        :param count: returns it by service.
+        """
+        counts = count()
+        self._ramping_services |= set(counts)
+        for service in self._ramping_services:
+            self._metrics.targets_ramping.set({"service": service}, counts[service])
 
     def count_end(self, service: str, end: str, seconds: float | None) -> None:
         """Count one request that has ended.
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -61,7 +61,9 @@
         selector = self._selectors.get(service)
         if selector is None:
             home = DataCentre(self._parts.home)
-            selector = PlainSelector(home, self._parts.source)
+            selector = PlainSelector(
+                home, self._parts.source, self._parts.directory.ramps
+            )
             self._selectors[service] = selector
         return selector
 
@@ -243,6 +245,8 @@
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
         elapsed = now - started
+        if isinstance(end, Answered) and end.facts.load is not None:
+            parts.directory.ramps.note_report(target.id, end.facts.load, now)
         match end:
             case Answered(status, _, _, facts) if facts.not_run:
                 outcome = f"refused {status}"
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -1,5 +1,6 @@
 """Chooses chains of engines for requests by the engine loads known to this host."""
 
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 
@@ -8,6 +9,7 @@
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads, Usage
 from marigoldswitch.core.models import ModelSpec
+from marigoldswitch.core.pace_finding.sharing import TargetRoom
 from marigoldswitch.core.paths import (
     choose_jitter,
     covers_model,
@@ -32,6 +34,9 @@
 chain without it. It serves for 2 s after the store records that it leaves, which this
 host learns up to half a second later; a new holder of its layers needs 1.5 s."""
 
+STREAM_SECONDS = 2.0
+"""Least time for which most streams run."""
+
 
 class ChainPlanner:
     """Chooses chains and tracks the load that their requests put on engines.
@@ -80,14 +85,16 @@
         model = service.model
         if model is None:
             return None
-        offers = self._list_offers(service, model, tokens)
-        offers = [item for item in offers if item.target not in avoid]
         jitter = choose_jitter(self.count_near())
-        near = find_single_centre_chain(
-            offers, model.layers, self._home, self._source, jitter
-        )
-        if near is not None:
-            return near
+        # Engines on a ramp are used in full where no chain has room without that.
+        for is_paced in (True, False) if self._directory.ramps.is_active else (True,):
+            offers = self._list_offers(service, model, tokens, is_paced)
+            offers = [item for item in offers if item.target not in avoid]
+            near = find_single_centre_chain(
+                offers, model.layers, self._home, self._source, jitter
+            )
+            if near is not None:
+                return near
         for list_fallback in (self._list_leaving, self._list_failing):
             more = list_fallback(service, model, tokens)
             more = [item for item in more if item.target not in avoid]
@@ -159,7 +166,11 @@
         offers = self._list_offers(service, model, tokens)
         near = [item for item in offers if item.data_centre == home]
         rest = {item.target for item in stages[1:]}
-        attempts = ((lost, near), (lost, offers), (rest, near), (rest, offers))
+        attempts = [(lost, near), (lost, offers), (rest, near), (rest, offers)]
+        if self._directory.ramps.is_active:
+            offers = self._list_offers(service, model, tokens, is_paced=False)
+            attempts[2:2] = [(lost, offers)]
+            attempts.append((rest, offers))
         old_crossings = count_crossings([centres[item.target] for item in stages])
         for excluded, candidates in attempts:
             chain = repair_chain(stages, excluded, candidates, centres, self._source)
@@ -229,8 +240,16 @@
             self._loads.release(item.target, _build_usage(item, tokens))
 
     def _list_offers(
-        self, service: ServiceSpec, model: ModelSpec, tokens: int
+        self,
+        service: ServiceSpec,
+        model: ModelSpec,
+        tokens: int,
+        is_paced: bool = True,
     ) -> list[StageOffer]:
+        """Return what the engines of a service offer for a request.
+
+        :param is_paced: whether engines on a ramp offer only what their share allows.
+        """
         now = self._clock.monotonic()
         suspects = self._directory.suspects
         targets = [
@@ -238,7 +257,24 @@
             for target in self._directory.registry.list_targets(service.name)
             if not suspects.is_excluded(target.id, now)
         ]
-        return self._build_offers(targets, model, tokens)
+        offers = self._build_offers(targets, model, tokens, is_paced)
+        if not is_paced or not self._directory.ramps.is_active:
+            return offers
+        return [item for item in offers if self._may_send(item, now)]
+
+    def _may_send(self, offer: StageOffer, now: float) -> bool:
+        """Return whether the pace of an engine allows one more stream now."""
+        taken = (offer.layers.end - offer.layers.first) * offer.share_per_layer
+        streams = 1.0 / taken if taken > 0.0 else float("inf")
+        ramps = self._directory.ramps
+        room = TargetRoom(
+            # The offer is for the share alone.
+            streams / ramps.get_share(offer.target, now),
+            self._loads.get(offer.target).requests,
+            STREAM_SECONDS,
+            offer.data_centre == self._home,
+        )
+        return ramps.may_send(offer.target, room, now)
 
     def _list_leaving(
         self, service: ServiceSpec, model: ModelSpec, tokens: int
@@ -271,13 +307,17 @@
         return self._build_offers(targets, model, tokens)
 
     def _build_offers(
-        self, targets: Sequence[Target], model: ModelSpec, tokens: int
+        self,
+        targets: Sequence[Target],
+        model: ModelSpec,
+        tokens: int,
+        is_paced: bool = True,
     ) -> list[StageOffer]:
         peers = self.count_near() - 1
         blocked = self._directory.statements.list_blocked(self._clock.monotonic())
         offers = (
             self._build_offer(
-                target, model, tokens, peers, may_begin=target.id not in blocked
+                target, model, tokens, peers, target.id not in blocked, is_paced
             )
             for target in targets
         )
@@ -290,12 +330,14 @@
         tokens: int,
         peers: int,
         may_begin: bool,
+        is_paced: bool,
     ) -> StageOffer | None:
         """Return an engine's offer, or ``None`` if it can run no part of a request.
 
         :param peers: number of other hosts in this data centre, which are expected to
             choose engines as this host does.
         :param may_begin: whether it takes a request of this host now.
+        :param is_paced: whether an engine on a ramp offers only what its share allows.
         """
         accelerator = model.accelerators.get(target.accelerator)
         layers = target.layers
@@ -305,7 +347,12 @@
         if capacity <= 0.0:
             return None
         usage = self._loads.get(target.id)
-        offered = choose_offered_layers(layers, usage.begun, target.slots, may_begin)
+        share = 1.0
+        if is_paced:
+            share = self._directory.ramps.get_share(target.id, self._clock.monotonic())
+        capacity *= share
+        slots = math.ceil(share * target.slots)
+        offered = choose_offered_layers(layers, usage.begun, slots, may_begin)
         if offered is None:
             return None
         context = usage.memory / (layers.end - layers.first)
@@ -315,11 +362,11 @@
             target.address,
             target.data_centre,
             offered,
-            seconds * self.slowness.get(target.id, 1.0),
+            seconds * self.slowness.get(target.id, 1.0) * (2.0 - share),
             usage.memory / capacity,
             tokens / capacity,
             self._loads.get_unreported_memory(target.id) * peers / capacity,
-            compute_begin_cost(usage.begun, target.slots, model.step_seconds),
+            compute_begin_cost(usage.begun, slots, model.step_seconds),
         )
 
 
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -270,6 +270,7 @@
         if self._directory.suspects.is_dead(target.id, now):
             logger.info("engine_back", target=target.id, address=target.address)
             self._directory.suspects.clear(target.id)
+            self._directory.ramps.note_back(target.id, now)
         self.note_status(target.id, status)
 
     def note_status(self, target: TargetId, status: EngineStatus) -> None:
--- a/marigoldswitch/gateway/send_log.py
+++ b/marigoldswitch/gateway/send_log.py
@@ -50,6 +50,11 @@
         return True
 
 
+def strip_counts(digest: LoadDigest) -> LoadDigest:
+    """Return a digest without what only hosts need that sum up counts."""
+    return replace(digest, usages=(), sends=None, ramps=None)
+
+
 def is_same(digest: LoadDigest, sent: LoadDigest) -> bool:
     """Return whether two digests are equal apart from times and counts that change by
     themselves."""
--- a/marigoldswitch/gateway/spread.py
+++ b/marigoldswitch/gateway/spread.py
@@ -44,6 +44,7 @@
     TICK_SECONDS,
     SendLog,
     is_same,
+    strip_counts,
 )
 from marigoldswitch.gateway.state_sync import DigestExchangeParts, StateSync
 from marigoldswitch.gateway.statement_exchange import StatementExchange
@@ -91,7 +92,7 @@
             parts.source,
             parts.identity.strength,
         )
-        self._counts = CountExchange(self._home, parts.directory.statements.limits)
+        self._counts = CountExchange(self._home, parts.directory)
         self._loans = LoanExchange(parts.clock, parts.network, parts.loans, self.roster)
         self._statements = StatementExchange(parts.directory)
         self._lease_note: LeaseNote | None = None
@@ -130,9 +131,8 @@
     def _is_reader(self) -> bool:
         """Return whether this host reads the store, and the store answers."""
         parts = self._parts
-        lost = (
-            parts.configuration.dependency.is_lost or parts.targets.dependency.is_lost
-        )
+        feeds = (parts.configuration, parts.targets)
+        lost = any(item.dependency.is_lost for item in feeds)
         return self.roster.must_read() and not lost and parts.directory.is_complete
 
     @property
@@ -172,7 +172,7 @@
         now = self._parts.clock.monotonic()
         roster = self.roster
         self._parts.loads.expire(now)
-        self._counts.expire(now)
+        self._counts.tick(now)
         roster.expire()
         self._lateness.forget(set(roster.peers))
         self._crash_notes.tick()
@@ -205,7 +205,7 @@
             summing = [host for host in hosts if host in relays]
         for host in summing:
             self._parts.network.send(host, digest)
-        stripped = replace(digest, usages=(), sends=None)
+        stripped = strip_counts(digest)
         if to_all or not self._sent.has_sent_stripped(stripped, now):
             for host in hosts:
                 if host not in summing:
@@ -218,7 +218,7 @@
         if hosts and not self.roster.is_mesh:
             now = self._parts.clock.monotonic()
             sums = {self._home: self._parts.loads.sum_home_usage()}
-            stripped = replace(digest, usages=(), readers=(), sends=None)
+            stripped = replace(strip_counts(digest), readers=())
             messages = [stripped, self._build_summary(sums, now)]
         for host in hosts:
             for message in messages:
@@ -228,12 +228,11 @@
         """Send the total usage of targets to the hosts of this data centre."""
         if not self._sent.mark_if_due(now, "sum", SUMMARY_SECONDS):
             return
-        loads = self._parts.loads
         sums: dict[DataCentre, Mapping[TargetId, Usage]]
-        sums = {self._home: loads.sum_home_usage()}
+        sums = {self._home: self._parts.loads.sum_home_usage()}
         with_others = self._sent.mark_if_due(now, "far sum", REMOTE_SUMMARY_SECONDS)
         if with_others:
-            sums |= loads.get_other_centres()
+            sums |= self._parts.loads.get_other_centres()
         summary = self._build_summary(sums, now, with_others)
         if self._sent.mark_if_due(now, "hosts", HOST_LIST_SECONDS):
             hosts = tuple(sorted(self.roster.list_local()))
@@ -316,6 +315,7 @@
             process=parts.loans.process,
             is_cut_off=is_cut_off,
             proxy_port=parts.proxy_port,
+            ramps=self._counts.encode_own_ramps(now),
         )
 
     def _list_dead(self, now: float) -> tuple[TargetId, ...]:
--- a/marigoldswitch/gateway/state_sync.py
+++ b/marigoldswitch/gateway/state_sync.py
@@ -26,7 +26,7 @@
 from marigoldswitch.core.ids import HostId
 from marigoldswitch.core.lags import Lag, choose_patience
 from marigoldswitch.core.loads import Loads
-from marigoldswitch.core.loans import LoanBook
+from marigoldswitch.core.loans import MILLISECONDS_PER_SECOND, LoanBook
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.registry import TargetRow
 from marigoldswitch.gateway.crashes import CrashWatch
@@ -355,6 +355,7 @@
         row.revision,
         layers,
         row.born,
+        round(row.cold_seconds * MILLISECONDS_PER_SECOND),
     )
 
 
@@ -369,4 +370,5 @@
         layers,
         note.accelerator,
     )
-    return TargetRow(target, note.leaving, note.revision, note.born)
+    cold_seconds = note.cold_ms / MILLISECONDS_PER_SECOND
+    return TargetRow(target, note.leaving, note.revision, note.born, cold_seconds)
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -88,9 +88,11 @@
     codec = HeaderCodec()
     send_limits = SendLimits(home, lambda: planner.count_hosts(), source)
     statements = TargetStatements(send_limits)
-    directory, loads, state = Directory(statements), Loads(home), HostState()
+    directory, loads, state = Directory(statements, source), Loads(home), HostState()
+    directory.ramps.loads = loads
     contact, services = TargetContact(clock.monotonic()), ServiceContacts(clock)
     planner = ChainPlanner(directory, loads, clock, home, source)
+    directory.ramps.slowness = planner.slowness
     owns_from = 0.0 if settings.is_first_start else clock.monotonic() + START_SECONDS
     loans = LoanBook(source.getrandbits(PROCESS_BITS), owns_from)
     probes = EngineProbes(engines, directory, planner, clock, contact, services)
@@ -129,6 +131,9 @@
         partial(directory.registry.list_targets, service), contact
     )
     metrics = Metrics()
+    metrics.add_collector(
+        partial(GatewayMetrics(metrics).set_ramping, directory.ramps.count_ramping)
+    )
     network = PeerNetwork(
         HostId(identity.host),
         [PEER_SECRET],
--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -1,6 +1,7 @@
 """Decodes the operator's configuration and the targets' rows into product types."""
 
 import ipaddress
+import math
 from typing import Any
 
 import orjson
@@ -104,8 +105,14 @@
         read_layers(row.get("layers")),
         accelerator,
     )
+    cold_seconds = max(0.0, row["cold_remaining_ms"]) / MILLISECONDS_PER_SECOND
     return TargetRow(
-        target, row["phase"] == DRAINING_PHASE, revision, read_start_time(row)
+        target,
+        row["phase"] == DRAINING_PHASE,
+        revision,
+        read_start_time(row),
+        # JSON has no infinite numbers, but some writers send them.
+        cold_seconds if math.isfinite(cold_seconds) else 0.0,
     )
 
 
--- a/marigoldswitch/tests/crash_network.py
+++ b/marigoldswitch/tests/crash_network.py
@@ -4,7 +4,8 @@
 from collections import Counter
 from types import SimpleNamespace
 
-from marigoldswitch.core.gateway_messages import CrashNotes, GatewayMessage
+from marigoldswitch.core.crash_notes import CrashNotes
+from marigoldswitch.core.gateway_messages import GatewayMessage
 from marigoldswitch.core.ids import DataCentre, HostId
 from marigoldswitch.core.interruptions import InterruptedRequest, TargetRun
 from marigoldswitch.core.loads import Loads
--- a/marigoldswitch/tests/test_crash_spread.py
+++ b/marigoldswitch/tests/test_crash_spread.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marigoldswitch.core.gateway_messages import CrashNotes
+from marigoldswitch.core.crash_notes import CrashNotes
 from marigoldswitch.core.interruptions import (
     InterruptedRequest,
     PromptPart,
--- a/marigoldswitch/tests/test_probing.py
+++ b/marigoldswitch/tests/test_probing.py
@@ -61,6 +61,7 @@
             id=TargetId(name),
             service="model",
             address=name,
+            slots=8,
             layers=LAYERS,
             data_centre=DataCentre(centre),
             accelerator="card",
