--- a/marigoldswitch/core/pace_finding/finder.py
+++ b/marigoldswitch/core/pace_finding/finder.py
@@ -37,10 +37,9 @@
 MAX_STARTING_SHARE = 0.5
 """Part of a pool that starts at once from which there is no ramp, as the others can't
 take the load of those."""
-MAX_REST_USE = 0.85
-"""Mean used part of the rest of the pool from which a ramp ends."""
-FULL_REST_USE = 1.0
-"""Used part of the rest at one moment from which no ramp starts."""
+MAX_REST_USE = 1.0
+"""Used part of the usable capacity of the rest of the pool from which there is no ramp.
+A lower bound ends ramps of cold targets by chance, which floods them."""
 FULL_REPORT_SECONDS = 3.0
 """Time for which a host reports that it has ended a ramp at the full share. The hosts
 of all data centres hear of it within that time."""
@@ -227,7 +226,7 @@
     ) -> RampChange:
         """Start the ramp of a target, unless the pool can't do without it."""
         began = now if start.at is None else start.at
-        reason = self._find_objection(start.pool, state, FULL_REST_USE, now)
+        reason = self._find_objection(start.pool, state, now)
         if reason is not None:
             return RampChange(
                 target, RampStep.OMITTED, reason, start.kind, 1.0, 1.0, now - began
@@ -262,7 +261,7 @@
         )
 
     def _find_objection(
-        self, pool: str, state: PoolState, max_rest_use: float, now: float
+        self, pool: str, state: PoolState, now: float
     ) -> RampReason | None:
         """Return why a target of a pool may be on no ramp, if it may not."""
         since = now - START_WINDOW_SECONDS
@@ -275,7 +274,7 @@
             return RampReason.POOL_STARTS
         if state.is_needed:
             return RampReason.ONLY_HOLDER
-        if state.rest_use >= max_rest_use:
+        if state.rest_use >= MAX_REST_USE:
             return RampReason.REST_FULL
         return None
 
@@ -289,7 +288,7 @@
             return RampReason.FULL if ramp.share >= 1.0 else RampReason.BOUND
         rest_use = ramp.average_rest_use(state.rest_use, now)
         state = replace(state, rest_use=rest_use)
-        return self._find_objection(ramp.pool, state, MAX_REST_USE, now)
+        return self._find_objection(ramp.pool, state, now)
 
     def _advance_ramp(
         self, target: TargetId, total: RampCount, now: float
--- a/marigoldswitch/core/pace_finding/ramp.py
+++ b/marigoldswitch/core/pace_finding/ramp.py
@@ -56,7 +56,7 @@
     :ivar is_fast: the share grows by a factor.
     :ivar looked_at: when the pool was last looked at.
     :ivar rest_use: moving average of the used part of the rest of the pool.
-    :ivar total: sum over all hosts when it was last read.
+    :ivar total: largest sums over all hosts so far.
     :ivar round: answers of all hosts since the present round began.
     :ivar last_verdict: that of the previous round.
     """
@@ -102,11 +102,12 @@
     def add_total(self, total: RampCount) -> None:
         """Add to the round what hosts have counted since the last sum.
 
-        The sum falls when reports of a host expire.
+        The sum falls when reports of a host expire, and may rise again when the host is
+        back; its answers must not count twice.
         """
         good = max(0, total.good - self.total.good)
         bad = max(0, total.bad - self.total.bad)
-        self.total = total
+        self.total = self.total.plus(RampCount(good, bad))
         self.round = self.round.plus(RampCount(good, bad))
 
     def judge_round(self, now: float) -> Verdict:
--- a/marigoldswitch/core/pace_finding/records.py
+++ b/marigoldswitch/core/pace_finding/records.py
@@ -96,7 +96,8 @@
     """The pool of a starting target, as seen now.
 
     :param live: number of its targets that are neither dead nor leaving, with this one.
-    :param rest_use: used part of the capacity of the others, from 0 to 1.
+    :param rest_use: used part of the usable capacity of the others; above 1 if they
+        have more work than that.
     :param is_needed: no other live target can do this one's part of the work.
     :param own_use: part of this target's capacity that is used by all hosts.
     """
--- a/marigoldswitch/core/pace_finding/sharing.py
+++ b/marigoldswitch/core/pace_finding/sharing.py
@@ -27,6 +27,9 @@
 DRAW_SECONDS = 0.1
 """Time for which a draw holds. A request that waits for room asks every 20 ms: with a
 draw each time, some attempt of each host would succeed."""
+STALE_SECONDS = 4.0
+"""Age after which a report of hosts no longer counts: those of other data centres come
+by way of two relays, up to 2.5 s apart."""
 REPORT_SECONDS = 0.6
 """Age up to which a target's own report of its load is used."""
 
@@ -57,7 +60,7 @@
         finder: PaceFinder,
         count_wanted: Callable[[TargetId, float], int],
     ) -> None:
-        super().__init__(home, count_hosts)
+        super().__init__(home, count_hosts, stale_seconds=STALE_SECONDS)
         self._finder = finder
         self._count_wanted = count_wanted
         self._sums: _Sums | None = None
--- a/marigoldswitch/tests/test_platform_configuration.py
+++ b/marigoldswitch/tests/test_platform_configuration.py
@@ -94,6 +94,14 @@
     assert decode_target("i-1", orjson.dumps(ROW), 12).unwrap().born == 0
 
 
+@pytest.mark.parametrize(
+    ("stated", "seconds"), [(2500, 2.5), (2500.0, 2.5), (-1, 0.0), (0, 0.0)]
+)
+def test_time_for_which_a_target_stays_cold_is_decoded(stated, seconds):
+    content = orjson.dumps({**ROW, "cold_remaining_ms": stated})
+    assert decode_target("i-1", content, 12).unwrap().cold_seconds == seconds
+
+
 @pytest.mark.parametrize(
     "name", [*sorted(REQUIRED_ROW_FIELDS), "born", "layers", "route_type"]
 )
