--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -16,6 +16,7 @@
     ServiceName,
     TargetId,
 )
+from marigoldswitch.core.pace_finding.records import RampNote
 
 
 class TargetUsage(Struct, frozen=True):
@@ -168,6 +169,7 @@
     hosts: int
     retries: tuple[Any, ...] = ()
     sends: tuple[SendNote, ...] = ()
+    ramps: tuple[RampNote, ...] = ()
 
 
 class HeldLayers(Struct, frozen=True):
@@ -233,6 +235,8 @@
     :param proxy_port: at which the sender takes requests of other hosts; 0 if unknown.
     :param waiting: what waits at the sender, for the hosts that sum it up; ``None`` in
         digests to others.
+    :param ramps: what the sender has counted of targets on a ramp, for the hosts that
+        sum it up; ``None`` in digests to others.
     """
 
     data_centre: DataCentre
@@ -259,6 +263,7 @@
     is_cut_off: bool = False
     proxy_port: int = 0
     waiting: tuple[WaitingNote, ...] | None = None
+    ramps: tuple[RampNote, ...] | None = None
 
 
 class CentreUsage(Struct, frozen=True):
@@ -332,6 +337,7 @@
     :param revision: revision of the row.
     :param layers: index of the first layer and that after the last; empty if none.
     :param born: when the target started, in ms since 1970; 0 if unknown.
+    :param cold_ms: how much longer it stays slow after its start, in ms.
     """
 
     target: TargetId
@@ -344,6 +350,7 @@
     revision: int
     layers: tuple[int, ...] = ()
     born: int = 0
+    cold_ms: int = 0
 
 
 class TargetsContent(Struct, frozen=True):
--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -1,7 +1,9 @@
 """Request metrics of a gateway, kept in the metrics registry of its host."""
 
+from collections import Counter
 from collections.abc import Callable, Mapping
 
+from marigoldswitch.core.ids import ServiceName
 from marigoldswitch.gateway.interruption_log import LossKind
 from marigoldswitch.gateway.placing import Placing
 from marigoldswitch.metrics import Metrics
@@ -14,6 +16,8 @@
         self._metrics = metrics
         self._shown: set[tuple[str, int]] = set()
         """Services and priorities whose gauge has been set."""
+        self._ramping_services: set[ServiceName] = set()
+        """Services that have had a target on a ramp."""
 
     def watch_placing(self, placing: Placing) -> None:
         """Set the gauges of placing before each scrape."""
@@ -26,6 +30,16 @@
 
         self._metrics.add_collector(collect)
 
+    def set_ramping(self, count: Callable[[], Counter[ServiceName]]) -> None:
+        """Set the number of targets on a ramp.
+
+        :param count: returns it by service.
+        """
+        counts = count()
+        self._ramping_services |= set(counts)
+        for service in self._ramping_services:
+            self._metrics.targets_ramping.set({"service": service}, counts[service])
+
     def count_end(self, service: str, end: str, seconds: float | None) -> None:
         """Count one request that has ended.
 
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -63,7 +63,9 @@
         selector = self._selectors.get(service)
         if selector is None:
             home = DataCentre(self._parts.home)
-            selector = PlainSelector(home, self._parts.source)
+            selector = PlainSelector(
+                home, self._parts.source, self._parts.directory.ramps
+            )
             selector.count_hosts = lambda: self._parts.planner.count_hosts()
             self._selectors[service] = selector
         return selector
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -10,6 +10,7 @@
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads, Usage
 from marigoldswitch.core.models import ModelSpec
+from marigoldswitch.core.pace_finding.sharing import TargetRoom
 from marigoldswitch.core.paths import (
     choose_jitter,
     covers_model,
@@ -44,6 +45,8 @@
 DEAD_BEYOND_DOUBT_SECONDS = 0.5
 """Time after which an engine that is excluded as dead isn't expected back: live ones
 are probed again, and found alive, within it."""
+STREAM_SECONDS = 2.0
+"""Least time for which most streams run."""
 
 
 class ChainPlanner:
@@ -102,28 +105,14 @@
         model = service.model
         if model is None:
             return None
-        offers = self._list_offers(service, model, tokens)
-        offers = [item for item in offers if item.target not in avoid]
-        if not is_new and self.prefill.limits_pauses(service.name):
-            resumed = find_resumed_chain(offers, model.layers, self._source)
-            if resumed is not None:
-                return resumed
         jitter = choose_jitter(self.count_near())
-        if is_new and self.placing.is_active(service):
-            far_jitter = choose_jitter(self.count_hosts())
-            placed = self.placing.find(
-                service, offers, tokens, priority, (jitter, far_jitter)
-            )
-            if placed is not None:
-                return placed
-        hop_cost = self.placing.choose_hop_cost(service)
-        near = find_single_centre_chain(
-            offers, model.layers, self._home, self._source, jitter, hop_cost
-        )
-        if is_new and self.placing.is_active(service):
-            self.placing.note_choice(service, near, tokens, is_drawn=False)
-        if near is not None:
-            return near
+        # Engines on a ramp are used in full where no chain has room without that.
+        for is_paced in (True, False) if self._directory.ramps.is_active else (True,):
+            offers = self._list_offers(service, model, tokens, is_paced)
+            offers = [item for item in offers if item.target not in avoid]
+            chain = self._find_among(service, offers, tokens, is_new, priority, jitter)
+            if chain is not None:
+                return chain
         for list_fallback in (self._list_leaving, self._list_failing):
             more = list_fallback(service, model, tokens)
             more = [item for item in more if item.target not in avoid]
@@ -146,6 +135,41 @@
             else None
         )
 
+    def _find_among(
+        self,
+        service: ServiceSpec,
+        offers: Sequence[StageOffer],
+        tokens: int,
+        is_new: bool,
+        priority: int,
+        jitter: float,
+    ) -> Chain | None:
+        """Return a chain within one data centre over some offers, if there is one.
+
+        :param jitter: largest random part of a cost in this data centre.
+        """
+        model = service.model
+        assert model is not None
+        if not is_new and self.prefill.limits_pauses(service.name):
+            resumed = find_resumed_chain(offers, model.layers, self._source)
+            if resumed is not None:
+                return resumed
+        is_placed = is_new and self.placing.is_active(service)
+        if is_placed:
+            far_jitter = choose_jitter(self.count_hosts())
+            placed = self.placing.find(
+                service, offers, tokens, priority, (jitter, far_jitter)
+            )
+            if placed is not None:
+                return placed
+        hop_cost = self.placing.choose_hop_cost(service)
+        near = find_single_centre_chain(
+            offers, model.layers, self._home, self._source, jitter, hop_cost
+        )
+        if is_placed:
+            self.placing.note_choice(service, near, tokens, is_drawn=False)
+        return near
+
     def forecast(
         self,
         service: ServiceSpec,
@@ -225,7 +249,11 @@
             offers = [item.for_resuming() for item in offers]
         near = [item for item in offers if item.data_centre == home]
         rest = {item.target for item in stages[1:]}
-        attempts = ((lost, near), (lost, offers), (rest, near), (rest, offers))
+        attempts = [(lost, near), (lost, offers), (rest, near), (rest, offers)]
+        if self._directory.ramps.is_active:
+            offers = self._list_offers(service, model, tokens, is_paced=False)
+            attempts[2:2] = [(lost, offers)]
+            attempts.append((rest, offers))
         jitter = choose_jitter(self.count_near() if is_limited else 1)
         for excluded, candidates in attempts:
             chain = repair_chain(
@@ -359,8 +387,16 @@
             self._loads.release(item.target, _build_usage(item, tokens))
 
     def _list_offers(
-        self, service: ServiceSpec, model: ModelSpec, tokens: int
+        self,
+        service: ServiceSpec,
+        model: ModelSpec,
+        tokens: int,
+        is_paced: bool = True,
     ) -> list[StageOffer]:
+        """Return what the engines of a service offer for a request.
+
+        :param is_paced: whether engines on a ramp offer only what their share allows.
+        """
         now = self._clock.monotonic()
         suspects = self._directory.suspects
         targets = [
@@ -368,7 +404,24 @@
             for target in self._directory.registry.list_targets(service.name)
             if not suspects.is_excluded(target.id, now)
         ]
-        return self._build_offers(targets, model, tokens)
+        offers = self._build_offers(targets, model, tokens, is_paced)
+        if not is_paced or not self._directory.ramps.is_active:
+            return offers
+        return [item for item in offers if self._may_send(item, now)]
+
+    def _may_send(self, offer: StageOffer, now: float) -> bool:
+        """Return whether the pace of an engine allows one more stream now."""
+        taken = (offer.layers.end - offer.layers.first) * offer.share_per_layer
+        streams = 1.0 / taken if taken > 0.0 else float("inf")
+        ramps = self._directory.ramps
+        room = TargetRoom(
+            # The offer is for the share alone.
+            streams / ramps.get_share(offer.target, now),
+            self._loads.get(offer.target).requests,
+            STREAM_SECONDS,
+            offer.data_centre == self._home,
+        )
+        return ramps.may_send(offer.target, room, now)
 
     def _list_leaving(
         self, service: ServiceSpec, model: ModelSpec, tokens: int
@@ -401,13 +454,17 @@
         return self._build_offers(targets, model, tokens)
 
     def _build_offers(
-        self, targets: Sequence[Target], model: ModelSpec, tokens: int
+        self,
+        targets: Sequence[Target],
+        model: ModelSpec,
+        tokens: int,
+        is_paced: bool = True,
     ) -> list[StageOffer]:
         peers = self.count_near() - 1
         blocked = self._directory.statements.list_blocked(self._clock.monotonic())
         offers = (
             self._build_offer(
-                target, model, tokens, peers, may_begin=target.id not in blocked
+                target, model, tokens, peers, target.id not in blocked, is_paced
             )
             for target in targets
         )
@@ -420,12 +477,14 @@
         tokens: int,
         peers: int,
         may_begin: bool,
+        is_paced: bool,
     ) -> StageOffer | None:
         """Return an engine's offer, or ``None`` if it can run no part of a request.
 
         :param peers: number of other hosts in this data centre, which are expected to
             choose engines as this host does.
         :param may_begin: whether it takes a request of this host now.
+        :param is_paced: whether an engine on a ramp offers only what its share allows.
         """
         accelerator = model.accelerators.get(target.accelerator)
         layers = target.layers
@@ -435,7 +494,12 @@
         if capacity <= 0.0:
             return None
         usage = self._loads.get(target.id)
-        offered = choose_offered_layers(layers, usage.begun, target.slots, may_begin)
+        share = 1.0
+        if is_paced:
+            share = self._directory.ramps.get_share(target.id, self._clock.monotonic())
+        capacity *= share
+        slots = math.ceil(share * target.slots)
+        offered = choose_offered_layers(layers, usage.begun, slots, may_begin)
         if offered is None:
             return None
         context = usage.memory / (layers.end - layers.first)
@@ -447,11 +511,11 @@
             target.address,
             target.data_centre,
             offered,
-            seconds * slowness,
+            seconds * slowness * (2.0 - share),
             usage.memory / capacity,
             tokens / capacity,
             self._loads.get_unreported_memory(target.id) * peers / capacity,
-            compute_begin_cost(usage.begun, target.slots, model.step_seconds),
+            compute_begin_cost(usage.begun, slots, model.step_seconds),
             slowness * model.estimate_prefill_seconds(accelerator, tokens),
             backlog,
             math.ceil(tokens / model.prefill_chunk),
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -94,10 +94,12 @@
     codec = HeaderCodec()
     send_limits = SendLimits(home, lambda: planner.count_hosts(), source)
     statements = TargetStatements(send_limits)
-    directory, loads, state = Directory(statements), Loads(home), HostState()
+    directory, loads, state = Directory(statements, source), Loads(home), HostState()
+    directory.ramps.loads = loads
     directory.watch(lambda table: guard.apply_limits(table.limits))
     contact, services = TargetContact(clock.monotonic()), ServiceContacts(clock)
     planner = ChainPlanner(directory, loads, clock, home, source)
+    directory.ramps.slowness = planner.slowness
     owns_from = 0.0 if settings.is_first_start else clock.monotonic() + START_SECONDS
     loans = LoanBook(source.getrandbits(PROCESS_BITS), owns_from)
     probes = EngineProbes(engines, directory, planner, clock, contact, services)
@@ -139,6 +141,9 @@
     services.create_prober = lambda service, contact: create_prober(
         partial(directory.registry.list_targets, service), contact
     )
+    metrics.add_collector(
+        partial(gateway_metrics.set_ramping, directory.ramps.count_ramping)
+    )
     network = PeerNetwork(
         HostId(identity.host),
         [PEER_SECRET],
