--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -19,6 +19,7 @@
 from marigoldswitch.core.routes import RoutingTable
 from marigoldswitch.gateway.accepting import GuardedServer, LagMonitor
 from marigoldswitch.gateway.contact_probing import ContactProber
+from marigoldswitch.gateway.engine_offers import LEAVING_USE_SECONDS
 from marigoldswitch.gateway.exchanges import HostState, RunParts
 from marigoldswitch.gateway.followers import (
     ConfigurationFollower,
@@ -27,7 +28,6 @@
 )
 from marigoldswitch.gateway.fronts import Frontend
 from marigoldswitch.gateway.orderer import LayerOrderer
-from marigoldswitch.gateway.planner import LEAVING_USE_SECONDS
 from marigoldswitch.gateway.ports import HostDirectory, HostRecord, HostSettings
 from marigoldswitch.gateway.proxy_listener import ProxyListener
 from marigoldswitch.gateway.request_runs import RequestRuns
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -1,16 +1,14 @@
 """Chooses chains of engines for requests by the engine loads known to this host."""
 
-import math
 import random
 from collections.abc import Callable, Collection, Sequence
 
-from marigoldswitch.core.catalogue import LayerRange, Target
+from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.crossings import CrossingBudget
 from marigoldswitch.core.forecasts import ChainForecast
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.loads import Loads, Usage
 from marigoldswitch.core.models import ModelSpec
-from marigoldswitch.core.pace_finding.sharing import TargetRoom
 from marigoldswitch.core.paths import (
     choose_jitter,
     covers_model,
@@ -23,30 +21,21 @@
 from marigoldswitch.core.retries import SlidingWindowCounter
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.core.stages import (
-    BACKLOG_COST_FACTOR,
     Chain,
     Stage,
     StageOffer,
-    choose_offered_layers,
-    compute_begin_cost,
     count_crossings,
 )
 from marigoldswitch.core.waiting import RATE_WINDOW_SECONDS
 from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.engine_offers import LEAVING_USE_SECONDS, EngineOffers
 from marigoldswitch.gateway.forecaster import Forecaster
 from marigoldswitch.gateway.placing import Placing
 from marigoldswitch.gateway.prefill_work import PrefillWork
 
-LEAVING_USE_SECONDS = 0.8
-"""Time for which a leaving engine may still get requests if its data centre has no
-chain without it. It serves for 2 s after the store records that it leaves, which this
-host learns up to half a second later; a new holder of its layers needs 1.5 s."""
-
 DEAD_BEYOND_DOUBT_SECONDS = 0.5
 """Time after which an engine that is excluded as dead isn't expected back: live ones
 are probed again, and found alive, within it."""
-STREAM_SECONDS = 2.0
-"""Least time for which most streams run."""
 
 
 class ChainPlanner:
@@ -75,6 +64,10 @@
         self.placing = Placing(directory, loads, clock, home, source, self.forecaster)
         self.prefill = PrefillWork(directory, loads, clock, source)
         self.forecaster.get_backlog = self.prefill.get_seconds
+        self.offers = EngineOffers(
+            directory, loads, clock, home, self.slowness, self.prefill
+        )
+        self.offers.count_near = lambda: self.count_near()
         self._crossing_budget = CrossingBudget()
         self._ended = SlidingWindowCounter(RATE_WINDOW_SECONDS, bucket=0.1)
         """Chains of this host that have ended."""
@@ -108,12 +101,12 @@
         jitter = choose_jitter(self.count_near())
         # Engines on a ramp are used in full where no chain has room without that.
         for is_paced in (True, False) if self._directory.ramps.is_active else (True,):
-            offers = self._list_offers(service, model, tokens, is_paced)
+            offers = self.offers.list_usable(service, model, tokens, is_paced)
             offers = [item for item in offers if item.target not in avoid]
             chain = self._find_among(service, offers, tokens, is_new, priority, jitter)
             if chain is not None:
                 return chain
-        for list_fallback in (self._list_leaving, self._list_failing):
+        for list_fallback in (self.offers.list_leaving, self.offers.list_failing):
             more = list_fallback(service, model, tokens)
             more = [item for item in more if item.target not in avoid]
             if not more:
@@ -233,7 +226,7 @@
             return None
         centres = self._list_centres(stages)
         home = centres.get(stages[0].target)
-        offers = self._list_offers(service, model, tokens)
+        offers = self.offers.list_usable(service, model, tokens)
         old_crossings = count_crossings([centres[item.target] for item in stages])
         is_limited = self.prefill.limits_pauses(service.name)
         if is_limited:
@@ -251,7 +244,7 @@
         rest = {item.target for item in stages[1:]}
         attempts = [(lost, near), (lost, offers), (rest, near), (rest, offers)]
         if self._directory.ramps.is_active:
-            offers = self._list_offers(service, model, tokens, is_paced=False)
+            offers = self.offers.list_usable(service, model, tokens, is_paced=False)
             attempts[2:2] = [(lost, offers)]
             attempts.append((rest, offers))
         jitter = choose_jitter(self.count_near() if is_limited else 1)
@@ -280,14 +273,14 @@
         row = self._directory.registry.rows.get(first)
         if service.model is None or row is None:
             return False
-        offers = self._list_offers(service, service.model, tokens)
+        offers = self.offers.list_usable(service, service.model, tokens)
         centre = row.target.data_centre
         elsewhere = [item for item in offers if item.data_centre != centre]
         return can_resume(elsewhere, service.model.layers)
 
     def plan_loss(self, lost: TargetId) -> None:
         """Plan how the streams of an engine that was found dead continue."""
-        self.prefill.plan_loss(lost, self._build_offers)
+        self.prefill.plan_loss(lost, self.offers.build)
 
     def _list_centres(self, stages: Sequence[Stage]) -> dict[TargetId, DataCentre]:
         """Return the data centre of each engine; unknown engines count as local."""
@@ -303,7 +296,7 @@
         """Return log fields that tell whether layers, memory or crossings are short."""
         if service.model is None:
             return {}
-        offers = self._list_offers(service, service.model, tokens)
+        offers = self.offers.list_usable(service, service.model, tokens)
         ranges = [item.layers for item in offers]
         ranges_with_room = [item.layers for item in offers if item.has_room()]
         layers = service.model.layers
@@ -332,7 +325,7 @@
         row = self._directory.registry.rows.get(stage.target)
         if service.model is None or row is None:
             return False
-        offers = self._build_offers([row.target], service.model, tokens)
+        offers = self.offers.build([row.target], service.model, tokens)
         return any(item.has_ample_room(stage.layers) for item in offers)
 
     def may_cover(self, service: ServiceSpec) -> bool:
@@ -386,142 +379,6 @@
         for item in stages:
             self._loads.release(item.target, _build_usage(item, tokens))
 
-    def _list_offers(
-        self,
-        service: ServiceSpec,
-        model: ModelSpec,
-        tokens: int,
-        is_paced: bool = True,
-    ) -> list[StageOffer]:
-        """Return what the engines of a service offer for a request.
-
-        :param is_paced: whether engines on a ramp offer only what their share allows.
-        """
-        now = self._clock.monotonic()
-        suspects = self._directory.suspects
-        targets = [
-            target
-            for target in self._directory.registry.list_targets(service.name)
-            if not suspects.is_excluded(target.id, now)
-        ]
-        offers = self._build_offers(targets, model, tokens, is_paced)
-        if not is_paced or not self._directory.ramps.is_active:
-            return offers
-        return [item for item in offers if self._may_send(item, now)]
-
-    def _may_send(self, offer: StageOffer, now: float) -> bool:
-        """Return whether the pace of an engine allows one more stream now."""
-        taken = (offer.layers.end - offer.layers.first) * offer.share_per_layer
-        streams = 1.0 / taken if taken > 0.0 else float("inf")
-        ramps = self._directory.ramps
-        room = TargetRoom(
-            # The offer is for the share alone.
-            streams / ramps.get_share(offer.target, now),
-            self._loads.get(offer.target).requests,
-            STREAM_SECONDS,
-            offer.data_centre == self._home,
-        )
-        return ramps.may_send(offer.target, room, now)
-
-    def _list_leaving(
-        self, service: ServiceSpec, model: ModelSpec, tokens: int
-    ) -> list[StageOffer]:
-        """Return the offers of engines that have just begun to leave."""
-        now = self._clock.monotonic()
-        registry, suspects = self._directory.registry, self._directory.suspects
-        targets = [
-            target
-            for target in registry.list_leaving(service.name, now - LEAVING_USE_SECONDS)
-            if not suspects.is_excluded(target.id, now)
-        ]
-        return self._build_offers(targets, model, tokens)
-
-    def _list_failing(
-        self, service: ServiceSpec, model: ModelSpec, tokens: int
-    ) -> list[StageOffer]:
-        """Return the offers of engines that are excluded but may be a last resort.
-
-        If all connections of a host are reset, or an engine that is needed refuses, no
-        other engines may be left.
-        """
-        now = self._clock.monotonic()
-        suspects = self._directory.suspects
-        targets = [
-            target
-            for target in self._directory.registry.list_targets(service.name)
-            if suspects.is_last_resort(target.id, now)
-        ]
-        return self._build_offers(targets, model, tokens)
-
-    def _build_offers(
-        self,
-        targets: Sequence[Target],
-        model: ModelSpec,
-        tokens: int,
-        is_paced: bool = True,
-    ) -> list[StageOffer]:
-        peers = self.count_near() - 1
-        blocked = self._directory.statements.list_blocked(self._clock.monotonic())
-        offers = (
-            self._build_offer(
-                target, model, tokens, peers, target.id not in blocked, is_paced
-            )
-            for target in targets
-        )
-        return [item for item in offers if item is not None]
-
-    def _build_offer(
-        self,
-        target: Target,
-        model: ModelSpec,
-        tokens: int,
-        peers: int,
-        may_begin: bool,
-        is_paced: bool,
-    ) -> StageOffer | None:
-        """Return an engine's offer, or ``None`` if it can run no part of a request.
-
-        :param peers: number of other hosts in this data centre, which are expected to
-            choose engines as this host does.
-        :param may_begin: whether it takes a request of this host now.
-        :param is_paced: whether an engine on a ramp offers only what its share allows.
-        """
-        accelerator = model.accelerators.get(target.accelerator)
-        layers = target.layers
-        if accelerator is None or layers is None:
-            return None
-        capacity = model.measure_request_memory(accelerator, layers)
-        if capacity <= 0.0:
-            return None
-        usage = self._loads.get(target.id)
-        share = 1.0
-        if is_paced:
-            share = self._directory.ramps.get_share(target.id, self._clock.monotonic())
-        capacity *= share
-        slots = math.ceil(share * target.slots)
-        offered = choose_offered_layers(layers, usage.begun, slots, may_begin)
-        if offered is None:
-            return None
-        context = usage.memory / (layers.end - layers.first)
-        slowness = self.slowness.get(target.id, 1.0)
-        seconds = model.estimate_layer_seconds(accelerator, usage.requests, context)
-        backlog = self.prefill.get_seconds(target.id)
-        return StageOffer(
-            target.id,
-            target.address,
-            target.data_centre,
-            offered,
-            seconds * slowness * (2.0 - share),
-            usage.memory / capacity,
-            tokens / capacity,
-            self._loads.get_unreported_memory(target.id) * peers / capacity,
-            compute_begin_cost(usage.begun, slots, model.step_seconds),
-            slowness * model.estimate_prefill_seconds(accelerator, tokens),
-            backlog,
-            math.ceil(tokens / model.prefill_chunk),
-            entry_cost=BACKLOG_COST_FACTOR * backlog,
-        )
-
 
 def _estimate_crossing_seconds(crossings: int, model: ModelSpec, tokens: int) -> float:
     """Return the seconds for which a prompt occupies the link between data centres."""
--- a/marigoldswitch/tests/ramp_play.py
+++ b/marigoldswitch/tests/ramp_play.py
@@ -46,6 +46,7 @@
         self.loads = self.ramps.loads = Loads(HOME)
         pace = self.ramps if is_paced else None
         self.selector = PlainSelector(HOME, source, pace)
+        self.selector.count_hosts = lambda: hosts
         rows = [build_row(name, 1) for name in NAMES]
         self.directory.registry.replace_all(rows, 1, 0.0)
         self.directory.has_targets = True
--- a/marigoldswitch/tests/test_planner.py
+++ b/marigoldswitch/tests/test_planner.py
@@ -183,7 +183,7 @@
         planner.take(centre.service, chain, TOKENS)
         begun[chain.stages[0].target] += 1
     assert begun["first-quick"] <= 2
-    offers = planner._build_offers(TARGETS, MODEL, TOKENS)
+    offers = planner.offers.build(TARGETS, MODEL, TOKENS)
     assert [item.layers for item in offers if item.target == "first-quick"] == [
         LayerRange(1, 4)
     ]
