--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -7,7 +7,7 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.errors import ErrorKind, Fault
-from marigoldswitch.core.ids import DataCentre, ServiceName, TargetId
+from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.loads import Usage
 from marigoldswitch.core.read_bounds import Excess
 from marigoldswitch.core.selection import PlainSelector
@@ -51,26 +51,6 @@
 such an answer is not passed on."""
 
 
-class PlainSelectors:
-    """Keeps one target selector for each plain service."""
-
-    def __init__(self, parts: RunParts) -> None:
-        self._parts = parts
-        self._selectors: dict[ServiceName, PlainSelector] = {}
-
-    def get(self, service: ServiceName) -> PlainSelector:
-        """Return the selector of a service, creating it at its first use."""
-        selector = self._selectors.get(service)
-        if selector is None:
-            home = DataCentre(self._parts.home)
-            selector = PlainSelector(
-                home, self._parts.source, self._parts.directory.ramps
-            )
-            selector.count_hosts = lambda: self._parts.planner.count_hosts()
-            self._selectors[service] = selector
-        return selector
-
-
 class PlainRun:
     """Runs one request of a plain service."""
 
--- a/marigoldswitch/gateway/request_runs.py
+++ b/marigoldswitch/gateway/request_runs.py
@@ -13,7 +13,8 @@
     RunParts,
     check_contact,
 )
-from marigoldswitch.gateway.plain import PlainRun, PlainSelectors
+from marigoldswitch.gateway.plain import PlainRun
+from marigoldswitch.gateway.plain_selectors import PlainSelectors
 from marigoldswitch.gateway.proxying import PeerProxy
 from marigoldswitch.gateway.streams import StreamRun
 
