--- a/marigoldswitch/core/gaps.py
+++ b/marigoldswitch/core/gaps.py
@@ -20,8 +20,8 @@
 DEVIATION_FACTOR = 4.0
 """Mean deviations by which the timeout exceeds the mean gap, as in RFC 6298: an engine
 that reads a prompt between two events delays the second."""
-RECOVERY_SECONDS = 0.12
-"""Seconds from a probe of a silent engine to the next event, where replacements are
+RECOVERY_SECONDS = 0.15
+"""Seconds from the probe of a silent engine to the next event, where replacements are
 idle. Of a limited pause, this much is to be left when the chain is probed."""
 URGENT_MEAN_FACTOR = 1.75
 URGENT_DEVIATION_FACTOR = 3.0
