--- a/marigoldswitch/core/continuations.py
+++ b/marigoldswitch/core/continuations.py
@@ -248,6 +248,9 @@
             part = self._draw(stage.target, now)
             if part is None:
                 return None
+            if not self._plans[stage.target].layers.contains(stage.layers):
+                # The engine had given layers up that its running streams still used.
+                return None
             ready_at = max(ready_at, part.ready_at)
             for item in _clip(part.stages, stage.layers):
                 last = replaced[-1]
--- a/marigoldswitch/core/selection.py
+++ b/marigoldswitch/core/selection.py
@@ -199,7 +199,7 @@
         if target in self._stats:
             self._update_stats(target, seconds, 1.0, now)
             self.outliers.update_streak_limit()
-            self.outliers.note_unbounded(target, now)
+            self._note_miss(target, self.outliers.note_unbounded(target, now), now)
 
     def note_load(self, target: TargetId, load: Load, now: float) -> None:
         """Record the load that a target has stated with an answer."""
--- a/marigoldswitch/gateway/bounded_connections.py
+++ b/marigoldswitch/gateway/bounded_connections.py
@@ -34,6 +34,8 @@
         self._head_began = 0.0
         self._head_watch: StallWatch | None = None
         self._informational_heads = 0
+        self._is_between_heads = False
+        """Whether an informational head is complete and no byte has come since."""
         self._framing_size = 0
         self._body_size = 0
         self._is_cut = False
@@ -46,6 +48,7 @@
         """Await the head of an answer."""
         self._is_head_open = True
         self._head_size = self._informational_heads = 0
+        self._is_between_heads = False
         self._framing_size = self._body_size = 0
         super().set_response_params(**params)
 
@@ -76,8 +79,9 @@
             if self._informational_heads > self._bounds.informational_heads:
                 self._cut("informational_heads", self._head_size)
                 return
+            # Silence after it is the time that the target takes for the answer.
+            self._is_between_heads = True
             if self._head_watch is not None:
-                # Silence after it is the time that the target takes for the answer.
                 self._head_watch.suspend()
         else:
             self._is_head_open = False
@@ -103,6 +107,7 @@
         if not self._head_size:
             self._head_began = self._loop.time()
         self._head_size += size
+        self._is_between_heads = False
         if self._head_watch is not None:
             self._head_watch.resume()
 
@@ -114,6 +119,8 @@
             self._head_watch = StallWatch(
                 self._bounds.head_seconds, self._end_late_head
             )
+            if self._is_between_heads:
+                self._head_watch.suspend()
 
     def _count_framing(self, size: int) -> None:
         body = self._payload
--- a/marigoldswitch/gateway/chain_waiting.py
+++ b/marigoldswitch/gateway/chain_waiting.py
@@ -1,10 +1,12 @@
 """Asks for chains for one request, and chooses when its caller may return."""
 
+import math
 from collections.abc import Sequence
 
 import structlog
 from msgspec.structs import replace
 
+from marigoldswitch.core import resumption
 from marigoldswitch.core.admitting.applicants import (
     NO_ACCOUNT,
     Applicant,
@@ -61,6 +63,7 @@
         last_sent: float | None,
         after: str | None,
         pause_left: float,
+        longest_wait: float = math.inf,
     ) -> Chain | None:
         """Wait for a chain with room and return it, or ``None`` if there is none.
 
@@ -68,6 +71,7 @@
         :param last_sent: when the last event was forwarded, in monotonic seconds.
         :param after: id of the last event that the caller has received.
         :param pause_left: seconds left of the longest pause of a stream that has begun.
+        :param longest_wait: bound on the wait, in seconds.
         """
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
@@ -75,12 +79,12 @@
             exchange.service,
             exchange.call.tokens,
             exchange.priority,
-            self._compute_max_wait(now, last_sent),
+            min(longest_wait, self._compute_max_wait(now, last_sent)),
             avoid,
             exchange.response is None,
             self._describe_applicant(),
             self._refusals,
-            now + pause_left - RESUME_SECONDS,
+            now + pause_left - resumption.RESUME_SECONDS,
         )
         self.check = start_check(parts, exchange, chain)
         logger.info(
--- a/marigoldswitch/gateway/detour_orders.py
+++ b/marigoldswitch/gateway/detour_orders.py
@@ -13,7 +13,7 @@
     find_refusing_stage,
 )
 from marigoldswitch.core.suspects import Finding
-from marigoldswitch.gateway.exchanges import Exchange, RunParts
+from marigoldswitch.gateway.exchanges import Exchange, RunParts, spend_retry
 from marigoldswitch.gateway.interruption_log import InterruptionLog
 from marigoldswitch.gateway.ports import EngineStatus, OrderReply, OrderResult
 
@@ -56,7 +56,8 @@
                 logger.info("detour_missing", request=exchange.call.id)
                 return None
             self._interruptions.note_chain(now)
-            self._check_time(chain, now)
+            if any(parts.directory.suspects.is_dead(name, now) for name in lost):
+                self._check_time(chain, now)
             reply = await self._order(chain, stages)
             now = parts.clock.monotonic()
             self._interruptions.note_order_answered(now)
@@ -91,7 +92,8 @@
         more to do than the pause allows, those streams that would be late continue in
         another data centre, if a retry is left for that.
 
-        :raises DetourLate: if it is not ready in time, and a whole chain may be.
+        :raises DetourLate: if it is not ready in time, and a whole chain may be; a
+            retry has then been spent.
         """
         exchange, parts = self._exchange, self._parts
         left = self._interruptions.get_seconds_left(now)
@@ -101,16 +103,21 @@
             return
         if not parts.retries.get(exchange.service.name).has_room(now):
             return
-        if parts.planner.has_chain_elsewhere(
+        if not parts.planner.has_chain_elsewhere(
             exchange.service, exchange.call.tokens, chain.stages[0].target
         ):
-            logger.info(
-                "detour_late",
-                request=exchange.call.id,
-                ready_in=round(chain.cost, 4),
-                left=round(left, 4),
-            )
-            raise DetourLate
+            return
+        # Spent here: many streams of a lost engine come to this point at once, and
+        # those that get no retry take their detours.
+        if not spend_retry(parts, exchange, use_reserve=True):
+            return
+        logger.info(
+            "detour_late",
+            request=exchange.call.id,
+            ready_in=round(chain.cost, 4),
+            left=round(left, 4),
+        )
+        raise DetourLate
 
     def _probe_if_it_had_room(self, stage: Stage) -> None:
         """Probe an engine that refuses although it had room: it may be lost, too."""
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -85,15 +85,17 @@
                     size = bounds.event_bytes + 1
                     excess = Excess("event_bytes", size, seconds)
                     raise AnswerUnbounded(excess) from None
-                is_progress = progress.count(len(content), events, clock.monotonic())
+                now = clock.monotonic()
+                is_progress = progress.count(len(content), events, now)
+                # Before the write, which waits for slow callers.
+                found = progress.find_excess(now)
+                if found is not None:
+                    response.close()
+                    raise AnswerUnbounded(found)
                 if is_progress:
                     self._monitor.note_event()
                 if events:
                     await self._write_unseen(events, is_progress)
-                found = progress.find_excess(clock.monotonic())
-                if found is not None:
-                    response.close()
-                    raise AnswerUnbounded(found)
         if splitter.has_remainder:
             raise AnswerCut("the answer ended within an event")
         if not end_check.is_complete():
--- a/marigoldswitch/gateway/lines.py
+++ b/marigoldswitch/gateway/lines.py
@@ -4,6 +4,7 @@
 import math
 from typing import Generic, Protocol, TypeVar
 
+import structlog
 from msgspec import Struct
 
 from marigoldswitch.core.admitting.applicants import Applicant
@@ -15,6 +16,8 @@
 from marigoldswitch.core.waiting import Ticket, WaitQueue
 from marigoldswitch.gateway.planner import ChainPlanner
 
+logger = structlog.get_logger(__name__)
+
 POLL_SECONDS = 0.02
 """Pause between two searches for room while requests wait: no event on this host tells
 when other hosts free room or targets return. The pause is a few decode steps long."""
@@ -120,7 +123,11 @@
     async def _poll(self) -> None:
         """Search for room periodically while requests wait."""
         while self.waiters:
-            self._admit_waiting()
+            try:
+                self._admit_waiting()
+            except Exception:
+                # Otherwise no request would be served any more.
+                logger.exception("admission_failed", service=self.service.name)
             await asyncio.sleep(POLL_SECONDS)
         self._task = None
 
--- a/marigoldswitch/gateway/planner.py
+++ b/marigoldswitch/gateway/planner.py
@@ -83,6 +83,7 @@
         avoid: frozenset[TargetId] = frozenset(),
         is_new: bool = True,
         priority: int = 0,
+        reserve: int = 0,
     ) -> Chain | None:
         """Return a chain for a request, or ``None`` if there is no capacity.
 
@@ -94,6 +95,7 @@
         :param avoid: targets that have just failed this request.
         :param is_new: whether the caller has received no part of the answer yet.
         :param priority: rank of the request; 0 comes first.
+        :param reserve: tokens to leave free for other requests.
         """
         model = service.model
         if model is None:
@@ -101,13 +103,16 @@
         jitter = choose_jitter(self.count_near())
         # Engines on a ramp are used in full where no chain has room without that.
         for is_paced in (True, False) if self._directory.ramps.is_active else (True,):
-            offers = self.offers.list_usable(service, model, tokens, is_paced)
+            offers = self.offers.list_usable(service, model, tokens + reserve, is_paced)
             offers = [item for item in offers if item.target not in avoid]
             chain = self._find_among(service, offers, tokens, is_new, priority, jitter)
             if chain is not None:
                 return chain
+        if reserve:
+            # Last resorts are not for requests that only leave room to others.
+            return None
         for list_fallback in (self.offers.list_leaving, self.offers.list_failing):
-            more = list_fallback(service, model, tokens)
+            more = list_fallback(service, model, tokens + reserve)
             more = [item for item in more if item.target not in avoid]
             if not more:
                 continue
@@ -245,6 +250,8 @@
         attempts = [(lost, near), (lost, offers), (rest, near), (rest, offers)]
         if self._directory.ramps.is_active:
             offers = self.offers.list_usable(service, model, tokens, is_paced=False)
+            if is_limited:
+                offers = [item.for_resuming() for item in offers]
             attempts[2:2] = [(lost, offers)]
             attempts.append((rest, offers))
         jitter = choose_jitter(self.count_near() if is_limited else 1)
--- a/marigoldswitch/gateway/shared_line.py
+++ b/marigoldswitch/gateway/shared_line.py
@@ -90,6 +90,7 @@
         """Requests that have been found hopeless and are being refused."""
         self._short_until = float("-inf")
         self._uncovered_since: float | None = None
+        self._uncovered_seen_at = float("-inf")
         """Since when the engines are known to lack layers, in monotonic seconds."""
         self._started = clock.monotonic()
         self._resumed_at = float("-inf")
@@ -132,7 +133,7 @@
             if chain is not None:
                 return chain
         self._short_until = now + SHORT_SECONDS
-        place, estimate = queue.count_ahead(ticket), queue.estimate_wait(ticket, now)
+        place, estimate = queue.count_ahead(ticket), self._estimate_wait(ticket, now)
         wait = max(estimate, self._planner.get_shortest_pause(self.service))
         is_early = ticket.applicant.is_early and not ticket.goes_before_new
         if is_early or wait > max_wait or self._is_hopeless(ticket, now):
@@ -252,10 +253,11 @@
         reserved = self._compute_reserve(ticket, now)
         chain = planner.find(
             self.service,
-            ticket.tokens + reserved,
+            ticket.tokens,
             avoid,
             ticket.is_new,
             ticket.priority,
+            reserved,
         )
         if chain is None:
             return None
@@ -289,6 +291,12 @@
         name = self.service.name
         return must_hold_back(name, ticket.priority, elsewhere, held_share)
 
+    def _estimate_wait(self, ticket: SharedTicket, now: float) -> float:
+        """Return the expected wait in seconds, 0 if there is no rate to tell it from."""
+        if self._queue.get_rate(now) <= 0.0 and self._must_leave(ticket, now, 0.0):
+            return 0.0
+        return self._queue.estimate_wait(ticket, now)
+
     def _is_after_start(self, now: float) -> bool:
         """Return whether the streams of an earlier process still return here."""
         is_new = now < self._started + START_SECONDS
@@ -333,17 +341,19 @@
         if self._planner.may_cover(self.service):
             self._uncovered_since = None
             return False
-        if self._uncovered_since is None:
+        is_stale = now - self._uncovered_seen_at > UNCOVERED_SECONDS
+        if self._uncovered_since is None or is_stale:
             self._uncovered_since = now
+        self._uncovered_seen_at = now
         return now - self._uncovered_since >= UNCOVERED_SECONDS
 
     def _refuse_hopeless(self, now: float) -> None:
         """Refuse the waiting requests that have become hopeless."""
         covers = not self._lacks_layers(now)
         for ticket in self._queue.tickets:
-            if ticket.goes_before_new:
+            if ticket.goes_before_new and ticket.number not in self._hopeless:
                 continue
-            wait = self._queue.estimate_wait(ticket, now)
+            wait = self._estimate_wait(ticket, now)
             left = ticket.latest - now
             if (
                 covers
--- a/marigoldswitch/gateway/stream_losses.py
+++ b/marigoldswitch/gateway/stream_losses.py
@@ -71,6 +71,11 @@
         if all(item.target.id != target.id for item in self._losses):
             self._losses = [*self._losses[1 - MAX_LOSSES :], _Loss(target, now)]
 
+    @property
+    def failed_first_engines(self) -> frozenset[TargetId]:
+        """Return the first engines of broken chains."""
+        return frozenset(self._failed_first_engines)
+
     async def list_avoided(self) -> frozenset[TargetId]:
         """Return the engines that the next chain should avoid.
 
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -5,6 +5,7 @@
 forwarded event, and no event with an id is forwarded twice.
 """
 
+import math
 from collections.abc import Sequence
 
 import aiohttp
@@ -14,6 +15,7 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.errors import ErrorKind, Fault
+from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import Chain, Stage
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway.bounded_reads import AnswerUnbounded, Reader, read_whole
@@ -43,6 +45,8 @@
 logger = structlog.get_logger(__name__)
 
 HIGHEST_PRIORITY = 0
+MAX_SELECTIVE_WAIT_SECONDS = 0.02
+"""Longest wait for a chain without engines that may share a loss: one search."""
 MAX_REFUSALS = 4
 """Refusals by engines after which the caller is told to retry later."""
 MAX_RESUME_REFUSALS = 8
@@ -112,7 +116,8 @@
                         broken,
                     )
                 check_contact(self._parts, self._exchange)
-                self._check_retry_allowed(str(broken))
+                is_paid = isinstance(broken, ChainLeft)
+                self._check_retry_allowed(str(broken), is_paid)
                 continue
             finally:
                 self.chain_monitor.release_chain()
@@ -127,27 +132,42 @@
 
     async def _acquire_chain(self) -> Chain | None:
         monitor, clock = self.chain_monitor, self._parts.clock
-        chain = await self._chain_wait.acquire(
-            await self._losses.list_avoided(),
+        avoided = await self._losses.list_avoided()
+        chain = None
+        if avoided != self._losses.failed_first_engines:
+            # Engines that may share a loss are avoided only while others have room:
+            # a stream that waited without them could wait in vain.
+            chain = await self._ask_for_chain(avoided, MAX_SELECTIVE_WAIT_SECONDS)
+        if chain is None:
+            chain = await self._ask_for_chain(self._losses.failed_first_engines)
+        self._forwarder.check = self._chain_wait.check
+        monitor.interruptions.note_chain(clock.monotonic())
+        return chain
+
+    async def _ask_for_chain(
+        self, avoid: frozenset[TargetId], longest_wait: float = math.inf
+    ) -> Chain | None:
+        monitor, clock = self.chain_monitor, self._parts.clock
+        return await self._chain_wait.acquire(
+            avoid,
             self._forwarder.last_sent,
             monitor.last_event,
             monitor.interruptions.get_seconds_left(clock.monotonic()),
+            longest_wait,
         )
-        self._forwarder.check = self._chain_wait.check
-        monitor.interruptions.note_chain(clock.monotonic())
-        return chain
 
-    def _check_retry_allowed(self, why: str) -> None:
+    def _check_retry_allowed(self, why: str, is_paid: bool = False) -> None:
         """Spend a retry, or fail the request if it may not be sent again.
 
         :param why: why the last chain broke.
+        :param is_paid: whether the retry has been spent already.
         :raises RequestRefused: if it fails; :class:`AnswerAborted` once the answer has
             begun.
         """
         self._check_hold()
         if not self._exchange.may_run_again:
             self._fail_request(ErrorKind.TARGET_LOST, f"{why}; no target left to try")
-        if not self._spend_retry():
+        if not is_paid and not self._spend_retry():
             self._fail_request(ErrorKind.TARGET_LOST, f"{why}; no retry left")
 
     def _check_hold(self) -> None:
--- a/marigoldswitch/tests/test_continuations.py
+++ b/marigoldswitch/tests/test_continuations.py
@@ -60,6 +60,22 @@
     )
 
 
+def test_plan_is_not_used_for_layers_that_the_engine_had_given_up():
+    """The chain would have skipped the layers beyond those that the plan covers."""
+    plans = Continuations(ReadingBacklog(), random.Random(1))
+    lost, usage = TargetId("lost"), Usage(20, 20 * 900 * 4, 0)
+    offers = [offer("other", 4, 8), offer("whole", 4, 12)]
+    plans.note_loss(lost, LayerRange(4, 8), usage, offers, SPAN, 0.0)
+    stages = (
+        Stage(TargetId("first"), "first:80", LayerRange(0, 4)),
+        Stage(lost, "lost:80", LayerRange(4, 10)),
+        Stage(TargetId("last"), "last:80", LayerRange(10, 12)),
+    )
+    centres = {item.target: DataCentre("north") for item in stages}
+    known = {item.target: item for item in offers}
+    assert plans.find(stages, {lost}, known, centres, 0.0) is None
+
+
 OFFERS = st.lists(
     st.builds(
         lambda index, first, length, seconds: offer(
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -64,13 +64,19 @@
         self.probes = EngineProbes(
             self, self.directory, planner, clock, contact, ServiceContacts(clock)
         )
-        self.budget = SimpleNamespace(has_room=lambda now: True)
+        self.budget = SimpleNamespace(
+            has_room=lambda now: True,
+            spend=lambda now, use_reserve: True,
+            retries=SimpleNamespace(count=lambda now: 0),
+        )
         parts = SimpleNamespace(
             clock=clock,
             probes=self.probes,
             directory=self.directory,
             planner=planner,
-            retries=SimpleNamespace(get=lambda service: self.budget),
+            retries=SimpleNamespace(
+                get=lambda service: self.budget, describe=lambda *_: {}
+            ),
             crashes=SimpleNamespace(is_empty=True, note_cut_off=self._note_cut_off),
             engines=self,
             contact=contact,
@@ -270,12 +276,16 @@
         lose_a_later_engine(chain)
 
 
-@pytest.mark.parametrize("why", ["in time", "no budget", "ran twice", "nowhere else"])
+@pytest.mark.parametrize(
+    "why", ["in time", "no budget", "taken by others", "ran twice", "nowhere else"]
+)
 def test_stream_takes_a_late_detour_if_it_has_no_other_chain(why):
     chain = MonitoredChain()
     match why:
         case "no budget":
             chain.budget.has_room = lambda now: False
+        case "taken by others":
+            chain.budget.spend = lambda now, use_reserve: False
         case "ran twice":
             chain.exchange.run_count = 2
         case "nowhere else":
--- a/marigoldswitch/tests/test_unbounded_readers.py
+++ b/marigoldswitch/tests/test_unbounded_readers.py
@@ -8,6 +8,7 @@
 from marigoldswitch.core.catalogue import LayerRange
 from marigoldswitch.core.ids import HostId, RequestId
 from marigoldswitch.core.messages import Message
+from marigoldswitch.core.read_bounds import ReadBounds
 from marigoldswitch.gateway.bounded_reads import ReadGuard
 from marigoldswitch.gateway.connections import Connections, open_session
 from marigoldswitch.gateway.ports import (
@@ -171,3 +172,30 @@
     sender = run_virtually(scenario)
     assert 20_000 * ACK_BYTES > 65_536
     assert sender.transport.end is None
+
+
+def test_pause_after_an_informational_head_is_no_late_head():
+    """A head 103 in one packet began a watch that cut the answer after it."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+        await asyncio.sleep(0.5)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        await writer.drain()
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        guard = ReadGuard()
+        guard.bounds = ReadBounds(head_seconds=0.2)
+        session = open_session(0.0, guard)
+        try:
+            async with session.get(f"http://127.0.0.1:{port}/") as response:
+                assert await response.read() == b"ok"
+        finally:
+            await session.close()
+            server.close()
+
+    run_async(scenario())
