--- a/marigoldswitch/gateway/shared_line.py
+++ b/marigoldswitch/gateway/shared_line.py
@@ -292,7 +292,7 @@
         return must_hold_back(name, ticket.priority, elsewhere, held_share)
 
     def _estimate_wait(self, ticket: SharedTicket, now: float) -> float:
-        """Return the expected wait in seconds, 0 if there is no rate to tell it from."""
+        """Return the expected wait in seconds; 0 where there is no rate for it."""
         if self._queue.get_rate(now) <= 0.0 and self._must_leave(ticket, now, 0.0):
             return 0.0
         return self._queue.estimate_wait(ticket, now)
