--- a/marigoldswitch/core/admitting/feasibility.py
+++ b/marigoldswitch/core/admitting/feasibility.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from marigoldswitch.core.admitting.applicants import Applicant
+from marigoldswitch.core.admitting.requesters import Requester
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.core.stages import Chain
 
@@ -67,15 +67,15 @@
     HOPELESS = "hopeless"
 
 
-def assess(applicant: Applicant, forecast: Forecast, now: float) -> Feasibility:
+def assess(requester: Requester, forecast: Forecast, now: float) -> Feasibility:
     """Return what a request can meet if it is sent now.
 
     :param now: monotonic seconds.
     """
     first = now + forecast.first_event
-    events = applicant.answer_tokens // MAX_TOKENS_PER_EVENT
-    if first + events * forecast.event_gap > applicant.deadline_at:
+    events = requester.answer_tokens // MAX_TOKENS_PER_EVENT
+    if first + events * forecast.event_gap > requester.deadline_at:
         return Feasibility.HOPELESS
-    if first > applicant.objective_at:
+    if first > requester.objective_at:
         return Feasibility.LATE
     return Feasibility.ON_TIME
--- a/marigoldswitch/core/admitting/applicants.py
+++ b/marigoldswitch/core/admitting/requesters.py
@@ -17,7 +17,7 @@
 connection for example."""
 
 
-class Applicant(Struct, frozen=True):
+class Requester(Struct, frozen=True):
     """A request that asks for capacity. Times are monotonic seconds.
 
     :param account: its client account; :data:`NO_ACCOUNT` if it has none.
--- a/marigoldswitch/core/admitting/shared_queue.py
+++ b/marigoldswitch/core/admitting/shared_queue.py
@@ -15,9 +15,9 @@
 
 from sortedcontainers import SortedKeyList
 
-from marigoldswitch.core.admitting.applicants import Applicant
 from marigoldswitch.core.admitting.floors import ServedShares
 from marigoldswitch.core.admitting.flows import FairFlows
+from marigoldswitch.core.admitting.requesters import Requester
 from marigoldswitch.core.ids import AccountId, TargetId
 from marigoldswitch.core.retries import SlidingWindowCounter
 from marigoldswitch.core.waiting import MIN_CAPACITY, RATE_WINDOW_SECONDS
@@ -45,19 +45,19 @@
     number: int
     tokens: int
     avoid: frozenset[TargetId]
-    applicant: Applicant
+    requester: Requester
     latest: float
     due: float = math.inf
 
     @property
     def account(self) -> AccountId:
         """Return the client account of the request."""
-        return self.applicant.account
+        return self.requester.account
 
     @property
     def weight(self) -> float:
         """Return the weight of its account."""
-        return self.applicant.weight
+        return self.requester.weight
 
     @property
     def cost(self) -> float:
@@ -72,12 +72,12 @@
     @property
     def sequence(self) -> tuple[float, int]:
         """Return its place among the requests of its account and priority."""
-        return (self.applicant.first_arrival, self.number)
+        return (self.requester.first_arrival, self.number)
 
     @property
     def goes_before_new(self) -> bool:
         """Return whether its caller has received part of an answer."""
-        return not self.is_new or self.applicant.is_resumed
+        return not self.is_new or self.requester.is_resumed
 
     @property
     def groups(self) -> tuple[Hashable, ...]:
@@ -112,14 +112,14 @@
         tokens: int,
         avoid: frozenset[TargetId],
         is_new: bool,
-        applicant: Applicant,
+        requester: Requester,
         latest: float,
         due: float = math.inf,
     ) -> SharedTicket:
         """Return a new ticket without adding it to the queue."""
         number = next(self._sequence)
         return SharedTicket(
-            is_new, priority, number, tokens, avoid, applicant, latest, due
+            is_new, priority, number, tokens, avoid, requester, latest, due
         )
 
     def is_first(self, ticket: SharedTicket) -> bool:
--- a/marigoldswitch/gateway/admission.py
+++ b/marigoldswitch/gateway/admission.py
@@ -5,28 +5,28 @@
 from collections import Counter
 from collections.abc import Callable, Hashable
 
-from marigoldswitch.core.admitting.applicants import (
-    Applicant,
-    FirstArrivals,
-    find_shared_services,
-)
 from marigoldswitch.core.admitting.elsewhere import WaitCount, WaitCounts, WaitKey
 from marigoldswitch.core.admitting.engine_refusals import EngineRefusals
 from marigoldswitch.core.admitting.feasibility import ChainForecaster, NoForecaster
+from marigoldswitch.core.admitting.requesters import (
+    FirstArrivals,
+    Requester,
+    find_shared_services,
+)
 from marigoldswitch.core.ids import ServiceName, TargetId
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.routes import RoutingTable, ServiceSpec
 from marigoldswitch.core.stages import Chain
-from marigoldswitch.gateway.lines import ArrivalLine, ChainRequest
 from marigoldswitch.gateway.planner import ChainPlanner
-from marigoldswitch.gateway.shared_line import SharedLine, SharedPorts
+from marigoldswitch.gateway.service_queues import ArrivalQueue, ChainRequest
+from marigoldswitch.gateway.shared_queues import SharedPorts, SharedServiceQueue
 
 
 class Admission:
-    """Admits model requests to chains, with one line for each service.
+    """Admits model requests to chains, with one queue for each service.
 
     Services that several priorities or client accounts share have a
-    :class:`SharedLine`, the others an :class:`ArrivalLine`.
+    :class:`SharedServiceQueue`, the others an :class:`ArrivalQueue`.
     """
 
     def __init__(
@@ -49,7 +49,7 @@
             lambda now: self.get_elsewhere(now),
             lambda service, why: self.count_refusal(service, why),
         )
-        self._lines: dict[ServiceName, ArrivalLine | SharedLine] = {}
+        self._queues: dict[ServiceName, ArrivalQueue | SharedServiceQueue] = {}
         self._shared: frozenset[str] = frozenset()
 
     def apply_table(self, table: RoutingTable) -> None:
@@ -58,14 +58,14 @@
 
     def count_waiting(self) -> int:
         """Return the number of waiting requests, over all services."""
-        return sum(len(item.waiters) for item in self._lines.values())
+        return sum(len(item.waiters) for item in self._queues.values())
 
     def count_own(self, now: float) -> dict[WaitKey, WaitCount]:
         """Return what waits at this host for services that are shared."""
         counts: dict[WaitKey, WaitCount] = {}
-        for line in self._lines.values():
-            if isinstance(line, SharedLine) and line.waiters:
-                counts |= line.count_waiting(now)
+        for queue in self._queues.values():
+            if isinstance(queue, SharedServiceQueue) and queue.waiters:
+                counts |= queue.count_waiting(now)
         return counts
 
     def count_by_priority(self) -> dict[tuple[str, int], int]:
@@ -77,8 +77,8 @@
 
     def dismiss_waiting(self) -> None:
         """End the wait of all requests, as no engine can be reached."""
-        for line in self._lines.values():
-            line.dismiss()
+        for queue in self._queues.values():
+            queue.dismiss()
 
     async def acquire(
         self,
@@ -88,7 +88,7 @@
         max_wait: float,
         avoid: frozenset[TargetId] = frozenset(),
         is_new: bool = True,
-        applicant: Applicant | None = None,
+        requester: Requester | None = None,
         refusals: EngineRefusals | None = None,
         due: float = math.inf,
     ) -> Chain | None:
@@ -103,19 +103,19 @@
         :param max_wait: longest wait in seconds.
         :param avoid: targets that have just failed the request.
         :param is_new: its caller has received no part of an answer yet.
-        :param applicant: whose request it is, where that counts.
+        :param requester: whose request it is, where that counts.
         :param refusals: engines that have refused it.
         :param due: when it must have a chain to keep its longest pause, in monotonic
             seconds.
         """
-        return await self._get_line(service).acquire(
+        return await self._get_queue(service).acquire(
             ChainRequest(
                 tokens,
                 priority,
                 max_wait,
                 avoid,
                 is_new,
-                applicant,
+                requester,
                 refusals,
                 due,
             )
@@ -126,7 +126,7 @@
         service: ServiceSpec,
         key: Hashable,
         priority: int,
-        applicant: Applicant,
+        requester: Requester,
         tokens: int,
     ) -> float | None:
         """Return the seconds after which a refused caller should return.
@@ -135,10 +135,10 @@
 
         :param key: identifies the request.
         """
-        line = self._get_line(service)
-        if not isinstance(line, SharedLine):
+        queue = self._get_queue(service)
+        if not isinstance(queue, SharedServiceQueue):
             return None
-        return line.choose_retry_after(key, priority, applicant, tokens)
+        return queue.choose_retry_after(key, priority, requester, tokens)
 
     def note_return(
         self, service: ServiceSpec, get_key: Callable[[], Hashable]
@@ -147,36 +147,38 @@
 
         :param get_key: returns what identifies the request.
         """
-        line = self._get_line(service)
-        return isinstance(line, SharedLine) and line.note_return(get_key)
+        queue = self._get_queue(service)
+        return isinstance(queue, SharedServiceQueue) and queue.note_return(get_key)
 
     def note_refused(self, service: ServiceSpec) -> None:
         """Record that an engine refused a request for want of room."""
-        line = self._get_line(service)
-        if isinstance(line, SharedLine):
-            line.pace.note_refused(self._clock.monotonic())
+        queue = self._get_queue(service)
+        if isinstance(queue, SharedServiceQueue):
+            queue.pace.note_refused(self._clock.monotonic())
 
     def note_accepted(self, service: ServiceSpec) -> None:
         """Record that an engine began to answer a request."""
-        line = self._get_line(service)
-        if isinstance(line, SharedLine):
-            line.pace.note_accepted()
+        queue = self._get_queue(service)
+        if isinstance(queue, SharedServiceQueue):
+            queue.pace.note_accepted()
 
-    def _get_line(self, service: ServiceSpec) -> ArrivalLine | SharedLine:
-        """Return the line of a service.
+    def _get_queue(self, service: ServiceSpec) -> ArrivalQueue | SharedServiceQueue:
+        """Return the queue of a service.
 
         Its kind follows the configuration as soon as no request waits in it.
         """
-        line, is_shared = self._lines.get(service.name), service.name in self._shared
-        is_other = line is not None and isinstance(line, SharedLine) != is_shared
-        if line is None or (is_other and not line.waiters):
-            line = self._lines[service.name] = self._create_line(service, is_shared)
-        line.service = service
-        return line
-
-    def _create_line(
+        queue, is_shared = self._queues.get(service.name), service.name in self._shared
+        is_other = (
+            queue is not None and isinstance(queue, SharedServiceQueue) != is_shared
+        )
+        if queue is None or (is_other and not queue.waiters):
+            queue = self._queues[service.name] = self._create_queue(service, is_shared)
+        queue.service = service
+        return queue
+
+    def _create_queue(
         self, service: ServiceSpec, is_shared: bool
-    ) -> ArrivalLine | SharedLine:
+    ) -> ArrivalQueue | SharedServiceQueue:
         if is_shared:
-            return SharedLine(self._planner, self._clock, service, self._ports)
-        return ArrivalLine(self._planner, self._clock, service)
+            return SharedServiceQueue(self._planner, self._clock, service, self._ports)
+        return ArrivalQueue(self._planner, self._clock, service)
--- a/marigoldswitch/gateway/chain_waiting.py
+++ b/marigoldswitch/gateway/chain_waiting.py
@@ -7,11 +7,11 @@
 from msgspec.structs import replace
 
 from marigoldswitch.core import resumption
-from marigoldswitch.core.admitting.applicants import (
+from marigoldswitch.core.admitting.engine_refusals import EngineRefusals
+from marigoldswitch.core.admitting.requesters import (
     NO_ACCOUNT,
-    Applicant,
+    Requester,
 )
-from marigoldswitch.core.admitting.engine_refusals import EngineRefusals
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.loads import Usage
@@ -55,7 +55,7 @@
         self._exchange = exchange
         self.check: ForecastCheck | None = None
         self._refusals = EngineRefusals()
-        self._applicant: Applicant | None = None
+        self._requester: Requester | None = None
 
     async def acquire(
         self,
@@ -82,7 +82,7 @@
             min(longest_wait, self._compute_max_wait(now, last_sent)),
             avoid,
             exchange.response is None,
-            self._describe_applicant(),
+            self._describe_requester(),
             self._refusals,
             now + pause_left - resumption.RESUME_SECONDS,
         )
@@ -135,22 +135,22 @@
             exchange.service,
             exchange.fingerprint,
             exchange.priority,
-            self._describe_applicant(),
+            self._describe_requester(),
             exchange.call.tokens,
         )
         if seconds is None:
             return parts.source.uniform(*RETRY_AFTER_SECONDS)
         return seconds
 
-    def _describe_applicant(self) -> Applicant:
+    def _describe_requester(self) -> Requester:
         """Return whose request it is, as seen at its first ask here."""
-        if self._applicant is not None:
-            return self._applicant
+        if self._requester is not None:
+            return self._requester
         exchange, admission = self._exchange, self._parts.admission
         call, arrived = exchange.call, exchange.arrived
         is_early = admission.note_return(exchange.service, lambda: exchange.fingerprint)
         first = admission.first_arrivals.find(exchange.route, call.timeout, arrived)
-        applicant = Applicant(
+        requester = Requester(
             exchange.account or NO_ACCOUNT,
             arrived if is_early else first,
             arrived,
@@ -161,8 +161,8 @@
             is_early,
             request=call.id,
         )
-        self._applicant = replace(applicant, is_first_ask=False)
-        return applicant
+        self._requester = replace(requester, is_first_ask=False)
+        return requester
 
     def _compute_max_wait(self, now: float, last_sent: float | None) -> float:
         """Return the seconds that the request may wait for a chain with room."""
--- a/marigoldswitch/gateway/lines.py
+++ b/marigoldswitch/gateway/service_queues.py
@@ -7,8 +7,8 @@
 import structlog
 from msgspec import Struct
 
-from marigoldswitch.core.admitting.applicants import Applicant
 from marigoldswitch.core.admitting.engine_refusals import EngineRefusals
+from marigoldswitch.core.admitting.requesters import Requester
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.routes import ServiceSpec
@@ -34,7 +34,7 @@
     :param max_wait: longest wait in seconds.
     :param avoid: targets that have just failed the request.
     :param is_new: its caller has received no part of an answer yet.
-    :param applicant: whose request it is, if known.
+    :param requester: whose request it is, if known.
     :param refusals: engines that have refused it.
     :param due: when it must have a chain to keep its longest pause, in monotonic
         seconds.
@@ -45,7 +45,7 @@
     max_wait: float
     avoid: frozenset[TargetId] = frozenset()
     is_new: bool = True
-    applicant: Applicant | None = None
+    requester: Requester | None = None
     refusals: EngineRefusals | None = None
     due: float = math.inf
 
@@ -60,7 +60,7 @@
 TicketT = TypeVar("TicketT", bound=AnyTicket)
 
 
-class Line(Generic[TicketT]):
+class ServiceQueue(Generic[TicketT]):
     """Waits and searches for room, whatever the order of the requests.
 
     :param service: as configured when the last request asked for a chain.
@@ -132,7 +132,7 @@
         self._task = None
 
 
-class ArrivalLine(Line[Ticket]):
+class ArrivalQueue(ServiceQueue[Ticket]):
     """Orders requests by priority, then by arrival."""
 
     def __init__(
--- a/marigoldswitch/gateway/shared_line.py
+++ b/marigoldswitch/gateway/shared_queues.py
@@ -7,7 +7,6 @@
 from msgspec import Struct
 
 from marigoldswitch.core.admitting.acceptance import AcceptancePace
-from marigoldswitch.core.admitting.applicants import NO_ACCOUNT, Applicant
 from marigoldswitch.core.admitting.elsewhere import (
     WaitCount,
     WaitCounts,
@@ -21,6 +20,7 @@
     assess,
 )
 from marigoldswitch.core.admitting.floors import FLOOR_SHARE
+from marigoldswitch.core.admitting.requesters import NO_ACCOUNT, Requester
 from marigoldswitch.core.admitting.reserve import (
     UrgentArrivals,
     compute_reserved_tokens,
@@ -30,8 +30,12 @@
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.routes import ServiceSpec
 from marigoldswitch.core.stages import Chain
-from marigoldswitch.gateway.lines import MAX_FAILED_TRIES, ChainRequest, Line
 from marigoldswitch.gateway.planner import ChainPlanner
+from marigoldswitch.gateway.service_queues import (
+    MAX_FAILED_TRIES,
+    ChainRequest,
+    ServiceQueue,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -53,7 +57,7 @@
 
 
 class SharedPorts(Struct):
-    """What a shared line asks of the rest of the host.
+    """What a shared queue asks of the rest of the host.
 
     :param forecaster: forecasts what requests get.
     :param source: random numbers.
@@ -67,7 +71,7 @@
     count_refusal: Callable[[str, str], None]
 
 
-class SharedLine(Line[SharedTicket]):
+class SharedServiceQueue(ServiceQueue[SharedTicket]):
     """Orders requests by urgency, then fairly over accounts."""
 
     def __init__(
@@ -99,21 +103,21 @@
     async def acquire(self, request: ChainRequest) -> Chain | None:
         """Reserve room for a request; see :meth:`Admission.acquire`."""
         queue, now = self._queue, self._clock.monotonic()
-        applicant = request.applicant or _describe_unknown(request, now)
+        requester = request.requester or _describe_unknown(request, now)
         ticket = queue.make_ticket(
             request.priority,
             request.tokens,
             request.avoid,
             request.is_new,
-            applicant,
+            requester,
             now + request.max_wait,
             request.due,
         )
-        if applicant.is_resumed:
+        if requester.is_resumed:
             self._resumed_at = now
-        if applicant.is_first_ask and applicant.is_retry:
+        if requester.is_first_ask and requester.is_retry:
             queue.charge_retry(ticket)
-        elif applicant.is_first_ask:
+        elif requester.is_first_ask:
             queue.shares.note_arrived(ticket.groups, now)
             self._arrivals.note(request.priority, now)
         if request.refusals is not None:
@@ -135,7 +139,7 @@
         self._short_until = now + SHORT_SECONDS
         place, estimate = queue.count_ahead(ticket), self._estimate_wait(ticket, now)
         wait = max(estimate, self._planner.get_shortest_pause(self.service))
-        is_early = ticket.applicant.is_early and not ticket.goes_before_new
+        is_early = ticket.requester.is_early and not ticket.goes_before_new
         if is_early or wait > max_wait or self._is_hopeless(ticket, now):
             outcome = "too_early" if is_early else "too_long"
             if ticket.number in self._hopeless:
@@ -150,7 +154,7 @@
         return chain
 
     def choose_retry_after(
-        self, key: Hashable, priority: int, applicant: Applicant, tokens: int
+        self, key: Hashable, priority: int, requester: Requester, tokens: int
     ) -> float:
         """Return the seconds after which a refused caller should return.
 
@@ -158,7 +162,7 @@
         """
         now = self._clock.monotonic()
         ticket = self._queue.make_ticket(
-            priority, tokens, frozenset(), True, applicant, now
+            priority, tokens, frozenset(), True, requester, now
         )
         ahead = self._queue.count_ahead(ticket)
         # After a start, admissions tell how empty engines were, not how fast room is
@@ -168,8 +172,8 @@
         rate = max(rate - urgent, FLOOR_SHARE * rate)
         if not self._planner.may_cover(self.service):
             rate = 0.0
-        left = applicant.deadline_at - now
-        account = applicant.account
+        left = requester.deadline_at - now
+        account = requester.account
         seconds = self._returns.book(key, priority, account, ahead, rate, left, now)
         return max(seconds, self._planner.get_shortest_pause(self.service))
 
@@ -265,7 +269,7 @@
             forecast = self._ports.forecaster.forecast(
                 self.service, chain, ticket.tokens
             )
-            match assess(ticket.applicant, forecast, now):
+            match assess(ticket.requester, forecast, now):
                 case Feasibility.HOPELESS:
                     self._hopeless.add(ticket.number)
                     return None
@@ -331,7 +335,7 @@
             return True
         if ticket.goes_before_new:
             return False
-        if now > ticket.applicant.deadline_at or self._lacks_layers(now):
+        if now > ticket.requester.deadline_at or self._lacks_layers(now):
             self._hopeless.add(ticket.number)
             return True
         return False
@@ -376,7 +380,7 @@
         same = [item for item in elsewhere if item.service == self.service.name]
         logger.info(
             "request_waited",
-            request=ticket.applicant.request,
+            request=ticket.requester.request,
             service=self.service.name,
             priority=ticket.priority,
             account=ticket.account,
@@ -392,7 +396,7 @@
         )
 
 
-def _describe_unknown(request: ChainRequest, now: float) -> Applicant:
-    """Return the applicant of a request of which nothing else is known."""
+def _describe_unknown(request: ChainRequest, now: float) -> Requester:
+    """Return the requester of a request of which nothing else is known."""
     latest = now + request.max_wait
-    return Applicant(NO_ACCOUNT, now, now, latest, float("inf"))
+    return Requester(NO_ACCOUNT, now, now, latest, float("inf"))
--- a/marigoldswitch/tests/admission_plays.py
+++ b/marigoldswitch/tests/admission_plays.py
@@ -5,9 +5,9 @@
 from collections import defaultdict
 from types import SimpleNamespace
 
-from marigoldswitch.core.admitting.applicants import Applicant
 from marigoldswitch.core.admitting.elsewhere import WaitingElsewhere
 from marigoldswitch.core.admitting.engine_refusals import EngineRefusals
+from marigoldswitch.core.admitting.requesters import Requester
 from marigoldswitch.core.catalogue import LayerRange, Target
 from marigoldswitch.core.ids import AccountId, DataCentre, HostId, ServiceName, TargetId
 from marigoldswitch.core.loads import Loads
@@ -167,7 +167,7 @@
         is_early = admission.note_return(self.service, lambda: id(call))
         host.asked += 1
         first = admission.first_arrivals.find(self.route, begun + TIMEOUT - now, now)
-        applicant = Applicant(
+        requester = Requester(
             AccountId(call.account),
             now if is_early else first,
             now,
@@ -184,7 +184,7 @@
                 call.tokens,
                 call.priority,
                 left,
-                applicant=applicant,
+                requester=requester,
                 refusals=refusals,
             )
             if chain is None:
@@ -199,7 +199,7 @@
             refusals.note(engine, host.loads.get(engine), at)
             admission.note_refused(self.service)
         seconds = admission.choose_retry_after(
-            self.service, id(call), call.priority, applicant, call.tokens
+            self.service, id(call), call.priority, requester, call.tokens
         )
         return self.rng.uniform(0.8, 2.4) if seconds is None else seconds
 
--- a/marigoldswitch/tests/test_admitting.py
+++ b/marigoldswitch/tests/test_admitting.py
@@ -9,11 +9,6 @@
 import pytest
 
 from marigoldswitch.core.admitting.acceptance import AcceptancePace
-from marigoldswitch.core.admitting.applicants import (
-    Applicant,
-    FirstArrivals,
-    find_shared_services,
-)
 from marigoldswitch.core.admitting.elsewhere import (
     MAX_REPORTED,
     WaitCount,
@@ -29,6 +24,11 @@
     assess,
 )
 from marigoldswitch.core.admitting.floors import ServedShares
+from marigoldswitch.core.admitting.requesters import (
+    FirstArrivals,
+    Requester,
+    find_shared_services,
+)
 from marigoldswitch.core.admitting.reserve import (
     UrgentArrivals,
     compute_reserved_tokens,
@@ -54,13 +54,13 @@
 ROUTE = Route("r", "h", "/", RouteKind.STREAM, 20.0, 1, ())
 
 
-def build_applicant(account="a", first=0.0, **fields):
-    return Applicant(AccountId(account), first, first, 1.0, 20.0, **fields)
+def build_requester(account="a", first=0.0, **fields):
+    return Requester(AccountId(account), first, first, 1.0, 20.0, **fields)
 
 
 def add(queue, account="a", priority=1, tokens=100, first=0.0, is_new=True, **fields):
-    applicant = build_applicant(account, first, **fields)
-    ticket = queue.make_ticket(priority, tokens, frozenset(), is_new, applicant, 1.0)
+    requester = build_requester(account, first, **fields)
+    ticket = queue.make_ticket(priority, tokens, frozenset(), is_new, requester, 1.0)
     queue.add(ticket, 0.0)
     return ticket
 
@@ -110,8 +110,8 @@
     queue = SharedQueue()
     for _ in range(20):
         add(queue, "busy")
-    one = queue.make_ticket(1, 1, frozenset(), True, build_applicant("one"), 1.0)
-    busy = queue.make_ticket(1, 1, frozenset(), True, build_applicant("busy"), 1.0)
+    one = queue.make_ticket(1, 1, frozenset(), True, build_requester("one"), 1.0)
+    busy = queue.make_ticket(1, 1, frozenset(), True, build_requester("busy"), 1.0)
     assert queue.count_ahead(one) == 1
     assert queue.count_ahead(busy) == 20
 
@@ -173,11 +173,11 @@
 
 
 def test_request_without_a_chance_by_the_forecast_is_hopeless():
-    applicant = build_applicant(answer_tokens=300)
-    assert assess(applicant, UnknownForecast(), 0.0) is Feasibility.ON_TIME
-    assert assess(applicant, UnknownForecast(1.5, 0.1), 0.0) is Feasibility.LATE
-    assert assess(applicant, UnknownForecast(0.1, 0.3), 0.0) is Feasibility.HOPELESS
-    assert assess(applicant, UnknownForecast(), 21.0) is Feasibility.HOPELESS
+    requester = build_requester(answer_tokens=300)
+    assert assess(requester, UnknownForecast(), 0.0) is Feasibility.ON_TIME
+    assert assess(requester, UnknownForecast(1.5, 0.1), 0.0) is Feasibility.LATE
+    assert assess(requester, UnknownForecast(0.1, 0.3), 0.0) is Feasibility.HOPELESS
+    assert assess(requester, UnknownForecast(), 21.0) is Feasibility.HOPELESS
 
 
 def test_nothing_is_reserved_where_no_urgent_request_arrives():
--- a/marigoldswitch/tests/test_shared_line.py
+++ b/marigoldswitch/tests/test_shared_queues.py
@@ -4,13 +4,13 @@
 sending a request to an engine that has just refused it.
 """
 
-from marigoldswitch.core.admitting.applicants import Applicant
 from marigoldswitch.core.admitting.elsewhere import WaitCount, WaitKey
 from marigoldswitch.core.admitting.engine_refusals import EngineRefusals
 from marigoldswitch.core.admitting.feasibility import UnknownForecast
+from marigoldswitch.core.admitting.requesters import Requester
 from marigoldswitch.core.ids import AccountId, DataCentre, HostId, TargetId
 from marigoldswitch.core.suspects import Finding
-from marigoldswitch.gateway.shared_line import UNCOVERED_SECONDS
+from marigoldswitch.gateway.shared_queues import UNCOVERED_SECONDS
 from marigoldswitch.tests.admission_plays import MAX_WAIT, SERVICE, TOKENS, play
 
 HOME = DataCentre("north")
@@ -20,13 +20,13 @@
 async def acquire(site, tokens=TOKENS, priority=1, left=20.0, refusals=None):
     """Ask the first host for a chain; return it and the seconds that this took."""
     now = site.time.monotonic()
-    applicant = Applicant(AccountId("a"), now, now, now + 0.5, now + left)
+    requester = Requester(AccountId("a"), now, now, now + 0.5, now + left)
     chain = await site.hosts[0].admission.acquire(
         site.service,
         tokens,
         priority,
         MAX_WAIT,
-        applicant=applicant,
+        requester=requester,
         refusals=refusals,
     )
     return chain, site.time.monotonic() - now
