--- a/marigoldswitch/core/admitting/requesters.py
+++ b/marigoldswitch/core/admitting/requesters.py
@@ -81,16 +81,17 @@
 
 
 def find_shared_services(table: RoutingTable) -> frozenset[str]:
-    """Return the model services whose requests differ in priority or account."""
+    """Return the model services whose routes differ in priority.
+
+    Where all rank alike, ordering and refusing over all hosts costs callers more than
+    it gives them: requests that would have found room a little later are refused.
+    """
     priorities: dict[str, set[int]] = {}
     for route in table.routes:
         for item in route.services:
             priorities.setdefault(item.service, set()).add(route.priority)
-    accounts = {item.id: item for item in table.accounts.values()}
-    own = {item.priority for item in accounts.values() if item.priority is not None}
     return frozenset(
         name
         for name, service in table.services.items()
-        if service.model is not None
-        and (len(accounts) > 1 or len(priorities.get(name, set()) | own) > 1)
+        if service.model is not None and len(priorities.get(name, ())) > 1
     )
