--- a/marigoldswitch/tests/test_interruption_log.py
+++ b/marigoldswitch/tests/test_interruption_log.py
@@ -1,10 +1,10 @@
 """One log line and one count for each interruption of a stream."""
 
 import pytest
-from structlog.testing import capture_logs
 
 from marigoldswitch.core.ids import RequestId, TargetId
 from marigoldswitch.gateway.interruption_log import InterruptionLog, LossKind
+from marigoldswitch.tests.helpers import capture_all_logs
 
 
 class Recorded:
@@ -17,7 +17,7 @@
 
 def interrupt(recorded, pause):
     log = recorded.log
-    with capture_logs() as lines:
+    with capture_all_logs() as lines:
         log.note_event(10.0)
         log.note_loss(LossKind.RESET, TargetId("e1"), 10.01)
         log.note_loss(LossKind.SILENCE, TargetId("e2"), 10.02)
--- a/marigoldswitch/tests/test_interruptions.py
+++ b/marigoldswitch/tests/test_interruptions.py
@@ -4,7 +4,6 @@
 import contextlib
 
 import pytest
-from structlog.testing import capture_logs
 
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway import probing
@@ -16,6 +15,7 @@
     run_scenario,
     run_site,
 )
+from marigoldswitch.tests.helpers import capture_all_logs
 
 EVENTS = 60
 
@@ -61,7 +61,7 @@
             assert runs
             suspects = site.hosts[0].parts.runs.directory.suspects
             now = site.hosts[0].parts.runs.clock.monotonic()
-            with capture_logs() as lines:
+            with capture_all_logs() as lines:
                 await engines["a"].stop()
                 suspects.note("a", Finding.DEAD, now)
                 await site.wait_until(
@@ -91,7 +91,7 @@
         async with run_streams(layout, count) as (site, engines, answers):
             first = site.engines.engines[site.engines.streams[0].path[0][0]]
             second = site.engines.engines[site.engines.streams[0].path[1][0]]
-            with capture_logs() as lines:
+            with capture_all_logs() as lines:
                 await asyncio.gather(first.stop(), second.stop(), engines["f"].stop())
                 await read_whole(answers)
             assert list_lines(lines, "loss_surveyed")
@@ -126,7 +126,7 @@
             far = await site.add_engine("far", "south", (0, 8))
             far.events = EVENTS
             await site.wait_until(lambda: "far" in get_targets(site))
-            with capture_logs() as lines:
+            with capture_all_logs() as lines:
                 for name in "ab":
                     await engines[name].stop()
                 await read_whole(answers)
--- a/marigoldswitch/tests/test_placing_hosts.py
+++ b/marigoldswitch/tests/test_placing_hosts.py
@@ -1,7 +1,5 @@
 """Hosts place streams of an uneven service over data centres, and learn from them."""
 
-from structlog.testing import capture_logs
-
 from marigoldswitch.core.ids import DataCentre, ServiceName
 from marigoldswitch.tests.gateway_site import (
     ALL_EVENTS,
@@ -12,6 +10,7 @@
     run_scenario,
     run_site,
 )
+from marigoldswitch.tests.helpers import capture_all_logs
 
 SERVICE = ServiceName("model")
 FAR = DataCentre("south")
@@ -41,7 +40,7 @@
             await site.wait_until(
                 lambda: runs.loads.get_other_centres().keys() == {FAR}
             )
-            with capture_logs() as lines:
+            with capture_all_logs() as lines:
                 await read_stream(site, 1)
                 placing._shares[SERVICE].shares = {FAR: 1.0}
                 await read_stream(site, 2)
