--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -44,6 +44,7 @@
     :ivar request_headers: headers of each request that reached :meth:`check_head`.
     :ivar arrivals: when each of these arrived, in seconds of the event loop.
     :ivar statements: headers with which it states things of itself in its answers.
+    :ivar awake: cleared while it reads and sends nothing; no connection is closed.
     """
 
     def __init__(self, name: str) -> None:
@@ -56,6 +57,8 @@
         self.paths: list[str] = []
         self.bodies: list[bytes] = []
         self.alive = False
+        self.awake = asyncio.Event()
+        self.awake.set()
         self.crashing: set[bytes] = set()
         """Bodies of requests that crash the target which starts to run them."""
         self.crashes: Counter[bytes] = Counter()
@@ -155,6 +158,7 @@
     :ivar refusals: number of next requests that are refused as not run.
     :ivar unanswered: number of next requests that run and never get an answer.
     :ivar lost_answers: number of next requests that run and lose their answer.
+    :ivar seconds: time that a request takes.
     """
 
     def __init__(self, name: str) -> None:
@@ -163,9 +167,11 @@
         self.refusals = 0
         self.unanswered = 0
         self.lost_answers = 0
+        self.seconds = 0.0
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
+        await self.awake.wait()
         body = await http.read()
         self.bodies.append(body)
         refusal = self.check_head(http)
@@ -184,6 +190,9 @@
             self.lost_answers -= 1
             assert http.transport is not None
             http.transport.abort()
+        if self.seconds:
+            await asyncio.sleep(self.seconds)
+            await self.awake.wait()
         status = self.statuses.pop(0) if self.statuses else 200
         answer = f"{self.name} ran {http.headers['Attempt-Id']}".encode()
         return web.Response(status=status, headers=self.sign(http), body=answer)
@@ -203,6 +212,12 @@
         engine that replaces it."""
         self.streams: list[StreamRecord] = []
 
+    async def wait_awake(self, path: list[tuple[str, int, int]]) -> None:
+        """Wait until no engine of a chain is silent."""
+        for address, _, _ in path:
+            if address in self.engines:
+                await self.engines[address].awake.wait()
+
     def find_unavailable_stage(self, path: list[tuple[str, int, int]]) -> str | None:
         """Return the address of the first stage that is dead or lacks its layers."""
         for address, first, end in path:
@@ -254,6 +269,7 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request, report or order."""
+        await self.awake.wait()
         match http.path:
             case "/report":
                 return _answer(self._report())
@@ -343,6 +359,7 @@
         self.site.streams.append(record)
         response = web.StreamResponse(headers=self.sign(http))
         response.enable_chunked_encoding()
+        await self.site.wait_awake(path)
         await response.prepare(http)
         try:
             if body in self.crashing:
@@ -383,6 +400,7 @@
 
     async def _wait_for_path(self, record: StreamRecord) -> bool:
         """Wait while a stage is unavailable; return whether the stream can go on."""
+        await self.site.wait_awake(record.path)
         waited = 0.0
         while self.site.find_unavailable_stage(record.path) is not None:
             if waited > STALL_SECONDS:
