Reset the connections of aborted answers in one place

Each part that found that an answer can't go on reset its caller's connection itself, so that none of them could run beside another way to continue the answer. AnswerAborted now says so, and the front resets. No decision changes; the tests of streams, proxying and answers pass.

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -149,7 +149,7 @@
 
 
 class AnswerAborted(Exception):
-    """An answer that had begun was aborted; no error answer can be sent any more."""
+    """An answer that has begun can't go on; the front resets its connection."""
 
     def __init__(self, reason: AbortReason, detail: str) -> None:
         super().__init__(detail)
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -12,7 +12,7 @@
 from marigoldswitch.core.read_bounds import EventProgress, Excess, ReadBounds
 from marigoldswitch.gateway.bounded_reads import AnswerUnbounded
 from marigoldswitch.gateway.broken_chains import ChainBroken
-from marigoldswitch.gateway.caller_writes import abort, write
+from marigoldswitch.gateway.caller_writes import write
 from marigoldswitch.gateway.exchanges import AbortReason, AnswerAborted, Exchange
 from marigoldswitch.gateway.forecast_checks import ForecastCheck
 from marigoldswitch.gateway.upstream import EndOfBodyCheck, LongBody
@@ -147,8 +147,7 @@
     """Pass a body on to the caller as it arrives.
 
     :param response: its head, which has not been sent.
-    :raises AnswerAborted: if the body ends early; the caller's connection is reset, so
-        that it can't look complete.
+    :raises AnswerAborted: if the body ends early.
     """
     response.content_length = body.length
     await response.prepare(exchange.http)
@@ -157,7 +156,6 @@
         while content := await body.read():
             await write(exchange, content)
     except (aiohttp.ClientError, OSError) as error:
-        abort(exchange)
         detail = f"{type(error).__name__}: {error}"
         raise AnswerAborted(AbortReason.BODY_CUT, detail) from error
     await response.write_eof()
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -115,6 +115,7 @@
             return self._finish_refused(call, exchange, refused.fault, is_proxied)
         except AnswerAborted as broken:
             assert exchange is not None and exchange.response is not None
+            abort(exchange)
             self._record_abort(exchange, broken.reason)
             self._record_end(exchange, f"broken off: {broken}")
             return exchange.response
@@ -228,7 +229,6 @@
         except TimeoutError:
             if exchange.response is None:
                 raise RequestRefused(describe_timeout(exchange)) from None
-            abort(exchange)
             raise AnswerAborted(AbortReason.TIME_UP, "its time was up") from None
         self._record_end(exchange, f"answered {response.status}")
         return response
--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -22,7 +22,6 @@
     read_whole,
 )
 from marigoldswitch.gateway.broken_chains import ChainBroken
-from marigoldswitch.gateway.caller_writes import abort
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.exchanges import (
     AbortReason,
@@ -325,7 +324,6 @@
         if may_run_again and spend_retry(self._parts, exchange, has_begun):
             return
         if has_begun:
-            abort(exchange)
             reason = AbortReason.NO_RETRY_LEFT
             raise AnswerAborted(
                 reason if may_run_again else AbortReason.NO_RUN_LEFT, why
--- a/marigoldswitch/gateway/request_runs.py
+++ b/marigoldswitch/gateway/request_runs.py
@@ -4,7 +4,6 @@
 from aiohttp import web
 
 from marigoldswitch.core.errors import ErrorKind
-from marigoldswitch.gateway.caller_writes import abort
 from marigoldswitch.gateway.exchanges import (
     AbortReason,
     AnswerAborted,
@@ -74,7 +73,6 @@
                 return response
             detail = "no other host takes the request"
             if exchange.response is not None:
-                abort(exchange)
                 raise AnswerAborted(AbortReason.NO_HOST, detail) from None
             raise RequestRefused(self._proxy.build_fault(exchange, detail)) from None
         except RequestRefused as refused:
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -24,7 +24,6 @@
     ChainGivenUp,
     ChainLeft,
 )
-from marigoldswitch.gateway.caller_writes import abort
 from marigoldswitch.gateway.chain_waiting import ChainWait
 from marigoldswitch.gateway.detours import ChainMonitor
 from marigoldswitch.gateway.exchanges import (
@@ -236,7 +235,7 @@
     def _fail_request(
         self, kind: ErrorKind, reason: AbortReason, detail: str
     ) -> web.StreamResponse:
-        """Abort the answer if it has begun, or refuse the request.
+        """End the request: its answer is aborted if it has begun, or it is refused.
 
         :param reason: why the answer is aborted.
         :raises RequestRefused: always; :class:`AnswerAborted` once the answer has
@@ -245,7 +244,6 @@
         exchange = self._exchange
         if exchange.response is not None:
             exchange.attempt_log.append(f"broken off: {detail}")
-            abort(exchange)
             raise AnswerAborted(reason, detail)
         if exchange.run_count == 0 and kind is ErrorKind.TARGET_LOST:
             kind = ErrorKind.NOT_DELIVERED
