Keep the running answer of a silent engine until another chain delivers

Callers saw streams end in the middle 0.4 to 0.6 s after their last event, though their engine went on half a second later, and 502 for streams that had not begun.

Cause: the host took a silent engine for dead, closed the connection to it, and only then looked for another chain. Where the route allowed no further run, no retry was left or no engine had room, nothing was left. Class: a working connection is given up on a suspicion, before what replaces it is in hand.

Now the monitor of a chain reports suspicions and closes nothing. The stream seeks a replacement beside its chain; the first of the two with an event that the caller lacks goes on, and the other is cancelled before anything is written. Without a replacement the stream waits for its own engine. Only a fact ends a run: a reset, an early end, a refusal, or a hold on a request that has ended an engine of its chain. The head of a stream is sent with its first event, so that until then it can still be refused with a status.

--- a/marigoldswitch/gateway/caller_writes.py
+++ b/marigoldswitch/gateway/caller_writes.py
@@ -1,5 +1,7 @@
 """Writes parts of an answer to the caller, and breaks answers off."""
 
+from aiohttp import web
+
 from marigoldswitch.gateway.exchanges import CallerDisconnected, Exchange
 
 
@@ -10,6 +12,19 @@
         transport.abort()
 
 
+async def begin(exchange: Exchange, response: web.StreamResponse) -> None:
+    """Send the head of an answer.
+
+    :raises CallerDisconnected: if the caller has closed its connection.
+    """
+    # Set first: from here on the caller may have received a part of it.
+    exchange.response = response
+    try:
+        await response.prepare(exchange.http)
+    except (ConnectionError, RuntimeError) as error:
+        raise CallerDisconnected(str(error)) from error
+
+
 async def write(exchange: Exchange, content: bytes) -> None:
     """Write bytes of an answer that has begun.
 
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -11,7 +11,7 @@
 from marigoldswitch.core.crash_messages import CrashNotes
 from marigoldswitch.core.crashes import CrashLedger
 from marigoldswitch.core.fingerprints import Fingerprint
-from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName
+from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName, TargetId
 from marigoldswitch.core.interruptions import (
     Hold,
     InterruptedRequest,
@@ -134,6 +134,13 @@
         if not request.had_event or self._ledger.has_record(request.fingerprint):
             await asyncio.wait({interruption.verdict}, timeout=VERDICT_SECONDS)
 
+    def has_ended(self, target: TargetId) -> bool:
+        """Return whether a target that broke requests off is known to have ended."""
+        return any(
+            start.target == target and item.is_confirmed
+            for start, item in self._interruptions.items()
+        )
+
     def _get_interruption(self, start: TargetRun) -> _Interruption:
         """Return a target's current interruption, a new one if it was found alive."""
         interruption = self._interruptions.get(start)
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -8,16 +8,21 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Coroutine, Iterable
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
 from typing import Any, TypeVar
 
 import aiohttp
+import structlog
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.gaps import MAX_TIMEOUT, StreamGaps
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import Stage
-from marigoldswitch.gateway.broken_chains import ChainGivenUp, ChainLeft
+from marigoldswitch.gateway.broken_chains import (
+    ChainBroken,
+    ChainGivenUp,
+    ChainLeft,
+)
 from marigoldswitch.gateway.detour_orders import (
     DetourLate,
     DetourOrders,
@@ -56,19 +61,36 @@
 ANSWERING_DELIVERIES = 2
 """Deliveries of events from which an engine has got past the begin of an answer."""
 
+logger = structlog.get_logger(__name__)
+
 T = TypeVar("T")
 
 
+def _ignore(why: ChainBroken) -> None:
+    """Do nothing."""
+
+
 class ChainMonitor:
-    """Monitors the chain that one request uses now.
+    """Monitors one chain of a request.
+
+    It doesn't end the answer where what it finds out may be wrong. It reports that the
+    chain should be replaced, goes on to check it, and reports again while that holds.
 
+    :param interruptions: of the stream, over all its chains.
+    :param report: called with the reason why the chain should be replaced, a
+        :class:`ChainGivenUp`, or must not go on.
     :ivar stages: stages of the chain; empty between two chains.
-    :ivar last_event: id of the last event that the caller has received.
     """
 
-    def __init__(self, parts: RunParts, exchange: Exchange) -> None:
+    def __init__(
+        self,
+        parts: RunParts,
+        exchange: Exchange,
+        interruptions: InterruptionLog | None = None,
+        report: Callable[[ChainBroken], None] = _ignore,
+    ) -> None:
         self.stages: tuple[Stage, ...] = ()
-        self.last_event: str | None = exchange.call.last_event
+        self._report = report
         self._parts = parts
         self._exchange = exchange
         self._wake = asyncio.Event()
@@ -84,9 +106,7 @@
         """Times that this chain has delivered events."""
         self._recorded_ends: set[TargetId] = set()
         """Engines of this chain whose end has been recorded as a possible crash."""
-        self.interruptions = InterruptionLog(
-            exchange.call.id, exchange.route.max_event_gap, parts.record_pause
-        )
+        self.interruptions = interruptions or start_interruption_log(parts, exchange)
         self._detours = DetourOrders(parts, exchange, self.interruptions)
         self._started_at = 0.0
         """When the request was given this chain."""
@@ -97,6 +117,11 @@
         self._silence_limit = self._choose_silence_limit()
         """Seconds of silence after which the chain is checked."""
 
+    @property
+    def limits_pauses(self) -> bool:
+        """Return whether the route limits the pauses of the stream."""
+        return self._exchange.route.max_event_gap > 0.0
+
     def start_chain(self, stages: tuple[Stage, ...]) -> None:
         """Begin to monitor a chain whose load the planner already counts."""
         self.stages = stages
@@ -156,44 +181,24 @@
         self._restart_silence()
 
     async def run_monitored(self, work: Coroutine[Any, Any, T]) -> T:
-        """Await work that depends on the chain, and monitor the chain meanwhile.
-
-        :raises ChainGivenUp: if the chain breaks first; the work is then cancelled.
-        """
-        self._restart_silence()
-        self._progress_at = self._silent_since
-        pending = asyncio.ensure_future(work)
-        monitor = asyncio.ensure_future(self._monitor_chain())
-        try:
-            await asyncio.wait({pending, monitor}, return_when=asyncio.FIRST_COMPLETED)
-            if pending.done():
-                return pending.result()
-            monitor.result()
-            raise AssertionError("the chain monitor ended without an exception")
-        finally:
-            self._stop_monitoring(monitor)
-            if not pending.done():
-                pending.cancel()
+        """Await work that depends on the chain, and monitor the chain meanwhile."""
+        async with self.monitor():
+            return await work
 
     @contextlib.asynccontextmanager
-    async def monitor(self, response: aiohttp.ClientResponse) -> AsyncIterator[None]:
-        """Monitor the chain while the body of the ``with`` block reads its answer.
+    async def monitor(
+        self, response: aiohttp.ClientResponse | None = None
+    ) -> AsyncIterator[None]:
+        """Monitor the chain while the body of the ``with`` block waits for its answer.
 
         One task serves the whole stream and sleeps through usual gaps: waiting for two
         tasks at each event took half of the CPU time of an event.
-
-        :raises ChainGivenUp: if the chain breaks; the response is then closed.
         """
         self._restart_silence()
         self._progress_at = self._silent_since
-        monitor = asyncio.ensure_future(self._monitor_chain())
-        monitor.add_done_callback(lambda task: _close_broken(task, response))
+        monitor = asyncio.create_task(self._monitor_chain())
         try:
             yield
-        except (aiohttp.ClientError, OSError):
-            if monitor.done() and not monitor.cancelled():
-                monitor.result()
-            raise
         finally:
             self._stop_monitoring(monitor)
 
@@ -222,25 +227,32 @@
         self._stop_timer()
 
     async def _monitor_chain(self) -> None:
-        """Check the chain when it is silent for too long or a check is requested.
-
-        :raises ChainGivenUp: if the chain is to be given up.
-        """
+        """Check the chain when it is silent for too long or a check is requested."""
         while True:
             await self._wake.wait()
             self._wake.clear()
             if self._is_check_requested:
                 self._is_check_requested = False
-                await self._handle_check_request()
+                await self._check_and_report(self._handle_check_request())
             silence = self._parts.clock.monotonic() - self._silent_since
             if silence >= self._silence_limit:
-                await self._check_chain()
+                await self._check_and_report(self._check_chain())
                 self._silent_since = self._parts.clock.monotonic()
                 self._silence_limit = min(MAX_TIMEOUT, 2.0 * self._silence_limit)
                 self._backoff = min(MAX_BACKOFF, BACKOFF_FACTOR * self._backoff)
                 silence = 0.0
             self._set_timer(self._silence_limit - silence)
 
+    async def _check_and_report(self, check: Coroutine[Any, Any, None]) -> None:
+        """Run a check, and report that the chain should be replaced if it says so."""
+        try:
+            await check
+        except ChainBroken as broken:
+            self._report(broken)
+        except Exception:
+            # The answer may still come, and later checks may work.
+            logger.exception("chain_check_failed", request=self._exchange.call.id)
+
     def _choose_silence_limit(self) -> float:
         longest_pause = self._exchange.route.max_event_gap
         return self._gaps.get_timeout(self._backoff, longest_pause)
@@ -299,7 +311,8 @@
     async def _record_engine_ends(self, lost: set[TargetId]) -> None:
         """Record dead later engines as possible crashes caused by the request.
 
-        :raises ChainGivenUp: if the request is held off: it must get no other engine.
+        :raises ChainBroken: if the request is held off and has ended one of them: it
+            would end the engine again when that is back.
         """
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
@@ -308,8 +321,11 @@
             if row is not None and parts.directory.suspects.is_dead(name, now):
                 self._recorded_ends.add(name)
                 await self.note_cut_off(row.target)
-        if find_hold(parts, exchange) is not None:
-            raise ChainGivenUp("the request is held off, as it ends engines")
+        if find_hold(parts, exchange) is None:
+            return
+        if any(parts.crashes.has_ended(name) for name in lost):
+            raise ChainBroken("the request is held off, as it ends engines")
+        raise ChainGivenUp("the request is held off, and an engine is silent")
 
     async def _check_chain(self) -> None:
         """Probe the engines of a silent chain, and replace those that are lost.
@@ -355,7 +371,8 @@
         """
         exchange, parts = self._exchange, self._parts
         now = parts.clock.monotonic()
-        timeout = FIRST_EVENT_TIMEOUT if self.last_event is None else NEXT_EVENT_TIMEOUT
+        has_begun = exchange.last_event is not None
+        timeout = NEXT_EVENT_TIMEOUT if has_begun else FIRST_EVENT_TIMEOUT
         if now - self._progress_at < timeout:
             return
         if not exchange.may_run_again:
@@ -374,7 +391,9 @@
         :raises ChainLeft: if the request is to be resumed over another chain.
         """
         try:
-            stages = await self._detours.take(self.stages, lost, self.last_event)
+            stages = await self._detours.take(
+                self.stages, lost, self._exchange.last_event
+            )
         except DetourLate as late:
             raise ChainLeft("its detour would be late") from late
         if stages is None:
@@ -385,7 +404,7 @@
         return True
 
 
-def _close_broken(task: asyncio.Future[None], response: aiohttp.ClientResponse) -> None:
-    """Close the response of a broken chain, which wakes its reader."""
-    if not task.cancelled() and task.exception() is not None:
-        response.close()
+def start_interruption_log(parts: RunParts, exchange: Exchange) -> InterruptionLog:
+    """Return a log of the interruptions of a stream."""
+    limit = exchange.route.max_event_gap
+    return InterruptionLog(exchange.call.id, limit, parts.record_pause)
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -95,8 +95,8 @@
     """Longest gap between two forwarded events, in seconds."""
     last_event_at: float | None = None
     """When the last event was forwarded, in monotonic seconds."""
-    was_given_up: bool = False
-    """Whether this host gave the last chain up while the connection to it stood."""
+    last_event: str | None = None
+    """Id of the last event that the caller has received, also over other requests."""
     attempt_log: list[str] = field(default_factory=list)
     """Attempts and how they ended, in order, for the log line ``request_ended``."""
     _fingerprint: Fingerprint | None = None
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -1,6 +1,6 @@
 """Forwards the events of an answer to the caller, without those it already has."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
@@ -23,12 +23,7 @@
 
 
 class StreamMonitor(Protocol):
-    """Follows the progress of a stream.
-
-    :ivar last_event: id of the last event that the caller has received.
-    """
-
-    last_event: str | None
+    """Follows the progress of a stream."""
 
     def note_event(self) -> None:
         """Record that events which bring the stream forward have arrived."""
@@ -45,6 +40,8 @@
     """Forwards the events of one request over its successive answers.
 
     :param bounds: returns the bounds in force.
+    :param claim: called before each part of the answer goes to the caller.
+    :param begin: sends the head of the answer, unless an earlier answer's was sent.
     :ivar check: of the current chain's forecast.
     """
 
@@ -54,12 +51,16 @@
         exchange: Exchange,
         monitor: StreamMonitor,
         bounds: Callable[[], ReadBounds],
+        claim: Callable[[], None],
+        begin: Callable[[], Awaitable[None]],
     ) -> None:
         self.check: ForecastCheck | None = None
         self._clock = clock
         self._exchange = exchange
         self._monitor = monitor
         self._get_bounds = bounds
+        self._claim = claim
+        self._begin = begin
 
     async def forward(self, response: aiohttp.ClientResponse) -> None:
         """Forward events until the answer is complete.
@@ -98,6 +99,8 @@
             raise AnswerCut("the answer ended within an event")
         if not end_check.is_complete():
             raise AnswerCut("the connection was reset at the end of the answer")
+        self._claim()
+        await self._begin()
 
     async def _write_unseen(self, events: list[Event], is_progress: bool) -> None:
         """Write the events that the caller has not received yet.
@@ -109,9 +112,11 @@
             if self._is_duplicate(event):
                 continue
             if event.id is not None:
-                self._monitor.last_event = event.id
+                self._exchange.last_event = event.id
             unseen.append(event.content)
         if unseen:
+            self._claim()
+            await self._begin()
             if is_progress:
                 self._record_gap()
             await write(self._exchange, b"".join(unseen))
@@ -133,7 +138,7 @@
 
         Numeric ids are taken to be in ascending order; an event without an id is new.
         """
-        last = self._monitor.last_event
+        last = self._exchange.last_event
         if event.id is None or last is None:
             return False
         if event.id.isdigit() and last.isdigit():
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -191,6 +191,7 @@
             is_proxied=terms is not None,
             runs_elsewhere=terms.runs if terms else 0,
             version=table.version,
+            last_event=call.last_event,
         )
         check_hold(self._parts, exchange)
         return exchange
@@ -283,14 +284,13 @@
         """Log and count an answer that this host has broken off."""
         parts, now = self._parts, self._parts.clock.monotonic()
         service, last = exchange.service.name, exchange.last_event_at
-        self._metrics.count_abort(reason, exchange.was_given_up)
+        self._metrics.count_abort(reason)
         budget = parts.retries.get(service)
         logger.warning(
             "answer_aborted",
             request=exchange.call.id,
             service=service,
             reason=reason.value,
-            given_up=exchange.was_given_up,
             silent=None if last is None else round(now - last, 4),
             runs=exchange.run_count,
             contact=parts.contact.state.value,
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -403,9 +403,9 @@
         at once they would delay each other.
         """
         loop = asyncio.get_running_loop()
-        for run in self.parts.requests.list_streams(target):
+        for monitor in self.parts.requests.list_monitors(target):
             delay = self.parts.runs.source.uniform(0.0, REROUTE_SPREAD_SECONDS)
-            loop.call_later(delay, run.chain_monitor.request_check)
+            loop.call_later(delay, monitor.request_check)
 
     def _spawn(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
         self._tasks.append(asyncio.create_task(run_despite_errors(work)))
--- a/marigoldswitch/gateway/lost_runs.py
+++ b/marigoldswitch/gateway/lost_runs.py
@@ -28,7 +28,7 @@
         parts=exchange.call.prompt_parts,
         target=first.target,
         had_event=monitor.has_delivered(first.target),
-        after=monitor.last_event,
+        after=exchange.last_event,
         why=str(broken),
         repeats=budget.retries.count(now),
         repeats_allowed=round(budget.get_limit(now), 1),
--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -54,14 +54,9 @@
         if seconds is not None:
             self._metrics.request_seconds.observe({"service": service}, seconds)
 
-    def count_abort(self, reason: AbortReason, was_given_up: bool) -> None:
-        """Count one answer that this host has broken off.
-
-        :param was_given_up: whether this host had given its chain up while the
-            connection to it stood.
-        """
-        labels = {"reason": reason.value, "given_up": "yes" if was_given_up else "no"}
-        self._metrics.answers_aborted.inc(labels)
+    def count_abort(self, reason: AbortReason) -> None:
+        """Count one answer that this host has broken off."""
+        self._metrics.answers_aborted.inc({"reason": reason.value})
 
     def count_unbounded(self, reader: str) -> None:
         """Count one answer that exceeded a bound.
--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -15,6 +15,7 @@
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.ids import HostId
 from marigoldswitch.core.read_bounds import Excess
+from marigoldswitch.gateway.attempts import Claimant
 from marigoldswitch.gateway.bounded_reads import (
     AnswerUnbounded,
     Reader,
@@ -22,6 +23,7 @@
     read_whole,
 )
 from marigoldswitch.gateway.broken_chains import ChainBroken
+from marigoldswitch.gateway.chain_runs import begin_stream
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.exchanges import (
     AbortReason,
@@ -63,8 +65,7 @@
     :ivar is_active: whether it does so now; else silence is borne.
     """
 
-    def __init__(self, last_event: str | None) -> None:
-        self.last_event = last_event
+    def __init__(self) -> None:
         self.is_active = False
         self._timer: asyncio.TimerHandle | None = None
         self._response: aiohttp.ClientResponse | None = None
@@ -110,17 +111,17 @@
         self._connections = connections
 
     async def run(
-        self, exchange: Exchange, last_event: str | None
+        self, exchange: Exchange, claimant: Claimant
     ) -> web.StreamResponse | None:
         """Run a request through another host and return the answer to its caller.
 
-        :param last_event: id of the last event that the caller has received, if any.
+        :param claimant: the attempt that this run belongs to.
         :return: ``None`` if there is no host left that takes it.
         :raises RequestRefused: if it may have run and may not be sent again;
             :class:`AnswerAborted` once the answer has begun.
         """
         run = ProxiedRun(
-            self._parts, self._hosts, self._connections, exchange, last_event
+            self._parts, self._hosts, self._connections, exchange, claimant
         )
         return await run.run()
 
@@ -144,13 +145,14 @@
         hosts: ProxyHosts,
         connections: Connections,
         exchange: Exchange,
-        last_event: str | None,
+        claimant: Claimant,
     ) -> None:
+        self._claimant = claimant
         self._parts = parts
         self._hosts = hosts
         self._connections = connections
         self._exchange = exchange
-        self._monitor = _SilenceMonitor(last_event)
+        self._monitor = _SilenceMonitor()
         self._tried: set[HostId] = set()
 
     async def run(self) -> web.StreamResponse | None:
@@ -165,12 +167,11 @@
             if host is None:
                 return None
             self._tried.add(host.host)
-            runs_before = self._exchange.run_count
             # The deadline may end the wait at any moment, and the request may have run.
             self._exchange.run_count += 1
             response = await self._send(host)
             if isinstance(response, NotSent):
-                self._exchange.run_count = runs_before
+                self._exchange.run_count -= 1
                 self._note_end(host, f"declined: {response.why}")
                 self._hosts.note_declined(host.host)
                 continue
@@ -193,7 +194,7 @@
         exchange, parts = self._exchange, self._parts
         left = exchange.deadline - parts.clock.monotonic()
         headers = parts.codec.write_caller_headers(
-            exchange.call, left, self._monitor.last_event
+            exchange.call, left, self._exchange.last_event
         )
         headers[VERSION_HEADER] = str(parts.directory.version)
         runs_before = exchange.run_count - 1 - exchange.discounted_runs
@@ -252,7 +253,7 @@
         try:
             if exchange.is_stream and reply.status == web.HTTPOk.status_code:
                 return await self._pass_events_on(reply)
-            if exchange.response is not None:
+            if exchange.response is not None or self._claimant.has_rival():
                 raise _Broken(f"status {reply.status}")
             return await self._pass_whole_on(host, reply)
         except AnswerUnbounded as error:
@@ -296,19 +297,17 @@
         self, reply: aiohttp.ClientResponse
     ) -> web.StreamResponse:
         exchange = self._exchange
-        if exchange.response is None:
-            headers = self._parts.codec.write_reply(reply.headers)
-            response = web.StreamResponse(status=reply.status, headers=headers)
-            response.enable_chunked_encoding()
-            if self._parts.state.draining:
-                response.force_close()
-            await response.prepare(exchange.http)
-            exchange.response = response
         guard = self._connections.guard
         forwarder = EventForwarder(
-            self._parts.clock, exchange, self._monitor, lambda: guard.bounds
+            self._parts.clock,
+            exchange,
+            self._monitor,
+            lambda: guard.bounds,
+            self._claimant.claim,
+            lambda: begin_stream(self._parts, exchange, reply),
         )
         await forwarder.forward(reply)
+        assert exchange.response is not None
         await exchange.response.write_eof()
         return exchange.response
 
@@ -338,6 +337,6 @@
             request=exchange.call.id,
             peer=host.host,
             end=end,
-            after=self._monitor.last_event,
+            after=self._exchange.last_event,
             contact=self._parts.contact.state.value,
         )
--- a/marigoldswitch/gateway/request_runs.py
+++ b/marigoldswitch/gateway/request_runs.py
@@ -4,6 +4,8 @@
 from aiohttp import web
 
 from marigoldswitch.core.errors import ErrorKind
+from marigoldswitch.gateway.attempts import Claimant, SoleAttempt
+from marigoldswitch.gateway.detours import ChainMonitor
 from marigoldswitch.gateway.exchanges import (
     AbortReason,
     AnswerAborted,
@@ -37,8 +39,8 @@
 
     def recheck_streams(self, target: str) -> None:
         """Make every stream through an engine check its chain at once."""
-        for run in self.list_streams(target):
-            run.chain_monitor.request_check()
+        for monitor in self.list_monitors(target):
+            monitor.request_check()
 
     def check_limited_streams(self, target: str) -> None:
         """Make the streams through a dead engine take their detours at once.
@@ -46,16 +48,17 @@
         Only those whose route limits the pauses of its streams; the others move away as
         they notice its silence.
         """
-        for run in self.list_streams(target):
-            if run.limits_pauses:
-                run.chain_monitor.request_check()
+        for monitor in self.list_monitors(target):
+            if monitor.limits_pauses:
+                monitor.request_check()
 
-    def list_streams(self, target: str) -> list[StreamRun]:
-        """Return the running streams whose chain contains an engine."""
+    def list_monitors(self, target: str) -> list[ChainMonitor]:
+        """Return the monitors of the chains in use that contain an engine."""
         return [
-            run
+            monitor
             for run in self.streams
-            if any(item.target == target for item in run.chain_monitor.stages)
+            for monitor in run.list_monitors()
+            if any(item.target == target for item in monitor.stages)
         ]
 
     async def run(self, exchange: Exchange) -> web.StreamResponse:
@@ -64,11 +67,10 @@
         :raises RequestRefused: if it fails before any part of an answer was sent.
         :raises AnswerAborted: if the answer had begun and was cut off.
         """
-        stream = StreamRun(self._parts, exchange) if exchange.is_stream else None
         try:
-            return await self._run_here(exchange, stream)
+            return await self._run_here(exchange)
         except ContactLost:
-            response = await self._run_elsewhere(exchange, stream)
+            response = await self._run_elsewhere(exchange, SoleAttempt())
             if response is not None:
                 return response
             detail = "no other host takes the request"
@@ -87,31 +89,27 @@
                 raise RequestRefused(
                     self._proxy.build_fault(exchange, detail)
                 ) from None
-            response = await self._run_elsewhere(exchange, stream)
+            response = await self._run_elsewhere(exchange, SoleAttempt())
             if response is None:
                 raise
             return response
 
     async def _run_elsewhere(
-        self, exchange: Exchange, stream: StreamRun | None
+        self, exchange: Exchange, claimant: Claimant
     ) -> web.StreamResponse | None:
         """Run a request through another host; return ``None`` if none takes it.
 
         What another host has sent here is not sent on.
 
-        :param stream: its run here, if it runs as a stream.
+        :param claimant: the attempt that this belongs to.
         """
         if exchange.is_proxied:
             return None
-        last_event = stream.chain_monitor.last_event if stream else None
-        return await self._proxy.run(exchange, last_event)
+        return await self._proxy.run(exchange, claimant)
 
-    async def _run_here(
-        self, exchange: Exchange, stream: StreamRun | None
-    ) -> web.StreamResponse:
+    async def _run_here(self, exchange: Exchange) -> web.StreamResponse:
         """Run a request on targets that this host sends it to.
 
-        :param stream: its run, if it runs as a stream.
         :raises ContactLost: if this host reaches no target.
         """
         service, parts = exchange.service, self._parts
@@ -119,9 +117,10 @@
         parts.directory.statements.limits.note_wanted(
             service.name, parts.clock.monotonic()
         )
-        if stream is None:
+        if not exchange.is_stream:
             selector = self._selectors.get(service.name)
             return await PlainRun(parts, exchange, selector).run()
+        stream = StreamRun(parts, exchange, self._run_elsewhere)
         self.streams.add(stream)
         try:
             return await stream.run()
--- a/marigoldswitch/gateway/stream_losses.py
+++ b/marigoldswitch/gateway/stream_losses.py
@@ -66,6 +66,10 @@
         if row is not None and is_dead:
             self._add(row.target, now)
 
+    def note_recovered(self, first: TargetId) -> None:
+        """Record that a chain that was taken for broken goes on."""
+        self._failed_first_engines.discard(first)
+
     def _add(self, target: Target, now: float) -> None:
         """Remember a loss, once for each engine, and the newest few."""
         if all(item.target.id != target.id for item in self._losses):
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -1,31 +1,27 @@
-"""Runs a request over a chain of engines and fails over when the chain breaks.
+"""Runs a request over chains of engines, one after the other, to its end.
 
 Engines may die, leave or stall in the middle of an answer. The caller still sees one
 answer: events are forwarded only when complete, the next chain resumes after the last
-forwarded event, and no event with an id is forwarded twice.
+forwarded event, and no event with an id is forwarded twice. A chain that is only
+suspected to have failed is kept until another one delivers.
 """
 
+import asyncio
 import math
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NoReturn
 
-import aiohttp
 import structlog
 from aiohttp import web
-from msgspec import Struct
 
-from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import Chain, Stage
-from marigoldswitch.core.suspects import Finding
-from marigoldswitch.gateway.bounded_reads import AnswerUnbounded, Reader, read_whole
-from marigoldswitch.gateway.broken_chains import (
-    ChainBroken,
-    ChainGivenUp,
-    ChainLeft,
-)
+from marigoldswitch.gateway.attempts import Attempt, Claimant
+from marigoldswitch.gateway.broken_chains import ChainBroken, ChainLeft
+from marigoldswitch.gateway.chain_runs import ChainRun, Completed, EnginesRefused
 from marigoldswitch.gateway.chain_waiting import ChainWait
-from marigoldswitch.gateway.detours import ChainMonitor
+from marigoldswitch.gateway.detours import ChainMonitor, start_interruption_log
 from marigoldswitch.gateway.exchanges import (
     AbortReason,
     AnswerAborted,
@@ -34,21 +30,15 @@
     RunParts,
     check_contact,
     check_hold,
-    needs_new_connection,
-    note_served,
-    reserve_resend,
+    find_hold,
     spend_retry,
 )
-from marigoldswitch.gateway.forwarding import AnswerCut, EventForwarder
 from marigoldswitch.gateway.interruption_log import LossKind
 from marigoldswitch.gateway.lost_runs import record_lost_run
-from marigoldswitch.gateway.ports import ForwardOptions
 from marigoldswitch.gateway.stream_losses import StreamLosses
-from marigoldswitch.gateway.upstream import Lost, NotSent, Reply
 
 logger = structlog.get_logger(__name__)
 
-HIGHEST_PRIORITY = 0
 MAX_SELECTIVE_WAIT_SECONDS = 0.02
 """Longest wait for a chain without engines that may share a loss: one search."""
 MAX_REFUSALS = 4
@@ -57,88 +47,340 @@
 """The same for a stream that has begun. It is higher because aborting the stream loses
 what its caller has received."""
 
+RunElsewhere = Callable[[Exchange, Claimant], Awaitable[web.StreamResponse | None]]
+"""Runs a request through another host; returns ``None`` if none takes it."""
+
+
+class _NoWay(Exception):
+    """An attempt found no chain or host that it may use.
 
-class Completed(Struct, frozen=True):
-    """The caller has received a complete answer, which may be an engine's error."""
+    :ivar reason: why a stream that has begun ends, if this was its only attempt.
+    """
+
+    def __init__(self, kind: ErrorKind, reason: AbortReason, detail: str) -> None:
+        super().__init__(detail)
+        self.kind = kind
+        self.reason = reason
 
 
-class EnginesRefused(Struct, frozen=True):
-    """An engine refused the request, which has not run.
+class _ChainAttempt(Attempt):
+    """An attempt over a chain of engines.
 
-    :param at_fault: ``IP:port`` of the engine that refused, if the answer names it.
+    :ivar monitor: of its chain; without stages until it has one.
+    :ivar first: first stage of its chain, once it has one.
+    :ivar run: over its chain, once that has begun.
     """
 
-    at_fault: str | None
+    monitor: ChainMonitor
+    first: Stage | None = None
+    run: ChainRun | None = None
 
 
 class StreamRun:
-    """Runs one model or streaming request, over as many chains as it takes."""
+    """Runs one model or streaming request, over as many chains as it takes.
+
+    :param run_elsewhere: used while this host reaches no target.
+    """
 
-    def __init__(self, parts: RunParts, exchange: Exchange) -> None:
-        self.chain_monitor = ChainMonitor(parts, exchange)
+    def __init__(
+        self, parts: RunParts, exchange: Exchange, run_elsewhere: RunElsewhere
+    ) -> None:
         self._parts = parts
         self._exchange = exchange
-        guard = parts.upstream.guard
-        self._forwarder = EventForwarder(
-            parts.clock, exchange, self.chain_monitor, lambda: guard.bounds
-        )
-        self._losses = StreamLosses(parts, exchange, self.chain_monitor.interruptions)
+        self._run_elsewhere = run_elsewhere
+        self._interruptions = start_interruption_log(parts, exchange)
+        self._losses = StreamLosses(parts, exchange, self._interruptions)
         self._chain_wait = ChainWait(parts, exchange)
         self._refusals = 0
-
-    @property
-    def limits_pauses(self) -> bool:
-        """Return whether the route limits the pauses of the stream."""
-        return self._exchange.route.max_event_gap > 0.0
+        self._changed = asyncio.Event()
+        self._current: Attempt | None = None
+        """The attempt that writes to the caller."""
+        self._replacement: Attempt | None = None
+        """An attempt that becomes the current one if it delivers first."""
+        self._doubt: ChainBroken | None = None
+        """Why the replacement was sought."""
+        self._replaced: list[tuple[Attempt, ChainBroken]] = []
+        """Attempts that were replaced and why, until that is recorded."""
+
+    def list_monitors(self) -> list[ChainMonitor]:
+        """Return the monitors of the chains that the stream uses now."""
+        return [
+            item.monitor
+            for item in self._list_attempts()
+            if isinstance(item, _ChainAttempt)
+        ]
+
+    def _list_attempts(self) -> list[Attempt]:
+        attempts = (self._current, self._replacement)
+        return [item for item in attempts if item is not None and not item.is_done]
 
     async def run(self) -> web.StreamResponse:
         """Run the request to its end and return the answer sent to the caller.
 
         :raises RequestRefused: if it fails; :class:`AnswerAborted` once the answer has
-            begun.
+            begun; :class:`ContactLost` if this host reaches no target.
+        """
+        check_contact(self._parts, self._exchange)
+        self._current = self._start_chain(is_paid=True)
+        try:
+            while True:
+                await self._changed.wait()
+                self._changed.clear()
+                await self._record_replaced()
+                await self._settle_replacement()
+                if self._current.is_done:
+                    response = await self._settle_current(self._current)
+                    if response is not None:
+                        return response
+                elif self._current.doubt is not None and self._replacement is None:
+                    self._seek_replacement(self._current)
+        finally:
+            for attempt in self._list_attempts():
+                attempt.cancel()
+
+    # Attempts.
+
+    def _start_chain(self, is_paid: bool) -> _ChainAttempt:
+        """Start an attempt over a chain.
+
+        :param is_paid: whether a retry has been spent for it, or it needs none.
+        """
+        attempt = _ChainAttempt(
+            self._changed.set, self._take_over, lambda: len(self._list_attempts())
+        )
+        attempt.monitor = ChainMonitor(
+            self._parts, self._exchange, self._interruptions, attempt.report
+        )
+        attempt.start(self._attempt_chain(attempt, is_paid))
+        return attempt
+
+    async def _attempt_chain(
+        self, attempt: _ChainAttempt, is_paid: bool
+    ) -> Completed | EnginesRefused:
+        """Wait for a chain and run the request over it.
+
+        :raises _NoWay: if there is none; :class:`ChainBroken` if it breaks;
+            :class:`RequestRefused` if the request is held off.
         """
-        while True:
-            check_contact(self._parts, self._exchange)
-            chain = await self._acquire_chain()
-            if chain is None:
+        monitor = attempt.monitor
+        chain = await self._acquire_chain(monitor)
+        if chain is None:
+            raise _NoWay(
+                ErrorKind.SATURATED, AbortReason.NO_CHAIN, "no chain with room"
+            )
+        monitor.start_chain(chain.stages)
+        attempt.first = chain.stages[0]
+        try:
+            if not is_paid and not self._spend_retry():
+                kind, reason = ErrorKind.TARGET_LOST, AbortReason.NO_RETRY_LEFT
+                raise _NoWay(kind, reason, "no retry left")
+            attempt.run = ChainRun(
+                self._parts,
+                self._exchange,
+                monitor,
+                self._losses,
+                attempt,
+                self._chain_wait.check,
+            )
+            result = await attempt.run.run()
+            if isinstance(result, EnginesRefused):
+                self._note_refusal(chain.stages, result.at_fault)
+            return result
+        finally:
+            monitor.release_chain()
+
+    def _start_elsewhere(self) -> Attempt:
+        """Start an attempt through another host."""
+        attempt = Attempt(
+            self._changed.set, self._take_over, lambda: len(self._list_attempts())
+        )
+        attempt.start(self._attempt_elsewhere(attempt))
+        return attempt
+
+    async def _attempt_elsewhere(self, attempt: Attempt) -> Completed:
+        """Run the request through another host.
+
+        :raises _NoWay: if none takes it; :class:`RequestRefused` or
+            :class:`AnswerAborted` if it fails there.
+        """
+        response = await self._run_elsewhere(self._exchange, attempt)
+        if response is None:
+            raise _NoWay(
+                ErrorKind.UNREACHABLE,
+                AbortReason.NO_HOST,
+                "no other host takes the request",
+            )
+        return Completed()
+
+    def _seek_replacement(self, current: Attempt) -> None:
+        """Start an attempt that takes over from a doubted one if it delivers first.
+
+        Where none is possible, the doubted one goes on alone.
+        """
+        parts, exchange = self._parts, self._exchange
+        doubt, current.doubt = current.doubt, None
+        assert doubt is not None
+        is_cut_off = parts.contact.is_lost or parts.services.is_lost(
+            exchange.service.name
+        )
+        obstacle = None
+        if not exchange.may_run_again:
+            obstacle = AbortReason.NO_RUN_LEFT
+        elif find_hold(parts, exchange) is not None:
+            obstacle = AbortReason.HELD_OFF
+        elif is_cut_off and exchange.is_proxied:
+            obstacle = AbortReason.NO_HOST
+        logger.info(
+            "stream_doubted",
+            request=exchange.call.id,
+            why=str(doubt),
+            obstacle=obstacle.value if obstacle else None,
+            after=exchange.last_event,
+            runs=exchange.run_count,
+        )
+        if obstacle is not None:
+            return
+        self._doubt = doubt
+        if is_cut_off:
+            self._replacement = self._start_elsewhere()
+            return
+        if isinstance(current, _ChainAttempt) and current.first is not None:
+            self._losses.note_broken_chain(current.first.target)
+        self._replacement = self._start_chain(isinstance(doubt, ChainLeft))
+
+    def _take_over(self, attempt: Attempt) -> None:
+        """Let an attempt write to the caller, and cancel the other one.
+
+        :raises ChainBroken: if another attempt has taken over from it.
+        """
+        current, replacement = self._current, self._replacement
+        if attempt is current:
+            attempt.doubt = None
+            if replacement is not None:
+                replacement.cancel()
+                self._replacement = None
+                self._note_recovery(current)
+            return
+        if attempt is not replacement or current is None:
+            raise ChainBroken("another attempt has taken the answer over")
+        current.cancel()
+        assert self._doubt is not None
+        self._replaced.append((current, self._doubt))
+        self._current, self._replacement = replacement, None
+        self._changed.set()
+
+    def _note_recovery(self, current: Attempt) -> None:
+        """Record that a doubted attempt has delivered before its replacement."""
+        if isinstance(current, _ChainAttempt) and current.first is not None:
+            self._losses.note_recovered(current.first.target)
+        self._exchange.attempt_log.append(f"recovered: {self._doubt}")
+        self._log_end_of_doubt("recovered")
+
+    def _log_end_of_doubt(self, outcome: str) -> None:
+        exchange = self._exchange
+        logger.info(
+            "stream_doubt_ended",
+            request=exchange.call.id,
+            outcome=outcome,
+            after=exchange.last_event,
+        )
+
+    # Ends of attempts.
+
+    async def _record_replaced(self) -> None:
+        """Record the attempts that were replaced as lost runs."""
+        while self._replaced:
+            attempt, doubt = self._replaced.pop(0)
+            self._exchange.attempt_log.append(f"replaced: {doubt}")
+            self._log_end_of_doubt("replaced")
+            if not isinstance(doubt, ChainLeft):
+                await self._record_lost_run(attempt, doubt)
+
+    async def _settle_replacement(self) -> None:
+        """Drop a replacement that has ended without delivering; seek another one."""
+        replacement = self._replacement
+        if replacement is None or not replacement.is_done:
+            return
+        self._replacement = None
+        has_other_way = True
+        try:
+            replacement.get_result()
+            why = "refused"
+            has_other_way = self._refusals < self._max_refusals
+        except ChainBroken as broken:
+            why = str(broken)
+            await self._note_broken(replacement, broken)
+        except (_NoWay, RequestRefused, AnswerAborted) as error:
+            why, has_other_way = str(error), False
+        except Exception:
+            # The current attempt may still deliver.
+            why, has_other_way = "internal fault", False
+            logger.exception("replacement_failed", request=self._exchange.call.id)
+        self._exchange.attempt_log.append(f"replacement: {why}")
+        current = self._current
+        if has_other_way and current is not None and current.doubt is None:
+            current.doubt = self._doubt
+
+    async def _settle_current(self, attempt: Attempt) -> web.StreamResponse | None:
+        """Return the answer that has been sent, or go on after an attempt has failed.
+
+        :raises RequestRefused: if the request fails; :class:`AnswerAborted` once the
+            answer has begun; :class:`ContactLost` if this host reaches no target.
+        """
+        try:
+            result = attempt.get_result()
+        except ChainBroken as broken:
+            await self._note_broken(attempt, broken)
+            if not self._promote_replacement():
                 check_contact(self._parts, self._exchange)
-                return self._fail_request(
-                    ErrorKind.SATURATED, AbortReason.NO_CHAIN, "no chain with room"
-                )
-            self.chain_monitor.start_chain(chain.stages)
-            runs_before = self._exchange.run_count
-            try:
-                result = await self._run_over_chain()
-            except ChainBroken as broken:
-                self._exchange.was_given_up = isinstance(broken, ChainGivenUp)
-                self._exchange.attempt_log.append(f"broken: {broken}")
-                self._losses.note_broken_chain(chain.stages[0].target)
-                has_run = self._exchange.run_count > runs_before
-                if has_run and not isinstance(broken, ChainLeft):
-                    await record_lost_run(
-                        self._parts,
-                        self._exchange,
-                        self.chain_monitor,
-                        chain.stages[0],
-                        broken,
-                    )
+                self._check_retry_allowed(str(broken))
+                self._current = self._start_chain(is_paid=True)
+            return None
+        except _NoWay as no_way:
+            if not self._promote_replacement():
                 check_contact(self._parts, self._exchange)
-                is_paid = isinstance(broken, ChainLeft)
-                self._check_retry_allowed(str(broken), is_paid)
-                continue
-            finally:
-                self.chain_monitor.release_chain()
-            match result:
-                case Completed():
-                    assert self._exchange.response is not None
-                    return self._exchange.response
-                case EnginesRefused(at_fault):
-                    self._handle_refusal(chain.stages, at_fault)
+                self._fail_request(no_way.kind, no_way.reason, str(no_way))
+            return None
+        except RequestRefused as refused:
+            if not self._promote_replacement():
+                self._fail_held_off(refused)
+            return None
+        match result:
+            case EnginesRefused():
+                if not self._promote_replacement():
+                    self._check_refusals()
+                    self._current = self._start_chain(is_paid=True)
+                return None
+            case _:
+                assert self._exchange.response is not None
+                return self._exchange.response
+
+    def _promote_replacement(self) -> bool:
+        """Let a replacement go on as the only attempt; return whether there is one."""
+        if self._replacement is None:
+            return False
+        self._current, self._replacement = self._replacement, None
+        self._changed.set()
+        return True
+
+    async def _note_broken(self, attempt: Attempt, broken: ChainBroken) -> None:
+        """Record that the chain of an attempt broke."""
+        self._exchange.attempt_log.append(f"broken: {broken}")
+        if isinstance(attempt, _ChainAttempt) and attempt.first is not None:
+            self._losses.note_broken_chain(attempt.first.target)
+        await self._record_lost_run(attempt, broken)
+
+    async def _record_lost_run(self, attempt: Attempt, broken: ChainBroken) -> None:
+        if not isinstance(attempt, _ChainAttempt) or attempt.first is None:
+            return
+        if attempt.run is not None and attempt.run.has_run:
+            await record_lost_run(
+                self._parts, self._exchange, attempt.monitor, attempt.first, broken
+            )
 
     # Waiting for a chain and retrying.
 
-    async def _acquire_chain(self) -> Chain | None:
-        monitor, clock = self.chain_monitor, self._parts.clock
+    async def _acquire_chain(self, monitor: ChainMonitor) -> Chain | None:
         avoided = await self._losses.list_avoided()
         chain = None
         if avoided != self._losses.failed_first_engines:
@@ -147,73 +389,78 @@
             chain = await self._ask_for_chain(avoided, MAX_SELECTIVE_WAIT_SECONDS)
         if chain is None:
             chain = await self._ask_for_chain(self._losses.failed_first_engines)
-        self._forwarder.check = self._chain_wait.check
-        monitor.interruptions.note_chain(clock.monotonic())
+        monitor.interruptions.note_chain(self._parts.clock.monotonic())
         return chain
 
     async def _ask_for_chain(
         self, avoid: frozenset[TargetId], longest_wait: float = math.inf
     ) -> Chain | None:
-        monitor, clock = self.chain_monitor, self._parts.clock
+        now = self._parts.clock.monotonic()
         return await self._chain_wait.acquire(
             avoid,
-            monitor.last_event,
-            monitor.interruptions.get_seconds_left(clock.monotonic()),
+            self._exchange.last_event,
+            self._interruptions.get_seconds_left(now),
             longest_wait,
         )
 
-    def _check_retry_allowed(self, why: str, is_paid: bool = False) -> None:
+    def _check_retry_allowed(self, why: str) -> None:
         """Spend a retry, or fail the request if it may not be sent again.
 
         :param why: why the last chain broke.
-        :param is_paid: whether the retry has been spent already.
         :raises RequestRefused: if it fails; :class:`AnswerAborted` once the answer has
             begun.
         """
-        self._check_hold()
+        try:
+            check_hold(self._parts, self._exchange)
+        except RequestRefused as refused:
+            self._fail_held_off(refused)
         if not self._exchange.may_run_again:
             self._fail_request(
                 ErrorKind.TARGET_LOST,
                 AbortReason.NO_RUN_LEFT,
                 f"{why}; no target left to try",
             )
-        if not is_paid and not self._spend_retry():
+        if not self._spend_retry():
             self._fail_request(
                 ErrorKind.TARGET_LOST,
                 AbortReason.NO_RETRY_LEFT,
                 f"{why}; no retry left",
             )
 
-    def _check_hold(self) -> None:
-        """Fail the request if it is held off because it crashes engines.
+    def _fail_held_off(self, refused: RequestRefused) -> NoReturn:
+        """Fail a request that is held off because it crashes engines.
 
-        :raises RequestRefused: if it fails; :class:`AnswerAborted` once the answer has
+        :raises RequestRefused: always; :class:`AnswerAborted` once the answer has
             begun.
         """
-        try:
-            check_hold(self._parts, self._exchange)
-        except RequestRefused as refused:
-            if self._exchange.response is None:
-                raise
-            self._fail_request(
-                refused.fault.kind, AbortReason.HELD_OFF, refused.fault.detail
-            )
+        if self._exchange.response is None:
+            raise refused
+        raise AnswerAborted(AbortReason.HELD_OFF, refused.fault.detail)
 
-    def _handle_refusal(self, stages: Sequence[Stage], at_fault: str | None) -> None:
-        """Avoid the engine that refused for a short time, and spend a retry.
+    def _note_refusal(self, stages: Sequence[Stage], at_fault: str | None) -> None:
+        """Avoid the engine that refused for a short time.
 
-        :raises RequestRefused: if it fails; :class:`AnswerAborted` once the answer has
-            begun.
+        :param stages: the chain, whose load is still counted.
         """
-        exchange = self._exchange
-        exchange.run_count -= 1
         self._refusals += 1
-        exchange.attempt_log.append(f"refused by {at_fault or stages[0].address}")
+        refusing = at_fault or stages[0].address
+        self._exchange.attempt_log.append(f"refused by {refusing}")
         closed = self._chain_wait.exclude_refusing_engine(stages, at_fault)
         if closed is not None:
             self._losses.note(LossKind.REFUSAL, closed)
-        has_begun = exchange.response is not None
-        if self._refusals >= (MAX_RESUME_REFUSALS if has_begun else MAX_REFUSALS):
+
+    @property
+    def _max_refusals(self) -> int:
+        has_begun = self._exchange.response is not None
+        return MAX_RESUME_REFUSALS if has_begun else MAX_REFUSALS
+
+    def _check_refusals(self) -> None:
+        """Spend a retry after a refusal.
+
+        :raises RequestRefused: if there were too many; :class:`AnswerAborted` once the
+            answer has begun.
+        """
+        if self._refusals >= self._max_refusals:
             self._fail_request(
                 ErrorKind.TARGET_REFUSED,
                 AbortReason.REFUSED,
@@ -234,7 +481,7 @@
 
     def _fail_request(
         self, kind: ErrorKind, reason: AbortReason, detail: str
-    ) -> web.StreamResponse:
+    ) -> NoReturn:
         """End the request: its answer is aborted if it has begun, or it is refused.
 
         :param reason: why the answer is aborted.
@@ -251,134 +498,3 @@
         if exchange.run_count == 0:
             retry_after = self._chain_wait.choose_retry_after()
         raise RequestRefused(Fault(kind, detail, retry_after))
-
-    # Running over one chain.
-
-    async def _run_over_chain(self) -> Completed | EnginesRefused:
-        """Send the request over the current chain and forward the answer.
-
-        :raises ChainBroken: if the chain fails before the answer is complete.
-        """
-        exchange, parts = self._exchange, self._parts
-        first_row = parts.directory.registry.rows.get(
-            self.chain_monitor.stages[0].target
-        )
-        if first_row is None:
-            raise ChainBroken("its first engine is no longer registered")
-        self._check_hold()
-        exchange.send_count += 1
-        exchange.run_count += 1
-        now = parts.clock.monotonic()
-        sending = ForwardOptions(
-            first_row.target.id,
-            exchange.deadline - now,
-            exchange.account,
-            # Engines process the context of an interrupted stream first.
-            HIGHEST_PRIORITY if self._losses.limits_pause else exchange.priority,
-            self.chain_monitor.stages,
-            self.chain_monitor.last_event,
-        )
-        new_connection = needs_new_connection(parts, exchange)
-        result = await self._send(first_row.target, sending, new_connection)
-        if (
-            isinstance(result, Lost)
-            and self._is_stale_connection(result, first_row.target)
-            and await reserve_resend(parts, exchange, first_row.target)
-        ):
-            result = await self._send(first_row.target, sending, new_connection=True)
-        match result:
-            case NotSent(why):
-                exchange.run_count -= 1
-                exchange.connect_failures += 1
-                self._losses.suspect_unreachable(first_row.target, result)
-                raise ChainBroken(f"not sent: {why}")
-            case Lost(why):
-                now = parts.clock.monotonic()
-                parts.directory.suspects.note(first_row.target.id, Finding.FAILED, now)
-                parts.probes.check_in_background(first_row.target)
-                is_unbounded = result.excess is not None
-                raise ChainBroken(f"no answer: {why}", is_unbounded)
-        now = parts.clock.monotonic()
-        self.chain_monitor.interruptions.note_order_answered(now)
-        try:
-            return await self._relay_answer(result)
-        except AnswerCut:
-            self._losses.note(LossKind.CUT, first_row.target)
-            raise
-        except AnswerUnbounded as error:
-            now = parts.clock.monotonic()
-            parts.upstream.guard.note(first_row.target.id, Reader.STREAM, error.excess)
-            parts.directory.suspects.note(first_row.target.id, Finding.FAILED, now)
-            raise ChainBroken(f"unbounded: {error}", is_unbounded=True) from error
-        except (aiohttp.ClientError, OSError) as error:
-            self._losses.note(LossKind.RESET, first_row.target)
-            raise ChainBroken(f"{type(error).__name__}: {error}") from error
-        finally:
-            result.response.close()
-
-    def _is_stale_connection(self, lost: Lost, target: Target) -> bool:
-        """Return whether a stale connection and not the engine lost the request.
-
-        An engine that has not delivered an event yet, or has lost a request, may be
-        resetting every request: resent on a new connection, each would reach it twice.
-        """
-        parts = self._parts
-        has_failed = parts.directory.suspects.has_failed(target.id)
-        return lost.is_stale and not has_failed and parts.probes.has_served(target.id)
-
-    async def _send(
-        self, target: Target, sending: ForwardOptions, new_connection: bool
-    ) -> Reply | NotSent | Lost:
-        call, body = self._exchange.call, self._exchange.body
-        request = self._parts.upstream.send(target, call, body, sending, new_connection)
-        return await self.chain_monitor.run_monitored(request)
-
-    async def _relay_answer(self, answer: Reply) -> Completed | EnginesRefused:
-        """Forward the answer of the first engine to the caller.
-
-        :raises ChainBroken: if it is not an answer to this request, or is incomplete.
-        """
-        exchange, codec = self._exchange, self._parts.codec
-        reply, facts = answer.response, answer.facts
-        if facts.request != exchange.call.id:
-            raise ChainBroken(f"answer to another request: {facts.request}")
-        if facts.not_run:
-            return EnginesRefused(facts.at_fault)
-        self._parts.admission.note_accepted(exchange.service)
-        if reply.status != web.HTTPOk.status_code:
-            return await self._relay_error(reply)
-        if not facts.is_signed or facts.is_encoded:
-            raise ChainBroken("unsigned or encoded answer, not the target's own")
-        if exchange.response is None:
-            response = web.StreamResponse(
-                status=reply.status, headers=codec.write_reply(reply.headers)
-            )
-            response.enable_chunked_encoding()
-            if self._parts.state.draining:
-                response.force_close()
-            await response.prepare(exchange.http)
-            exchange.response = response
-        await self._forwarder.forward(reply)
-        await exchange.response.write_eof()
-        note_served(self._parts, exchange)
-        return Completed()
-
-    async def _relay_error(self, reply: aiohttp.ClientResponse) -> Completed:
-        """Forward an engine's error answer, unless another engine may be tried.
-
-        :raises ChainBroken: if another engine may be tried, or the answer has begun.
-        """
-        exchange = self._exchange
-        may_retry = exchange.route.is_idempotent and reply.status >= 500
-        if exchange.response is not None:
-            raise ChainBroken(f"status {reply.status}")
-        if may_retry and exchange.run_count < exchange.route.max_targets:
-            raise ChainBroken(f"status {reply.status}")
-        bounds = self._parts.upstream.guard.bounds
-        body = await read_whole(reply, bounds, "error_bytes")
-        headers = self._parts.codec.write_reply(reply.headers)
-        response = web.Response(status=reply.status, headers=headers, body=body)
-        await response.prepare(exchange.http)
-        await response.write_eof()
-        exchange.response = response
-        return Completed()
