--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -251,6 +251,8 @@
         """Number of next requests that are refused for lack of memory."""
         self.cut_after: int | None = None
         """Number of events after which the next stream is aborted inside an event."""
+        self.reports_in_silence = False
+        """Whether it answers reports while it is silent otherwise."""
         self.resets = False
         """Whether it resets each request but answers reports as if it were healthy."""
         self.drops_reused_connections = False
@@ -269,7 +271,8 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request, report or order."""
-        await self.awake.wait()
+        if not (self.reports_in_silence and http.path == "/report"):
+            await self.awake.wait()
         match http.path:
             case "/report":
                 return _answer(self._report())
--- /dev/null
+++ b/marigoldswitch/tests/test_handover.py
@@ -0,0 +1,135 @@
+"""Streams whose chain is suspected: which attempt goes on, and what callers get."""
+
+import asyncio
+
+import pytest
+
+from marigoldswitch.gateway import streams
+from marigoldswitch.gateway.attempts import Attempt
+from marigoldswitch.gateway.broken_chains import ChainBroken, ChainGivenUp
+from marigoldswitch.gateway.lost_runs import record_lost_run
+from marigoldswitch.tests.gateway_site import (
+    check_layers,
+    get_targets,
+    list_event_ids,
+    run_scenario,
+    run_site,
+)
+
+MANY_EVENTS = list(range(1, 61))
+
+
+async def start_stream(site, names="xyz"):
+    """Start engines that hold all layers and a stream; return its engine and answer."""
+    for name in names:
+        engine = await site.add_engine(name, "north", (0, 8))
+        engine.events = MANY_EVENTS[-1]
+    await site.wait_until(lambda: len(get_targets(site)) == len(names))
+    answer = await site.call("/draft/", 1)
+    body = await answer.content.readany()
+    return get_engine(site, 0), answer, body
+
+
+def get_engine(site, number):
+    """Return the first engine of the stream that was started as the n-th."""
+    return site.engines.engines[site.engines.streams[number].path[0][0]]
+
+
+def count_chains(lines):
+    return sum(line["event"] == "chain_chosen" for line in lines)
+
+
+def list_ends_of_doubts(lines):
+    return [line["outcome"] for line in lines if line["event"] == "stream_doubt_ended"]
+
+
+def test_replacement_that_delivers_first_goes_on_and_the_silent_run_is_closed(
+    log_lines,
+):
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            silent, answer, body = await start_stream(site)
+            silent.awake.clear()
+            body += await answer.read()
+            assert list_event_ids(body) == MANY_EVENTS
+            assert len(site.engines.streams) == 2
+            assert list_ends_of_doubts(log_lines) == ["replaced"]
+            silent.awake.set()
+            await site.wait_until(lambda: not silent._open_streams)
+            check_layers(site)
+            assert site.hosts[0].parts.runs.planner.count_begun() == 0
+
+    run_scenario(scenario())
+
+
+def test_run_that_delivers_before_its_replacement_goes_on(log_lines):
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            first, answer, body = await start_stream(site)
+            others = [
+                item for item in site.engines.engines.values() if item is not first
+            ]
+            for engine in (first, *others):
+                engine.awake.clear()
+            # Answers reports, so that the silence is not put down to the host.
+            for engine in others:
+                engine.reports_in_silence = True
+            await site.wait_until(lambda: count_chains(log_lines) == 2)
+            first.awake.set()
+            body += await answer.read()
+            assert list_event_ids(body) == MANY_EVENTS
+            assert list_ends_of_doubts(log_lines) == ["recovered"]
+            for engine in others:
+                engine.awake.set()
+            await site.wait_until(
+                lambda: not any(engine._open_streams for engine in others)
+            )
+            check_layers(site)
+            assert site.hosts[0].parts.runs.planner.count_begun() == 0
+
+    run_scenario(scenario())
+
+
+def test_replacement_delivers_while_the_end_of_the_silent_run_is_recorded(monkeypatch):
+    async def record_slowly(*args):
+        await asyncio.sleep(0.3)
+        await record_lost_run(*args)
+
+    monkeypatch.setattr(streams, "record_lost_run", record_slowly)
+
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            first, answer, body = await start_stream(site)
+            first.awake.clear()
+            directory = site.hosts[0].parts.runs.directory
+            clock = site.hosts[0].parts.runs.clock
+            await site.wait_until(
+                lambda: directory.suspects.is_dead(first.name, clock.monotonic())
+            )
+            await first.stop()
+            body += await answer.read()
+            assert list_event_ids(body) == MANY_EVENTS
+            assert len(site.engines.streams) == 2
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("is_fact", [True, False])
+def test_only_a_fact_ends_an_attempt(is_fact):
+    async def scenario():
+        changes = []
+        attempt = Attempt(lambda: changes.append(1), lambda _: None, lambda: 1)
+        attempt.start(asyncio.sleep(30.0))
+        why = ChainBroken("reset") if is_fact else ChainGivenUp("silent")
+        attempt.report(why)
+        await asyncio.sleep(0.01)
+        assert changes
+        assert attempt.is_done is is_fact
+        if is_fact:
+            with pytest.raises(ChainBroken):
+                attempt.get_result()
+        else:
+            assert attempt.doubt is why
+            attempt.cancel()
+
+    asyncio.run(scenario())
