Close no connection in which a part of a request stands when a host stops

What callers saw: at SIGTERM, 2.4 s later, and at the end of the stop, a kept connection was closed without an answer although a whole request had reached the host.

Cause: a connection counted as busy once its handler ran. A request that was parsed and waited for the handler's first step, one that stood in the socket while the event loop was late, and one whose head had come in part were cut off. Connections with a running handler were told to close, and aiohttp then drops what still arrives: a request whose body was on its way waited for it in vain until the end of the stop. The last step closed all connections as they were, after a store call in which new ones came in.

Why it works: a connection is closed only if aiohttp waits for a request, no part of a head has been read, and the kernel, asked right before the close, holds no bytes for it. What holds a part of a request is waited for, within the time of the stop as before; answers close their connections themselves. The listeners are closed first, after what waits to be accepted was taken.

--- a/marigoldswitch/gateway/accepting.py
+++ b/marigoldswitch/gateway/accepting.py
@@ -1,6 +1,11 @@
-"""Takes callers' new connections, or closes them unread in an overload."""
+"""Takes callers' connections, or closes them unread in an overload.
+
+A connection that may hold any part of a request is never closed as idle.
+"""
 
 import asyncio
+import select
+from collections.abc import Iterable
 from typing import Any
 
 import structlog
@@ -25,7 +30,80 @@
         transport.abort()
 
 
-class GuardedServer(web.Server):
+class CallerConnection(web.RequestHandler):
+    """A connection that can tell whether any part of a request stands in it."""
+
+    __slots__ = ("_has_partial_head",)
+
+    def __init__(self, server: web.Server, **options: Any) -> None:
+        super().__init__(server, **options)
+        self._has_partial_head = False
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes that have arrived."""
+        super().data_received(data)
+        if not self._awaits_request():
+            self._has_partial_head = False
+        elif data.strip(b"\r\n"):
+            # Some clients send an empty line after a body.
+            self._has_partial_head = True
+
+    def is_idle(self) -> bool:
+        """Return whether the event loop has read no part of an unanswered request."""
+        return self._awaits_request() and not self._has_partial_head
+
+    def _awaits_request(self) -> bool:
+        waiter = self._waiter
+        return waiter is not None and not waiter.done()
+
+
+def find_unread(connections: Iterable[CallerConnection]) -> set[CallerConnection]:
+    """Return the connections whose socket holds bytes, or an end, not yet read."""
+    poll, by_number = select.poll(), {}
+    for connection in connections:
+        transport = connection.transport
+        number = transport.get_extra_info("socket").fileno() if transport else -1
+        if number >= 0:
+            by_number[number] = connection
+            poll.register(number, select.POLLIN)
+    return {by_number[number] for number, _ in poll.poll(0)}
+
+
+class RequestServer(web.Server):
+    """HTTP server that can close its connections without losing a request."""
+
+    def __init__(self, handler: Any, **options: Any) -> None:
+        super().__init__(handler, **options)
+        self._last_idle: set[CallerConnection] = set()
+        """Connections that were idle at the last call of :meth:`close_idle`."""
+
+    def __call__(self) -> Any:
+        """Return the protocol of a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+    def close_idle(self) -> int:
+        """Close the connections that are idle for the second time in a row.
+
+        A new connection has its first request on the way, and so has one whose last
+        answer has just ended.
+
+        :return: number of connections that may hold a part of a request.
+        """
+        connections = self.connections
+        idle = {
+            item
+            for item in connections
+            if isinstance(item, CallerConnection) and item.is_idle()
+        }
+        idle -= find_unread(idle)
+        for connection in idle & self._last_idle:
+            # close() would leave an idle connection open and unread.
+            connection.force_close()
+        self._last_idle = idle
+        return len(connections) - len(idle)
+
+
+class GuardedServer(RequestServer):
     """HTTP server that turns new connections away when its guard says so."""
 
     def __init__(
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -56,23 +56,12 @@
         self._parts = parts
         self._metrics = metrics
         self._runs = runs
-        self._busy_connections: set[object] = set()
-        """Connections with a running request; each has at most one at a time."""
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self._running = 0
 
     @property
     def running_requests(self) -> int:
         """Return the number of running requests."""
-        return len(self._busy_connections)
-
-    def is_busy(self, connection: object) -> bool:
-        """Return whether a request is running on a connection."""
-        return connection in self._busy_connections
-
-    async def wait_idle(self) -> None:
-        """Wait until no request is running."""
-        await self._idle.wait()
+        return self._running
 
     async def handle(
         self, http: web.BaseRequest, terms: ProxyTerms | None = None
@@ -84,14 +73,11 @@
 
         :param terms: those of the host that has sent it; ``None`` if its caller has.
         """
-        self._busy_connections.add(http.protocol)
-        self._idle.clear()
+        self._running += 1
         try:
             response = await self._answer(http, terms)
         finally:
-            self._busy_connections.discard(http.protocol)
-            if not self._busy_connections:
-                self._idle.set()
+            self._running -= 1
         if self._parts.state.draining and not response.prepared:
             response.force_close()
         return response
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -17,7 +17,7 @@
 from marigoldswitch.core.overload import OverloadGuard
 from marigoldswitch.core.registry import Change, StoreRestored
 from marigoldswitch.core.routes import RoutingTable
-from marigoldswitch.gateway.accepting import GuardedServer, LagMonitor
+from marigoldswitch.gateway.accepting import GuardedServer, LagMonitor, RequestServer
 from marigoldswitch.gateway.contact_probing import ContactProber
 from marigoldswitch.gateway.engine_offers import LEAVING_USE_SECONDS
 from marigoldswitch.gateway.exchanges import HostState, RunParts
@@ -58,6 +58,13 @@
 """Seconds over which the rerouting of one host's streams is spread."""
 CLOSE_SECONDS = 0.4
 """Part of the shutdown time that is reserved for closing what is left."""
+CLOSE_POLL_SECONDS = 0.02
+"""Interval at which a host that stops looks for idle connections."""
+SHUTDOWN_SECONDS = 0.05
+"""Time for requests that don't end when the host ends them."""
+ACCEPT_ROUNDS = 5
+"""Rounds of the event loop in which connections that wait to be accepted are taken and
+read for the first time."""
 REGISTER_RETRY_SECONDS = 1.0
 """Pause between two tries to write this host's row or to list the others."""
 REREGISTER_SPREAD_SECONDS = 3.0
@@ -113,6 +120,7 @@
             identity.host, identity.data_centre, identity.strength
         )
         self._runners: list[web.ServerRunner] = []
+        self._servers: list[RequestServer] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._is_cut_off = False
         self._listed_at = float("-inf")
@@ -169,8 +177,11 @@
         try:
             async with asyncio.timeout(longest):
                 await asyncio.sleep(min(BALANCER_REMOVAL_SECONDS, longest))
-                self._close_idle()
-                await parts.front.wait_idle()
+                parts.state.accepting = False
+                # Idle connections are closed meanwhile; requests that still arrive are
+                # refused as not run.
+                while self._close_idle():  # noqa: ASYNC110
+                    await asyncio.sleep(CLOSE_POLL_SECONDS)
         except TimeoutError:
             logger.warning("drain_cut_short", busy=parts.front.running_requests)
 
@@ -205,34 +216,41 @@
         )
 
     async def stop(self) -> None:
-        """Cancel the background tasks and close all listeners and connections."""
+        """Close all listeners and connections and cancel the background tasks."""
         parts = self.parts
+        await self._close_listeners()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         result = await parts.host_directory.deregister(self._record)
         if isinstance(result, Err):
             logger.info("host_row_left", why=result.err_value.value)
-        for runner in self._runners:
-            await runner.cleanup()
         await parts.network.stop()
         for session in parts.sessions:
             await session.close()
         logger.info("host_stopped")
 
-    def _close_idle(self) -> None:
-        """Close idle connections now and busy ones after their answer.
+    async def _close_listeners(self) -> None:
+        """Close the listeners, and the connections once their requests have ended."""
+        state, front = self.parts.state, self.parts.front
+        state.draining, state.accepting = True, False
+        for _ in range(ACCEPT_ROUNDS):
+            await asyncio.sleep(0)
+        for runner in self._runners:
+            for site in runner.sites:
+                await site.stop()
+        try:
+            async with asyncio.timeout(CLOSE_SECONDS / 2):
+                while any(server.connections for server in self._servers):
+                    self._close_idle()
+                    await asyncio.sleep(CLOSE_POLL_SECONDS)
+        except TimeoutError:
+            logger.warning("connections_cut", running=front.running_requests)
+        await asyncio.gather(*(runner.cleanup() for runner in self._runners))
 
-        Requests that still arrive are refused as not run.
-        """
-        self.parts.state.accepting = False
-        server = self._runners[0].server
-        for connection in server.connections if server is not None else ():
-            if self.parts.front.is_busy(connection):
-                connection.close()
-            else:
-                # close() would leave an idle connection open and unread.
-                connection.force_close()
+    def _close_idle(self) -> int:
+        """Close idle connections; return the number of those that may hold requests."""
+        return sum(server.close_idle() for server in self._servers)
 
     async def _listen(
         self, address: str, handler: Any, guard: OverloadGuard | None = None
@@ -250,14 +268,15 @@
             "max_field_size": MAX_HEAD_LINE_BYTES,
         }
         if guard is None:
-            server = web.Server(handler, **options)
+            server = RequestServer(handler, **options)
         else:
             server = GuardedServer(handler, guard, self.parts.runs.clock, **options)
-        runner = web.ServerRunner(server, shutdown_timeout=CLOSE_SECONDS / 2)
+        runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_SECONDS)
         await runner.setup()
         host, port = split_address(address)
         await web.TCPSite(runner, host, port, backlog=ACCEPT_BACKLOG).start()
         self._runners.append(runner)
+        self._servers.append(server)
 
     def _get_keepalive_seconds(self) -> float:
         table = self.parts.runs.directory.table
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -141,7 +141,7 @@
 def abort_proxied(host):
     """Break off all requests that a host runs for others; return their number."""
     connections = host._runners[2].server.connections
-    busy = [item for item in connections if host.parts.front.is_busy(item)]
+    busy = [item for item in connections if not item.is_idle()]
     for item in busy:
         item.transport.abort()
     return len(busy)
