Answer the requests that still run when a stop is cut short

What callers saw: a request still running 0.4 s before the end of the stop time got a closed connection instead of an answer, also one that had run on no target. The stop itself took longer than the stop time, so that the platform could kill the process first.

Cause: the HTTP server cancelled the handlers, which close their connection then. It gave each listener up to 0.4 s, one after the other.

Evidence: test_running_request_is_answered_when_the_stop_is_cut_short.

Why it works: the front ends these requests as it does at their deadline, with 503 if they have not run and 504 otherwise, and an answer that has begun is reset. 0.2 of the 0.4 s are for writing that; the listeners then close together.

--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -1,7 +1,8 @@
 """HTTP frontend of a gateway host: takes callers' requests and runs each to its end."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 
 import orjson
 import structlog
@@ -25,6 +26,7 @@
     RunParts,
     check_hold,
     describe_timeout,
+    has_not_run,
 )
 from marigoldswitch.gateway.metrics import GatewayMetrics
 from marigoldswitch.gateway.ports import Call
@@ -57,12 +59,24 @@
         self._metrics = metrics
         self._runs = runs
         self._running = 0
+        self._limits: set[asyncio.Timeout] = set()
+        """Time limits of the requests that are being read or run."""
 
     @property
     def running_requests(self) -> int:
         """Return the number of running requests."""
         return self._running
 
+    def end_requests(self) -> None:
+        """Have all requests end now, as the host stops.
+
+        Those whose answer has not begun are answered.
+        """
+        now = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            if not limit.expired():
+                limit.reschedule(now)
+
     async def handle(
         self, http: web.BaseRequest, terms: ProxyTerms | None = None
     ) -> web.StreamResponse:
@@ -185,7 +199,7 @@
         if not http.can_read_body:
             return b""
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
+            async with self._limit(BODY_TIMEOUT_SECONDS):
                 body = await http.content.read(limits.body_bytes + 1)
                 while not http.content.at_eof():
                     chunk = await http.content.read(limits.body_bytes)
@@ -193,6 +207,8 @@
                     if len(body) > limits.body_bytes:
                         raise RequestRefused(Fault(ErrorKind.TOO_LARGE))
         except TimeoutError:
+            if not self._parts.state.accepting:
+                raise RequestRefused(Fault(ErrorKind.DRAINING)) from None
             raise RequestRefused(
                 Fault(ErrorKind.MALFORMED, "the request body was not received in time")
             ) from None
@@ -210,15 +226,39 @@
         """
         remaining = exchange.deadline - self._parts.clock.monotonic()
         try:
-            async with asyncio.timeout(max(0.0, remaining)):
+            async with self._limit(max(0.0, remaining)):
                 response = await self._runs.run(exchange)
         except TimeoutError:
             if exchange.response is None:
-                raise RequestRefused(describe_timeout(exchange)) from None
+                raise RequestRefused(self._describe_timeout(exchange)) from None
             raise AnswerAborted(AbortReason.TIME_UP, "its time was up") from None
         self._record_end(exchange, f"answered {response.status}")
         return response
 
+    @asynccontextmanager
+    async def _limit(self, seconds: float) -> AsyncIterator[None]:
+        """Limit the time of a block; :meth:`end_requests` ends it at once.
+
+        :raises TimeoutError: if the time is up.
+        """
+        async with asyncio.timeout(seconds) as limit:
+            self._limits.add(limit)
+            try:
+                yield
+            finally:
+                self._limits.discard(limit)
+
+    def _describe_timeout(self, exchange: Exchange) -> Fault:
+        """Return the fault of a request that has ended at its deadline or at a stop."""
+        if self._parts.clock.monotonic() >= exchange.deadline:
+            return describe_timeout(exchange)
+        if has_not_run(exchange):
+            return Fault(ErrorKind.DRAINING)
+        return Fault(
+            ErrorKind.DEADLINE_EXCEEDED,
+            "the host stopped before the target had finished",
+        )
+
     # Recording how requests end.
 
     def _finish_refused(
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -57,7 +57,8 @@
 REROUTE_SPREAD_SECONDS = 0.6
 """Seconds over which the rerouting of one host's streams is spread."""
 CLOSE_SECONDS = 0.4
-"""Part of the shutdown time that is reserved for closing what is left."""
+"""Part of the shutdown time that is reserved for closing what is left. Half of it is
+for the answers of requests that are ended."""
 CLOSE_POLL_SECONDS = 0.02
 """Interval at which a host that stops looks for idle connections."""
 SHUTDOWN_SECONDS = 0.05
@@ -231,7 +232,10 @@
         logger.info("host_stopped")
 
     async def _close_listeners(self) -> None:
-        """Close the listeners, and the connections once their requests have ended."""
+        """Close the listeners, and the connections once their requests have ended.
+
+        Requests that still run are ended; each whose answer has not begun gets one.
+        """
         state, front = self.parts.state, self.parts.front
         state.draining, state.accepting = True, False
         for _ in range(ACCEPT_ROUNDS):
@@ -242,6 +246,7 @@
         try:
             async with asyncio.timeout(CLOSE_SECONDS / 2):
                 while any(server.connections for server in self._servers):
+                    front.end_requests()
                     self._close_idle()
                     await asyncio.sleep(CLOSE_POLL_SECONDS)
         except TimeoutError:
--- a/marigoldswitch/tests/test_stopping_hosts.py
+++ b/marigoldswitch/tests/test_stopping_hosts.py
@@ -191,6 +191,22 @@
     run_scenario(scenario())
 
 
+def test_running_request_is_answered_when_the_stop_is_cut_short():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            caller, slow = await connect_callers(site, 2)
+            host, desk = site.hosts[0], site.desks[0]
+            desk.seconds = 60.0
+            caller.send(build_head(1) + BODY)
+            slow.send(build_head(2) + BODY[:1])
+            await site.wait_until(lambda: desk.runs["try-1"])
+            await asyncio.wait_for(stop_host(site, host), host.settings.stop_seconds)
+            assert (await caller.read_status())[0] == 504
+            assert (await slow.read_status())[0] == 503
+
+    run_scenario(scenario())
+
+
 def test_idle_connections_are_closed_at_a_stop_and_half_sent_ones_do_not_hold_it():
     async def scenario():
         async with run_site(desks=1) as site:
