Keep a connection open whose next request came as its idle time ended

What callers saw: a request on a kept connection got a closed connection if the event loop was late when the connection's idle time ended, for example behind a large configuration.

Cause: aiohttp closes it if it has read nothing, also with a request in the socket: the timer may run before the read in a round of the loop, or the bytes may come during the round.

Evidence: test_request_that_arrives_when_its_connection_has_been_idle_for_ long_is_answered ends the idle time in the round in which the request comes. Before: closed without an answer.

Why it works: the kernel is asked for unread bytes before the close; the idle time is looked at again 0.1 s later, when they have been read. It doesn't hold a connection open that has read half a head.

--- a/marigoldswitch/gateway/accepting.py
+++ b/marigoldswitch/gateway/accepting.py
@@ -20,6 +20,9 @@
 """Interval at which the lag of the event loop is measured."""
 LOG_SECONDS = 1.0
 """Least time between two log lines on connections turned away."""
+UNREAD_RETRY_SECONDS = 0.1
+"""Time after which a connection whose idle time has ended is looked at again, if bytes
+had arrived in it that the event loop had not read yet."""
 
 
 class _TurnedAwayConnection(asyncio.Protocol):
@@ -56,6 +59,16 @@
         waiter = self._waiter
         return waiter is not None and not waiter.done()
 
+    def _process_keepalive(self) -> None:
+        """Close the connection if it has been idle for the whole idle time."""
+        if self.is_idle() and find_unread([self]):
+            loop = asyncio.get_running_loop()
+            self._keepalive_handle = loop.call_later(
+                UNREAD_RETRY_SECONDS, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
 
 def find_unread(connections: Iterable[CallerConnection]) -> set[CallerConnection]:
     """Return the connections whose socket holds bytes, or an end, not yet read."""
--- a/marigoldswitch/tests/test_stopping_hosts.py
+++ b/marigoldswitch/tests/test_stopping_hosts.py
@@ -220,3 +220,18 @@
             assert (await half.read_status())[0] == 0
 
     run_scenario(scenario())
+
+
+def test_request_that_arrives_when_its_connection_has_been_idle_for_long_is_answered():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            (caller,) = await connect_callers(site, 1)
+            server = site.hosts[0]._runners[0].server
+            (connection,) = server.connections
+            caller.send(build_head(1) + BODY)
+            # The idle time ends in the round of the event loop in which it arrives.
+            connection._next_keepalive_close_time = 0.0
+            connection._process_keepalive()
+            assert (await caller.read_status())[0] == 200
+
+    run_scenario(scenario())
