Test that adopting a large configuration turns no connection away

The question was whether the lag of one adoption is taken for an overload. It isn't: an adoption is one late round and a shorter one. With a clock passed in, 10 seeds, pauses of 0.12 to 0.8 s in five phases at 60, 200 and 300 connections a second, capacity 500, nothing is turned away, also before this commit, so no code changes.

--- a/marigoldswitch/tests/test_overload.py
+++ b/marigoldswitch/tests/test_overload.py
@@ -69,6 +69,21 @@
     assert not loop.turned_away
 
 
+@pytest.mark.parametrize("phase", [0.0, 0.02, 0.04, 0.06, 0.08])
+@pytest.mark.parametrize("rate", [60.0, 200.0, 300.0])
+def test_adopting_a_large_configuration_turns_no_connection_away(rate, phase):
+    for seed in range(10):
+        for adopting in (0.12, 0.2, 0.4, 0.8):
+            loop = BusyLoop(seed, rate)
+            loop.run_until(5.0 + phase)
+            loop.pause(adopting)
+            # Copies for other hosts are compressed in a later round.
+            loop.run_until(loop.now + 0.02)
+            loop.pause(0.2 * adopting)
+            loop.run_until(9.0)
+            assert not loop.turned_away
+
+
 @pytest.mark.parametrize("seed", range(5))
 @pytest.mark.parametrize("rate", [550.0, 800.0, 2000.0])
 def test_requests_that_are_read_in_a_flood_are_served_soon(seed, rate):
