Keep answers whose targets are silent within a head, a body or an event

Callers of plain services had a long answer broken off, or got 502 for a short one that may run only once, when a sound target sent nothing for 3 s between two bytes: bodies and heads were given up after 2.5 s without progress, and a silence counted like bytes that bring nothing forward.

Bounds in time now count at most 0.5 s of each time in which no byte arrives (ActivityClock, fed with all bytes of a connection; EventProgress the same between the bytes of an event). A silence costs no memory; the deadline of the request ends the wait, and one that may run again is hedged meanwhile. Senders of a few bytes at a time pause for less and are given up as before. Answers of the store keep their bounds.

--- a/marigoldswitch/core/read_bounds.py
+++ b/marigoldswitch/core/read_bounds.py
@@ -23,6 +23,11 @@
 UNBOUNDED_WINDOW_SECONDS = 30.0
 """Time within which they count together: that of a few ejections."""
 
+MAX_COUNTED_SILENCE_SECONDS = 0.5
+"""Longest part of a silence that counts as time without progress: above the pauses of a
+sender of a few bytes at a time, and a small part of the bounds. A sender that is paused
+for seconds and goes on is sound."""
+
 
 class Excess(Struct, frozen=True):
     """How something that was read has exceeded a bound.
@@ -44,7 +49,8 @@
         the informational heads before it. Heads of targets have some hundred bytes.
     :param head_seconds: from the first byte of a head to its last, together with the
         informational heads before it but without the pauses after these. A head is sent
-        in one piece; with a lost packet it takes under a second.
+        in one piece; with a lost packet it takes under a second. Of a silence, only
+        ``MAX_COUNTED_SILENCE_SECONDS`` count, here and below.
     :param informational_heads: heads with a status 1xx before that of the answer:
         ``100``, ``102`` and ``103`` once each.
     :param body_bytes: of an answer that is kept in memory until it is whole. A longer
@@ -60,7 +66,7 @@
     :param event_bytes: of a stream without a whole event that brings it forward: one
         event, or comments.
     :param event_seconds: from such bytes to the next event that brings the stream
-        forward. Engines pause for up to 1.2 s, but then send nothing.
+        forward.
     :param error_bytes: body of an engine's error answer.
     :param report_bytes: of an engine's report or answer to an order; some 60 bytes for
         each stalled stream.
@@ -124,7 +130,10 @@
         self._last_id: str | None = None
         self._stray_bytes = 0
         """Received since the last event that brought the stream forward."""
-        self._stray_since = 0.0
+        self._stray_seconds = 0.0
+        """Time that these bytes took, without most of the silences between them."""
+        self._stray_at = 0.0
+        """When the last of them were received."""
 
     def count(self, size: int, events: list[Event], now: float) -> bool:
         """Count bytes; return whether they have brought the stream forward.
@@ -138,8 +147,11 @@
         if is_progress:
             self._stray_bytes = 0
             return True
+        silence = now - self._stray_at if self._stray_bytes else 0.0
         if not self._stray_bytes:
-            self._stray_since = now
+            self._stray_seconds = 0.0
+        self._stray_seconds += min(silence, MAX_COUNTED_SILENCE_SECONDS)
+        self._stray_at = now
         self._stray_bytes += size
         return False
 
@@ -150,7 +162,8 @@
         """
         if not self._stray_bytes:
             return None
-        seconds = now - self._stray_since
+        silence = min(now - self._stray_at, MAX_COUNTED_SILENCE_SECONDS)
+        seconds = self._stray_seconds + silence
         if self._stray_bytes > self._bounds.event_bytes:
             return Excess("event_bytes", self._stray_bytes, seconds)
         if seconds > self._bounds.event_seconds:
--- a/marigoldswitch/gateway/bounded_connections.py
+++ b/marigoldswitch/gateway/bounded_connections.py
@@ -16,17 +16,21 @@
 
 from marigoldswitch.core.read_bounds import Excess, ReadBounds
 from marigoldswitch.gateway.bounded_reads import AnswerUnbounded, ReadGuard
-from marigoldswitch.stalls import StallWatch
+from marigoldswitch.stalls import ActivityClock, StallWatch
 
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 
 
 class BoundedHandler(ResponseHandler):
-    """Protocol of a connection that is reset when what it receives exceeds a bound."""
+    """Protocol of a connection that is reset when what it receives exceeds a bound.
+
+    :ivar activity: clock that leaves out the other end's silences.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, guard: ReadGuard) -> None:
         super().__init__(loop)
+        self.activity = ActivityClock()
         self._guard = guard
         self._is_head_open = False
         """Whether the head of an answer is awaited."""
@@ -56,6 +60,7 @@
         """Parse what arrives, and count it."""
         if self._is_cut:
             return
+        self.activity.note_bytes()
         if self._is_head_open:
             self._note_head_bytes(len(data))
         super().data_received(data)
@@ -117,7 +122,7 @@
             self._cut("head_bytes", self._head_size)
         elif self._head_watch is None:
             self._head_watch = StallWatch(
-                self._bounds.head_seconds, self._end_late_head
+                self._bounds.head_seconds, self._end_late_head, self.activity.time
             )
             if self._is_between_heads:
                 self._head_watch.suspend()
--- a/marigoldswitch/gateway/bounded_reads.py
+++ b/marigoldswitch/gateway/bounded_reads.py
@@ -10,7 +10,7 @@
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.read_bounds import Excess, ReadBounds
 from marigoldswitch.core.routes import ClientLimits
-from marigoldswitch.stalls import StallWatch
+from marigoldswitch.stalls import ActivityClock, StallWatch
 
 logger = structlog.get_logger(__name__)
 
@@ -93,17 +93,25 @@
 class BodyReader:
     """Reads the body of an answer while it makes progress.
 
+    :param counts_silence: time in which no byte arrives counts in full, and not only
+        up to :data:`MAX_COUNTED_SILENCE_SECONDS` each time.
     :ivar size: bytes read so far.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse, bounds: ReadBounds) -> None:
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        bounds: ReadBounds,
+        counts_silence: bool = False,
+    ) -> None:
         self.size = 0
         self._response = response
         self._progress_bytes = bounds.progress_bytes
         self._began = asyncio.get_running_loop().time()
         self._marked_size = 0
         self._stall: Excess | None = None
-        self._watch = StallWatch(bounds.progress_seconds, self._end_stalled)
+        get_time = None if counts_silence else _get_activity_time(response)
+        self._watch = StallWatch(bounds.progress_seconds, self._end_stalled, get_time)
 
     async def read(self) -> bytes:
         """Return the next bytes of the body; none at its end.
@@ -143,11 +151,15 @@
 
 
 async def read_whole(
-    response: aiohttp.ClientResponse, bounds: ReadBounds, bound: str
+    response: aiohttp.ClientResponse,
+    bounds: ReadBounds,
+    bound: str,
+    counts_silence: bool = False,
 ) -> bytes:
     """Return the body of an answer.
 
     :param bound: name of the bound on its length.
+    :param counts_silence: see :class:`BodyReader`.
     :raises AnswerUnbounded: if it exceeds a bound; the connection is then closed. Also
         what reading raises otherwise.
     """
@@ -155,7 +167,7 @@
     # A short answer mostly arrives together with its head.
     if response.content.is_eof() and response.content.total_bytes <= max_bytes:
         return await response.read()
-    reader = BodyReader(response, bounds)
+    reader = BodyReader(response, bounds, counts_silence)
     parts: list[bytes] = []
     try:
         if get_stated_length(response) > max_bytes:
@@ -177,3 +189,13 @@
         return response.content_length or 0
     except ValueError:
         return 0
+
+
+def _get_activity_time(
+    response: aiohttp.ClientResponse,
+) -> Callable[[], float] | None:
+    """Return the clock of a response's connection that leaves out silences, if it has
+    one."""
+    # Private: ``connection`` is already ``None`` if the end came with the headers.
+    clock = getattr(response._protocol, "activity", None)
+    return clock.time if isinstance(clock, ActivityClock) else None
--- a/marigoldswitch/platform/store_calls.py
+++ b/marigoldswitch/platform/store_calls.py
@@ -134,7 +134,9 @@
                     total=timeout, sock_connect=CALL_TIMEOUT_SECONDS
                 ),
             ) as response:
-                content = await read_whole(response, self._guard.bounds, "store_bytes")
+                content = await read_whole(
+                    response, self._guard.bounds, "store_bytes", counts_silence=True
+                )
                 era = self._update_era(response.headers.get(ERA_HEADER))
             answer = _read_answer(response.status, content, era, method == "GET")
             fault, why = None, ""
--- a/marigoldswitch/tests/test_read_bounds.py
+++ b/marigoldswitch/tests/test_read_bounds.py
@@ -61,6 +61,14 @@
         now += 60.0
 
 
+def test_stream_that_is_silent_within_an_event_exceeds_no_bound():
+    progress = EventProgress(BOUNDS, needs_ids=True)
+    for now in (0.0, 3.0, 6.0):
+        assert not progress.count(10, [], now)
+        assert progress.find_excess(now) is None
+    assert progress.count(10, [build_event(1)], 9.0)
+
+
 @pytest.mark.parametrize("needs_ids", [False, True])
 def test_events_without_ids_count_where_a_stream_needs_none(needs_ids):
     progress = EventProgress(BOUNDS, needs_ids)
