Wait for the first sending when a hedge of a plain request fails

Callers got 502, 503 or a target's 500 though the target that had their request was only silent for a second: the hedge failed (lost, refused, 5xx, unsigned), the request had no run or retry left, and PlainRun ended it with the first sending still under way, which was cancelled. A retry was also taken from the budget for a failed hedge without anything being sent.

A failure now ends nothing while another sending is running; it is kept and dealt with, hold and retry included, once none is.

--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -64,6 +64,8 @@
         self._unreachable_count = 0
         self._fallback: Answered | None = None
         """The last 5xx answer, passed on if no other target gives a better one."""
+        self._failed: Answered | Lost | None = None
+        """The last sending that failed while another one was running."""
 
     async def run(self) -> web.StreamResponse:
         """Run the request to its end.
@@ -122,7 +124,7 @@
                 return None
             for task in done:
                 pending.discard(task)
-                answer = self._process_end(task.result())
+                answer = self._process_end(task.result(), is_last=not pending)
                 if answer is not None:
                     return answer
                 _close_rest(task.result())
@@ -276,40 +278,61 @@
         if is_own and facts.load is not None:
             self._selector.note_load(target.id, facts.load, now)
 
-    def _process_end(self, end: SendResult) -> Answered | None:
+    def _process_end(self, end: SendResult, is_last: bool) -> Answered | None:
         """Return the answer if it is to be passed on, or ``None`` to go on.
 
+        While another sending is running, a failure ends nothing, as that may still
+        bring the answer.
+
+        :param is_last: whether no other sending is running.
         :raises RequestRefused: if the request failed and may not be sent again.
         """
-        exchange, parts = self._exchange, self._parts
+        exchange = self._exchange
         match end:
             case NotSent(why):
                 exchange.run_count -= 1
                 exchange.send_count -= 1
                 exchange.connect_failures += 1
                 self._unreachable_count += 1
+                if not is_last:
+                    return None
                 if self._unreachable_count >= MAX_UNREACHABLE_TARGETS:
                     raise RequestRefused(self._build_fault(why))
-                return None
-            case Lost(why):
-                check_hold(parts, exchange)
-                self._require_retry(ErrorKind.TARGET_LOST, why)
-                return None
+                failed, self._failed = self._failed, None
+                return None if failed is None else self._go_on_after(failed)
             case Answered(facts=facts) if facts.not_run:
                 exchange.run_count -= 1
                 if facts.wrong_target:
                     exchange.send_count -= 1
-                self._require_retry(ErrorKind.TARGET_REFUSED, "refused")
-                return None
             case Answered(status) if status >= 500:
                 self._fallback = end
+            case Answered(facts=facts) if facts.is_signed and not facts.is_encoded:
+                return end
+        if not is_last:
+            self._failed = end
+            return None
+        self._failed = None
+        return self._go_on_after(end)
+
+    def _go_on_after(self, end: Answered | Lost) -> Answered | None:
+        """Take a retry from the budget after the last running sending has failed.
+
+        :return: the answer if it is a failure that is passed on, as there is no retry.
+        :raises RequestRefused: if the request may not be sent again.
+        """
+        match end:
+            case Lost(why):
+                check_hold(self._parts, self._exchange)
+                self._require_retry(ErrorKind.TARGET_LOST, why)
+            case Answered(facts=facts) if facts.not_run:
+                self._require_retry(ErrorKind.TARGET_REFUSED, "refused")
+            case Answered(status) if status >= 500:
                 if not self._may_retry() or not self._spend_retry():
                     return end
-                return None
-        if not end.facts.is_signed or end.facts.is_encoded:
-            self._require_retry(ErrorKind.TARGET_FAULT, "answer unsigned or encoded")
-            return None
-        return end
+            case Answered():
+                why = "answer unsigned or encoded"
+                self._require_retry(ErrorKind.TARGET_FAULT, why)
+        return None
 
     def _may_retry(self) -> bool:
         """Return whether the route allows sending the request to one more target."""
--- a/marigoldswitch/tests/test_quiet_plain_targets.py
+++ b/marigoldswitch/tests/test_quiet_plain_targets.py
@@ -2,11 +2,14 @@
 
 import asyncio
 from collections import Counter
+from enum import Enum
 
 import aiohttp
 import pytest
 
 from marigoldswitch.core.suspects import Finding
+from marigoldswitch.gateway import plain
+from marigoldswitch.standins.platform_engines import PlainStandin
 from marigoldswitch.tests.gateway_site import (
     build_configuration,
     run_scenario,
@@ -100,6 +103,65 @@
     run_scenario(scenario())
 
 
+class Failure(Enum):
+    """How the target fails that gets a hedge."""
+
+    LOST = "lost"
+    REFUSED = "refused"
+    FAILED = "failed"
+    UNSIGNED = "unsigned"
+    PORT_CLOSED = "port closed"
+
+
+async def fail_hedges(desk, failure):
+    """Let a target fail the next request in some way."""
+
+    match failure:
+        case Failure.LOST:
+            desk.lost_answers = 10
+        case Failure.REFUSED:
+            desk.refusals = 10
+        case Failure.FAILED:
+            desk.statuses = [500] * 10
+        case Failure.UNSIGNED:
+            desk.check_head = lambda _: None
+            desk.sign = lambda http: {"Attempt-Id": http.headers["Attempt-Id"]}
+        case Failure.PORT_CLOSED:
+            await desk.stop()
+
+
+@pytest.mark.parametrize("failure", Failure)
+@pytest.mark.parametrize("has_retries", [False, True])
+def test_failed_hedge_does_not_end_a_request_whose_first_target_is_silent(
+    failure, has_retries, monkeypatch
+):
+    async def scenario():
+        async with run_site() as site:
+            silent, failing = PlainStandin("silent"), PlainStandin("failing")
+            for desk in (silent, failing):
+                await add_desk(site, desk, "north")
+            silent.seconds = 1.2
+            selector = site.hosts[0].parts.front._runs._selectors.get("desk")
+            choose = selector.choose
+
+            def choose_silent_first(targets, loads, excluded, now):
+                first = [item for item in targets if item.id == "silent"]
+                return choose(first, loads, excluded, now) or choose(
+                    targets, loads, excluded, now
+                )
+
+            selector.choose = choose_silent_first
+            await fail_hedges(failing, failure)
+            async with site.call("/look/", 1, method="GET", data=None) as answer:
+                body = await answer.read()
+            assert (answer.status, body) == (200, b"silent ran try-1")
+
+    if not has_retries:
+        granted = iter([True])
+        monkeypatch.setattr(plain, "spend_retry", lambda *_: next(granted, False))
+    run_scenario(scenario())
+
+
 def test_long_body_whose_target_stays_silent_ends_at_its_deadline():
     async def scenario():
         async with run_site() as site:
