Don't take silent targets for a lost path

Hosts of a site whose targets were all paused for 1.5 s took themselves for cut off from them (target_contact lost): their callers' requests went to other hosts, which saw the same, and were refused; streams that ran were left. Cause: a probe without an answer within 0.2 s counted like a refused connection.

An attempt that opens a connection now shows that the target is reached, though it sends nothing (EngineSilent). A mere silence counts only if no byte has arrived since from any target on any connection, and a loss for silences ends with the first byte. Refused connections count as before, also while open ones live on. A doubt is settled by up to seven targets instead of three.

--- a/marigoldswitch/gateway/bounded_connections.py
+++ b/marigoldswitch/gateway/bounded_connections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+from collections.abc import Callable
 from typing import Any, cast
 
 import aiohttp
@@ -25,12 +26,19 @@
 class BoundedHandler(ResponseHandler):
     """Protocol of a connection that is reset when what it receives exceeds a bound.
 
+    :param note_bytes: called whenever bytes arrive.
     :ivar activity: clock that leaves out the other end's silences.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, guard: ReadGuard) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        guard: ReadGuard,
+        note_bytes: Callable[[], None],
+    ) -> None:
         super().__init__(loop)
         self.activity = ActivityClock()
+        self._note_bytes = note_bytes
         self._guard = guard
         self._is_head_open = False
         """Whether the head of an answer is awaited."""
@@ -61,6 +69,7 @@
         if self._is_cut:
             return
         self.activity.note_bytes()
+        self._note_bytes()
         if self._is_head_open:
             self._note_head_bytes(len(data))
         super().data_received(data)
@@ -163,12 +172,19 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Opens connections whose reading is bounded."""
+    """Opens connections whose reading is bounded.
+
+    :param note_bytes: called whenever bytes arrive on one of them.
+    """
 
-    def __init__(self, guard: ReadGuard, **options: Any) -> None:
+    def __init__(
+        self, guard: ReadGuard, note_bytes: Callable[[], None], **options: Any
+    ) -> None:
         super().__init__(**options)
         # Private: the client has no other place for the protocol of a connection.
         self._factory = cast(
             functools.partial[ResponseHandler],
-            functools.partial(BoundedHandler, loop=self._loop, guard=guard),
+            functools.partial(
+                BoundedHandler, loop=self._loop, guard=guard, note_bytes=note_bytes
+            ),
         )
--- a/marigoldswitch/gateway/connections.py
+++ b/marigoldswitch/gateway/connections.py
@@ -7,6 +7,7 @@
 
 import re
 import socket
+from collections.abc import Callable
 from types import SimpleNamespace
 
 import aiohttp
@@ -58,15 +59,19 @@
 
 
 def open_session(
-    idle_seconds: float, guard: ReadGuard | None = None
+    idle_seconds: float,
+    guard: ReadGuard | None = None,
+    note_bytes: Callable[[], None] = lambda: None,
 ) -> aiohttp.ClientSession:
     """Return a client session that forwards bodies and headers unchanged.
 
     :param idle_seconds: how long connections are kept idle; 0 to use each only once.
     :param guard: holds the bounds on what is read.
+    :param note_bytes: called whenever bytes arrive.
     """
     connector = BoundedConnector(
         guard or ReadGuard(),
+        note_bytes,
         limit=0,
         force_close=not idle_seconds,
         keepalive_timeout=idle_seconds or None,
@@ -90,15 +95,20 @@
 class Connections:
     """The connections of one host to all targets, pooled by their idle time.
 
+    :param note_bytes: called whenever bytes arrive on one of them.
     :ivar guard: holds the bounds on what is read from them.
     """
 
-    def __init__(self, guard: ReadGuard | None = None) -> None:
+    def __init__(
+        self,
+        guard: ReadGuard | None = None,
+        note_bytes: Callable[[], None] = lambda: None,
+    ) -> None:
         self.guard = guard or ReadGuard()
-        self.single_use = open_session(0.0, self.guard)
+        self.single_use = open_session(0.0, self.guard, note_bytes)
         """For requests that must not be sent on a reused connection."""
-        self._short = open_session(SHORT_IDLE_SECONDS, self.guard)
-        self._long = open_session(LONG_IDLE_SECONDS, self.guard)
+        self._short = open_session(SHORT_IDLE_SECONDS, self.guard, note_bytes)
+        self._long = open_session(LONG_IDLE_SECONDS, self.guard, note_bytes)
         self._short_idle_targets: set[str] = set()
         """Addresses of targets that keep idle connections only for a short time."""
 
--- a/marigoldswitch/gateway/contact_probing.py
+++ b/marigoldswitch/gateway/contact_probing.py
@@ -19,6 +19,9 @@
 FAR_TARGETS = 1
 """Targets asked in a round, of this host's data centre and of others. A host may reach
 only its own data centre, and some targets there may have ended."""
+MORE_TARGETS = 2
+"""Further targets of each of the two that are asked to settle a doubt. Half of the
+targets may be paused at once; those that this host reaches are hardly all of them."""
 
 
 class ContactProber:
@@ -77,14 +80,20 @@
             self._contact.note_answer(now)
         else:
             names = [item.id for item in targets]
-            self._contact.settle_doubt(names, asked_at, now)
+            answered = zip(names, answers, strict=True)
+            refused = {name for name, item in answered if item is not None}
+            self._contact.settle_doubt(names, asked_at, now, refused)
 
     def _choose_targets(self) -> list[Target]:
         """Return targets to ask, drawn from those not yet tried in vain, if any."""
         known = self._list_targets()
         near = [item for item in known if item.data_centre == self._home]
         far = [item for item in known if item.data_centre != self._home]
-        return [*self._draw(near, NEAR_TARGETS), *self._draw(far, FAR_TARGETS)]
+        more = 0 if self._contact.is_lost else MORE_TARGETS
+        return [
+            *self._draw(near, NEAR_TARGETS + more),
+            *self._draw(far, FAR_TARGETS + more),
+        ]
 
     def _draw(self, targets: Sequence[Target], count: int) -> list[Target]:
         fresh = [item for item in targets if not self._contact.is_silent(item.id)]
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -198,6 +198,13 @@
     """Nothing listens at an engine's address any more; its process has ended."""
 
 
+class EngineSilent(Struct, frozen=True):
+    """A new connection to an engine was opened, and brought no answer in time.
+
+    The engine may be paused, but this host reaches it.
+    """
+
+
 class EngineWithoutReport(Struct, frozen=True):
     """A process has answered without a status report; nothing else is known of it.
 
@@ -215,7 +222,7 @@
 
     async def read(
         self, address: str, timeout: float, new_connection: bool = False
-    ) -> EngineAnswer | None:
+    ) -> EngineAnswer | EngineSilent | None:
         """Return an engine's answer to a status request, or ``None`` if there is none.
 
         :param address: ``IP:port`` of the engine.
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -18,6 +18,7 @@
     EngineAnswer,
     EngineControl,
     EngineGone,
+    EngineSilent,
     EngineStatus,
     EngineWithoutReport,
 )
@@ -126,7 +127,7 @@
             match await self._engines.read(target.address, seconds):
                 case EngineGone():
                     now = self._clock.monotonic()
-                    self._note_silence(target, asked, now)
+                    self._note_silence(target, asked, now, is_refused=True)
                     if not self._may_be_cut_off(target):
                         return True
                 case EngineWithoutReport(has_reports):
@@ -137,9 +138,11 @@
             await asyncio.sleep(seconds)
         return False
 
-    def _note_silence(self, target: Target, began: float, now: float) -> None:
-        self._contact.note_silence(target.id, began, now)
-        self._services.note_silence(target, began, now)
+    def _note_silence(
+        self, target: Target, began: float, now: float, is_refused: bool
+    ) -> None:
+        self._contact.note_silence(target.id, began, now, is_refused)
+        self._services.note_silence(target, began, now, is_refused)
 
     def _may_be_cut_off(self, target: Target) -> bool:
         """Return whether this host may be cut off from a target and those like it."""
@@ -159,8 +162,10 @@
         asked = self._clock.monotonic()
         answer = await self._engines.read(target.address, seconds)
         now = self._clock.monotonic()
+        if isinstance(answer, EngineSilent):
+            return None
         if answer is None or isinstance(answer, EngineGone):
-            self._note_silence(target, asked, now)
+            self._note_silence(target, asked, now, answer is not None)
         if answer is not None:
             self.health.note_answer(target.data_centre, asked, now)
         return (
--- a/marigoldswitch/gateway/service_contacts.py
+++ b/marigoldswitch/gateway/service_contacts.py
@@ -41,10 +41,17 @@
         for contact in self._get(target):
             contact.note_answer(now)
 
-    def note_silence(self, target: Target, began: float, now: float) -> None:
+    def note_traffic(self, target: Target, now: float) -> None:
+        """Record that bytes have arrived from a target, on any connection."""
+        for contact in self._get(target):
+            contact.note_traffic(now)
+
+    def note_silence(
+        self, target: Target, began: float, now: float, is_refused: bool = False
+    ) -> None:
         """Record that a target was tried in vain, from ``began`` on."""
         for contact in self._get(target):
-            contact.note_silence(target.id, began, now)
+            contact.note_silence(target.id, began, now, is_refused)
 
     def watch(self, listener: Callable[[ServiceName, ContactChange], None]) -> None:
         """Call ``listener`` with each change of a service's contact."""
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -48,10 +48,12 @@
     """No byte of the request has reached the target.
 
     :param is_connection_refused: no process listens at its address any more.
+    :param is_timeout: there was no response to the attempt to connect.
     """
 
     why: str
     is_connection_refused: bool = False
+    is_timeout: bool = False
 
 
 class Lost(Struct, frozen=True):
@@ -110,7 +112,7 @@
     except aiohttp.ClientConnectorError as error:
         return NotSent(str(error.os_error or error), is_connection_refused(error))
     except aiohttp.ConnectionTimeoutError:
-        return NotSent("connecting timed out")
+        return NotSent("connecting timed out", is_timeout=True)
     except AnswerUnbounded as error:
         return build_unbounded(error)
     except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -175,7 +177,7 @@
         now = self._clock.monotonic()
         match result:
             case NotSent():
-                self._note_silence(target, began, now)
+                self._note_silence(target, began, now, not result.is_timeout)
                 return result
             case Lost(excess=Excess() as excess):
                 self.resends.note_lost(target.id)
@@ -184,12 +186,14 @@
             case Lost(why) if use.is_reused:
                 return Lost(why, now - began < STALE_CONNECTION_SECONDS)
             case Lost():
-                self._note_silence(target, began, now)
+                self._note_silence(target, began, now, is_refused=False)
                 self.resends.note_lost(target.id)
                 return result
         if not new_connection:
             self._connections.note_keep_alive(target.address, result.headers)
-        if not use.is_reused:
+        if use.is_reused:
+            self._services.note_traffic(target, now)
+        else:
             self._contact.note_answer(now)
             self._services.note_answer(target, now)
         self.resends.note_answered(target.id)
@@ -198,9 +202,11 @@
             self._statements.note_answer(target.id, facts, began, now)
         return Reply(result, facts)
 
-    def _note_silence(self, target: Target, began: float, now: float) -> None:
-        self._contact.note_silence(target.id, began, now)
-        self._services.note_silence(target, began, now)
+    def _note_silence(
+        self, target: Target, began: float, now: float, is_refused: bool
+    ) -> None:
+        self._contact.note_silence(target.id, began, now, is_refused)
+        self._services.note_silence(target, began, now, is_refused)
 
     async def fetch(
         self,
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -86,7 +86,9 @@
     metrics = Metrics()
     gateway_metrics = GatewayMetrics(metrics)
     guard = ReadGuard(clock, gateway_metrics.count_unbounded)
-    connections, session = Connections(guard), open_session(SHORT_IDLE_SECONDS, guard)
+    contact, services = TargetContact(clock.monotonic()), ServiceContacts(clock)
+    connections = Connections(guard, lambda: contact.note_traffic(clock.monotonic()))
+    session = open_session(SHORT_IDLE_SECONDS, guard)
     host_connections = Connections(guard)
     proxy_port = read_port(settings.addresses.proxied)
     store = PlatformStore(session, store_address, guard)
@@ -97,7 +99,6 @@
     directory, loads, state = Directory(statements, source), Loads(home), HostState()
     directory.ramps.loads = loads
     directory.watch(lambda table: guard.apply_limits(table.limits))
-    contact, services = TargetContact(clock.monotonic()), ServiceContacts(clock)
     planner = ChainPlanner(directory, loads, clock, home, source)
     directory.ramps.slowness = planner.slowness
     owns_from = 0.0 if settings.is_first_start else clock.monotonic() + START_SECONDS
--- a/marigoldswitch/platform/engines.py
+++ b/marigoldswitch/platform/engines.py
@@ -15,10 +15,11 @@
     Reader,
     read_whole,
 )
-from marigoldswitch.gateway.connections import Connections
+from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.ports import (
     EngineAnswer,
     EngineGone,
+    EngineSilent,
     EngineStatus,
     EngineWithoutReport,
     OrderReply,
@@ -56,22 +57,26 @@
 
     async def read(
         self, address: str, timeout: float, new_connection: bool = False
-    ) -> EngineAnswer | None:
+    ) -> EngineAnswer | EngineSilent | None:
         """Request an engine's report.
 
         :param address: ``IP:port`` of the engine.
         :param timeout: in seconds.
         :param new_connection: use a new connection, not a pooled one.
         :return: ``EngineWithoutReport`` if it answers without a report, ``EngineGone``
-            if the connection is refused, ``None`` if there is no answer.
+            if the connection is refused, ``EngineSilent`` if a new one was opened and
+            brought no answer, ``None`` if there is no answer else.
         """
+        use = ConnectionUse()
         client_timeout = aiohttp.ClientTimeout(total=timeout)
         try:
             session = self._connections.single_use
             if not new_connection:
                 session = self._connections.choose_session(address)
             url = f"http://{address}/report"
-            async with session.get(url, timeout=client_timeout) as response:
+            async with session.get(
+                url, timeout=client_timeout, trace_request_ctx=use
+            ) as response:
                 content = await self._read_whole(response)
                 if response.status != 200:
                     logger.info("report_refused", address=address, at=response.status)
@@ -81,7 +86,11 @@
             return EngineWithoutReport()
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             logger.info("report_missing", address=address, why=repr(error))
-            return EngineGone() if is_connection_refused(error) else None
+            if is_connection_refused(error):
+                return EngineGone()
+            is_opened = use.is_sent and not use.is_reused
+            is_silent = is_opened and isinstance(error, TimeoutError)
+            return EngineSilent() if is_silent else None
         status = decode_report(content)
         if status is None:
             logger.error("report_unreadable", address=address)
--- a/marigoldswitch/tests/test_contact.py
+++ b/marigoldswitch/tests/test_contact.py
@@ -55,6 +55,46 @@
     assert contact.state is ContactState.REACHED
 
 
+def refuse(contact, now):
+    """Let connections to enough targets be refused."""
+    for number in range(DOUBTED_TARGETS):
+        contact.note_silence(TargetId(f"t{number}"), now - 0.01, now, is_refused=True)
+    contact.settle_doubt(ASKED, now, now + 0.06, refused=ASKED)
+
+
+def test_contact_is_kept_if_bytes_arrive_while_targets_are_silent():
+    contact, states = build_contact()
+    note_silences(contact, 5, 1.0, 1.25)
+    contact.note_traffic(1.3)
+    contact.settle_doubt(ASKED, 1.25, 1.45)
+    assert states == [ContactState.DOUBTED, ContactState.REACHED]
+
+
+def test_silences_before_the_last_bytes_are_no_reason_to_doubt():
+    contact, states = build_contact()
+    contact.note_silence(TargetId("a"), 1.0, 1.2)
+    contact.note_traffic(1.21)
+    contact.note_silence(TargetId("b"), 1.05, 1.25)
+    assert not states
+
+
+def test_loss_for_silences_ends_as_bytes_arrive():
+    contact, _ = build_contact()
+    lose(contact, 1.25)
+    assert contact.is_lost
+    contact.note_traffic(1.5)
+    assert contact.state is ContactState.REACHED
+
+
+def test_contact_is_lost_if_connections_are_refused_though_open_ones_live_on():
+    contact, _ = build_contact()
+    contact.note_traffic(1.24)
+    refuse(contact, 1.25)
+    assert contact.is_lost
+    contact.note_traffic(1.4)
+    assert contact.is_lost
+
+
 def test_many_failures_at_one_target_are_no_reason_to_doubt():
     contact, states = build_contact()
     for _ in range(100):
--- a/marigoldswitch/tests/test_contact_probing.py
+++ b/marigoldswitch/tests/test_contact_probing.py
@@ -9,7 +9,7 @@
 from marigoldswitch.core.contact import ContactState, TargetContact
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.gateway.contact_probing import ContactProber
-from marigoldswitch.gateway.ports import EngineGone, EngineWithoutReport
+from marigoldswitch.gateway.ports import EngineGone, EngineSilent, EngineWithoutReport
 from marigoldswitch.tests.helpers import run_virtually
 
 HOME = DataCentre("near")
@@ -102,6 +102,41 @@
     run_virtually(play)
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_host_half_of_whose_targets_are_silent_is_not_cut_off(seed):
+    async def play(clock):
+        targets, rng = Targets(clock, seed), random.Random(seed)
+        states = []
+        targets.contact.watch(lambda change: states.append(change.state))
+        for _ in range(20):
+            await asyncio.sleep(1.0)
+            silent = rng.sample(targets.names, len(targets.names) // 2)
+            targets.answers = {
+                name: EngineWithoutReport()
+                for name in targets.names
+                if name not in silent
+            }
+            targets.miss(*silent)
+        assert ContactState.DOUBTED in states
+        assert ContactState.LOST not in states
+
+    run_virtually(play)
+
+
+def test_host_whose_targets_take_connections_and_are_silent_is_not_cut_off():
+    async def play(clock):
+        targets = Targets(clock, 1)
+        targets.answers = dict.fromkeys(targets.names, EngineSilent())
+        await asyncio.sleep(1.0)
+        states = []
+        targets.contact.watch(lambda change: states.append(change.state))
+        targets.miss("near-0", "far-0")
+        await asyncio.sleep(1.0)
+        assert states == [ContactState.DOUBTED, ContactState.REACHED]
+
+    run_virtually(play)
+
+
 def test_host_whose_link_is_full_for_a_moment_is_not_cut_off():
     """A relay's link takes 85 ms to pass on a configuration."""
 
--- a/marigoldswitch/tests/test_quiet_plain_targets.py
+++ b/marigoldswitch/tests/test_quiet_plain_targets.py
@@ -7,6 +7,7 @@
 import aiohttp
 import pytest
 
+from marigoldswitch.core.contact import ContactState
 from marigoldswitch.core.suspects import Finding
 from marigoldswitch.gateway import plain
 from marigoldswitch.standins.platform_engines import PlainStandin
@@ -17,6 +18,7 @@
 )
 from marigoldswitch.tests.helpers import capture_all_logs
 from marigoldswitch.tests.quiet_desks import QuietDesk, Step
+from marigoldswitch.tests.quiet_play import QuietPlay, run_quiet_play
 from marigoldswitch.tests.test_unbounded_answers import add_desk
 
 DESKS = 4
@@ -103,6 +105,25 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("share", [0.5, 1.0])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_host_whose_targets_are_silent_does_not_take_itself_for_cut_off(share, seed):
+    async def scenario():
+        async with run_site(engines=6, desks=6, hosts=2) as site:
+            await site.wait_for_layout()
+            changes = []
+            for host in site.hosts:
+                runs = host.parts.runs
+                runs.contact.watch(changes.append)
+                runs.services.watch(lambda _, change: changes.append(change))
+            play = QuietPlay(1.5, share, seed, seconds=5.0, changes=0.0)
+            await run_quiet_play(site, play)
+            states = [item.state for item in changes]
+            assert ContactState.LOST not in states
+
+    run_scenario(scenario())
+
+
 class Failure(Enum):
     """How the target fails that gets a hedge."""
 
