--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -8,7 +8,9 @@
 import asyncio
 import socket
 from collections import Counter
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 import orjson
@@ -24,6 +26,23 @@
 """Time after which a crashed target listens again."""
 
 
+class Step(Enum):
+    """Points of an exchange at which a target can fall silent."""
+
+    ACCEPTED = "accepted"
+    """The request has not been read."""
+    HEAD = "head"
+    """The request runs; the head of the answer has not been sent."""
+    FIRST = "first"
+    """The head has been sent, and nothing of the body."""
+    BETWEEN = "between"
+    """About half of the events have been sent."""
+    INSIDE = "inside"
+    """A part of an event, or of a plain body, has been sent."""
+    END = "end"
+    """All has been sent except for the end of the body."""
+
+
 @dataclass(slots=True)
 class StreamRecord:
     """A stream that an engine has started.
@@ -45,6 +64,10 @@
     :ivar arrivals: when each of these arrived, in seconds of the event loop.
     :ivar statements: headers with which it states things of itself in its answers.
     :ivar awake: cleared while it reads and sends nothing; no connection is closed.
+    :ivar silent_at: seconds of silence that begin when a request gets to a step, once
+        for each step; targets may share one dictionary.
+    :ivar choose_silent: returns the targets that fall silent then, from the one that
+        has the request and the request; that one alone by default.
     """
 
     def __init__(self, name: str) -> None:
@@ -59,6 +82,10 @@
         self.alive = False
         self.awake = asyncio.Event()
         self.awake.set()
+        self.silent_at: dict[Step, float] = {}
+        self.choose_silent: Callable[
+            [TargetStandin, web.BaseRequest], Iterable[TargetStandin]
+        ] = lambda target, _: (target,)
         self.crashing: set[bytes] = set()
         """Bodies of requests that crash the target which starts to run them."""
         self.crashes: Counter[bytes] = Counter()
@@ -119,6 +146,15 @@
                 connection.transport.abort()
         await self._runner.cleanup()
 
+    def note_step(self, step: Step, http: web.BaseRequest) -> None:
+        """Begin the silence that is due at a step of a request, if there is one."""
+        if "Attempt-Id" not in http.headers or step not in self.silent_at:
+            return
+        seconds = self.silent_at.pop(step)
+        for target in self.choose_silent(self, http):
+            target.awake.clear()
+            asyncio.get_running_loop().call_later(seconds, target.awake.set)
+
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         raise NotImplementedError
@@ -171,6 +207,7 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
+        self.note_step(Step.ACCEPTED, http)
         await self.awake.wait()
         body = await http.read()
         self.bodies.append(body)
@@ -195,8 +232,33 @@
             await self.awake.wait()
         status = self.statuses.pop(0) if self.statuses else 200
         answer = f"{self.name} ran {http.headers['Attempt-Id']}".encode()
+        if self.silent_at:
+            return await self._answer_in_steps(http, status, answer)
         return web.Response(status=status, headers=self.sign(http), body=answer)
 
+    async def _answer_in_steps(
+        self, http: web.BaseRequest, status: int, body: bytes
+    ) -> web.StreamResponse:
+        """Send an answer in pieces, with the silences that are due between them."""
+        response = web.StreamResponse(status=status, headers=self.sign(http))
+        response.enable_chunked_encoding()
+        half = len(body) // 2
+        pieces = (
+            (Step.FIRST, body[:half]),
+            (Step.INSIDE, body[half:]),
+            (Step.END, b""),
+        )
+        self.note_step(Step.HEAD, http)
+        await self.awake.wait()
+        await response.prepare(http)
+        for step, piece in pieces:
+            self.note_step(step, http)
+            await self.awake.wait()
+            if piece:
+                await response.write(piece)
+        await response.write_eof()
+        return response
+
 
 class EngineCluster:
     """Engines of one model, which can reach each other.
@@ -212,11 +274,14 @@
         engine that replaces it."""
         self.streams: list[StreamRecord] = []
 
-    async def wait_awake(self, path: list[tuple[str, int, int]]) -> None:
-        """Wait until no engine of a chain is silent."""
-        for address, _, _ in path:
-            if address in self.engines:
-                await self.engines[address].awake.wait()
+    async def wait_awake(self, record: StreamRecord) -> None:
+        """Wait until no engine of a stream's chain is silent, or the path avoids it."""
+        while any(
+            not self.engines[address].awake.is_set()
+            for address, _, _ in record.path
+            if address in self.engines
+        ):
+            await asyncio.sleep(PAUSE_SECONDS)
 
     def find_unavailable_stage(self, path: list[tuple[str, int, int]]) -> str | None:
         """Return the address of the first stage that is dead or lacks its layers."""
@@ -269,6 +334,7 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request, report or order."""
+        self.note_step(Step.ACCEPTED, http)
         await self.awake.wait()
         match http.path:
             case "/report":
@@ -291,7 +357,7 @@
         if self.refusals:
             self.refusals -= 1
             return self.refuse(http, 503)
-        path = _read_path(http.headers["Hop-Count"])
+        path = read_path(http.headers["Hop-Count"])
         obstacle = self.site.find_unavailable_stage(path)
         if obstacle is not None:
             answer = self.refuse(http, 503)
@@ -334,7 +400,7 @@
                 self.sequence += 1
                 return web.Response(status=202)
             case {"op": "repath", "id": request, "path": text}:
-                return self._reroute(request, _read_path(text))
+                return self._reroute(request, read_path(text))
         return web.Response(status=400)
 
     def _reroute(self, request: str, path: list[tuple[str, int, int]]) -> web.Response:
@@ -359,7 +425,8 @@
         self.site.streams.append(record)
         response = web.StreamResponse(headers=self.sign(http))
         response.enable_chunked_encoding()
-        await self.site.wait_awake(path)
+        self.note_step(Step.HEAD, http)
+        await self.site.wait_awake(record)
         await response.prepare(http)
         try:
             if body in self.crashing:
@@ -383,7 +450,10 @@
         assert http.transport is not None
         begin = int(http.headers.get("Last-Event-Id", "0")) + 1
         cut, self.cut_after = self.cut_after, None
+        self.note_step(Step.FIRST, http)
         for number in range(begin, self.events + 1):
+            if number == self.events // 2:
+                self.note_step(Step.BETWEEN, http)
             if not await self._wait_for_path(record):
                 http.transport.abort()
                 return
@@ -395,12 +465,19 @@
                 await response.write(event[:7])
                 http.transport.abort()
                 return
+            if Step.INSIDE in self.silent_at and number == self.events // 2:
+                await response.write(event[:7])
+                event = event[7:]
+                self.note_step(Step.INSIDE, http)
+                await self.site.wait_awake(record)
             await response.write(event)
             await asyncio.sleep(PAUSE_SECONDS)
+        self.note_step(Step.END, http)
+        await self.site.wait_awake(record)
 
     async def _wait_for_path(self, record: StreamRecord) -> bool:
         """Wait while a stage is unavailable; return whether the stream can go on."""
-        await self.site.wait_awake(record.path)
+        await self.site.wait_awake(record)
         waited = 0.0
         while self.site.find_unavailable_stage(record.path) is not None:
             if waited > STALL_SECONDS:
@@ -416,7 +493,8 @@
     return [item.partition(":")[0] for item in text.split(",")]
 
 
-def _read_path(text: str) -> list[tuple[str, int, int]]:
+def read_path(text: str) -> list[tuple[str, int, int]]:
+    """Return the stages of a chain as (address, first layer, end layer)."""
     path = []
     for item in text.split(","):
         address, _, span = item.partition("=")
