Let targets fall silent in the soak of processes, and check that streams go on

Clients of the peer soak now also read streams, resumable and one-time ones, and desks and engines fall silent for 0.3 to 2 s, alone or together, beside configurations, floods, leaving targets and harmed, frozen, stopped and killed hosts. A stream that has begun must end whole, with each event once, unless its host was killed or had used five sixths of its grace period. The report counts the answers that hosts broke off, by reason.

--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -82,6 +82,7 @@
         self.alive = False
         self.awake = asyncio.Event()
         self.awake.set()
+        self._silent_until = 0.0
         self.silent_at: dict[Step, float] = {}
         self.choose_silent: Callable[
             [TargetStandin, web.BaseRequest], Iterable[TargetStandin]
@@ -152,8 +153,19 @@
             return
         seconds = self.silent_at.pop(step)
         for target in self.choose_silent(self, http):
-            target.awake.clear()
-            asyncio.get_running_loop().call_later(seconds, target.awake.set)
+            target.fall_silent(seconds)
+
+    def fall_silent(self, seconds: float) -> None:
+        """Read and send nothing for a while; the longest of several silences counts."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        self._silent_until = max(self._silent_until, until)
+        self.awake.clear()
+        loop.call_at(until, self._wake, until)
+
+    def _wake(self, until: float) -> None:
+        if until >= self._silent_until:
+            self.awake.set()
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
--- a/marigoldswitch/tools/peer_soak.py
+++ b/marigoldswitch/tools/peer_soak.py
@@ -34,7 +34,7 @@
     print_report,
     read_log,
 )
-from marigoldswitch.tools.peer_soak_host import HostProcess, watch_loop
+from marigoldswitch.tools.peer_soak_host import GRACE_SECONDS, HostProcess, watch_loop
 from marigoldswitch.tools.peer_soak_proxy import (
     CALLERS,
     PEERS,
@@ -46,6 +46,12 @@
     get_host_address,
     plan_faults,
 )
+from marigoldswitch.tools.peer_soak_streams import (
+    MODEL_SERVICE,
+    STREAM_ROUTES,
+    StreamEngines,
+    stream_from,
+)
 
 FIRST_HOST = 101
 SERVICES = ("desk", "loft")
@@ -65,6 +71,9 @@
     "cold_remaining_ms": 0,
     "sequence": 1,
 }
+MAX_SILENCE_SECONDS = 2.0
+LATE_SHARE_OF_GRACE = 5.0 / 6.0
+"""Part of the grace period of a stop after which running streams may be cut off."""
 
 
 class Soak:
@@ -94,6 +103,7 @@
         self._targets = [
             FloodingDesk(f"{name}-{number}") for name in SERVICES for number in (0, 1)
         ]
+        self._engines = StreamEngines()
 
     async def run(self) -> None:
         """Start everything, play, and stop it."""
@@ -120,6 +130,7 @@
             for target in self._targets:
                 await target.stop()
                 target.release()
+            await self._engines.stop()
             await self._store.stop()
             self._reserved.close()
         self.record.store_calls = self._store.calls
@@ -136,6 +147,8 @@
         for target in self._targets:
             await target.start()
             self._put_target(target, "ready")
+        for name, row in (await self._engines.start()).items():
+            self._store.put("servers", name, TARGET_FIELDS | row)
         for pair in itertools.product(self.hosts, [*self.hosts, STORE]):
             receiver = get_host_address(pair[1], PEERS, self._port)
             if pair[1] == STORE:
@@ -157,8 +170,9 @@
             "routes": [
                 {"name": prefix, "prefix": prefix, "service": service, **ROUTE_FIELDS}
                 for prefix, service in routes.items()
-            ],
-            "services": [{"name": name} for name in SERVICES],
+            ]
+            + [ROUTE_FIELDS | route for route in STREAM_ROUTES],
+            "services": [*({"name": name} for name in SERVICES), MODEL_SERVICE],
             "tenants": [{"name": "workshop", "api_keys": keys, "priority": 1}],
             "limits": {"max_body_bytes": 10_000, "idle_timeout_ms": 600_000},
         }
@@ -169,12 +183,17 @@
 
     async def _play(self, session: aiohttp.ClientSession) -> None:
         self.record.began = time.monotonic()
-        clients = [asyncio.create_task(self._ask(session, h)) for h in self.hosts]
+        clients = [
+            asyncio.create_task(work(session, host))
+            for host in self.hosts
+            for work in (self._ask, self._stream)
+        ]
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._change_configurations())
                 group.create_task(self._move_targets())
                 group.create_task(self._flood())
+                group.create_task(self._silence_targets())
                 for fault in self.faults:
                     group.create_task(self._inject(session, fault))
             await self._sleep_until(self._seconds)
@@ -228,6 +247,25 @@
             await self._sleep_until(at)
             target.is_flooding = False
 
+    async def _silence_targets(self) -> None:
+        """Let some or all targets fall silent for a moment, at any time of the play.
+
+        Each is awake for a while between two silences.
+        """
+        source, at = Random(f"silences {self._seed}"), 0.0
+        groups = (self._targets, self._engines.engines)
+        while (at := at + source.uniform(0.5, 2.5)) < self._seconds - 3.0:
+            await self._sleep_until(at)
+            longest = 0.0
+            for group in groups:
+                count = source.choice((0, 1, 1, len(group) // 2, len(group)))
+                for target in source.sample(group, count):
+                    seconds = source.uniform(0.3, MAX_SILENCE_SECONDS)
+                    target.fall_silent(seconds)
+                    longest = max(longest, seconds)
+                    self.record.silences += 1
+            at += longest
+
     async def _inject(self, session: aiohttp.ClientSession, fault: Fault) -> None:
         await self._sleep_until(fault.at)
         links = [self._links[fault.host, item] for item in fault.receivers]
@@ -265,8 +303,13 @@
                 host.process.send_signal(signal.SIGCONT)
             case FaultKind.TERMINATE | FaultKind.KILL:
                 is_kill = fault.kind is FaultKind.KILL
+                cuts_from = time.monotonic()
+                if not is_kill:
+                    cuts_from += LATE_SHARE_OF_GRACE * GRACE_SECONDS
                 host.process.send_signal(signal.SIGKILL if is_kill else signal.SIGTERM)
                 await asyncio.to_thread(host.process.wait)
+                ends = self.record.ends.setdefault(fault.host, [])
+                ends.append((cuts_from, time.monotonic()))
                 host.start()
                 await host.wait_until_ready(session)
 
@@ -299,6 +342,16 @@
             )
             await asyncio.sleep(0.2)
 
+    async def _stream(self, session: aiohttp.ClientSession, host: int) -> None:
+        """Read one stream of a host after the other."""
+        base = f"http://{get_host_address(host, CALLERS, self._port)}"
+        for number in itertools.count():
+            route = STREAM_ROUTES[number % len(STREAM_ROUTES)]
+            url, request = base + route["prefix"], f"{host}-stream-{number}"
+            end = await stream_from(session, url, request, STEADY_KEY)
+            self.record.streams.append(end)
+            await asyncio.sleep(0.2)
+
 
 async def _cut(links: list[Link], fault: Fault) -> None:
     for link in links:
--- a/marigoldswitch/tools/peer_soak_checks.py
+++ b/marigoldswitch/tools/peer_soak_checks.py
@@ -11,6 +11,7 @@
 from marigoldswitch.standins.floods import EndlessAnswer
 from marigoldswitch.standins.platform_engines import PlainStandin
 from marigoldswitch.tools.peer_soak_proxy import Fault
+from marigoldswitch.tools.peer_soak_streams import StreamEnd
 
 RIG = 0
 """Number of this process among those of the hosts."""
@@ -25,6 +26,8 @@
 """Time after a host's own trouble for which it is excused."""
 REFUSALS = (401, 403, 404)
 """Statuses that say what the configuration in force does not allow."""
+CLOSE_SECONDS = 0.5
+"""Time after the end of a host's process until its callers have seen it."""
 END_SECONDS = 1.5
 """A host that was late in the last seconds counts as late at the end."""
 LINES_SHOWN = 8
@@ -89,6 +92,10 @@
     :ivar lines: the hosts' log lines about configurations.
     :ivar endless: answers without end that targets have sent.
     :ivar store_calls: paths of the calls that the store got.
+    :ivar ends: (begin, end) of the times in which a host may cut streams off, as it was
+        killed or is at the end of its stop.
+    :ivar silences: moments of silence of targets.
+    :ivar aborted: the hosts' log lines about answers that they broke off.
     """
 
     began: float = 0.0
@@ -100,6 +107,15 @@
     store_calls: list[str] = field(default_factory=list)
     delays: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
     harms: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
+    ends: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
+    silences: int = 0
+    streams: list[StreamEnd] = field(default_factory=list)
+    aborted: dict[int, list[dict[str, Any]]] = field(default_factory=dict)
+
+    def is_ending(self, host: int, at: float) -> bool:
+        """Return whether a host may cut streams off at a time."""
+        ends = self.ends.get(host, ())
+        return any(begin <= at <= end + CLOSE_SECONDS for begin, end in ends)
 
     def is_excused(self, host: int, at: float) -> bool:
         """Return whether a host was harmed itself at a time or shortly before."""
@@ -139,6 +155,7 @@
     """
     delays = record.delays[host] = []
     lines = record.lines[host] = []
+    aborted = record.aborted[host] = []
     harms = record.harms.get(host, [])
     for line in content.splitlines():
         if b'"loop_late"' in line:
@@ -148,10 +165,12 @@
                 delays.append((due, came))
         elif b'"event": "configuration_' in line:
             lines.append(orjson.loads(line))
+        elif b'"event": "answer_aborted"' in line:
+            aborted.append(orjson.loads(line))
 
 
 def find_breaches(record: Record, apply_seconds: float) -> list[Breach]:
-    """Return what hosts did too late.
+    """Return what hosts did too late, and the streams that they broke off.
 
     :param apply_seconds: within which a configuration must be in force.
     """
@@ -179,13 +198,20 @@
     for leave in record.leaves:
         target = leave.target
         for at, headers in zip(target.arrivals, target.request_headers, strict=True):
-            if leave.left < at < leave.back:
+            is_probe = "Attempt-Id" not in headers
+            if leave.left < at < leave.back and not is_probe:
                 host = int(headers["Attempt-Id"].partition("-")[0])
                 check(host, f"leaving {target.name}", leave.left, at, DRAIN_SECONDS)
     for answer in record.endless:
         host = int(answer.request.partition("-")[0])
         what = f"endless answer to {answer.request}"
         check(host, what, answer.began, answer.ended, ENDLESS_SECONDS)
+    for stream in record.streams:
+        host = int(stream.request.partition("-")[0])
+        if stream.fault and not record.is_ending(host, stream.ended):
+            what = f"{stream.request} {stream.fault}"
+            took = stream.ended - stream.began
+            breaches[host, what] = Breach(host, what, stream.began, took, 1)
     return sorted(breaches.values(), key=lambda breach: (breach.host, breach.since))
 
 
@@ -203,6 +229,12 @@
     longest = max((a.ended - a.began for a in record.endless), default=0.0)
     print(f"answers without end: {len(record.endless)}, longest {longest:.1f} s")
     print(f"calls of the store: {dict(Counter(record.store_calls))}")
+    streams = Counter(stream.outcome for stream in record.streams)
+    print(f"silences: {record.silences}, streams: {dict(streams)}")
+    reasons = Counter(
+        str(line.get("reason")) for lines in record.aborted.values() for line in lines
+    )
+    print(f"answers broken off by hosts: {dict(reasons)}")
     print(f"seconds of delays by process, {RIG} is the rig: {delayed}")
     failed = [
         reply
@@ -243,7 +275,7 @@
             f"  second {fault.at:.1f}, {fault.kind.value} for {fault.seconds:.1f} s"
             f"{' and for good' if fault.forgets else ''}: host-{fault.host}{to}"
         )
-    for line in record.lines[host][-LINES_SHOWN:]:
+    for line in [*record.lines[host], *record.aborted.get(host, ())][-LINES_SHOWN:]:
         print(f"  {orjson.dumps(line).decode()}")
 
 
--- a/marigoldswitch/tools/peer_soak_host.py
+++ b/marigoldswitch/tools/peer_soak_host.py
@@ -40,8 +40,9 @@
 MIN_LATE_SECONDS = 0.02
 """Lateness of a tick below which it is not noted."""
 START_TIMEOUT_SECONDS = 90.0
+GRACE_SECONDS = 3.5
 BOUNDS = {
-    "grace_s": 3.5,
+    "grace_s": GRACE_SECONDS,
     "contact_ms": 3000,
     "drain_ms": 2000,
     "config_apply_ms": 2000,
