--- /dev/null
+++ b/marigoldswitch/tests/test_quiet_stages.py
@@ -0,0 +1,99 @@
+"""Drafts whose engines fall silent for a moment and go on."""
+
+import asyncio
+
+import pytest
+import yaml
+
+from marigoldswitch.standins.engine_state import choose_word
+from marigoldswitch.tests.helpers import run_async, run_deployment
+from marigoldswitch.tests.test_deployment import parse_events
+from marigoldswitch.tests.test_streams import (
+    PROMPT,
+    SETTINGS,
+    check_stream,
+    open_draft,
+)
+
+SILENCE = 1.2
+LONG_SILENCE = 2.0
+"""Longer than the waits for the first tokens of all chains that are tried."""
+
+
+async def draft_beside_silence(
+    idempotent, silent, fault, after, seconds=SILENCE, ended=""
+):
+    """Request a draft whose engines are silent from a token on; return its events.
+
+    :param silent: begin of the names of the engines that are silent.
+    :param ended: an engine that has ended by then.
+    """
+    async with run_deployment(settings=SETTINGS) as (deployment, session):
+        services = yaml.safe_load(deployment.build_bundle())["services"]
+        services["drafting"]["idempotent"] = idempotent
+        await deployment.roll_out(deployment.build_bundle(services=services), 1)
+        engines = [
+            engine
+            for name, engine in deployment.engines.items()
+            if name.startswith(silent)
+        ]
+
+        def set_fault(value):
+            for engine in engines:
+                setattr(engine.faults, fault, value)
+
+        async def begin():
+            set_fault(True)
+            asyncio.get_running_loop().call_later(seconds, set_fault, False)
+            if ended:
+                await deployment.stop_target(ended)
+
+        if not after:
+            await begin()
+        body, has_begun = b"", not after
+        async with open_draft(deployment, session) as response:
+            async for line in response.content:
+                body += line
+                if not has_begun and body.count(b"event: token") == after:
+                    has_begun = True
+                    await begin()
+        events = parse_events(body)
+        if not ended:
+            check_stream(deployment, events)
+        return events
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "silent"),
+    [
+        (False, "engine-0"),
+        (False, "engine-1"),
+        (False, "engine-2"),
+        (False, "engine"),
+        (True, "engine"),
+    ],
+)
+@pytest.mark.parametrize("fault", ["stall", "silent"])
+@pytest.mark.parametrize("after", [0, 20])
+def test_draft_is_not_broken_off_while_its_engines_are_silent(
+    idempotent, silent, fault, after
+):
+    run_async(draft_beside_silence(idempotent, silent, fault, after))
+
+
+def test_draft_waits_for_its_first_token_when_no_attempt_is_left():
+    run_async(draft_beside_silence(True, "engine", "stall", 0, LONG_SILENCE))
+
+
+@pytest.mark.parametrize("ended", ["engine-0-0", "engine-1-0"])
+def test_one_time_draft_does_not_wait_for_an_engine_that_has_ended(ended):
+    work = draft_beside_silence(
+        False, "engine-1", "stall", 20, seconds=LONG_SILENCE, ended=ended
+    )
+    events = run_async(work)
+    assert events[-1][0] == "error"
+    assert events[-1][1]["kind"] == "target_lost"
+    words = "".join(data["text"] for name, data in events if name == "token")
+    assert words == "".join(
+        choose_word(PROMPT, item) for item in range(len(events) - 1)
+    )
