Keep a replacement that delivers while the doubted run's end is recorded

What callers saw: with a replacement under way, the doubted run ended by a reset before its first event. The answer that the replacement had begun was broken off ("no target left to try"), or, where the route allows a third run, completed with status 200 and one event missing.

Cause: the end of a run is recorded before the replacement is made the current attempt, and recording waits for up to 60 ms for a verdict on the engine. If the replacement delivered in that time, the stream saw no replacement afterwards and failed the request or started a third run in its place; the attempt that had been delivering was refused at its next event, which was already counted as received.

The replacement now becomes the current attempt in the same step of the event loop in which the end is noticed. For the same reason the doubt is put back before the end of a replacement is recorded: if the current run delivers meanwhile, the doubt is dropped and no needless run is started.

--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -303,13 +303,13 @@
             return
         self._replacement = None
         has_other_way = True
+        lost: ChainBroken | None = None
         try:
             replacement.get_result()
             why = "refused"
             has_other_way = self._refusals < self._max_refusals
         except ChainBroken as broken:
-            why = str(broken)
-            await self._note_broken(replacement, broken)
+            why, lost = str(broken), broken
         except (_NoWay, RequestRefused, AnswerAborted) as error:
             why, has_other_way = str(error), False
         except Exception:
@@ -319,7 +319,11 @@
         self._exchange.attempt_log.append(f"replacement: {why}")
         current = self._current
         if has_other_way and current is not None and current.doubt is None:
+            # Before the break is recorded, which waits: if the current attempt delivers
+            # meanwhile, the doubt is dropped.
             current.doubt = self._doubt
+        if lost is not None:
+            await self._note_broken(replacement, lost)
 
     async def _settle_current(self, attempt: Attempt) -> web.StreamResponse | None:
         """Return the answer that has been sent, or go on after an attempt has failed.
@@ -330,8 +334,11 @@
         try:
             result = attempt.get_result()
         except ChainBroken as broken:
+            # Before the break is recorded, which waits: the replacement may deliver
+            # meanwhile.
+            is_replaced = self._promote_replacement()
             await self._note_broken(attempt, broken)
-            if not self._promote_replacement():
+            if not is_replaced:
                 check_contact(self._parts, self._exchange)
                 self._check_retry_allowed(str(broken))
                 self._current = self._start_chain(is_paid=True)
