Seek one more replacement when the newest attempt is silent too

What callers saw: a stream whose engine fell silent for good, and whose replacement was on a silent engine as well, got no further event before its deadline, although a third engine had room and the route allowed a third run.

Cause: a stream had at most two attempts, and only a doubt about the current one led to a replacement. Doubts about the replacement were recorded and never dealt with.

Evidence: the new test failed before (no event for 8 s, two runs sent), and passed in three runs of three with the change.

Doubts about the newest attempt now lead to one more. The earlier ones are kept, as before, until one attempt delivers; the number is bounded by the route's limit on targets, as an attempt can be doubted only once its run has been counted.

--- a/marigoldswitch/gateway/attempts.py
+++ b/marigoldswitch/gateway/attempts.py
@@ -38,6 +38,7 @@
     :param count_attempts: returns the number of attempts under way.
     :ivar doubt: why it may deliver no more; ``None`` if there is no reason, or once
         that has been dealt with.
+    :ivar last_doubt: the newest doubt, also once it has been dealt with.
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         count_attempts: Callable[[], int],
     ) -> None:
         self.doubt: ChainBroken | None = None
+        self.last_doubt: ChainBroken | None = None
         self._note_change = note_change
         self._note_claim = note_claim
         self._count_attempts = count_attempts
@@ -74,7 +76,7 @@
     def report(self, why: ChainBroken) -> None:
         """Record that it may deliver no more, or end it if it must not go on."""
         if isinstance(why, ChainGivenUp):
-            self.doubt = why
+            self.doubt = self.last_doubt = why
             self._note_change()
             return
         self._failure = why
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -95,10 +95,11 @@
         self._changed = asyncio.Event()
         self._current: Attempt | None = None
         """The attempt that writes to the caller."""
-        self._replacement: Attempt | None = None
-        """An attempt that becomes the current one if it delivers first."""
+        self._replacements: list[Attempt] = []
+        """Attempts of which one becomes the current one if it delivers first, in the
+        order of their starts; all but the newest are doubted."""
         self._doubt: ChainBroken | None = None
-        """Why the replacement was sought."""
+        """Why the newest replacement was sought."""
         self._replaced: list[tuple[Attempt, ChainBroken]] = []
         """Attempts that were replaced and why, until that is recorded."""
 
@@ -111,7 +112,7 @@
         ]
 
     def _list_attempts(self) -> list[Attempt]:
-        attempts = (self._current, self._replacement)
+        attempts = (self._current, *self._replacements)
         return [item for item in attempts if item is not None and not item.is_done]
 
     async def run(self) -> web.StreamResponse:
@@ -127,13 +128,15 @@
                 await self._changed.wait()
                 self._changed.clear()
                 await self._record_replaced()
-                await self._settle_replacement()
+                await self._settle_replacements()
                 if self._current.is_done:
                     response = await self._settle_current(self._current)
                     if response is not None:
                         return response
-                elif self._current.doubt is not None and self._replacement is None:
-                    self._seek_replacement(self._current)
+                    continue
+                newest = (self._current, *self._replacements)[-1]
+                if newest.doubt is not None and not newest.is_done:
+                    self._seek_replacement(newest)
         finally:
             for attempt in self._list_attempts():
                 attempt.cancel()
@@ -212,13 +215,14 @@
             )
         return Completed()
 
-    def _seek_replacement(self, current: Attempt) -> None:
+    def _seek_replacement(self, doubted: Attempt) -> None:
         """Start an attempt that takes over from a doubted one if it delivers first.
 
-        Where none is possible, the doubted one goes on alone.
+        Where none is possible, the doubted one goes on, with those that it was to
+        replace.
         """
         parts, exchange = self._parts, self._exchange
-        doubt, current.doubt = current.doubt, None
+        doubt, doubted.doubt = doubted.doubt, None
         assert doubt is not None
         is_cut_off = parts.contact.is_lost or parts.services.is_lost(
             exchange.service.name
@@ -242,33 +246,40 @@
             return
         self._doubt = doubt
         if is_cut_off:
-            self._replacement = self._start_elsewhere()
+            self._replacements.append(self._start_elsewhere())
             return
-        if isinstance(current, _ChainAttempt) and current.first is not None:
-            self._losses.note_broken_chain(current.first.target)
-        self._replacement = self._start_chain(isinstance(doubt, ChainLeft))
+        if isinstance(doubted, _ChainAttempt) and doubted.first is not None:
+            self._losses.note_broken_chain(doubted.first.target)
+        self._replacements.append(self._start_chain(isinstance(doubt, ChainLeft)))
 
     def _take_over(self, attempt: Attempt) -> None:
-        """Let an attempt write to the caller, and cancel the other one.
+        """Let an attempt write to the caller, and cancel the others.
 
         :raises ChainBroken: if another attempt has taken over from it.
         """
-        current, replacement = self._current, self._replacement
+        current, replacements = self._current, self._replacements
         if attempt is current:
             attempt.doubt = None
-            if replacement is not None:
-                replacement.cancel()
-                self._replacement = None
+            if replacements:
+                self._cancel(replacements)
+                self._replacements = []
                 self._note_recovery(current)
             return
-        if attempt is not replacement or current is None:
+        if attempt not in replacements or current is None:
             raise ChainBroken("another attempt has taken the answer over")
-        current.cancel()
         assert self._doubt is not None
-        self._replaced.append((current, self._doubt))
-        self._current, self._replacement = replacement, None
+        index = replacements.index(attempt)
+        doubted = [current, *replacements[:index]]
+        self._cancel([*doubted, *replacements[index + 1 :]])
+        self._replaced += [(item, item.last_doubt or self._doubt) for item in doubted]
+        self._current, self._replacements = attempt, []
+        attempt.doubt = None
         self._changed.set()
 
+    def _cancel(self, attempts: Sequence[Attempt]) -> None:
+        for item in attempts:
+            item.cancel()
+
     def _note_recovery(self, current: Attempt) -> None:
         """Record that a doubted attempt has delivered before its replacement."""
         if isinstance(current, _ChainAttempt) and current.first is not None:
@@ -296,12 +307,16 @@
             if not isinstance(doubt, ChainLeft):
                 await self._record_lost_run(attempt, doubt)
 
-    async def _settle_replacement(self) -> None:
-        """Drop a replacement that has ended without delivering; seek another one."""
-        replacement = self._replacement
-        if replacement is None or not replacement.is_done:
-            return
-        self._replacement = None
+    async def _settle_replacements(self) -> None:
+        """Drop the replacements that have ended without delivering."""
+        for item in [item for item in self._replacements if item.is_done]:
+            # One that was recorded before may have let it become the current one.
+            if item in self._replacements:
+                await self._settle_replacement(item)
+
+    async def _settle_replacement(self, replacement: Attempt) -> None:
+        """Drop a replacement that has ended; let another one be sought."""
+        self._replacements.remove(replacement)
         has_other_way = True
         lost: ChainBroken | None = None
         try:
@@ -317,11 +332,11 @@
             why, has_other_way = "internal fault", False
             logger.exception("replacement_failed", request=self._exchange.call.id)
         self._exchange.attempt_log.append(f"replacement: {why}")
-        current = self._current
-        if has_other_way and current is not None and current.doubt is None:
-            # Before the break is recorded, which waits: if the current attempt delivers
+        attempts = self._list_attempts()
+        if has_other_way and attempts and attempts[-1].doubt is None:
+            # Before the break is recorded, which waits: if an attempt delivers
             # meanwhile, the doubt is dropped.
-            current.doubt = self._doubt
+            attempts[-1].doubt = self._doubt
         if lost is not None:
             await self._note_broken(replacement, lost)
 
@@ -363,10 +378,11 @@
                 return self._exchange.response
 
     def _promote_replacement(self) -> bool:
-        """Let a replacement go on as the only attempt; return whether there is one."""
-        if self._replacement is None:
+        """Let the oldest replacement be the current one; return whether there is
+        one."""
+        if not self._replacements:
             return False
-        self._current, self._replacement = self._replacement, None
+        self._current = self._replacements.pop(0)
         self._changed.set()
         return True
 
--- a/marigoldswitch/tests/test_handover.py
+++ b/marigoldswitch/tests/test_handover.py
@@ -23,7 +23,7 @@
     # They answer probes, so that silences are not put down to the host.
     for name in ("spare-1", "spare-2", "spare-3"):
         await site.add_engine(name, "north", (4, 8))
-    site.store.put("op", "config", build_configuration(2, attempts=attempts))
+    site.store.put("op", "config", build_configuration(2, 10_000, attempts))
     directory = site.hosts[0].parts.runs.directory
     await site.wait_until(lambda: directory.version == 2)
     await site.wait_for_layout()
@@ -78,3 +78,26 @@
             assert len(site.engines.streams) == 1
 
     run_scenario(scenario())
+
+
+def test_stream_goes_on_at_a_third_engine_when_its_replacement_is_silent_too():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            engines = await start_engines(site, "xyz", 3)
+            # No layers move to other engines meanwhile.
+            suspects = site.hosts[0].parts.runs.directory.suspects
+            suspects.has_been_dead = lambda *_: False
+            deadline = {"Deadline-Ms": "9000"}
+            async with site.call("/draft/", 1, headers=deadline) as answer:
+                body = await answer.content.readany()
+                for engine in engines.values():
+                    engine.awake.clear()
+                both = await wait_for_attempts(site, 2)
+                (third,) = set(engines) - set(both)
+                engines[third].awake.set()
+                async with asyncio.timeout(6.0):
+                    body += await answer.read()
+            assert list_event_ids(body) == MANY_EVENTS
+            assert all(engine.runs["try-1"] <= 1 for engine in engines.values())
+
+    run_scenario(scenario())
