Keep a plain request's sending when the host takes itself for cut off

What callers saw: 502 after 0.12 s for a repeatable request that its target would have answered 0.5 s later.

Cause: when the hedge delay was over, the contact to targets was checked before the hedge was chosen. If it was lost by then, the sending under way was cancelled, and the request went to another host, or failed if none took it.

The contact is now checked only while no sending is under way.

--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -89,7 +89,8 @@
         pending: set[asyncio.Task[SendResult]] = set()
         try:
             while True:
-                check_contact(self._parts, self._exchange)
+                if not pending:
+                    check_contact(self._parts, self._exchange)
                 target = self._choose_target(self._parts.clock.monotonic())
                 if target is not None:
                     pending.add(self._start_sending(target))
