Ask the next host when one refuses a proxied request with 503

A 503 that a host writes itself says that the request has not run there. For want of room or targets there, the next host is now asked, up to MAX_HOSTS; it takes a retry of the budget, as a target may have rejected the request. Holds of requests that end targets stay final. The run is no longer counted as one that may have happened. If no host takes it, the caller gets the last refusal with its Retry-After, unless an answer has begun or another attempt runs.

Failed before: test_request_that_another_host_refuses_is_served_through_a_third (three cases), test_stream_that_has_begun_is_not_broken_off_as_the_next_host_ refuses_it, test_caller_is_told_when_to_come_back_if_all_other_hosts_refuse. test_proxying.py, test_cut_off_hosts.py, test_unframed_answers.py and test_unbounded_answers.py pass.

--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -7,10 +7,13 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 import aiohttp
+import orjson
 import structlog
 from aiohttp import web
+from msgspec import Struct
 
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.core.ids import HostId
@@ -45,6 +48,7 @@
     LongBody,
     Lost,
     NotSent,
+    build_unbounded,
     open_response,
 )
 
@@ -55,6 +59,16 @@
 SILENCE_SECONDS = 1.5
 """Time without an event after which a stream goes on through another host, if it may
 run again. Callers leave after 2 s."""
+LOCAL_REFUSALS = frozenset(
+    {
+        ErrorKind.SATURATED,
+        ErrorKind.NO_TARGET,
+        ErrorKind.TARGET_REFUSED,
+        ErrorKind.NOT_DELIVERED,
+    }
+)
+"""Refusals of another host after which a third one is asked: it may have room, or reach
+targets, where that one does not."""
 RETRY_AFTER_SECONDS = (0.3, 1.0)
 """Bounds of the time after which a caller may come back that no host could serve."""
 
@@ -93,6 +107,17 @@
             self._timer.cancel()
 
 
+class _Refused(Struct, frozen=True):
+    """Another host has refused the request with status 503; it has not run there.
+
+    :param kind: why.
+    :param answer: what the caller gets if no other host is asked.
+    """
+
+    kind: ErrorKind
+    answer: web.Response
+
+
 class _Broken(Exception):
     """The other host or the connection to it ended before the answer was complete."""
 
@@ -154,6 +179,8 @@
         self._exchange = exchange
         self._monitor = _SilenceMonitor()
         self._tried: set[HostId] = set()
+        self._refusal: web.Response | None = None
+        """The last refusal of another host, passed on if no other one takes it."""
 
     async def run(self) -> web.StreamResponse | None:
         """Run the request to its end and return the answer to the caller.
@@ -162,10 +189,12 @@
         :raises RequestRefused: if it may have run and may not be sent again;
             :class:`AnswerAborted` once the answer has begun.
         """
+        is_repeat = False
         while len(self._tried) < MAX_HOSTS:
             host = self._hosts.choose(self._tried)
-            if host is None:
-                return None
+            if host is None or (is_repeat and not self._spend_for_refusal()):
+                break
+            is_repeat = False
             self._tried.add(host.host)
             # The deadline may end the wait at any moment, and the request may have run.
             self._exchange.run_count += 1
@@ -175,22 +204,61 @@
                 self._note_end(host, f"declined: {response.why}")
                 self._hosts.note_declined(host.host)
                 continue
+            if isinstance(response, _Refused):
+                self._exchange.run_count -= 1
+                self._refusal = response.answer
+                self._note_end(host, f"refused: {response.kind.value}")
+                if response.kind not in LOCAL_REFUSALS:
+                    break
+                is_repeat = True
+                continue
             self._exchange.send_count += 1
             try:
                 if isinstance(response, Lost):
                     self._note_excess(host, response.excess)
                     raise _Broken(response.why)
-                answer = await self._pass_on(host, response)
+                answer = (
+                    self._pass_read_on(response)
+                    if isinstance(response, web.Response)
+                    else await self._pass_on(host, response)
+                )
             except _Broken as broken:
                 self._note_end(host, f"lost: {broken}")
                 self._require_another_host(str(broken))
                 continue
             self._note_end(host, f"answered {answer.status}")
             return answer
-        return None
+        return self._pass_refusal_on()
+
+    def _spend_for_refusal(self) -> bool:
+        """Take a retry from the budget for asking a further host after a refusal.
+
+        A target may have rejected the request there, and counts what arrives.
+        """
+        has_begun = self._exchange.response is not None
+        return spend_retry(self._parts, self._exchange, has_begun)
+
+    def _pass_refusal_on(self) -> web.Response | None:
+        """Return the last refusal if it may be the answer to the caller.
+
+        It may not if an answer has begun or is still awaited, or if the request may
+        have run before.
+        """
+        exchange = self._exchange
+        if exchange.response is not None or self._claimant.has_rival():
+            return None
+        if exchange.run_count > exchange.runs_elsewhere:
+            return None
+        exchange.response = self._refusal
+        return self._refusal
 
-    async def _send(self, host: ProxyHost) -> aiohttp.ClientResponse | NotSent | Lost:
-        """Send the request to a host; ``NotSent`` also means that it has declined."""
+    async def _send(
+        self, host: ProxyHost
+    ) -> aiohttp.ClientResponse | web.Response | NotSent | Lost | _Refused:
+        """Send the request to a host; ``NotSent`` also means that it has declined.
+
+        :return: an answer of which only the head has been read as a ``ClientResponse``.
+        """
         exchange, parts = self._exchange, self._parts
         left = exchange.deadline - parts.clock.monotonic()
         headers = parts.codec.write_caller_headers(
@@ -220,8 +288,29 @@
         if declined is not None and not facts.is_signed:
             result.release()
             return NotSent(declined)
+        if result.status == HTTPStatus.SERVICE_UNAVAILABLE and not facts.is_signed:
+            return await self._read_refusal(result)
         return result
 
+    async def _read_refusal(
+        self, reply: aiohttp.ClientResponse
+    ) -> web.Response | Lost | _Refused:
+        """Read a refusal that another host has written itself."""
+        try:
+            body = await read_whole(
+                reply, self._connections.guard.bounds, "error_bytes"
+            )
+        except AnswerUnbounded as error:
+            return build_unbounded(error)
+        except (aiohttp.ClientError, OSError) as error:
+            return Lost(f"{type(error).__name__}: {error}")
+        finally:
+            reply.close()
+        headers = self._parts.codec.write_reply(reply.headers)
+        answer = web.Response(status=reply.status, headers=headers, body=body)
+        kind = decode_refusal(body)
+        return answer if kind is None else _Refused(kind, answer)
+
     def _may_give_up(self) -> bool:
         """Return whether a silent host may be given up for another one.
 
@@ -253,8 +342,7 @@
         try:
             if exchange.is_stream and reply.status == web.HTTPOk.status_code:
                 return await self._pass_events_on(reply)
-            if exchange.response is not None or self._claimant.has_rival():
-                raise _Broken(f"status {reply.status}")
+            self._require_sole_answer(reply.status)
             return await self._pass_whole_on(host, reply)
         except AnswerUnbounded as error:
             self._note_excess(host, error.excess)
@@ -264,6 +352,19 @@
         finally:
             reply.close()
 
+    def _require_sole_answer(self, status: int) -> None:
+        """Check that an answer that is no stream may go to the caller.
+
+        :raises _Broken: if one has begun, or another attempt may bring one.
+        """
+        if self._exchange.response is not None or self._claimant.has_rival():
+            raise _Broken(f"status {status}")
+
+    def _pass_read_on(self, answer: web.Response) -> web.Response:
+        self._require_sole_answer(answer.status)
+        self._exchange.response = answer
+        return answer
+
     async def _pass_whole_on(
         self, host: ProxyHost, reply: aiohttp.ClientResponse
     ) -> web.StreamResponse:
@@ -340,3 +441,12 @@
             after=self._exchange.last_event,
             contact=self._parts.contact.state.value,
         )
+
+
+def decode_refusal(body: bytes) -> ErrorKind | None:
+    """Return why a host has refused a request without running it, if it says so."""
+    try:
+        kind = ErrorKind(orjson.loads(body)["error"])
+    except (ValueError, KeyError, TypeError):
+        return None
+    return kind if Fault(kind).not_run else None
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -8,7 +8,9 @@
 import pytest
 
 from marigoldswitch.core.contact import ContactState
+from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.gateway import plain, proxying
+from marigoldswitch.gateway.exchanges import RequestRefused
 from marigoldswitch.gateway.hosts import read_port
 from marigoldswitch.gateway.proxy_terms import (
     DECLINED_HEADER,
@@ -176,6 +178,78 @@
     run_scenario(scenario())
 
 
+def refuse_requests(host, count, kind=ErrorKind.SATURATED):
+    """Let a host refuse its next requests; return a list of those that it gets."""
+    runs, arrived = host.parts.front._runs, []
+    run = runs.run
+
+    async def refuse_or_run(exchange):
+        arrived.append(exchange.call.id)
+        if len(arrived) <= count:
+            raise RequestRefused(Fault(kind, "refused in a test", 0.37))
+        return await run(exchange)
+
+    runs.run = refuse_or_run
+    return arrived
+
+
+@pytest.mark.parametrize("path", ["/look/", "/once/", "/draft/"])
+def test_request_that_another_host_refuses_is_served_through_a_third(path):
+    async def scenario():
+        async with run_cut_site(hosts=4) as (site, _):
+            refused = [refuse_requests(host, 100) for host in site.hosts[1:3]]
+            for number in range(4):
+                status, _, _ = await send(site, path, number)
+                assert status == 200
+            assert any(refused)
+            if path == "/once/":
+                assert len(list_arrivals(site)) == 4
+
+    run_scenario(scenario())
+
+
+def test_stream_that_has_begun_is_not_broken_off_as_the_next_host_refuses_it():
+    async def scenario():
+        async with run_cut_site(hosts=4) as (site, _):
+            for number in range(5):
+                async with site.call("/draft/", number) as answer:
+                    body = await answer.content.readuntil(b"id: 5\n")
+                    for host in site.hosts[1:]:
+                        refuse_requests(host, 0 if host is site.hosts[3] else 100)
+                    assert sum(abort_proxied(host) for host in site.hosts[1:]) == 1
+                    body += await answer.read()
+                assert list_event_ids(body) == ALL_EVENTS
+                for host in site.hosts[1:]:
+                    del host.parts.front._runs.run
+
+    run_scenario(scenario())
+
+
+def test_caller_is_told_when_to_come_back_if_all_other_hosts_refuse():
+    async def scenario():
+        async with run_cut_site(hosts=4) as (site, _):
+            refused = [refuse_requests(host, 100) for host in site.hosts[1:]]
+            status, _, headers = await send(site, "/once/", 1)
+            assert (status, headers["Retry-After"]) == (503, "0.37")
+            assert [len(item) for item in refused] == [1, 1, 1]
+
+    run_scenario(scenario())
+
+
+def test_request_that_ends_targets_is_not_sent_to_a_third_host():
+    async def scenario():
+        async with run_cut_site(hosts=4) as (site, _):
+            refused = [
+                refuse_requests(host, 100, ErrorKind.ENDS_TARGETS)
+                for host in site.hosts[1:]
+            ]
+            status, _, _ = await send(site, "/look/", 1)
+            assert status == 503
+            assert sum(len(item) for item in refused) == 1
+
+    run_scenario(scenario())
+
+
 def test_work_ends_soon_after_the_caller_has_left():
     async def scenario():
         async with run_cut_site() as (site, _):
