--- a/marigoldswitch/tools/peer_soak.py
+++ b/marigoldswitch/tools/peer_soak.py
@@ -1,7 +1,8 @@
 """Soak of gateway hosts as separate processes whose connections are harmed.
 
-It holds the hosts of a data centre against two rules: a configuration is in force some
-time after the store has acknowledged it, and a leaving target gets no new work.
+It holds the hosts of a data centre against three rules: a configuration is in force
+some time after the store has acknowledged it, a leaving target gets no new work, and no
+stream is broken off because its engine is silent for a moment.
 """
 
 import asyncio
@@ -82,13 +83,17 @@
     :param hosts: number of hosts.
     :param seconds: duration without the start.
     :param logs: directory of the hosts' logs.
+    :param silences: whether targets fall silent.
     """
 
-    def __init__(self, hosts: int, seed: int, seconds: float, logs: Path) -> None:
+    def __init__(
+        self, hosts: int, seed: int, seconds: float, logs: Path, silences: bool
+    ) -> None:
         self.hosts = [FIRST_HOST + number for number in range(hosts)]
         self.faults = plan_faults(Random(f"faults {seed}"), self.hosts, seconds)
         self.record = Record()
         self._seed, self._seconds = seed, seconds
+        self._silences = silences
         self._reserved = socket.socket()
         self._reserved.bind(("127.0.0.1", 0))
         self._port = int(self._reserved.getsockname()[1])
@@ -193,7 +198,8 @@
                 group.create_task(self._change_configurations())
                 group.create_task(self._move_targets())
                 group.create_task(self._flood())
-                group.create_task(self._silence_targets())
+                if self._silences:
+                    group.create_task(self._silence_targets())
                 for fault in self.faults:
                     group.create_task(self._inject(session, fault))
             await self._sleep_until(self._seconds)
@@ -362,18 +368,24 @@
 
 
 def play(
-    hosts: int, seed: int, seconds: float, logs: Path, bound: float = APPLY_SECONDS
+    hosts: int,
+    seed: int,
+    seconds: float,
+    logs: Path,
+    bound: float = APPLY_SECONDS,
+    silences: bool = True,
 ) -> list[Breach]:
-    """Play once, print the report and return what hosts did too late.
+    """Play once, print the report and return what hosts did wrong.
 
     :param seconds: duration without the start.
     :param logs: directory of the hosts' logs.
     :param bound: seconds within which a configuration must be in force.
+    :param silences: whether targets fall silent.
     """
     print(f"seed {seed}, {hosts} hosts, {seconds} s, logs in {logs}", flush=True)
 
     async def run() -> Soak:
-        soak = Soak(hosts, seed, seconds, logs)
+        soak = Soak(hosts, seed, seconds, logs, silences)
         await soak.run()
         return soak
 
@@ -391,7 +403,7 @@
     logs: str = "",
     bound: float = APPLY_SECONDS,
 ) -> int:
-    """Run the soak; exit with 1 if a host was late.
+    """Run the soak; exit with 1 if a host was late or broke a stream off.
 
     :param hosts: number of hosts of the data centre, more than 6.
     :param seed: of faults, configurations and requests.
