Spend one retry, not one at each check, to leave a late detour

What callers saw: nothing at once; the retries that other streams need to go on were used up.

Cause: a chain whose detour would be late is now kept until another one delivers, and goes on to be checked. Each check within the longest pause decided again to leave, and spent one more retry, for which nothing was sent.

Evidence: the new test of a second check failed before (the chain was left again) and passes with the change, as do the other tests of test_detours.py (25).

Once a retry has been spent to leave a chain, later checks of it take the detour, as they already did when the pause was over.

--- a/marigoldswitch/gateway/detour_orders.py
+++ b/marigoldswitch/gateway/detour_orders.py
@@ -38,13 +38,18 @@
         self._interruptions = interruptions
 
     async def take(
-        self, stages: tuple[Stage, ...], lost: set[TargetId], after: str | None
+        self,
+        stages: tuple[Stage, ...],
+        lost: set[TargetId],
+        after: str | None,
+        may_leave: bool = True,
     ) -> tuple[Stage, ...] | None:
         """Order a detour; return the stages that the first engine has accepted.
 
         :param stages: the current chain.
         :param lost: engines to replace.
         :param after: id of the last event that the caller has received.
+        :param may_leave: a late detour may be refused for a whole new chain.
         :raises DetourLate: if the request had better be resumed over a whole new chain.
         """
         exchange, parts = self._exchange, self._parts
@@ -56,7 +61,8 @@
                 logger.info("detour_missing", request=exchange.call.id)
                 return None
             self._interruptions.note_chain(now)
-            if any(parts.directory.suspects.is_dead(name, now) for name in lost):
+            is_dead = parts.directory.suspects.is_dead
+            if may_leave and any(is_dead(name, now) for name in lost):
                 self._check_time(chain, now)
             reply = await self._order(chain, stages)
             now = parts.clock.monotonic()
--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -104,6 +104,8 @@
         """The stages that delivered the last event."""
         self._deliveries = 0
         """Times that this chain has delivered events."""
+        self._is_left = False
+        """Whether a retry has been spent to leave this chain for a quicker one."""
         self._recorded_ends: set[TargetId] = set()
         """Engines of this chain whose end has been recorded as a possible crash."""
         self.interruptions = interruptions or start_interruption_log(parts, exchange)
@@ -128,6 +130,7 @@
         self._started_at = self._parts.clock.monotonic()
         self._delivering_stages = ()
         self._deliveries = 0
+        self._is_left = False
         self._recorded_ends.clear()
         self._gaps.reset()
 
@@ -392,9 +395,14 @@
         """
         try:
             stages = await self._detours.take(
-                self.stages, lost, self._exchange.last_event
+                self.stages,
+                lost,
+                self._exchange.last_event,
+                # The quicker chain may fail: later checks take the late detour.
+                may_leave=not self._is_left,
             )
         except DetourLate as late:
+            self._is_left = True
             raise ChainLeft("its detour would be late") from late
         if stages is None:
             return False
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -293,3 +293,16 @@
             chain.has_room_elsewhere = False
     lose_a_later_engine(chain, 0.05 if why == "in time" else 0.3)
     assert chain.monitor.stages == chain.detour.stages
+
+
+def test_stream_that_waits_for_another_chain_takes_the_late_detour_as_well():
+    """Each later check spent one more retry and sent nothing for it."""
+    chain = MonitoredChain()
+    spent = []
+    chain.budget.spend = lambda now, use_reserve: spent.append(now) or True
+    with pytest.raises(ChainLeft):
+        lose_a_later_engine(chain)
+    chain.now += 0.02
+    asyncio.run(chain.monitor._handle_check_request())
+    assert chain.monitor.stages == chain.detour.stages
+    assert len(spent) == 1
