Go on with an answer when a replaced run can't be recorded

What callers saw, in a play with a fault injected into the recording: an answer that the replacement was delivering was broken off with the reason "internal".

Cause: the run that was replaced is recorded by the task that leads the attempts; an exception there ended them all.

Evidence: the new test failed before (answer_aborted, internal) and passes with the change. The exception is logged, and the attempts go on.

--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -396,10 +396,15 @@
     async def _record_lost_run(self, attempt: Attempt, broken: ChainBroken) -> None:
         if not isinstance(attempt, _ChainAttempt) or attempt.first is None:
             return
-        if attempt.run is not None and attempt.run.has_run:
+        if attempt.run is None or not attempt.run.has_run:
+            return
+        try:
             await record_lost_run(
                 self._parts, self._exchange, attempt.monitor, attempt.first, broken
             )
+        except Exception:
+            # Another attempt may be delivering the answer.
+            logger.exception("lost_run_not_recorded", request=self._exchange.call.id)
 
     # Waiting for a chain and retrying.
 
--- a/marigoldswitch/tests/test_handover.py
+++ b/marigoldswitch/tests/test_handover.py
@@ -223,3 +223,19 @@
             assert all(engine.runs["try-1"] <= 1 for engine in engines.values())
 
     run_scenario(scenario())
+
+
+def test_fault_while_a_replaced_run_is_recorded_does_not_end_the_answer(monkeypatch):
+    async def fail(*args):
+        raise ValueError("cannot be recorded")
+
+    monkeypatch.setattr(streams, "record_lost_run", fail)
+
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            silent, answer, body = await start_stream(site)
+            silent.awake.clear()
+            body += await answer.read()
+            assert list_event_ids(body) == MANY_EVENTS
+
+    run_scenario(scenario())
