Let targets of the older daemon's soak fall silent for a moment

A target, or all targets of a data centre, is silent for 0.3 to 2 s and goes on. Beside a silence no answer that has begun may be lost, and no request at all unless a fault is active that can lose it.

--- a/marigoldswitch/tests/test_quiet_stages.py
+++ b/marigoldswitch/tests/test_quiet_stages.py
@@ -6,7 +6,7 @@
 import yaml
 
 from marigoldswitch.standins.engine_state import choose_word
-from marigoldswitch.tests.helpers import run_async, run_deployment
+from marigoldswitch.tests.helpers import run_async, run_deployment, wait_until
 from marigoldswitch.tests.test_deployment import parse_events
 from marigoldswitch.tests.test_streams import (
     PROMPT,
@@ -97,3 +97,28 @@
     assert words == "".join(
         choose_word(PROMPT, item) for item in range(len(events) - 1)
     )
+
+
+def test_stream_whose_reader_went_away_while_its_engine_was_silent_is_not_left_open():
+    async def play():
+        async with run_deployment(settings=SETTINGS) as (deployment, session):
+            name = "engine-2-0"
+            engine, address = deployment.engines[name], deployment.addresses[name]
+            stage = {"target": name, "address": address, "layers": [8, 12]}
+            order = {"request": "r", "epoch": 1, "chain": [stage], "max_tokens": 4}
+            engine.faults.silent = True
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await session.post(address + "/v1/streams", json=order)
+            opened, add = asyncio.Event(), engine._add_stream
+
+            def add_stream(*arguments):
+                opened.set()
+                return add(*arguments)
+
+            engine._add_stream = add_stream
+            engine.faults.silent = False
+            await opened.wait()
+            await wait_until(lambda: not engine.list_streams())
+
+    run_async(play())
--- a/marigoldswitch/tools/peer_soak.py
+++ b/marigoldswitch/tools/peer_soak.py
@@ -402,6 +402,7 @@
     seconds: float = 20.0,
     logs: str = "",
     bound: float = APPLY_SECONDS,
+    silences: bool = True,
 ) -> int:
     """Run the soak; exit with 1 if a host was late or broke a stream off.
 
@@ -410,9 +411,10 @@
     :param seconds: duration without the start, more than 10.
     :param logs: existing directory for the hosts' logs.
     :param bound: seconds within which a configuration must be in force.
+    :param silences: whether targets fall silent.
     """
     folder = Path(logs or tempfile.mkdtemp())
-    return 1 if play(hosts, seed, seconds, folder, bound) else 0
+    return 1 if play(hosts, seed, seconds, folder, bound, silences) else 0
 
 
 def main() -> None:
