--- a/marigoldswitch/tests/test_quiet_stages.py
+++ b/marigoldswitch/tests/test_quiet_stages.py
@@ -4,7 +4,9 @@
 
 import pytest
 import yaml
+from result import Err
 
+from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.standins.engine_state import choose_word
 from marigoldswitch.tests.helpers import run_async, run_deployment, wait_until
 from marigoldswitch.tests.test_deployment import parse_events
@@ -122,3 +124,29 @@
             await wait_until(lambda: not engine.list_streams())
 
     run_async(play())
+
+
+def test_begun_draft_asks_again_when_no_chain_is_granted_at_first():
+    async def play():
+        async with run_deployment(settings=SETTINGS) as (deployment, session):
+            dispatching = deployment.hosts["host-0"].parts.dispatching
+            acquire, asks = dispatching.acquire, []
+
+            async def refuse_once(ask):
+                asks.append(ask)
+                if len(asks) == 2:
+                    return Err(Fault(ErrorKind.SATURATED))
+                return await acquire(ask)
+
+            dispatching.acquire = refuse_once
+            body = b""
+            async with open_draft(deployment, session) as response:
+                async for line in response.content:
+                    body += line
+                    if body.count(b"event: token") == 20:
+                        deployment.engines["engine-1-0"].faults.stall = True
+            deployment.engines["engine-1-0"].faults.stall = False
+            assert len(asks) == 3
+            check_stream(deployment, parse_events(body))
+
+    run_async(play())
