--- a/marigoldswitch/tests/test_quiet_stages.py
+++ b/marigoldswitch/tests/test_quiet_stages.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 import yaml
 from result import Err
@@ -150,3 +151,23 @@
             check_stream(deployment, parse_events(body))
 
     run_async(play())
+
+
+def test_engine_that_ends_while_it_is_silent_never_reads_what_waited():
+    async def play():
+        async with run_deployment(settings=SETTINGS) as (deployment, session):
+            name = "engine-0-0"
+            engine, address = deployment.engines[name], deployment.addresses[name]
+            stage = {"target": name, "address": address, "layers": [0, 4]}
+            order = {"request": "r", "epoch": 1, "chain": [stage, stage]}
+            order |= {"from": 0, "max_tokens": 4, "prompt": PROMPT}
+            engine.faults.silent = True
+            call = asyncio.create_task(session.post(address + "/v1/starts", json=order))
+            await wait_until(lambda: deployment.journals[name].arrivals)
+            engine.clear_streams()
+            engine.faults.silent = False
+            with pytest.raises(aiohttp.ClientError):
+                await call
+            assert not engine.list_streams()
+
+    run_async(play())
