--- a/marigoldswitch/tests/test_quiet_stages.py
+++ b/marigoldswitch/tests/test_quiet_stages.py
@@ -2,11 +2,14 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 import yaml
+from result import Err
 
+from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.standins.engine_state import choose_word
-from marigoldswitch.tests.helpers import run_async, run_deployment
+from marigoldswitch.tests.helpers import run_async, run_deployment, wait_until
 from marigoldswitch.tests.test_deployment import parse_events
 from marigoldswitch.tests.test_streams import (
     PROMPT,
@@ -97,3 +100,74 @@
     assert words == "".join(
         choose_word(PROMPT, item) for item in range(len(events) - 1)
     )
+
+
+def test_stream_whose_reader_went_away_while_its_engine_was_silent_is_not_left_open():
+    async def play():
+        async with run_deployment(settings=SETTINGS) as (deployment, session):
+            name = "engine-2-0"
+            engine, address = deployment.engines[name], deployment.addresses[name]
+            stage = {"target": name, "address": address, "layers": [8, 12]}
+            order = {"request": "r", "epoch": 1, "chain": [stage], "max_tokens": 4}
+            engine.faults.silent = True
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await session.post(address + "/v1/streams", json=order)
+            opened, add = asyncio.Event(), engine._add_stream
+
+            def add_stream(*arguments):
+                opened.set()
+                return add(*arguments)
+
+            engine._add_stream = add_stream
+            engine.faults.silent = False
+            await opened.wait()
+            await wait_until(lambda: not engine.list_streams())
+
+    run_async(play())
+
+
+def test_begun_draft_asks_again_when_no_chain_is_granted_at_first():
+    async def play():
+        async with run_deployment(settings=SETTINGS) as (deployment, session):
+            dispatching = deployment.hosts["host-0"].parts.dispatching
+            acquire, asks = dispatching.acquire, []
+
+            async def refuse_once(ask):
+                asks.append(ask)
+                if len(asks) == 2:
+                    return Err(Fault(ErrorKind.SATURATED))
+                return await acquire(ask)
+
+            dispatching.acquire = refuse_once
+            body = b""
+            async with open_draft(deployment, session) as response:
+                async for line in response.content:
+                    body += line
+                    if body.count(b"event: token") == 20:
+                        deployment.engines["engine-1-0"].faults.stall = True
+            deployment.engines["engine-1-0"].faults.stall = False
+            assert len(asks) == 3
+            check_stream(deployment, parse_events(body))
+
+    run_async(play())
+
+
+def test_engine_that_ends_while_it_is_silent_never_reads_what_waited():
+    async def play():
+        async with run_deployment(settings=SETTINGS) as (deployment, session):
+            name = "engine-0-0"
+            engine, address = deployment.engines[name], deployment.addresses[name]
+            stage = {"target": name, "address": address, "layers": [0, 4]}
+            order = {"request": "r", "epoch": 1, "chain": [stage, stage]}
+            order |= {"from": 0, "max_tokens": 4, "prompt": PROMPT}
+            engine.faults.silent = True
+            call = asyncio.create_task(session.post(address + "/v1/starts", json=order))
+            await wait_until(lambda: deployment.journals[name].arrivals)
+            engine.clear_streams()
+            engine.faults.silent = False
+            with pytest.raises(aiohttp.ClientError):
+                await call
+            assert not engine.list_streams()
+
+    run_async(play())
