Let only progress decide between the attempts of a stream

Found by review: a comment from a replacement cancelled a run that worked, and a comment from a stuck run cancelled its replacement, each time at the cost of a run and a retry. While another attempt is under way, comments are dropped.

--- a/marigoldswitch/gateway/chain_runs.py
+++ b/marigoldswitch/gateway/chain_runs.py
@@ -180,7 +180,7 @@
             exchange,
             self._monitor,
             lambda: guard.bounds,
-            self._claimant.claim,
+            self._claimant,
             lambda: begin_stream(parts, exchange, reply),
         )
         forwarder.check = self._check
@@ -205,6 +205,7 @@
         body = await read_whole(reply, bounds, "error_bytes")
         if exchange.response is not None or self._claimant.has_rival():
             raise ChainBroken(f"status {reply.status}")
+        self._claimant.claim()
         headers = self._parts.codec.write_reply(reply.headers)
         response = web.Response(status=reply.status, headers=headers, body=body)
         exchange.response = response
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from marigoldswitch.core.event_stream import Event, EventSplitter, EventTooLong
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.read_bounds import EventProgress, Excess, ReadBounds
+from marigoldswitch.gateway.attempts import Claimant
 from marigoldswitch.gateway.bounded_reads import AnswerUnbounded
 from marigoldswitch.gateway.broken_chains import ChainBroken
 from marigoldswitch.gateway.caller_writes import write
@@ -40,7 +41,7 @@
     """Forwards the events of one request over its successive answers.
 
     :param bounds: returns the bounds in force.
-    :param claim: called before each part of the answer goes to the caller.
+    :param claimant: the attempt that this answer belongs to.
     :param begin: sends the head of the answer, unless an earlier answer's was sent.
     :ivar check: of the current chain's forecast.
     """
@@ -51,7 +52,7 @@
         exchange: Exchange,
         monitor: StreamMonitor,
         bounds: Callable[[], ReadBounds],
-        claim: Callable[[], None],
+        claimant: Claimant,
         begin: Callable[[], Awaitable[None]],
     ) -> None:
         self.check: ForecastCheck | None = None
@@ -59,7 +60,7 @@
         self._exchange = exchange
         self._monitor = monitor
         self._get_bounds = bounds
-        self._claim = claim
+        self._claimant = claimant
         self._begin = begin
 
     async def forward(self, response: aiohttp.ClientResponse) -> None:
@@ -99,7 +100,7 @@
             raise AnswerCut("the answer ended within an event")
         if not end_check.is_complete():
             raise AnswerCut("the connection was reset at the end of the answer")
-        self._claim()
+        self._claimant.claim()
         await self._begin()
 
     async def _write_unseen(self, events: list[Event], is_progress: bool) -> None:
@@ -107,19 +108,24 @@
 
         :param is_progress: whether they bring the stream forward, unlike comments.
         """
-        unseen = []
+        unseen, last = [], self._exchange.last_event
         for event in events:
-            if self._is_duplicate(event):
+            if _is_duplicate(event, last):
                 continue
-            if event.id is not None:
-                self._exchange.last_event = event.id
+            last = last if event.id is None else event.id
             unseen.append(event.content)
-        if unseen:
-            self._claim()
-            await self._begin()
-            if is_progress:
-                self._record_gap()
-            await write(self._exchange, b"".join(unseen))
+        if not unseen:
+            return
+        if not is_progress and self._claimant.has_rival():
+            # A comment doesn't show which of the attempts will deliver.
+            return
+        # Refused to an attempt that was replaced: its events are not the caller's.
+        self._claimant.claim()
+        await self._begin()
+        self._exchange.last_event = last
+        if is_progress:
+            self._record_gap()
+        await write(self._exchange, b"".join(unseen))
 
     def _record_gap(self) -> None:
         """Update the first-event time and longest gap of ``request_ended``."""
@@ -133,17 +139,19 @@
         if self.check is not None:
             self.check.note_read(now)
 
-    def _is_duplicate(self, event: Event) -> bool:
-        """Return whether the caller has received an event before.
 
-        Numeric ids are taken to be in ascending order; an event without an id is new.
-        """
-        last = self._exchange.last_event
-        if event.id is None or last is None:
-            return False
-        if event.id.isdigit() and last.isdigit():
-            return int(event.id) <= int(last)
-        return event.id == last
+def _is_duplicate(event: Event, last: str | None) -> bool:
+    """Return whether the caller has received an event before.
+
+    Numeric ids are taken to be in ascending order; an event without an id is new.
+
+    :param last: id of the last event that the caller has received, if any.
+    """
+    if event.id is None or last is None:
+        return False
+    if event.id.isdigit() and last.isdigit():
+        return int(event.id) <= int(last)
+    return event.id == last
 
 
 async def pass_long_body(
--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -404,7 +404,7 @@
             exchange,
             self._monitor,
             lambda: guard.bounds,
-            self._claimant.claim,
+            self._claimant,
             lambda: begin_stream(self._parts, exchange, reply),
         )
         await forwarder.forward(reply)
--- a/marigoldswitch/tests/test_handover.py
+++ b/marigoldswitch/tests/test_handover.py
@@ -1,12 +1,16 @@
 """Streams whose chain is suspected: which attempt goes on, and what callers get."""
 
 import asyncio
+import contextlib
+from types import SimpleNamespace
 
 import pytest
 
+from marigoldswitch.core.read_bounds import ReadBounds
 from marigoldswitch.gateway import streams
 from marigoldswitch.gateway.attempts import Attempt
 from marigoldswitch.gateway.broken_chains import ChainBroken, ChainGivenUp
+from marigoldswitch.gateway.forwarding import EventForwarder
 from marigoldswitch.gateway.lost_runs import record_lost_run
 from marigoldswitch.tests.gateway_site import (
     build_configuration,
@@ -239,3 +243,65 @@
             assert list_event_ids(body) == MANY_EVENTS
 
     run_scenario(scenario())
+
+
+class _Reply:
+    """An answer that consists of given pieces."""
+
+    headers = {"Transfer-Encoding": "chunked"}
+    _protocol = None
+
+    def __init__(self, pieces):
+        self._pieces = [*pieces, b""]
+        self.content = self
+
+    async def readany(self):
+        return self._pieces.pop(0)
+
+
+class _Claimant:
+    """An attempt that has a rival until it claims the answer."""
+
+    def __init__(self):
+        self.claims = 0
+
+    def claim(self):
+        self.claims += 1
+
+    def has_rival(self):
+        return not self.claims
+
+
+@contextlib.asynccontextmanager
+async def _monitor(reply):
+    yield
+
+
+def test_comment_of_one_attempt_does_not_end_the_other():
+    written, claimant = [], _Claimant()
+
+    async def write(content):
+        written.append((content, claimant.claims))
+
+    async def begin():
+        pass
+
+    exchange = SimpleNamespace(
+        last_event="1",
+        last_event_at=None,
+        arrived=0.0,
+        first_event=None,
+        route=SimpleNamespace(is_resumable=True),
+        response=SimpleNamespace(write=write),
+    )
+    forwarder = EventForwarder(
+        SimpleNamespace(monotonic=lambda: 1.0),
+        exchange,
+        SimpleNamespace(note_event=lambda: None, monitor=_monitor),
+        ReadBounds,
+        claimant,
+        begin,
+    )
+    pieces = [b": busy\n\n", b"id: 2\ndata: x\n\n", b": busy\n\n"]
+    asyncio.run(forwarder.forward(_Reply(pieces)))
+    assert written == [(b"id: 2\ndata: x\n\n", 1), (b": busy\n\n", 2)]
