Take a retry for each further replacement of a chain that was left

Found by review: after a detour that would be late, a replacement that failed was followed by further ones without a retry, as only the first had been paid for in advance. Read only, no play shows it; the retry is now asked for.

--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -18,7 +18,7 @@
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.stages import Chain, Stage
 from marigoldswitch.gateway.attempts import Attempt, Claimant
-from marigoldswitch.gateway.broken_chains import ChainBroken, ChainLeft
+from marigoldswitch.gateway.broken_chains import ChainBroken, ChainGivenUp, ChainLeft
 from marigoldswitch.gateway.chain_runs import ChainRun, Completed, EnginesRefused
 from marigoldswitch.gateway.chain_waiting import ChainWait
 from marigoldswitch.gateway.detours import ChainMonitor, start_interruption_log
@@ -336,7 +336,8 @@
         if has_other_way and attempts and attempts[-1].doubt is None:
             # Before the break is recorded, which waits: if an attempt delivers
             # meanwhile, the doubt is dropped.
-            attempts[-1].doubt = self._doubt
+            # Only the first replacement of a chain that was left has been paid for.
+            attempts[-1].doubt = self._doubt and ChainGivenUp(str(self._doubt))
         if lost is not None:
             await self._note_broken(replacement, lost)
 
