Say that an engine is no longer registered instead of silent

An engine whose row is removed at once was never asked, and the chain was doubted because it 'does not answer'. The chain is still doubted, as the engine is about to end, with its own reason.

--- a/marigoldswitch/gateway/detours.py
+++ b/marigoldswitch/gateway/detours.py
@@ -357,7 +357,9 @@
             self._break_if_idempotent("this host reaches no target")
         if stages[0] in to_probe:
             first_status = statuses.get(stages[0].target)
-            if first_status is None:
+            if stages[0].target not in rows:
+                self._break_if_idempotent("its first engine is no longer registered")
+            elif first_status is None:
                 self._break_if_idempotent("its first engine does not answer")
             else:
                 suspect_blocking_engine(
