Keep the answer of a silent host until another one begins to answer

A stream sent through another host was broken off, or its caller got 502, when no event came for 1.5 s and no third host took it (none there, all declining or refusing, no retry left): the silent host's answer was closed before a replacement was looked for, so that engines paused for a second ended it.

The silent answer is closed only as another host's head arrives, which it sends with its first event; an event of the silent one in the meantime cancels the other. If none takes it, the first is awaited to the deadline.

--- a/marigoldswitch/gateway/proxying.py
+++ b/marigoldswitch/gateway/proxying.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 
 import aiohttp
@@ -57,8 +57,8 @@
 MAX_HOSTS = 4
 """Hosts to which one request is sent in turn while each declines."""
 SILENCE_SECONDS = 1.5
-"""Time without an event after which a stream goes on through another host, if it may
-run again. Callers leave after 2 s."""
+"""Time without an event after which a stream is sent to one more host as well, if it
+may run again. Callers leave after 2 s."""
 LOCAL_REFUSALS = frozenset(
     {
         ErrorKind.SATURATED,
@@ -74,33 +74,41 @@
 
 
 class _SilenceMonitor:
-    """Closes the answer of a host that sends no events for too long.
+    """Watches over the events of another host's answer.
 
-    :ivar is_active: whether it does so now; else silence is borne.
+    :param on_event: called at each event.
+    :param on_silence: called once no event has come for too long.
     """
 
-    def __init__(self) -> None:
-        self.is_active = False
+    def __init__(
+        self, on_event: Callable[[], None], on_silence: Callable[[], None]
+    ) -> None:
+        self.response: aiohttp.ClientResponse | None = None
+        """The answer that is read now, if any."""
+        self._on_event = on_event
+        self._on_silence = on_silence
         self._timer: asyncio.TimerHandle | None = None
-        self._response: aiohttp.ClientResponse | None = None
 
     def note_event(self) -> None:
         """Measure the silence from now on."""
-        self._stop_timer()
-        if self._response is not None and self.is_active:
-            loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(SILENCE_SECONDS, self._response.close)
+        self._on_event()
+        self._start_timer()
 
     @contextlib.asynccontextmanager
     async def monitor(self, response: aiohttp.ClientResponse) -> AsyncIterator[None]:
         """Watch over an answer while it is read."""
-        self._response = response
-        self.note_event()
+        self.response = response
+        self._start_timer()
         try:
             yield
         finally:
             self._stop_timer()
-            self._response = None
+            self.response = None
+
+    def _start_timer(self) -> None:
+        self._stop_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(SILENCE_SECONDS, self._on_silence)
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
@@ -177,7 +185,11 @@
         self._hosts = hosts
         self._connections = connections
         self._exchange = exchange
-        self._monitor = _SilenceMonitor()
+        self._monitor = _SilenceMonitor(self._stop_search, self._start_search)
+        self._search: asyncio.Task[None] | None = None
+        """Looks for a host to take over from a silent one."""
+        self._replacement: tuple[ProxyHost, aiohttp.ClientResponse] | None = None
+        """Host that has begun to answer in place of a silent one."""
         self._tried: set[HostId] = set()
         self._refusal: web.Response | None = None
         """The last refusal of another host, passed on if no other one takes it."""
@@ -189,30 +201,34 @@
         :raises RequestRefused: if it may have run and may not be sent again;
             :class:`AnswerAborted` once the answer has begun.
         """
+        try:
+            return await self._run()
+        finally:
+            self._stop_search()
+            if self._replacement is not None:
+                self._replacement[1].close()
+
+    async def _run(self) -> web.StreamResponse | None:
         is_repeat = False
-        while len(self._tried) < MAX_HOSTS:
-            host = self._hosts.choose(self._tried)
-            if host is None or (is_repeat and not self._spend_for_refusal()):
-                break
-            is_repeat = False
-            self._tried.add(host.host)
-            # The deadline may end the wait at any moment, and the request may have run.
-            self._exchange.run_count += 1
-            response = await self._send(host)
-            if isinstance(response, NotSent):
-                self._exchange.run_count -= 1
-                self._note_end(host, f"declined: {response.why}")
-                self._hosts.note_declined(host.host)
-                continue
-            if isinstance(response, _Refused):
-                self._exchange.run_count -= 1
-                self._refusal = response.answer
-                self._note_end(host, f"refused: {response.kind.value}")
-                if response.kind not in LOCAL_REFUSALS:
+        while True:
+            await self._finish_search()
+            response: aiohttp.ClientResponse | web.Response | NotSent | Lost | _Refused
+            if self._replacement is not None:
+                host, response = self._replacement
+                self._replacement = None
+            else:
+                chosen = self._choose_host()
+                if chosen is None or (is_repeat and not self._spend_for_another()):
                     break
-                is_repeat = True
-                continue
-            self._exchange.send_count += 1
+                host, is_repeat = chosen, False
+                response = await self._send_or_replace(host)
+                if isinstance(response, NotSent | _Refused):
+                    self._note_not_run(host, response)
+                    is_repeat = isinstance(response, _Refused)
+                    if self._is_final(response):
+                        break
+                    continue
+                self._exchange.send_count += 1
             try:
                 if isinstance(response, Lost):
                     self._note_excess(host, response.excess)
@@ -223,17 +239,122 @@
                     else await self._pass_on(host, response)
                 )
             except _Broken as broken:
-                self._note_end(host, f"lost: {broken}")
-                self._require_another_host(str(broken))
+                await self._finish_search()
+                is_replaced = self._replacement is not None
+                end = (
+                    "silent, another host answers" if is_replaced else f"lost: {broken}"
+                )
+                self._note_end(host, end)
+                if not is_replaced:
+                    self._require_another_host(str(broken))
                 continue
             self._note_end(host, f"answered {answer.status}")
             return answer
         return self._pass_refusal_on()
 
-    def _spend_for_refusal(self) -> bool:
-        """Take a retry from the budget for asking a further host after a refusal.
+    def _choose_host(self) -> ProxyHost | None:
+        """Return a host that the request has not been sent to, if there is one
+        left."""
+        if len(self._tried) >= MAX_HOSTS:
+            return None
+        host = self._hosts.choose(self._tried)
+        if host is not None:
+            self._tried.add(host.host)
+        return host
+
+    def _note_not_run(self, host: ProxyHost, end: NotSent | _Refused) -> None:
+        """Record that a host has not run the request."""
+        self._exchange.run_count -= 1
+        if isinstance(end, _Refused):
+            self._refusal = end.answer
+            self._note_end(host, f"refused: {end.kind.value}")
+        else:
+            self._note_end(host, f"declined: {end.why}")
+            self._hosts.note_declined(host.host)
+
+    def _is_final(self, end: NotSent | _Refused) -> bool:
+        """Return whether no further host is asked."""
+        return isinstance(end, _Refused) and end.kind not in LOCAL_REFUSALS
+
+    def _start_search(self) -> None:
+        """Look for another host, as the one that answers is silent."""
+        if self._search is None and self._may_send_beside():
+            self._search = asyncio.create_task(self._find_replacement())
 
-        A target may have rejected the request there, and counts what arrives.
+    def _stop_search(self) -> None:
+        if self._search is not None:
+            self._search.cancel()
+            self._search = None
+
+    async def _finish_search(self) -> None:
+        """Wait for the search that is under way, if any."""
+        if self._search is not None:
+            await self._search
+            self._search = None
+
+    async def _find_replacement(self) -> None:
+        """Send the request to further hosts until one begins to answer.
+
+        Only then the answer of the silent host is closed.
+        """
+        has_retry = False
+        while self._may_send_beside():
+            host = self._choose_host()
+            if host is None or not (has_retry or self._spend_for_another()):
+                return
+            self._exchange.run_count += 1
+            response = await self._send(host)
+            if isinstance(response, NotSent | _Refused):
+                has_retry = isinstance(response, NotSent)
+                self._note_not_run(host, response)
+                if self._is_final(response):
+                    return
+                continue
+            has_retry = False
+            self._exchange.send_count += 1
+            if isinstance(response, aiohttp.ClientResponse):
+                if response.status == web.HTTPOk.status_code:
+                    self._replacement = host, response
+                    if self._monitor.response is not None:
+                        self._monitor.response.close()
+                    return
+                response.close()
+            elif isinstance(response, Lost):
+                self._note_excess(host, response.excess)
+            self._note_end(host, "lost: no stream")
+
+    async def _send_or_replace(
+        self, host: ProxyHost
+    ) -> aiohttp.ClientResponse | web.Response | NotSent | Lost | _Refused:
+        """Send the request to a host, and to others as well while it is silent."""
+        # The deadline may end the wait at any moment, and the request may have run.
+        self._exchange.run_count += 1
+        sending = asyncio.create_task(self._send(host))
+        try:
+            await asyncio.wait({sending}, timeout=SILENCE_SECONDS)
+            if not sending.done():
+                self._start_search()
+            if self._search is not None:
+                await asyncio.wait(
+                    {sending, self._search}, return_when=asyncio.FIRST_COMPLETED
+                )
+            if self._replacement is not None and not sending.done():
+                return Lost("silent")
+            result = await sending
+        finally:
+            sending.cancel()
+        if isinstance(result, aiohttp.ClientResponse):
+            self._stop_search()
+            if self._replacement is not None:
+                self._replacement[1].close()
+                self._replacement = None
+        return result
+
+    def _spend_for_another(self) -> bool:
+        """Take a retry from the budget for asking a further host.
+
+        After a refusal, too: a target may have rejected the request there, and counts
+        what arrives.
         """
         has_begun = self._exchange.response is not None
         return spend_retry(self._parts, self._exchange, has_begun)
@@ -271,16 +392,9 @@
         if exchange.route.is_idempotent:
             session = self._connections.choose_session(host.address)
         url, use = f"http://{host.address}{exchange.call.path}", ConnectionUse()
-        self._monitor.is_active = self._may_give_up()
-        try:
-            async with asyncio.timeout(
-                SILENCE_SECONDS if self._monitor.is_active else None
-            ):
-                result = await open_response(
-                    session, exchange.call.method, url, headers, exchange.body, use
-                )
-        except TimeoutError:
-            return Lost("no answer in time")
+        result = await open_response(
+            session, exchange.call.method, url, headers, exchange.body, use
+        )
         if not isinstance(result, aiohttp.ClientResponse):
             return result
         facts = parts.codec.read_reply(result.status, result.headers)
@@ -311,10 +425,10 @@
         kind = decode_refusal(body)
         return answer if kind is None else _Refused(kind, answer)
 
-    def _may_give_up(self) -> bool:
-        """Return whether a silent host may be given up for another one.
+    def _may_send_beside(self) -> bool:
+        """Return whether the request may be sent to another host as one is silent.
 
-        Only that of a stream, which would have sent events. Other answers may take
+        Only a stream, of which there would have been events. Other answers may take
         until the deadline.
         """
         exchange = self._exchange
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -225,6 +225,69 @@
     run_scenario(scenario())
 
 
+def find_busy(site):
+    """Return the other hosts that run requests of the first one."""
+    return [host for host in site.hosts[1:] if host.parts.front.running_requests]
+
+
+def keep_from_helping(site, others):
+    """Let no host but the busy one take requests of the first one."""
+    if others == "no retries":
+        site.hosts[0].parts.runs.retries.update_limits(0.0, 0.0)
+        return
+    for host in site.hosts[1:]:
+        if host not in find_busy(site):
+            if others == "declining":
+                host.parts.state.draining = True
+            else:
+                refuse_requests(host, 100)
+
+
+@pytest.mark.parametrize("others", ["absent", "declining", "refusing", "no retries"])
+@pytest.mark.parametrize("has_begun", [False, True])
+def test_stream_through_a_silent_host_is_kept_if_no_other_takes_it(
+    others, has_begun, monkeypatch
+):
+    async def scenario():
+        async with run_cut_site(hosts=2 if others == "absent" else 3) as (site, _):
+            engines = site.engines.engines.values()
+            if not has_begun:
+                for engine in engines:
+                    engine.awake.clear()
+            call = asyncio.create_task(send(site, "/draft/", 1))
+            await site.wait_until(lambda: find_busy(site))
+            if has_begun:
+                await site.wait_until(lambda: site.engines.streams)
+                for engine in engines:
+                    engine.awake.clear()
+            keep_from_helping(site, others)
+            await asyncio.sleep(1.0)
+            for engine in engines:
+                engine.awake.set()
+            status, body, _ = await call
+            assert status == 200
+            assert list_event_ids(body) == ALL_EVENTS
+
+    monkeypatch.setattr(proxying, "SILENCE_SECONDS", 0.3)
+    run_scenario(scenario())
+
+
+def test_stream_goes_on_through_another_host_when_the_first_is_silent(monkeypatch):
+    async def scenario():
+        async with run_cut_site() as (site, _):
+            for number in range(3):
+                async with site.call("/draft/", number) as answer:
+                    body = await answer.content.readuntil(b"id: 5\n")
+                    (busy,) = find_busy(site)
+                    for connection in busy._runners[2].server.connections:
+                        connection.transport.write = lambda _: None
+                    body += await answer.read()
+                assert list_event_ids(body) == ALL_EVENTS
+
+    monkeypatch.setattr(proxying, "SILENCE_SECONDS", 0.3)
+    run_scenario(scenario())
+
+
 def test_caller_is_told_when_to_come_back_if_all_other_hosts_refuse():
     async def scenario():
         async with run_cut_site(hosts=4) as (site, _):
