--- a/marigoldswitch/tests/test_peer_soak.py
+++ b/marigoldswitch/tests/test_peer_soak.py
@@ -22,7 +22,7 @@
 
 
 def test_hosts_apply_configurations_while_they_cannot_reach_peers(tmp_path):
-    breaches = play(hosts=9, seed=1, seconds=18.0, logs=tmp_path, silences=False)
+    breaches = play(hosts=9, seed=1, seconds=18.0, logs=tmp_path)
     assert breaches == []
 
 
