--- a/marigoldswitch/tests/test_quiet_targets.py
+++ b/marigoldswitch/tests/test_quiet_targets.py
@@ -6,6 +6,7 @@
 
 from marigoldswitch.tests.gateway_site import (
     build_configuration,
+    get_targets,
     list_event_ids,
     run_scenario,
     run_site,
@@ -64,6 +65,25 @@
     run_scenario(scenario())
 
 
+def test_stream_of_an_engine_whose_row_was_removed_is_kept_at_a_host_without_retries():
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            engine = await site.add_engine("x", "north", (0, 8))
+            engine.events = MANY_EVENTS[-1]
+            await site.wait_for_layout()
+            # As after a restart, until the host knows what the others have spent.
+            site.hosts[0].parts.runs.retries.update_limits(0.0, 0.0)
+            async with site.call("/draft/", 1) as answer:
+                body = await answer.content.readany()
+                site.store.delete("servers", "x")
+                await site.wait_until(lambda: not get_targets(site))
+                await silence([engine], 0.4)
+                body += await answer.read()
+            assert list_event_ids(body) == MANY_EVENTS
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("hosts", [1, 3])
 def test_stream_begins_after_all_engines_were_silent_for_a_second(hosts):
     async def scenario():
