--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -100,6 +100,7 @@
         order of their starts; all but the newest are doubted."""
         self._doubt: ChainBroken | None = None
         """Why the newest replacement was sought."""
+        self._logged_doubt: tuple[str, AbortReason | None, str | None] | None = None
         self._replaced: list[tuple[Attempt, ChainBroken]] = []
         """Attempts that were replaced and why, until that is recorded."""
 
@@ -234,14 +235,7 @@
             obstacle = AbortReason.HELD_OFF
         elif is_cut_off and exchange.is_proxied:
             obstacle = AbortReason.NO_HOST
-        logger.info(
-            "stream_doubted",
-            request=exchange.call.id,
-            why=str(doubt),
-            obstacle=obstacle.value if obstacle else None,
-            after=exchange.last_event,
-            runs=exchange.run_count,
-        )
+        self._log_doubt(doubt, obstacle)
         if obstacle is not None:
             return
         self._doubt = doubt
@@ -252,6 +246,24 @@
             self._losses.note_broken_chain(doubted.first.target)
         self._replacements.append(self._start_chain(isinstance(doubt, ChainLeft)))
 
+    def _log_doubt(self, doubt: ChainBroken, obstacle: AbortReason | None) -> None:
+        """Log a doubt, once for each reason and event: it is reported again and again
+        while it stands.
+        """
+        exchange = self._exchange
+        logged = (str(doubt), obstacle, exchange.last_event)
+        if logged == self._logged_doubt:
+            return
+        self._logged_doubt = logged
+        logger.info(
+            "stream_doubted",
+            request=exchange.call.id,
+            why=str(doubt),
+            obstacle=obstacle.value if obstacle else None,
+            after=exchange.last_event,
+            runs=exchange.run_count,
+        )
+
     def _take_over(self, attempt: Attempt) -> None:
         """Let an attempt write to the caller, and cancel the others.
 
