--- a/marigoldswitch/tests/gateway_site.py
+++ b/marigoldswitch/tests/gateway_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import random
 import socket
 from collections.abc import AsyncIterator
@@ -18,8 +19,8 @@
     TargetStandin,
 )
 from marigoldswitch.standins.platform_store import StoreStandin
+from marigoldswitch.tools.peer_soak_streams import LAYERS, MODEL_SERVICE
 
-LAYERS = 8
 KEY = "key-of-a-workshop"
 ACCOUNT = "workshop"
 DATA_CENTRES = ("north", "south")
@@ -42,23 +43,6 @@
             **fields,
         }
 
-    engine = {
-        "slots": 96,
-        "kv_bytes": 800_000,
-        "step_ms": 1.0,
-        "per_seq_ms": 0.01,
-        "context_per_k": 0.02,
-        "read_per_s": 100_000.0,
-        "models": [{"name": "m", "load_s": 0.1}],
-        "loads_at_once": 5,
-        "layers": LAYERS,
-        "layer_mb": 100.0,
-        "activation_bytes": 1000,
-        "pipe_mbps": 18_000.0,
-        "kinds": [
-            {"name": "card", "size_mb": 13_000.0, "pace": 2.0, "read_factor": 2.0}
-        ],
-    }
     return {
         "version": version,
         "routes": [
@@ -66,7 +50,7 @@
             route("/once/", "unsafe", "desk"),
             route("/look/", "safe", "desk"),
         ],
-        "services": [{"name": "model", "engine": engine}, {"name": "desk"}],
+        "services": [copy.deepcopy(MODEL_SERVICE), {"name": "desk"}],
         "tenants": [{"name": ACCOUNT, "api_keys": list(keys), "priority": 1}],
         "limits": {"max_body_bytes": 10_000, "idle_timeout_ms": 15_000},
     }
