--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -9,7 +9,7 @@
 
 from marigoldswitch.core.contact import ContactState
 from marigoldswitch.core.errors import ErrorKind, Fault
-from marigoldswitch.gateway import plain, proxying
+from marigoldswitch.gateway import plain, proxied_runs
 from marigoldswitch.gateway.exchanges import RequestRefused
 from marigoldswitch.gateway.hosts import read_port
 from marigoldswitch.gateway.proxy_terms import (
@@ -268,7 +268,7 @@
             assert status == 200
             assert list_event_ids(body) == ALL_EVENTS
 
-    monkeypatch.setattr(proxying, "SILENCE_SECONDS", 0.3)
+    monkeypatch.setattr(proxied_runs, "SILENCE_SECONDS", 0.3)
     run_scenario(scenario())
 
 
@@ -284,7 +284,7 @@
                     body += await answer.read()
                 assert list_event_ids(body) == ALL_EVENTS
 
-    monkeypatch.setattr(proxying, "SILENCE_SECONDS", 0.3)
+    monkeypatch.setattr(proxied_runs, "SILENCE_SECONDS", 0.3)
     run_scenario(scenario())
 
 
@@ -490,7 +490,7 @@
 
     monkeypatch.setattr(PlainStandin, "handle", handle_slowly)
     monkeypatch.setattr(plain, "MIN_HEDGE_DELAY_SECONDS", 5.0)
-    monkeypatch.setattr(proxying, "SILENCE_SECONDS", 0.2)
+    monkeypatch.setattr(proxied_runs, "SILENCE_SECONDS", 0.2)
     run_scenario(scenario())
 
 
@@ -509,5 +509,5 @@
                 assert list_event_ids(await answer.read()) == ALL_EVENTS
 
     monkeypatch.setattr(platform_engines, "PAUSE_SECONDS", 0.1)
-    monkeypatch.setattr(proxying, "SILENCE_SECONDS", 0.05)
+    monkeypatch.setattr(proxied_runs, "SILENCE_SECONDS", 0.05)
     run_scenario(scenario())
