--- a/marigoldswitch/gateway/attempts.py
+++ b/marigoldswitch/gateway/attempts.py
@@ -8,7 +8,11 @@
 
 
 class Claimant(Protocol):
-    """One of the attempts to answer a request."""
+    """One of the attempts to answer a request.
+
+    The attempt that claims the answer first is the only one that may write to the
+    caller from then on; the others are cancelled, or their claims are refused.
+    """
 
     def claim(self) -> None:
         """Take the answer over; called before each part that goes to the caller."""
@@ -33,6 +37,10 @@
 class Attempt:
     """An attempt that runs in a task of its own, beside which another may be started.
 
+    What is reported of it is either a suspicion (:class:`ChainGivenUp`), which makes it
+    doubted and leaves it running, or a fact (any other :class:`ChainBroken`), which
+    ends it.
+
     :param note_change: called when it ends or is doubted.
     :param note_claim: called before each part of the answer goes to the caller.
     :param count_attempts: returns the number of attempts under way.
--- a/marigoldswitch/gateway/broken_chains.py
+++ b/marigoldswitch/gateway/broken_chains.py
@@ -14,7 +14,11 @@
 
 
 class ChainGivenUp(ChainBroken):
-    """This host gives the chain up, although its connection to it still stands."""
+    """This host suspects that the chain delivers no more; its connection still stands.
+
+    Not a fact like the other kinds: it is a reason to seek a replacement, and none to
+    end the run.
+    """
 
 
 class ChainLeft(ChainGivenUp):
