--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts of the independent review; no part of the product."""
--- /dev/null
+++ b/review/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the review's scripts: processes, stand-ins and clients on loopback."""
