--- a/review/1/play.py
+++ b/review/1/play.py
@@ -10,10 +10,10 @@
 from typing import Any
 
 from review.rig.deployment import (
+    BOUNDS,
     BROKEN,
     COULD_NOT_RUN,
     HELD,
-    HOLLOWBROOK_BOUNDS,
     Deployment,
     build_configuration,
     build_route,
@@ -71,7 +71,7 @@
 
 async def play() -> int:
     """Play the case; return the exit status."""
-    async with Deployment(("hobart", "launceston"), HOLLOWBROOK_BOUNDS) as rig:
+    async with Deployment(("recife-a", "recife-b")) as rig:
         rig.store.put("op", "config", build(3, [HELD_KEY]))
         for number in range(3):
             await rig.add_replica(f"i-{number}desk", "desk", 0.02)
@@ -81,7 +81,7 @@
         rig.store.put("op", "config", build(8, [] if HAS_TROUBLE else [HELD_KEY]))
         acknowledged = time.monotonic()
         rig.record.note("configuration 8 acknowledged", takes_key=HAS_TROUBLE)
-        apply_seconds = HOLLOWBROOK_BOUNDS["config_apply_ms"] / 1000
+        apply_seconds = BOUNDS["config_apply_ms"] / 1000
         await asyncio.sleep(apply_seconds + MARGIN_SECONDS)
         waited = time.monotonic() - acknowledged
         after = await ask_all(rig, HELD_KEY, "held key, after")
