Keep the check of keys on when no client account holds a key

Cause: whether keys are needed was derived from the index of accounts by key. A configuration that names accounts of which none holds a key looks the same there as one without accounts.

Ruled out by runs of two hosts in one process: an older version in force (request_ended says version 2, without an account); a key that stays known after it is dropped (a key that was never held is let in too, 401 before); the handling of removed keys or of accounts without keys as such (with a second account that holds a key, both get 401); `"tenants": []` behaves like the dropped key, so it is the empty index.

Change: the decoder states whether the configuration contains accounts, whatever they hold; a routing table needs keys unless told otherwise.

--- a/marigoldswitch/core/routes.py
+++ b/marigoldswitch/core/routes.py
@@ -115,7 +115,9 @@
 class RoutingTable:
     """Routing data of one version of the configuration.
 
-    :param accounts: client accounts by key; empty if no route needs a key.
+    :param accounts: client accounts by key.
+    :param needs_keys: whether routes that aren't public need a key, even if no account
+        holds one.
     """
 
     version: int
@@ -123,6 +125,7 @@
     services: Mapping[ServiceName, ServiceSpec]
     accounts: Mapping[str, RoutedAccount]
     limits: ClientLimits
+    needs_keys: bool = True
     routes_by_host: Mapping[str, tuple[Route, ...]] = field(init=False)
     services_with_gap_limit: frozenset[ServiceName] = field(init=False)
     """Services of the routes that limit the pauses of their streams."""
@@ -137,11 +140,6 @@
         object.__setattr__(self, "services_with_gap_limit", limited)
         object.__setattr__(self, "routes_by_host", _group_routes(self.routes))
 
-    @property
-    def needs_keys(self) -> bool:
-        """Return whether routes that aren't public need a key."""
-        return len(self.accounts) > 0
-
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches a path, if any.
 
--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -163,6 +163,7 @@
         },
         _read_accounts(document.get("tenants") or []),
         _read_limits(document.get("limits") or {}),
+        needs_keys="tenants" in document,
     )
 
 
