Refuse accounts and keys of the wrong type

Seen by callers: none yet; a configuration with `"api_keys": [null]` let the key "None" in, a text of keys each of its letters, a number its digits, and `"tenants": {}`, `0`, `false` or `""` counted as no accounts.

Cause: values were converted to text, and empty ones of any type replaced by an empty list, instead of being checked.

Ruled out: the store's own check, as peers and other programs bring versions too.

Change: such a version is refused as a whole, with an error that names the account and not the key. The version before stays in force; a host that starts takes it from a peer.

--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -161,7 +161,7 @@
             ServiceName(item["name"]): _read_service(item)
             for item in document["services"]
         },
-        _read_accounts(document.get("tenants") or []),
+        _read_accounts(document.get("tenants")),
         _read_limits(document.get("limits") or {}),
         needs_keys="tenants" in document,
     )
@@ -266,18 +266,42 @@
     )
 
 
-def _read_accounts(tenants: list[dict[str, Any]]) -> dict[str, RoutedAccount]:
+def _read_accounts(tenants: Any) -> dict[str, RoutedAccount]:
+    """Return the client accounts by key.
+
+    :param tenants: ``None`` if there are none.
+    :raises ValueError: if a value is of the wrong type, as a key that is made of it
+        could be guessed.
+    """
     accounts = {}
-    for item in tenants:
+    for item in _read_list("tenants", tenants):
+        name = item["name"]
+        if type(name) is not str:
+            raise ValueError(f"the name of a tenant is {name!r}")
         priority = item.get("priority")
         account = RoutedAccount(
-            AccountId(item["name"]), None if priority is None else int(priority)
+            AccountId(name), None if priority is None else int(priority)
         )
-        for key in item.get("api_keys") or []:
-            accounts[str(key)] = account
+        for key in _read_list(f"api_keys of {name}", item.get("api_keys")):
+            if type(key) is not str:
+                # The value is not shown, as it may be a key.
+                raise ValueError(f"a key of {name} is a {type(key).__name__}")
+            accounts[key] = account
     return accounts
 
 
+def _read_list(name: str, value: Any) -> list[Any]:
+    """Return a list, an empty one for ``None``.
+
+    :raises ValueError: if it is neither.
+    """
+    if value is None:
+        return []
+    if type(value) is not list:
+        raise ValueError(f"{name} is a {type(value).__name__}, not a list")
+    return value
+
+
 def _read_limits(item: dict[str, Any]) -> ClientLimits:
     defaults = ClientLimits()
     return ClientLimits(
--- a/marigoldswitch/tests/test_client_keys.py
+++ b/marigoldswitch/tests/test_client_keys.py
@@ -54,6 +54,36 @@
     assert not decode(document).unwrap().table.needs_keys
 
 
+# Guards against keys that are made of values of another type, which can be guessed.
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        {},
+        0,
+        False,
+        "",
+        [{"name": ACCOUNT, "api_keys": [None]}],
+        [{"name": ACCOUNT, "api_keys": [True]}],
+        [{"name": ACCOUNT, "api_keys": [1]}],
+        [{"name": ACCOUNT, "api_keys": [[]]}],
+        [{"name": ACCOUNT, "api_keys": KEY}],
+        [{"name": ACCOUNT, "api_keys": {KEY: 1}}],
+        [{"name": ACCOUNT, "api_keys": ""}],
+        [{"name": None, "api_keys": [KEY]}],
+        [{"api_keys": [KEY]}],
+        [None],
+    ],
+)
+def test_accounts_and_keys_of_the_wrong_type_are_refused(tenants):
+    assert decode(build_document(2, tenants)).is_err()
+
+
+def test_error_on_a_key_does_not_show_it():
+    keys = [KEY, [KEY]]
+    document = build_document(2, [{"name": ACCOUNT, "api_keys": keys}])
+    assert KEY not in decode(document).unwrap_err()
+
+
 class Callers:
     """Sends requests with and without keys to all hosts of a site."""
 
@@ -152,3 +182,21 @@
             await check_closed(callers)
 
     run_scenario(scenario())
+
+
+# Guards against a host that serves nobody, or anybody, after a version it can't read.
+def test_version_with_unreadable_keys_leaves_the_one_before_in_force():
+    async def scenario():
+        async with run_site(desks=2, hosts=2) as site:
+            callers = Callers(site)
+            unreadable = build_document(2, [{"name": ACCOUNT, "api_keys": [None]}])
+            site.store.put("op", "config", unreadable)
+            late = await site.add_host("late", "south")
+            await site.wait_until(lambda: late.is_ready)
+            assert await callers.ask_all(KEY) == {200}
+            assert await callers.ask_all("None") == {401}
+            assert await callers.ask_all(UNKNOWN_KEY) == {401}
+            await callers.put_in_force(build_document(3, NO_KEYS))
+            await check_closed(callers)
+
+    run_scenario(scenario())
