Refuse flags of a route that are no booleans

Seen by callers: none yet; `"public": "false"` opened a route to callers without a key, `"resumable": "false"` let a stream that may run once be run again.

Cause: a flag was set if its value was not empty.

Ruled out: reading "false" as the word; other texts are just as possible.

Change: a flag is a boolean, or missing or null and then not set; with anything else the version is refused.

Tests: 16 of 18 cases in test_platform_configuration.py failed before, all pass.

--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -181,14 +181,25 @@
         int(item.get("priority", 0)),
         _read_backends(item),
         max(1, int(item.get("max_attempts", 1))),
-        bool(item.get("public", False)),
-        bool(item.get("resumable", False)),
+        _read_flag(item, "public"),
+        _read_flag(item, "resumable"),
         longest_gap,
         latency_target,
         _derive_caller_patience(latency_target, longest_gap),
     )
 
 
+def _read_flag(item: dict[str, Any], name: str) -> bool:
+    """Return a flag of a route; a missing one is not set.
+
+    :raises ValueError: if it is of another type: a text such as "false" is not empty.
+    """
+    value = item.get(name)
+    if value is not None and type(value) is not bool:
+        raise ValueError(f"{name} is {value!r}")
+    return bool(value)
+
+
 def _derive_caller_patience(latency_target: float, longest_gap: float) -> float:
     """Return the silence after which callers abandon a stream, in seconds."""
     return max(
--- a/marigoldswitch/tests/test_platform_configuration.py
+++ b/marigoldswitch/tests/test_platform_configuration.py
@@ -69,6 +69,23 @@
     assert isinstance(decode_configuration(content), Err)
 
 
+# Guards against routes that "false" opens to all callers or lets run twice.
+@pytest.mark.parametrize("name", ["public", "resumable"])
+@pytest.mark.parametrize("value", ["false", "no", "", 0, 1, 0.0, [], {}])
+def test_flag_of_another_type_is_refused(name, value):
+    document = build_configuration()
+    document["routes"][0][name] = value
+    assert decode(document).is_err()
+
+
+@pytest.mark.parametrize("fields", [{}, {"public": None, "resumable": None}])
+def test_missing_flag_is_not_set(fields):
+    document = build_configuration()
+    document["routes"][1] |= fields
+    route = decode(document).unwrap().table.routes[1]
+    assert not route.is_public and not route.is_resumable
+
+
 def test_row_of_an_engine():
     row = decode_target("i-1", orjson.dumps(ROW), 12).unwrap()
     assert row.target.accelerator == "l4"
