Refuse routes without a host name or a whole path prefix

Seen by callers: none yet; a route with an empty prefix took the requests of all paths of its host, one with an empty host those without a Host header, and a null counted as the text "None".

Cause: values were converted to text without a look at them.

Ruled out: routes that are simply skipped, as their callers would get 404.

Change: such a version is refused with the value.

Tests: 7 cases in test_platform_configuration.py failed before, all pass now.

--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -174,8 +174,8 @@
     )
     return Route(
         str(item.get("name", "")),
-        str(item["host"]),
-        str(item["prefix"]),
+        _read_host(item),
+        _read_prefix(item),
         ROUTE_KINDS[item["route_type"]],
         float(item["timeout_ms"]) / MILLISECONDS_PER_SECOND,
         int(item.get("priority", 0)),
@@ -189,6 +189,29 @@
     )
 
 
+def _read_host(item: dict[str, Any]) -> str:
+    """Return the host name of a route.
+
+    :raises ValueError: if it is empty, as requests without one would match.
+    """
+    host = item["host"]
+    if type(host) is not str or not host:
+        raise ValueError(f"host is {host!r}")
+    return host
+
+
+def _read_prefix(item: dict[str, Any]) -> str:
+    """Return the path prefix of a route.
+
+    :raises ValueError: if it doesn't begin and end with a slash; an empty one would
+        match all paths.
+    """
+    prefix = item["prefix"]
+    if type(prefix) is not str or not (prefix[:1] == prefix[-1:] == "/"):
+        raise ValueError(f"prefix is {prefix!r}")
+    return prefix
+
+
 def _read_flag(item: dict[str, Any], name: str) -> bool:
     """Return a flag of a route; a missing one is not set.
 
--- a/marigoldswitch/tests/test_platform_configuration.py
+++ b/marigoldswitch/tests/test_platform_configuration.py
@@ -86,6 +86,31 @@
     assert not route.is_public and not route.is_resumable
 
 
+# Guards against routes that take the requests of all paths, or of no host name.
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("prefix", ""),
+        ("prefix", None),
+        ("prefix", "/a"),
+        ("prefix", "a/"),
+        ("prefix", ["/"]),
+        ("host", ""),
+        ("host", None),
+    ],
+)
+def test_route_without_a_host_or_a_whole_prefix_is_refused(name, value):
+    document = build_configuration()
+    document["routes"][0][name] = value
+    assert decode(document).is_err()
+
+
+def test_prefix_of_a_single_slash_is_whole():
+    document = build_configuration()
+    document["routes"][0]["prefix"] = "/"
+    assert decode(document).unwrap().table.routes[0].prefix == "/"
+
+
 def test_row_of_an_engine():
     row = decode_target("i-1", orjson.dumps(ROW), 12).unwrap()
     assert row.target.accelerator == "l4"
