Refuse requests of a route without a service as not run

Seen by callers: 500 for each request of a route whose services all have weight 0, with a Retry-After missing; 500 promises nothing, so one-time requests were given up.

Cause: services of weight 0 are left out of a route, and the draw among none raised.

Ruled out: refusing the version: its other routes are sound, and a route may be emptied before its removal.

Change: such a route answers 503 as not run.

--- a/marigoldswitch/core/routes.py
+++ b/marigoldswitch/core/routes.py
@@ -67,8 +67,13 @@
             return self.is_resumable
         return self.kind is RouteKind.IDEMPOTENT
 
-    def choose_service(self, rng: random.Random) -> ServiceName:
-        """Return the service for one request, chosen at random by weight."""
+    def choose_service(self, rng: random.Random) -> ServiceName | None:
+        """Return the service for one request, chosen at random by weight.
+
+        :return: ``None`` if no service has a share of the route.
+        """
+        if not self.services:
+            return None
         if len(self.services) == 1:
             return self.services[0].service
         bounds = list(itertools.accumulate(item.weight for item in self.services))
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -165,7 +165,7 @@
             raise RequestRefused(Fault(ErrorKind.UNKNOWN_ROUTE))
         account = _find_account(table, route, call)
         service_name = route.choose_service(self._parts.source)
-        service = table.services.get(service_name)
+        service = table.services.get(service_name) if service_name else None
         if service is None:
             raise RequestRefused(
                 Fault(ErrorKind.NO_TARGET, "the service is not configured")
--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -240,11 +240,24 @@
     backends = item.get("backends")
     if not backends:
         return (WeightedService(ServiceName(item["service"]), 1.0),)
-    return tuple(
-        WeightedService(ServiceName(backend["service"]), float(backend["weight"]))
+    shares = (
+        WeightedService(
+            ServiceName(backend["service"]), _read_number(backend, "weight")
+        )
         for backend in backends
-        if float(backend["weight"]) > 0.0
     )
+    return tuple(item for item in shares if item.weight > 0.0)
+
+
+def _read_number(item: dict[str, Any], name: str) -> float:
+    """Return a number of a configuration.
+
+    :raises ValueError: if it is not a finite number of at least 0.
+    """
+    value = item[name]
+    if type(value) not in (int, float) or not 0.0 <= value < math.inf:
+        raise ValueError(f"{name} is {value!r}")
+    return float(value)
 
 
 def _read_service(item: dict[str, Any]) -> ServiceSpec:
--- a/marigoldswitch/tests/test_gateway.py
+++ b/marigoldswitch/tests/test_gateway.py
@@ -148,6 +148,26 @@
     run_scenario(scenario())
 
 
+# Guards against internal faults on a route whose services all have weight 0.
+def test_request_for_a_route_without_a_service_is_refused_as_not_run():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            document = build_configuration(2)
+            for route in document["routes"]:
+                route["backends"] = [{"service": route["service"], "weight": 0}]
+            site.store.put("op", "config", document)
+            await site.wait_until(
+                lambda: site.hosts[0].parts.runs.directory.version == 2
+            )
+            for path in ("/draft/", "/once/", "/look/"):
+                async with site.call(path, 1) as answer:
+                    assert answer.status == 503
+                    assert float(answer.headers["Retry-After"]) > 0.0
+            assert not site.desks[0].runs
+
+    run_scenario(scenario())
+
+
 def test_body_over_the_limit_is_refused():
     async def scenario():
         async with run_site(desks=1) as site:
--- a/marigoldswitch/tests/test_platform_configuration.py
+++ b/marigoldswitch/tests/test_platform_configuration.py
@@ -62,6 +62,13 @@
     assert [item.service for item in found.services] == ["desk"]
 
 
+@pytest.mark.parametrize("weight", [-1, None, "", "0", True])
+def test_weight_that_is_no_number_is_refused(weight):
+    document = build_configuration()
+    document["routes"][1]["backends"] = [{"service": "desk", "weight": weight}]
+    assert decode(document).is_err()
+
+
 @pytest.mark.parametrize(
     "content", [b"", b"[]", b"{}", b'{"version": "x", "routes": [], "services": []}']
 )
