Refuse limits for callers that are negative or no numbers

Seen by callers: none yet; with a negative max_body_bytes a host reads bodies of any size into its memory, as a negative count reads to the end, and limits that are an empty list, 0 or false counted as missing.

Cause: limits were converted to numbers without a look at their range, and empty values of any type replaced by the defaults.

Ruled out: 0 as "no limit": it allows requests without a body only, as it says.

Change: a limit is a finite number of at least 0, or missing. `limits` are an object, or missing or null.

--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -162,7 +162,7 @@
             for item in document["services"]
         },
         _read_accounts(document.get("tenants")),
-        _read_limits(document.get("limits") or {}),
+        _read_limits(document.get("limits")),
         needs_keys="tenants" in document,
     )
 
@@ -349,19 +349,27 @@
     return value
 
 
-def _read_limits(item: dict[str, Any]) -> ClientLimits:
+def _read_limits(item: Any) -> ClientLimits:
+    """Return the limits for callers; those that are missing have their defaults.
+
+    :raises ValueError: if a limit is no finite number of at least 0. A negative one
+        would count as none.
+    """
+    if item is None:
+        return ClientLimits()
+    if type(item) is not dict:
+        raise ValueError(f"limits are {item!r}")
+
+    def read(name: str, default: float) -> float:
+        return _read_number(item, name) if name in item else default
+
+    def read_seconds(name: str, default: float) -> float:
+        return read(name, default * MILLISECONDS_PER_SECOND) / MILLISECONDS_PER_SECOND
+
     defaults = ClientLimits()
     return ClientLimits(
-        int(item.get("max_header_bytes", defaults.header_bytes)),
-        int(item.get("max_body_bytes", defaults.body_bytes)),
-        float(
-            item.get(
-                "header_timeout_ms", defaults.header_seconds * MILLISECONDS_PER_SECOND
-            )
-        )
-        / MILLISECONDS_PER_SECOND,
-        float(
-            item.get("idle_timeout_ms", defaults.idle_seconds * MILLISECONDS_PER_SECOND)
-        )
-        / MILLISECONDS_PER_SECOND,
+        int(read("max_header_bytes", defaults.header_bytes)),
+        int(read("max_body_bytes", defaults.body_bytes)),
+        read_seconds("header_timeout_ms", defaults.header_seconds),
+        read_seconds("idle_timeout_ms", defaults.idle_seconds),
     )
--- a/marigoldswitch/tests/test_gateway.py
+++ b/marigoldswitch/tests/test_gateway.py
@@ -148,6 +148,22 @@
     run_scenario(scenario())
 
 
+def test_limit_of_zero_bytes_lets_only_requests_without_a_body_in():
+    async def scenario():
+        async with run_site(desks=1) as site:
+            document = build_configuration(2)
+            document["limits"]["max_body_bytes"] = 0
+            site.store.put("op", "config", document)
+            await site.wait_until(
+                lambda: site.hosts[0].parts.runs.directory.version == 2
+            )
+            for data, status in ((b"x", 413), (b"x" * 100_000, 413), (None, 200)):
+                async with site.call("/look/", status, data=data) as answer:
+                    assert answer.status == status
+
+    run_scenario(scenario())
+
+
 # Guards against internal faults on a route whose services all have weight 0.
 def test_request_for_a_route_without_a_service_is_refused_as_not_run():
     async def scenario():
--- a/marigoldswitch/tests/test_platform_configuration.py
+++ b/marigoldswitch/tests/test_platform_configuration.py
@@ -5,7 +5,7 @@
 from result import Err
 
 from marigoldswitch.core.catalogue import LayerRange
-from marigoldswitch.core.routes import RouteKind
+from marigoldswitch.core.routes import ClientLimits, RouteKind
 from marigoldswitch.platform.configuration import (
     REQUIRED_ROW_FIELDS,
     decode_configuration,
@@ -62,6 +62,34 @@
     assert [item.service for item in found.services] == ["desk"]
 
 
+LIMITS = ("max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms")
+
+
+# Guards against a negative limit, which let bodies of any size in.
+@pytest.mark.parametrize("name", LIMITS)
+@pytest.mark.parametrize("value", [-1, -5.5, None, "", "1", True, [], {}])
+def test_limit_that_is_no_number_is_refused(name, value):
+    document = build_configuration()
+    document["limits"] = {name: value}
+    assert decode(document).is_err()
+
+
+@pytest.mark.parametrize("limits", [[], "", 0, False, [1]])
+def test_limits_that_are_no_object_are_refused(limits):
+    assert decode({**build_configuration(), "limits": limits}).is_err()
+
+
+@pytest.mark.parametrize("limits", [None, {}])
+def test_missing_limits_have_their_defaults(limits):
+    table = decode({**build_configuration(), "limits": limits}).unwrap().table
+    assert table.limits == ClientLimits()
+
+
+def test_limit_of_zero_bytes_allows_no_body():
+    document = {**build_configuration(), "limits": {"max_body_bytes": 0}}
+    assert decode(document).unwrap().table.limits.body_bytes == 0
+
+
 @pytest.mark.parametrize("weight", [-1, None, "", "0", True])
 def test_weight_that_is_no_number_is_refused(weight):
     document = build_configuration()
