Refuse configurations whose zeros can't be divided by

Seen by operators: an engine with 0 layers or a reading rate of 0 raised ZeroDivisionError out of the decoder. The follower of the store logged a traceback (`follower_failed`) and not what is wrong with the version; with a version from a peer the handler of the message failed.

Cause: the decoder's list of errors had none of arithmetic.

Change: such a version is refused like others that can't be read.

Tests: 2 cases failed before, both pass now.

--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -56,6 +56,8 @@
 }
 """Fields that a target's row must have, with the types that each may have."""
 MAX_PORT = 65_535
+INVALID_CONTENT = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError)
+"""Errors that content of another form raises while it is decoded."""
 
 
 def decode_configuration(content: bytes) -> Result[StoredConfiguration, str]:
@@ -63,7 +65,7 @@
     try:
         document = orjson.loads(content)
         return Ok(StoredConfiguration(_read_routing_table(document), content))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except INVALID_CONTENT as error:
         return Err(f"{type(error).__name__}: {error}")
 
 
@@ -76,7 +78,7 @@
     try:
         row = orjson.loads(content)
         return Ok(_read_target(key, row, revision))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except INVALID_CONTENT as error:
         return Err(f"{type(error).__name__}: {error}")
 
 
--- a/marigoldswitch/tests/test_platform_configuration.py
+++ b/marigoldswitch/tests/test_platform_configuration.py
@@ -62,6 +62,14 @@
     assert [item.service for item in found.services] == ["desk"]
 
 
+# Guards against zeros that raise an error instead of being refused.
+@pytest.mark.parametrize("name", ["layers", "read_per_s"])
+def test_engine_with_a_value_of_zero_is_refused(name):
+    document = build_configuration()
+    document["services"][0]["engine"][name] = 0
+    assert decode(document).is_err()
+
+
 LIMITS = ("max_header_bytes", "max_body_bytes", "header_timeout_ms", "idle_timeout_ms")
 
 
