Refuse a configuration whose version is no whole number above 0

Seen by callers: with a first configuration of version 0 or below no host becomes ready, and nothing says why; 7.5 counted as 7, true as 1.

Cause: version 0 stands for no configuration, in the directory and between hosts, so that one of version 0 is never newer.

Ruled out: taking 0 as a version: peers could not ask for it, as digests carry it as none.

Change: such a version is refused, and the error says so.

Tests: 5 of 7 cases in test_platform_configuration.py failed before, all pass now.

--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -157,7 +157,7 @@
 
 def _read_routing_table(document: dict[str, Any]) -> RoutingTable:
     return RoutingTable(
-        int(document["version"]),
+        _read_version(document),
         tuple(_read_route(item) for item in document["routes"]),
         {
             ServiceName(item["name"]): _read_service(item)
@@ -169,6 +169,17 @@
     )
 
 
+def _read_version(document: dict[str, Any]) -> int:
+    """Return the version of a configuration.
+
+    :raises ValueError: if it is no whole number above 0, which stands for none.
+    """
+    version = document["version"]
+    if type(version) is not int or version < 1:
+        raise ValueError(f"version is {version!r}")
+    return version
+
+
 def _read_route(item: dict[str, Any]) -> Route:
     longest_gap = float(item.get("target_gap_ms") or 0.0) / MILLISECONDS_PER_SECOND
     latency_target = (
--- a/marigoldswitch/tests/test_platform_configuration.py
+++ b/marigoldswitch/tests/test_platform_configuration.py
@@ -62,6 +62,12 @@
     assert [item.service for item in found.services] == ["desk"]
 
 
+# Guards against a version that no host puts in force, and no log line tells why.
+@pytest.mark.parametrize("version", [0, -1, None, True, 7.5, "7", []])
+def test_version_that_is_no_whole_number_above_zero_is_refused(version):
+    assert decode(build_configuration(version)).is_err()
+
+
 # Guards against zeros that raise an error instead of being refused.
 @pytest.mark.parametrize("name", ["layers", "read_per_s"])
 def test_engine_with_a_value_of_zero_is_refused(name):
