Log and count keys that a configuration takes away

Seen by operators: nothing told them that a version had left accounts without keys, or that hosts had ceased to need any; `configuration_adopted` counts routes only.

A version without keys joins the changes under which running requests must end whole.

--- a/marigoldswitch/core/routes.py
+++ b/marigoldswitch/core/routes.py
@@ -123,6 +123,7 @@
     :param accounts: client accounts by key.
     :param needs_keys: whether routes that aren't public need a key, even if no account
         holds one.
+    :param accounts_without_keys: client accounts that hold no key.
     """
 
     version: int
@@ -131,6 +132,7 @@
     accounts: Mapping[str, RoutedAccount]
     limits: ClientLimits
     needs_keys: bool = True
+    accounts_without_keys: tuple[AccountId, ...] = ()
     routes_by_host: Mapping[str, tuple[Route, ...]] = field(init=False)
     services_with_gap_limit: frozenset[ServiceName] = field(init=False)
     """Services of the routes that limit the pauses of their streams."""
--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -41,6 +41,18 @@
         for service in self._ramping_services:
             self._metrics.targets_ramping.set({"service": service}, counts[service])
 
+    def set_client_keys(
+        self, needs_keys: bool, without_keys: int, removed: int
+    ) -> None:
+        """Record the keys of the configuration that comes into force.
+
+        :param without_keys: number of client accounts that hold no key.
+        :param removed: number of keys that it takes away.
+        """
+        self._metrics.keys_needed.set({}, int(needs_keys))
+        self._metrics.accounts_without_keys.set({}, without_keys)
+        self._metrics.client_keys_removed.add({}, removed)
+
     def count_end(self, service: str, end: str, seconds: float | None) -> None:
         """Count one request that has ended.
 
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -20,6 +20,7 @@
 from marigoldswitch.core.send_limits import SendLimits
 from marigoldswitch.gateway.admission import Admission
 from marigoldswitch.gateway.bounded_reads import Reader, ReadGuard
+from marigoldswitch.gateway.client_keys import ClientKeys
 from marigoldswitch.gateway.connections import (
     SHORT_IDLE_SECONDS,
     Connections,
@@ -99,6 +100,7 @@
     directory, loads, state = Directory(statements, source), Loads(home), HostState()
     directory.ramps.loads = loads
     directory.watch(lambda table: guard.apply_limits(table.limits))
+    directory.watch(ClientKeys(gateway_metrics).apply_table)
     planner = ChainPlanner(directory, loads, clock, home, source)
     directory.ramps.slowness = planner.slowness
     owns_from = 0.0 if settings.is_first_start else clock.monotonic() + START_SECONDS
--- a/marigoldswitch/platform/configuration.py
+++ b/marigoldswitch/platform/configuration.py
@@ -156,6 +156,7 @@
 
 
 def _read_routing_table(document: dict[str, Any]) -> RoutingTable:
+    accounts, without_keys = _read_accounts(document.get("tenants"))
     return RoutingTable(
         _read_version(document),
         tuple(_read_route(item) for item in document["routes"]),
@@ -163,9 +164,10 @@
             ServiceName(item["name"]): _read_service(item)
             for item in document["services"]
         },
-        _read_accounts(document.get("tenants")),
+        accounts,
         _read_limits(document.get("limits")),
         needs_keys="tenants" in document,
+        accounts_without_keys=without_keys,
     )
 
 
@@ -326,18 +328,22 @@
     )
 
 
-def _read_accounts(tenants: Any) -> dict[str, RoutedAccount]:
-    """Return the client accounts by key.
+def _read_accounts(
+    tenants: Any,
+) -> tuple[dict[str, RoutedAccount], tuple[AccountId, ...]]:
+    """Return the client accounts by key, and those that hold none.
 
     :param tenants: ``None`` if there are none.
     :raises ValueError: if a value is of the wrong type, as a key that is made of it
         could be guessed.
     """
-    accounts = {}
+    accounts: dict[str, RoutedAccount] = {}
+    names = []
     for item in _read_list("tenants", tenants):
         name = item["name"]
         if type(name) is not str:
             raise ValueError(f"the name of a tenant is {name!r}")
+        names.append(AccountId(name))
         priority = item.get("priority")
         account = RoutedAccount(
             AccountId(name), None if priority is None else int(priority)
@@ -347,7 +353,8 @@
                 # The value is not shown, as it may be a key.
                 raise ValueError(f"a key of {name} is a {type(key).__name__}")
             accounts[key] = account
-    return accounts
+    with_keys = {item.id for item in accounts.values()}
+    return accounts, tuple(name for name in names if name not in with_keys)
 
 
 def _read_list(name: str, value: Any) -> list[Any]:
--- a/marigoldswitch/tests/test_changing_configurations.py
+++ b/marigoldswitch/tests/test_changing_configurations.py
@@ -36,6 +36,10 @@
     document["tenants"][0]["api_keys"] = ["key-of-another"]
 
 
+def drop_all_keys(document):
+    document["tenants"][0]["api_keys"] = []
+
+
 def drop_services(document):
     document["services"] = []
 
@@ -71,6 +75,7 @@
     drop_one_route,
     drop_accounts,
     drop_key,
+    drop_all_keys,
     drop_services,
     drop_services_and_routes,
     rename_services,
--- a/marigoldswitch/tests/test_client_keys.py
+++ b/marigoldswitch/tests/test_client_keys.py
@@ -2,7 +2,11 @@
 
 import orjson
 import pytest
+from structlog.testing import capture_logs
 
+from marigoldswitch.gateway.client_keys import ClientKeys
+from marigoldswitch.gateway.metrics import GatewayMetrics
+from marigoldswitch.metrics import Metrics
 from marigoldswitch.platform.configuration import decode_configuration
 from marigoldswitch.tests.gateway_site import (
     ACCOUNT,
@@ -84,6 +88,58 @@
     assert KEY not in decode(document).unwrap_err()
 
 
+OTHER = {"name": "other", "api_keys": ["key-of-another"]}
+
+
+def apply_versions(*tenants_by_version):
+    """Return the metrics and the log lines of versions, one after the other."""
+    metrics = Metrics()
+    keys = ClientKeys(GatewayMetrics(metrics))
+    with capture_logs() as lines:
+        for version, tenants in enumerate(tenants_by_version, 1):
+            document = build_document(version, tenants)
+            if tenants is None:
+                del document["tenants"]
+            keys.apply_table(decode(document).unwrap().table)
+    return metrics, lines
+
+
+def test_version_that_takes_the_last_key_away_is_logged_and_counted():
+    held = [{"name": ACCOUNT, "api_keys": [KEY]}]
+    metrics, lines = apply_versions(held, held, NO_KEYS)
+    assert [line["version"] for line in lines] == [1, 3]
+    last = lines[-1]
+    assert last["event"] == "client_keys_changed" and last["log_level"] == "warning"
+    assert (last["removed"], last["added"], last["held"]) == (1, 0, 0)
+    assert last["needs_keys"] and last["without_keys"] == (ACCOUNT,)
+    assert KEY not in str(lines)
+    assert metrics.client_keys_removed.get({}) == 1
+    assert metrics.accounts_without_keys.get({}) == 1
+    assert metrics.keys_needed.get({}) == 1
+
+
+def test_keys_that_come_and_go_are_counted_for_each_version():
+    held = [{"name": ACCOUNT, "api_keys": [KEY, "second"]}, OTHER]
+    fewer = [{"name": ACCOUNT, "api_keys": [KEY]}, {**OTHER, "api_keys": []}]
+    metrics, lines = apply_versions(held, fewer, held)
+    assert [(line["removed"], line["added"]) for line in lines] == [
+        (0, 3),
+        (2, 0),
+        (0, 2),
+    ]
+    levels = [line["log_level"] for line in lines]
+    assert levels == ["info", "warning", "info"]
+    assert metrics.client_keys_removed.get({}) == 2
+    assert metrics.accounts_without_keys.get({}) == 0
+
+
+def test_version_that_names_no_accounts_any_more_is_logged_as_a_warning():
+    metrics, lines = apply_versions([OTHER], None)
+    assert lines[-1]["log_level"] == "warning" and not lines[-1]["needs_keys"]
+    assert metrics.keys_needed.get({}) == 0
+    assert metrics.client_keys_removed.get({}) == 1
+
+
 class Callers:
     """Sends requests with and without keys to all hosts of a site."""
 
@@ -122,6 +178,13 @@
         return sum(sum(desk.runs.values()) for desk in self._site.desks)
 
 
+async def read_metrics(site, host):
+    """Return the lines of a host's metrics."""
+    ready = site.hosts[host].settings.addresses.readiness
+    async with site.client.get(f"http://{ready}/metrics") as answer:
+        return (await answer.text()).splitlines()
+
+
 async def check_closed(callers):
     """Assert that no key opens a route that needs one, and that public ones serve."""
     runs = callers.count_runs()
@@ -139,6 +202,9 @@
             for version, tenants in ((2, NO_KEYS), (3, []), (4, None)):
                 await callers.put_in_force(build_document(version, tenants))
                 await check_closed(callers)
+            for host in range(2):
+                lines = await read_metrics(site, host)
+                assert "marigoldswitch_client_keys_removed_total 1" in lines
 
     run_scenario(scenario())
 
