Warn of a version that lets nobody in for want of accounts

Change: client_keys_changed is a warning wherever keys are needed and none is held.

Tests: 1 of 2 cases failed before, both pass.

--- a/marigoldswitch/gateway/client_keys.py
+++ b/marigoldswitch/gateway/client_keys.py
@@ -27,6 +27,7 @@
         without_keys = table.accounts_without_keys
         self._metrics.set_client_keys(table.needs_keys, len(without_keys), removed)
         is_opened = not table.needs_keys and (before is None or before.needs_keys)
+        is_closed = table.needs_keys and not table.accounts
         has_changed = (
             before is None
             or removed > 0
@@ -36,7 +37,7 @@
         )
         if not has_changed:
             return
-        log = logger.warning if without_keys or is_opened else logger.info
+        log = logger.warning if without_keys or is_opened or is_closed else logger.info
         log(
             "client_keys_changed",
             version=table.version,
--- a/marigoldswitch/tests/test_client_keys.py
+++ b/marigoldswitch/tests/test_client_keys.py
@@ -118,6 +118,12 @@
     assert metrics.keys_needed.get({}) == 1
 
 
+@pytest.mark.parametrize("tenants", [[], NO_KEYS])
+def test_version_that_lets_nobody_in_is_logged_as_a_warning(tenants):
+    _, lines = apply_versions([OTHER], tenants)
+    assert lines[-1]["log_level"] == "warning"
+
+
 def test_keys_that_come_and_go_are_counted_for_each_version():
     held = [{"name": ACCOUNT, "api_keys": [KEY, "second"]}, OTHER]
     fewer = [{"name": ACCOUNT, "api_keys": [KEY]}, {**OTHER, "api_keys": []}]
