Refuse requests without an Attempt-Id instead of sending them on

Seen by callers: 502 "the target was lost" for a request without an id.

Cause: a missing id was read as an empty one, and answers are told apart by the id.

Change: 400 at once, logged as request_malformed and counted, as are other requests that can't be read; these were neither.

--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -103,7 +103,10 @@
         headers = http.headers if terms is None else drop_own_headers(http.headers)
         match self._parts.codec.read_call(http.method, http.raw_path, headers):
             case Err(why):
-                return self._build_refusal(None, Fault(ErrorKind.MALFORMED, why))
+                fault = Fault(ErrorKind.MALFORMED, why)
+                self._metrics.count_end("", fault.kind.value, None)
+                logger.info("request_malformed", why=why, path=http.path)
+                return self._build_refusal(None, fault)
             case Ok(call):
                 pass
         exchange: Exchange | None = None
--- a/marigoldswitch/platform/headers.py
+++ b/marigoldswitch/platform/headers.py
@@ -88,6 +88,10 @@
     ) -> Result[Call, str]:
         """Decode a caller's request, or return what is wrong with it."""
         host = headers.get("Host", "")
+        request = headers.get(ATTEMPT_ID, "")
+        if not request:
+            # Targets refuse it, and their answers could not be told from others.
+            return Err(f"{ATTEMPT_ID} is missing")
         try:
             wait = _read_deadline(headers.get(DEADLINE))
             prompt_tokens, answer_tokens = _read_tokens(headers)
@@ -95,7 +99,7 @@
             return Err(str(error))
         return Ok(
             Call(
-                RequestId(headers.get(ATTEMPT_ID, "")),
+                RequestId(request),
                 method,
                 host,
                 path,
--- a/marigoldswitch/tests/test_gateway.py
+++ b/marigoldswitch/tests/test_gateway.py
@@ -11,6 +11,7 @@
 from marigoldswitch.tests.gateway_site import (
     ACCOUNT,
     ALL_EVENTS,
+    KEY,
     build_configuration,
     check_layers,
     get_targets,
@@ -184,6 +185,25 @@
     run_scenario(scenario())
 
 
+# Guards against targets that count as failing for requests that they can't answer.
+@pytest.mark.parametrize("headers", [{}, {"Attempt-Id": ""}])
+@pytest.mark.parametrize("path", ["/draft/", "/once/", "/look/"])
+def test_request_without_an_id_is_refused_and_reaches_no_target(path, headers):
+    async def scenario():
+        async with run_site(desks=2) as site:
+            address = site.hosts[0].settings.addresses.callers
+            own = {"Host": "drafts.example", "Authorization": f"Token {KEY}"}
+            async with site.client.post(
+                f"http://{address}{path}", headers=own | headers, data=b"x"
+            ) as answer:
+                assert answer.status == 400
+            assert not any(desk.runs for desk in site.desks)
+            async with site.call("/look/", 1) as answer:
+                assert answer.status == 200
+
+    run_scenario(scenario())
+
+
 def test_body_over_the_limit_is_refused():
     async def scenario():
         async with run_site(desks=1) as site:
