Let no entry of an unnamed service displace a target before a configuration is known

Cause: a host that hears of the targets before its first configuration takes every service as named, so that an entry of an unnamed service drops the target at its address, and nothing looks at the addresses again when the configuration arrives.

Change: without a configuration no service is named, so that nothing is displaced; each configuration that comes into force settles who holds an address, by revision. That also settles it for services that a later version names.

--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -218,10 +218,7 @@
         self._dropped.pop(name, None)
         self.revision = max(self.revision, row.revision)
         self._rows[name] = row
-        if self.knows_service(row.target.service):
-            # A target of an unknown service must not displace one at its address.
-            self._replace_predecessor(row)
-            self._by_address[row.target.address] = name
+        self._claim_address(row)
         if row.leaving:
             self._leaving.setdefault(name, now)
             if self.targets.pop(name, None) is not None or known is None:
@@ -354,6 +351,25 @@
         restarted = replace(row, target=target, born=born, leaving=leaving)
         self.put(restarted, leaving_since if leaving_since is not None else 0.0)
 
+    def claim_addresses(self) -> None:
+        """Drop the targets that have been replaced at their addresses.
+
+        To be called when a configuration comes into force, as it may name services of
+        known rows.
+        """
+        for row in sorted(self._rows.values(), key=lambda item: item.revision):
+            if row.target.id in self._rows:
+                self._claim_address(row)
+
+    def _claim_address(self, row: TargetRow) -> None:
+        """Replace the target at a row's address by that of the row.
+
+        A target of an unknown service must not displace one at its address.
+        """
+        if self.knows_service(row.target.service):
+            self._replace_predecessor(row)
+            self._by_address[row.target.address] = row.target.id
+
     def _replace_predecessor(self, row: TargetRow) -> None:
         """Drop the target at the row's address if older: a restart has replaced it."""
         old = self._by_address.get(row.target.address)
--- a/marigoldswitch/gateway/directory.py
+++ b/marigoldswitch/gateway/directory.py
@@ -92,6 +92,7 @@
             source=source,
             routes=len(stored.table.routes),
         )
+        self.registry.claim_addresses()
         for listener in self._listeners:
             listener(stored.table)
         return True
@@ -108,7 +109,8 @@
         return None if target.accelerator and is_far else target.service
 
     def _knows_service(self, name: ServiceName) -> bool:
-        return self.table is None or name in self.table.services
+        """Return whether the configuration in force, if there is one, has a service."""
+        return self.table is not None and name in self.table.services
 
     def _note_restored(self, restored: StoreRestored) -> None:
         logger.warning(
--- a/marigoldswitch/tests/test_gateway.py
+++ b/marigoldswitch/tests/test_gateway.py
@@ -204,6 +204,29 @@
     run_scenario(scenario())
 
 
+# Guards against targets that a starting host loses to entries of an unnamed service.
+def test_host_that_hears_of_targets_before_its_configuration_uses_them_all():
+    async def scenario():
+        async with run_site(desks=2, hosts=0) as site:
+            site.store.delete("op", "config")
+            for desk in site.desks:
+                site.register_target(
+                    desk, "elsewhere", "north", name=f"{desk.name}-other"
+                )
+            host = await site.add_host("h0", "north")
+            directory = host.parts.runs.directory
+            await site.wait_until(lambda: directory.has_targets)
+            site.store.put("op", "config", build_configuration(1))
+            await site.wait_until(lambda: host.is_ready)
+            assert {item.id for item in directory.registry.list_targets("desk")} == {
+                desk.name for desk in site.desks
+            }
+            async with site.call("/once/", 1) as answer:
+                assert answer.status == 200
+
+    run_scenario(scenario())
+
+
 def test_body_over_the_limit_is_refused():
     async def scenario():
         async with run_site(desks=1) as site:
--- a/marigoldswitch/tests/test_registry.py
+++ b/marigoldswitch/tests/test_registry.py
@@ -11,6 +11,9 @@
     TargetRegistry,
     TargetRow,
 )
+from marigoldswitch.core.routes import ClientLimits, RoutingTable, ServiceSpec
+from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.ports import StoredConfiguration
 
 NAME = TargetId("i-1")
 
@@ -188,6 +191,50 @@
     assert set(registry.targets) == {"i-2"}
 
 
+def build_directory(*services):
+    """Return a directory and a function that puts services in force."""
+    directory = Directory()
+
+    def name_services(version, *names):
+        specs = {ServiceName(name): ServiceSpec(ServiceName(name)) for name in names}
+        table = RoutingTable(version, (), specs, {}, ClientLimits())
+        directory.adopt(StoredConfiguration(table, b""), "test")
+
+    if services:
+        name_services(1, *services)
+    return directory, name_services
+
+
+# Guards against targets that a starting host loses to entries of an unnamed service.
+def test_row_of_an_unnamed_service_displaces_nothing_before_a_configuration_is_known():
+    directory, name_services = build_directory()
+    registry = directory.registry
+    rows = [build_row("i-1", 1), build_row("other", 2, service="elsewhere")]
+    registry.replace_all(rows, 2, 0.0)
+    name_services(1, "s")
+    assert [item.id for item in registry.list_targets(ServiceName("s"))] == ["i-1"]
+
+
+def test_successor_at_an_address_displaces_the_older_target_once_services_are_known():
+    directory, name_services = build_directory()
+    rows = [build_row("i-2", 5), build_row("i-1", 1), build_row("i-3", 9, address="b")]
+    directory.registry.replace_all(rows, 9, 0.0)
+    name_services(1, "s")
+    assert set(directory.registry.targets) == {"i-2", "i-3"}
+    directory.registry.put(build_row("i-4", 10), 1.0)
+    assert set(directory.registry.targets) == {"i-4", "i-3"}
+
+
+def test_row_of_a_service_that_is_named_later_takes_its_address_then():
+    directory, name_services = build_directory("s")
+    registry = directory.registry
+    registry.put(build_row("i-1", 1), 0.0)
+    registry.put(build_row("i-2", 2, service="t"), 1.0)
+    assert "i-1" in registry.targets
+    name_services(2, "s", "t")
+    assert set(registry.targets) == {"i-2"}
+
+
 ROWS = st.builds(
     lambda born, revision, leaving, layers: build_row(
         revision=revision, leaving=leaving, born=1000 * born, layers=layers
