Take a target back whose entry another writer has put in its place

Cause: the start that the other writer stated was compared with the target's own, which then counted as an earlier start whatever its revision; an entry that says "draining" would also have left the target marked as ending.

Ruled out: the revision (the own entry's is higher); the check of services, which lets it pass; a missing notice of the change, as the row arrives and is dropped in put().

Change: rows under one id with different services come from different writers, as a target never changes its service. Between them the revision decides; what an unnamed service's entry says of the start and of leaving is not taken over, and the target's own word that it leaves stands.

--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -203,15 +203,20 @@
         """Add or update a target from a row; an outdated row is ignored."""
         name = row.target.id
         known = self._rows.get(name)
+        is_of_other_writer = known is not None and _is_of_other_writer(row, known)
         if known is not None and _is_older(row, known):
             return
+        if known is not None and is_of_other_writer:
+            row = self._keep_start(row, known)
         row = self._keep_leaving(row)
         if self._restored_revision:
             reconciled = self._reconcile(row, known)
             if reconciled is None:
                 return
             row = reconciled
-        if known is not None and row.born > known.born > 0:
+        if is_of_other_writer:
+            self._leaving.pop(name, None)
+        elif known is not None and row.born > known.born > 0:
             self._drop(name)
             known = None
         self._lapsed.pop(name, None)
@@ -231,6 +236,18 @@
         elif changed:
             self._notify(Change.UPDATED, row.target)
 
+    def _keep_start(self, row: TargetRow, known: TargetRow) -> TargetRow:
+        """Return a row that another writer has put in the place of a target's own.
+
+        If its service is unknown, it says nothing of the target's start and leaving.
+        """
+        is_overwritten = self.knows_service(
+            known.target.service
+        ) and not self.knows_service(row.target.service)
+        if not is_overwritten:
+            return row
+        return replace(row, born=known.born, leaving=known.leaving)
+
     def _keep_leaving(self, row: TargetRow) -> TargetRow:
         """Return a row as leaving if its target has said so since it started."""
         born = self._stated_leaving.get(row.target.id)
@@ -274,6 +291,8 @@
             return row
         if row.born > known.born > 0:
             return row
+        if _is_of_other_writer(row, known) and not is_from_copy:
+            return row
         leaving = known.leaving or row.leaving
         if is_from_copy:
             return replace(known, revision=row.revision, leaving=leaving)
@@ -408,7 +427,18 @@
     """Return whether a row is older than the known one.
 
     A row of an earlier start is older whatever its revision, as it may arrive late.
+    Starts that different writers state don't compare.
     """
+    if _is_of_other_writer(row, known):
+        return row.revision < known.revision
     if row.born and known.born and row.born != known.born:
         return row.born < known.born
     return row.revision < known.revision
+
+
+def _is_of_other_writer(row: TargetRow, known: TargetRow) -> bool:
+    """Return whether two rows under one id come from different writers.
+
+    A target never changes its service.
+    """
+    return row.target.service != known.target.service
--- a/marigoldswitch/tests/test_registry.py
+++ b/marigoldswitch/tests/test_registry.py
@@ -1,5 +1,6 @@
 """Targets stop getting work as soon as they leave, and survive a store outage."""
 
+import pytest
 from hypothesis import given, strategies as st
 
 from marigoldswitch.core.catalogue import LayerRange, Target
@@ -11,6 +12,7 @@
     TargetRegistry,
     TargetRow,
 )
+from marigoldswitch.core.revisions import make_revision
 from marigoldswitch.core.routes import ClientLimits, RoutingTable, ServiceSpec
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import StoredConfiguration
@@ -235,6 +237,46 @@
     assert set(registry.targets) == {"i-2"}
 
 
+# Guards against a target that an entry of another writer under its id keeps out.
+@pytest.mark.parametrize("leaving", [False, True])
+@pytest.mark.parametrize("restored", [False, True])
+def test_target_whose_entry_was_overwritten_by_an_unnamed_service_comes_back(
+    leaving, restored
+):
+    directory, _ = build_directory("s")
+    registry = directory.registry
+    registry.put(build_row("i-1", 1, born=1000), 0.0)
+    if restored:
+        registry.replace_all([build_row("i-1", 1, born=1000)], make_revision(1, 1), 0.5)
+    last = registry.revision
+    foreign = build_row("i-1", last + 1, leaving, service="elsewhere", born=9000)
+    registry.put(foreign, 1.0)
+    assert not registry.list_targets(ServiceName("s"))
+    registry.put(build_row("i-1", last + 2, born=1000), 2.0)
+    assert [item.id for item in registry.list_targets(ServiceName("s"))] == ["i-1"]
+    assert not registry.is_ending(NAME, 9.0)
+    registry.put(build_row("i-1", last + 3, born=900), 3.0)
+    assert registry.rows[NAME].born == 1000
+
+
+def test_entry_of_an_unnamed_service_does_not_undo_what_a_target_has_said():
+    directory, _ = build_directory("s")
+    registry = directory.registry
+    registry.put(build_row("i-1", 1, born=1000), 0.0)
+    assert registry.note_leaving(NAME, 0.5, born=1000)
+    registry.put(build_row("i-1", 2, service="elsewhere", born=9000), 1.0)
+    registry.put(build_row("i-1", 3, born=1000), 2.0)
+    assert not registry.targets
+
+
+def test_older_entry_of_an_unnamed_service_changes_nothing():
+    directory, _ = build_directory("s")
+    registry = directory.registry
+    registry.put(build_row("i-1", 5, born=1000), 0.0)
+    registry.put(build_row("i-1", 4, service="elsewhere", born=9000), 1.0)
+    assert registry.rows[NAME].revision == 5
+
+
 ROWS = st.builds(
     lambda born, revision, leaving, layers: build_row(
         revision=revision, leaving=leaving, born=1000 * born, layers=layers
