Wait for each of two requests in the tests of changing configurations

Two cases failed once beside eight modules: the wait was for two runs in all, and a hedge of the second request made three of them between two looks (log: /look/ with sent=2, retry_granted). The test now waits until each of the two requests has run, which the sum did not say.

--- a/marigoldswitch/tests/test_changing_configurations.py
+++ b/marigoldswitch/tests/test_changing_configurations.py
@@ -130,7 +130,8 @@
         asyncio.create_task(read_answer(site, path, number))
         for number, path in enumerate(("/once/", "/look/"), start=2)
     ]
-    await site.wait_until(lambda: sum(sum(x.runs.values()) for x in site.desks) == 2)
+    ids = {"try-2", "try-3"}
+    await site.wait_until(lambda: ids <= {name for x in site.desks for name in x.runs})
     return stream, begun, plain
 
 
