Pass no failure on that tells callers of a single-run stream to send it again

Cause: a status that says "not run" was kept back for plain requests only; runs over engines pass any failure on.

Ruled out: the promise of the answer (it has no Not-Executed, so that it is counted as a run); repeats by the host (each ran once); refusals of the host itself.

Change: both use one check, which answers 502 in place of 408, 421, 429 and 503 where the request may run only once.

Tests: 6 cases of test_failed_run_of_a_stream_that_may_run_once_is_not_told_to_be_not_run failed before, on stream routes and on routes for requests that may not be repeated; all pass now.

--- a/marigoldswitch/gateway/chain_runs.py
+++ b/marigoldswitch/gateway/chain_runs.py
@@ -15,6 +15,7 @@
 from marigoldswitch.gateway.exchanges import (
     Exchange,
     RunParts,
+    check_answer_status,
     check_hold,
     needs_new_connection,
     note_served,
@@ -193,7 +194,8 @@
     async def _relay_error(self, reply: aiohttp.ClientResponse) -> Completed:
         """Forward an engine's error answer, unless another engine may be tried.
 
-        :raises ChainBroken: if another engine may be tried, or the answer has begun.
+        :raises ChainBroken: if another engine may be tried, or the answer has begun;
+            :class:`RequestRefused` if its status may not be passed on.
         """
         exchange = self._exchange
         may_retry = exchange.route.is_idempotent and reply.status >= 500
@@ -201,6 +203,7 @@
             raise ChainBroken(f"status {reply.status}")
         if may_retry and exchange.run_count < exchange.route.max_targets:
             raise ChainBroken(f"status {reply.status}")
+        check_answer_status(exchange, reply.status)
         bounds = self._parts.upstream.guard.bounds
         body = await read_whole(reply, bounds, "error_bytes")
         if exchange.response is not None or self._claimant.has_rival():
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -34,6 +34,10 @@
 logger = structlog.get_logger(__name__)
 
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that tell callers that a request has not run."""
+
+
 class AbortReason(Enum):
     """Why this host broke an answer off that had begun."""
 
@@ -401,6 +405,19 @@
         parts.crashes.note_served(exchange.fingerprint)
 
 
+def check_answer_status(exchange: Exchange, status: int) -> None:
+    """Check that the status of an answer without a not-run promise may be passed on.
+
+    The target may have run the request. One that may run only once must not come with a
+    status by which its caller sends it again.
+
+    :raises RequestRefused: if the status is not to be passed on.
+    """
+    if status in NOT_RUN_STATUSES and not exchange.route.is_idempotent:
+        detail = f"status {status} without a not-run promise"
+        raise RequestRefused(Fault(ErrorKind.TARGET_FAULT, detail))
+
+
 def has_not_run(exchange: Exchange) -> bool:
     """Return whether the request has certainly not run on any target."""
     return exchange.run_count == 0
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -16,6 +16,7 @@
     Exchange,
     RequestRefused,
     RunParts,
+    check_answer_status,
     check_contact,
     check_hold,
     find_hold,
@@ -45,10 +46,6 @@
 RETRY_SPREAD_SECONDS = 0.5
 """Time over which callers come back to targets that take no requests until a known
 moment."""
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that tell callers that a request has not run. A target that sends one
-without a not-run promise may have run the request: for requests that may run only once,
-such an answer is not passed on."""
 
 
 class PlainRun:
@@ -391,12 +388,8 @@
         :raises RequestRefused: if callers would take its status to mean that the
             request has not run, while it may run only once.
         """
-        exchange = self._exchange
-        implies_not_run = answer.status in NOT_RUN_STATUSES
-        if implies_not_run and not exchange.route.is_idempotent:
-            detail = f"status {answer.status} without a not-run promise"
-            raise RequestRefused(Fault(ErrorKind.TARGET_FAULT, detail))
-        parts = self._parts
+        exchange, parts = self._exchange, self._parts
+        check_answer_status(exchange, answer.status)
         if answer.status < 500:
             note_served(parts, exchange)
             note_answering(parts, exchange)
--- a/marigoldswitch/standins/platform_engines.py
+++ b/marigoldswitch/standins/platform_engines.py
@@ -310,6 +310,7 @@
     :ivar held: the layers as ``(first, end)``; ``None`` while it holds none.
     :ivar sequence: revision of its layers; an order must name the current one.
     :ivar events: number of events in a stream.
+    :ivar statuses: statuses with which it fails the next requests, which it runs.
     :ivar crashing_parts: parts of prompts that crash the engine as it begins to answer,
         unless they come last.
     """
@@ -324,6 +325,7 @@
         self.sequence = 0
         self.orders: list[dict[str, Any]] = []
         self.events = 20
+        self.statuses: list[int] = []
         self.refusals = 0
         """Number of next requests that are refused for lack of memory."""
         self.cut_after: int | None = None
@@ -378,6 +380,10 @@
             answer = self.refuse(http, 503)
             answer.headers["At-Server"] = obstacle
             return answer
+        if self.statuses:
+            self.runs[http.headers["Attempt-Id"]] += 1
+            status = self.statuses.pop(0)
+            return web.Response(status=status, headers=self.sign(http))
         return await self._stream(http, path, body)
 
     def _report(self) -> dict[str, Any]:
--- a/marigoldswitch/tests/test_gateway.py
+++ b/marigoldswitch/tests/test_gateway.py
@@ -90,6 +90,57 @@
     run_scenario(scenario())
 
 
+def name_single_runs(document):
+    """Let the streams of a configuration run once only, on each kind of route."""
+    stream = document["routes"][0]
+    del stream["resumable"]
+    document["routes"].append(
+        {**stream, "prefix": "/order/", "route_type": "unsafe", "max_attempts": 1}
+    )
+    return document
+
+
+# Guards against a failure of an engine that tells callers to send the request again.
+@pytest.mark.parametrize("path", ["/draft/", "/order/"])
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_failed_run_of_a_stream_that_may_run_once_is_not_told_to_be_not_run(
+    path, status
+):
+    async def scenario():
+        async with run_site(engines=2) as site:
+            await site.wait_for_layout()
+            site.store.put("op", "config", name_single_runs(build_configuration(2)))
+            await site.wait_until(
+                lambda: site.hosts[0].parts.runs.directory.version == 2
+            )
+            engines = site.engines.engines.values()
+            for engine in engines:
+                engine.statuses = [status]
+            async with site.call(path, 1) as answer:
+                assert answer.status == 502
+                assert "Replica-Signature" not in answer.headers
+            assert sum(engine.runs["try-1"] for engine in engines) == 1
+
+    run_scenario(scenario())
+
+
+def test_other_failure_of_an_engine_is_passed_on_as_it_is():
+    async def scenario():
+        async with run_site(engines=2) as site:
+            await site.wait_for_layout()
+            site.store.put("op", "config", name_single_runs(build_configuration(2)))
+            await site.wait_until(
+                lambda: site.hosts[0].parts.runs.directory.version == 2
+            )
+            for engine in site.engines.engines.values():
+                engine.statuses = [500]
+            async with site.call("/draft/", 1) as answer:
+                assert answer.status == 500
+                assert "Replica-Signature" in answer.headers
+
+    run_scenario(scenario())
+
+
 def test_idempotent_request_is_tried_elsewhere():
     async def scenario():
         async with run_site(desks=2) as site:
