Pass no such failure on that comes by way of another host

Seen by callers: none yet; a host of an earlier version still passes a 503 without a not-run promise on, and the host that reaches no target would pass it to its caller.

Cause: the same check is missing where an answer of another host is passed on.

Ruled out: refusals of the other host itself, which are read and passed on only if the request has not run.

Change: the check applies there too.

--- a/marigoldswitch/gateway/proxied_runs.py
+++ b/marigoldswitch/gateway/proxied_runs.py
@@ -30,6 +30,7 @@
     Exchange,
     RequestRefused,
     RunParts,
+    check_answer_status,
     spend_retry,
 )
 from marigoldswitch.gateway.forwarding import EventForwarder, pass_long_body
@@ -424,10 +425,12 @@
     def _require_sole_answer(self, status: int) -> None:
         """Check that an answer that is no stream may go to the caller.
 
-        :raises _Broken: if one has begun, or another attempt may bring one.
+        :raises _Broken: if one has begun, or another attempt may bring one;
+            :class:`RequestRefused` if its status may not be passed on.
         """
         if self._exchange.response is not None or self._claimant.has_rival():
             raise _Broken(f"status {status}")
+        check_answer_status(self._exchange, status)
 
     def _pass_read_on(self, answer: web.Response) -> web.Response:
         self._require_sole_answer(answer.status)
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -419,6 +419,24 @@
     run_scenario(scenario())
 
 
+# Guards against hosts of an earlier version, which pass such failures on.
+def test_failed_run_at_another_host_is_not_told_to_be_not_run(monkeypatch):
+    for module in ("plain", "chain_runs"):
+        name = f"marigoldswitch.gateway.{module}.check_answer_status"
+        monkeypatch.setattr(name, lambda exchange, status: None)
+
+    async def scenario():
+        async with run_cut_site(hosts=2) as (site, _):
+            for desk in site.desks:
+                desk.statuses = [503]
+            status, _, headers = await send(site, "/once/", 1)
+            assert len(list_arrivals(site)) == 1
+            assert status == 502
+            assert "Replica-Signature" not in headers
+
+    run_scenario(scenario())
+
+
 def test_request_whose_time_ends_at_another_host_is_not_told_to_be_not_run():
     async def scenario():
         async with run_cut_site() as (site, _):
