Send paths and queries to targets as callers sent them

Cause: the target's URL was parsed anew, and an empty query or a fragment is no part of what the HTTP client sends of a parsed URL.

Ruled out: the HTTP server, whose raw path is whole; encoding, as the other odd paths arrived unchanged.

Change: path and query are handed to the client as one path. The same for requests by way of another host.

--- a/marigoldswitch/gateway/proxied_runs.py
+++ b/marigoldswitch/gateway/proxied_runs.py
@@ -347,9 +347,15 @@
         session = self._connections.single_use
         if exchange.route.is_idempotent:
             session = self._connections.choose_session(host.address)
-        url, use = f"http://{host.address}{exchange.call.path}", ConnectionUse()
+        call = exchange.call
         result = await open_response(
-            session, exchange.call.method, url, headers, exchange.body, use
+            session,
+            call.method,
+            host.address,
+            call.path,
+            headers,
+            exchange.body,
+            ConnectionUse(),
         )
         if not isinstance(result, aiohttp.ClientResponse):
             return result
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -90,20 +90,24 @@
 async def open_response(
     session: aiohttp.ClientSession,
     method: str,
-    url: str,
+    address: str,
+    path: str,
     headers: CIMultiDict[str],
     body: bytes,
     use: ConnectionUse,
 ) -> aiohttp.ClientResponse | NotSent | Lost:
     """Send a request and return the answer once its head has arrived.
 
-    :param url: with path and query encoded as they are to be sent.
+    :param address: ``IP:port``.
+    :param path: with its query, encoded as they are to be sent.
     :param use: is updated with how the request was sent.
     """
     try:
+        # As a path, the query is sent unchanged: an empty one would lose its "?".
+        url = URL.build(scheme="http", authority=address, path=path, encoded=True)
         return await session.request(
             method,
-            URL(url, encoded=True),
+            url,
             headers=headers,
             data=body or None,
             allow_redirects=False,
@@ -170,10 +174,11 @@
         session = self._connections.single_use
         if not new_connection:
             session = self._connections.choose_session(target.address)
-        url = f"http://{target.address}{call.path}"
         headers = self._codec.write_headers(call, sending)
         use, began = ConnectionUse(), self._clock.monotonic()
-        result = await open_response(session, call.method, url, headers, body, use)
+        result = await open_response(
+            session, call.method, target.address, call.path, headers, body, use
+        )
         now = self._clock.monotonic()
         match result:
             case NotSent():
--- a/marigoldswitch/tests/gateway_site.py
+++ b/marigoldswitch/tests/gateway_site.py
@@ -258,3 +258,21 @@
 def get_targets(site):
     """Return the targets in the registry of the first host, by id."""
     return site.hosts[0].parts.runs.directory.registry.targets
+
+
+ODD_PATHS = ("2f?", "2f??", "?", "2f?x=%20&", "/../2f;b?c?d", "%7e%2F?%3f", "2f#x?")
+"""Ends of paths that HTTP clients tend to change."""
+
+
+async def send_raw(site, path, number, host=0):
+    """Send a request with a path as it is, and return the status."""
+    address, _, port = site.hosts[host].settings.addresses.callers.rpartition(":")
+    reader, writer = await asyncio.open_connection(address, int(port))
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: drafts.example\r\nAttempt-Id: try-{number}\r\n"
+        f"Authorization: Token {KEY}\r\nContent-Length: 2\r\nConnection: close\r\n\r\n"
+    )
+    writer.write(head.encode() + b"{}")
+    answer = await reader.read()
+    writer.close()
+    return int(answer.split()[1])
--- a/marigoldswitch/tests/test_gateway.py
+++ b/marigoldswitch/tests/test_gateway.py
@@ -12,12 +12,14 @@
     ACCOUNT,
     ALL_EVENTS,
     KEY,
+    ODD_PATHS,
     build_configuration,
     check_layers,
     get_targets,
     list_event_ids,
     run_scenario,
     run_site,
+    send_raw,
 )
 
 
@@ -236,6 +238,21 @@
     run_scenario(scenario())
 
 
+# Guards against an empty query whose "?" is lost.
+@pytest.mark.parametrize("prefix", ["/draft/", "/once/", "/look/"])
+def test_path_and_query_reach_the_target_unchanged(prefix):
+    async def scenario():
+        async with run_site(engines=2, desks=1) as site:
+            await site.wait_for_layout()
+            paths = [prefix + end for end in ODD_PATHS]
+            for number, path in enumerate(paths):
+                assert await send_raw(site, path, number) == 200
+            targets = [*site.desks, *site.engines.engines.values()]
+            assert sorted(path for x in targets for path in x.paths) == sorted(paths)
+
+    run_scenario(scenario())
+
+
 # Guards against targets that count as failing for requests that they can't answer.
 @pytest.mark.parametrize("headers", [{}, {"Attempt-Id": ""}])
 @pytest.mark.parametrize("path", ["/draft/", "/once/", "/look/"])
--- a/marigoldswitch/tests/test_proxying.py
+++ b/marigoldswitch/tests/test_proxying.py
@@ -23,10 +23,12 @@
     ACCOUNT,
     ALL_EVENTS,
     KEY,
+    ODD_PATHS,
     build_configuration,
     list_event_ids,
     run_scenario,
     run_site,
+    send_raw,
 )
 from marigoldswitch.tests.path_cuts import CutMode, PathCut
 
@@ -419,6 +421,20 @@
     run_scenario(scenario())
 
 
+def test_path_and_query_reach_a_target_unchanged_by_way_of_another_host():
+    async def scenario():
+        async with run_cut_site(hosts=2) as (site, _):
+            for desk in site.desks:
+                desk.paths.clear()
+            paths = ["/once/" + end for end in ODD_PATHS]
+            for number, path in enumerate(paths):
+                assert await send_raw(site, path, number) == 200
+            arrived = [path for desk in site.desks for path in desk.paths]
+            assert sorted(arrived) == sorted(paths)
+
+    run_scenario(scenario())
+
+
 # Guards against hosts of an earlier version, which pass such failures on.
 def test_failed_run_at_another_host_is_not_told_to_be_not_run(monkeypatch):
     for module in ("plain", "chain_runs"):
