Log each sending of a request to a target, and count sendings and retries

The logs could not tell whether a request had been written before connecting failed, nor over which kind of connection, so that the hypotheses on uncounted repeats could not be told apart. request_sent tells each sending; requests_sent_total less the granted retries of retries_total can be compared with the requests that ended.

No decision changes.

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -179,6 +179,7 @@
     :param loans: what this host has lent to others and borrowed from them.
     :param count_members: returns the number of hosts that share the budgets; ``None``
         while this host does not know them.
+    :ivar count_decision: called with each service and whether it was granted a retry.
     """
 
     def __init__(
@@ -189,6 +190,7 @@
         count_members: Callable[[], int | None],
         source: random.Random,
     ) -> None:
+        self.count_decision: Callable[[ServiceName, bool], None] = lambda *_: None
         self._limits = SharedLimits(0.0, 0.0, count_members)
         self._loans = loans
         self._source = source
@@ -279,6 +281,7 @@
     now, service = parts.clock.monotonic(), exchange.service.name
     budget = parts.retries.get(service)
     granted = budget.spend(now, use_reserve)
+    parts.retries.count_decision(service, granted)
     logger.info(
         "retry_granted" if granted else "retry_denied",
         request=exchange.call.id,
--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -70,6 +70,15 @@
         """Count one answer that this host has broken off."""
         self._metrics.answers_aborted.inc({"reason": reason.value})
 
+    def count_sending(self, service: ServiceName) -> None:
+        """Count one request that was written to a connection to a target."""
+        self._metrics.requests_sent.inc({"service": service})
+
+    def count_retry(self, service: ServiceName, is_granted: bool) -> None:
+        """Count one decision on a retry."""
+        decision = "granted" if is_granted else "denied"
+        self._metrics.retries.inc({"service": service, "decision": decision})
+
     def count_unbounded(self, reader: str) -> None:
         """Count one answer that exceeded a bound.
 
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -1,14 +1,17 @@
 """Sends requests to targets and classifies how each sending ended."""
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
+import structlog
 from msgspec import Struct
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import TargetContact
+from marigoldswitch.core.ids import ServiceName
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.read_bounds import Excess
 from marigoldswitch.gateway.bounded_reads import (
@@ -25,6 +28,8 @@
 from marigoldswitch.gateway.service_contacts import ServiceContacts
 from marigoldswitch.gateway.statements import TargetStatements
 
+logger = structlog.get_logger(__name__)
+
 STALE_CONNECTION_SECONDS = 0.1
 """Time within which a reused connection that the target has forgotten breaks: a few
 link delays. If it breaks later, the target was working on the request."""
@@ -139,6 +144,8 @@
 
     :ivar resends: which targets may be sent a request again after it broke off.
     :ivar guard: the bounds on what is read.
+    :ivar count_sending: called with the service of each request that is written to a
+        connection.
     """
 
     def __init__(
@@ -156,6 +163,7 @@
         self._statements = statements
         self._contact = contact
         self._services = services
+        self.count_sending: Callable[[ServiceName], None] = lambda _: None
         self.resends = ResendGuard()
         self.guard = connections.guard
 
@@ -176,9 +184,13 @@
             session = self._connections.choose_session(target.address)
         headers = self._codec.write_headers(call, sending)
         use, began = ConnectionUse(), self._clock.monotonic()
-        result = await open_response(
-            session, call.method, target.address, call.path, headers, body, use
-        )
+        result: aiohttp.ClientResponse | NotSent | Lost = Lost("cancelled")
+        try:
+            result = await open_response(
+                session, call.method, target.address, call.path, headers, body, use
+            )
+        finally:
+            self._record_sending(target, call, use, result)
         now = self._clock.monotonic()
         match result:
             case NotSent():
@@ -207,6 +219,34 @@
             self._statements.note_answer(target.id, facts, began, now)
         return Reply(result, facts)
 
+    def _record_sending(
+        self,
+        target: Target,
+        call: Call,
+        use: ConnectionUse,
+        result: aiohttp.ClientResponse | NotSent | Lost,
+    ) -> None:
+        """Log one sending, and count it if the request was written."""
+        if use.is_sent:
+            self.count_sending(target.service)
+        match result:
+            case NotSent(why):
+                end = f"not sent: {why}"
+            case Lost(why):
+                end = f"lost: {why}"
+            case _:
+                end = f"answered {result.status}"
+        logger.info(
+            "request_sent",
+            request=call.id,
+            service=target.service,
+            target=target.id,
+            address=target.address,
+            connection="kept" if use.is_reused else "new",
+            written=use.is_sent,
+            end=end,
+        )
+
     def _note_silence(
         self, target: Target, began: float, now: float, is_refused: bool
     ) -> None:
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -144,6 +144,8 @@
     services.create_prober = lambda service, contact: create_prober(
         partial(directory.registry.list_targets, service), contact
     )
+    runs.upstream.count_sending = gateway_metrics.count_sending
+    runs.retries.count_decision = gateway_metrics.count_retry
     metrics.add_collector(
         partial(gateway_metrics.set_ramping, directory.ramps.count_ramping)
     )
