Take no request for unsent that has been written to a connection

What callers saw: repeats beyond the budget at plain targets that end, and requests by PUT and DELETE that may run only once run twice.

Cause: after a sending without an answer, the HTTP client connects again by itself to send a GET, PUT or DELETE once more. That is refused at the head of the second request, but if the target has ended meanwhile, its port is closed and connecting fails first. The error was read as: no connection could be opened, nothing was sent. The request then went on to the next target without a retry, as one that has not run.

An error of connecting now counts as not sent only if the request has not been written.

--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -103,6 +103,10 @@
 ) -> aiohttp.ClientResponse | NotSent | Lost:
     """Send a request and return the answer once its head has arrived.
 
+    The HTTP client connects again after a sending without an answer, to send some
+    methods once more by itself. If that connection fails, the request is lost and not
+    unsent.
+
     :param address: ``IP:port``.
     :param path: with its query, encoded as they are to be sent.
     :param use: is updated with how the request was sent.
@@ -119,9 +123,15 @@
             trace_request_ctx=use,
         )
     except aiohttp.ClientConnectorError as error:
-        return NotSent(str(error.os_error or error), is_connection_refused(error))
+        why = str(error.os_error or error)
+        if use.is_sent:
+            return Lost(f"no answer; {why}")
+        return NotSent(why, is_connection_refused(error))
     except aiohttp.ConnectionTimeoutError:
-        return NotSent("connecting timed out", is_timeout=True)
+        why = "connecting timed out"
+        if use.is_sent:
+            return Lost(f"no answer; {why}")
+        return NotSent(why, is_timeout=True)
     except AnswerUnbounded as error:
         return build_unbounded(error)
     except (aiohttp.ClientError, OSError, ValueError) as error:
