Spend a retry before a request that has been sent is passed to another host

What callers saw: nothing; targets got repeats that no budget had granted.

Cause: a host that loses its contact to a service while a request is under way passes that request on. The other host takes its first sending for the first of all, and this one spent nothing, although a target had had the request. It was so after losses, refusals and failures of plain targets, after broken chains, and for streams that seek a replacement beside a silent chain.

--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -360,13 +360,20 @@
     )
 
 
+def is_cut_off(parts: RunParts, exchange: Exchange) -> bool:
+    """Return whether this host reaches no target of a request."""
+    return parts.contact.is_lost or parts.services.is_lost(exchange.service.name)
+
+
 def check_contact(parts: RunParts, exchange: Exchange) -> None:
     """Check that this host reaches targets of a request, if it may run elsewhere.
 
+    To be called only once a retry has been spent for any earlier sending that may have
+    reached a target: the other host takes its own first sending for the first of all.
+
     :raises ContactLost: if it doesn't.
     """
-    is_lost = parts.contact.is_lost or parts.services.is_lost(exchange.service.name)
-    if is_lost and exchange.may_run_again:
+    if is_cut_off(parts, exchange) and exchange.may_run_again:
         raise ContactLost
 
 
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -350,8 +350,6 @@
 
         :raises RequestRefused: if the request may not be sent again.
         """
-        if self._may_retry():
-            check_contact(self._parts, self._exchange)
         if not self._may_retry() or not self._spend_retry():
             raise RequestRefused(self._build_fault(why, kind))
 
--- a/marigoldswitch/gateway/streams.py
+++ b/marigoldswitch/gateway/streams.py
@@ -31,6 +31,7 @@
     check_contact,
     check_hold,
     find_hold,
+    is_cut_off,
     spend_retry,
 )
 from marigoldswitch.gateway.interruption_log import LossKind
@@ -66,15 +67,22 @@
 class _ChainAttempt(Attempt):
     """An attempt over a chain of engines.
 
+    :ivar is_paid: a retry has been spent for it, or it needs none.
     :ivar monitor: of its chain; without stages until it has one.
     :ivar first: first stage of its chain, once it has one.
     :ivar run: over its chain, once that has begun.
     """
 
+    is_paid: bool
     monitor: ChainMonitor
     first: Stage | None = None
     run: ChainRun | None = None
 
+    @property
+    def has_sent(self) -> bool:
+        """Return whether the request may have reached an engine."""
+        return self.run is not None and self.run.has_run
+
 
 class StreamRun:
     """Runs one model or streaming request, over as many chains as it takes.
@@ -152,14 +160,15 @@
         attempt = _ChainAttempt(
             self._changed.set, self._take_over, lambda: len(self._list_attempts())
         )
+        attempt.is_paid = is_paid
         attempt.monitor = ChainMonitor(
             self._parts, self._exchange, self._interruptions, attempt.report
         )
-        attempt.start(self._attempt_chain(attempt, is_paid))
+        attempt.start(self._attempt_chain(attempt))
         return attempt
 
     async def _attempt_chain(
-        self, attempt: _ChainAttempt, is_paid: bool
+        self, attempt: _ChainAttempt
     ) -> Completed | EnginesRefused:
         """Wait for a chain and run the request over it.
 
@@ -175,9 +184,10 @@
         monitor.start_chain(chain.stages)
         attempt.first = chain.stages[0]
         try:
-            if not is_paid and not self._spend_retry():
+            if not attempt.is_paid and not self._spend_retry():
                 kind, reason = ErrorKind.TARGET_LOST, AbortReason.NO_RETRY_LEFT
                 raise _NoWay(kind, reason, "no retry left")
+            attempt.is_paid = True
             attempt.run = ChainRun(
                 self._parts,
                 self._exchange,
@@ -225,26 +235,27 @@
         parts, exchange = self._parts, self._exchange
         doubt, doubted.doubt = doubted.doubt, None
         assert doubt is not None
-        is_cut_off = parts.contact.is_lost or parts.services.is_lost(
-            exchange.service.name
-        )
+        is_elsewhere = is_cut_off(parts, exchange)
         obstacle = None
         if not exchange.may_run_again:
             obstacle = AbortReason.NO_RUN_LEFT
         elif find_hold(parts, exchange) is not None:
             obstacle = AbortReason.HELD_OFF
-        elif is_cut_off and exchange.is_proxied:
+        elif is_elsewhere and exchange.is_proxied:
             obstacle = AbortReason.NO_HOST
         self._log_doubt(doubt, obstacle)
         if obstacle is not None:
             return
+        is_paid = isinstance(doubt, ChainLeft)
+        if is_elsewhere and not is_paid and not self._spend_retry():
+            return
         self._doubt = doubt
-        if is_cut_off:
+        if is_elsewhere:
             self._replacements.append(self._start_elsewhere())
             return
         if isinstance(doubted, _ChainAttempt) and doubted.first is not None:
             self._losses.note_broken_chain(doubted.first.target)
-        self._replacements.append(self._start_chain(isinstance(doubt, ChainLeft)))
+        self._replacements.append(self._start_chain(is_paid))
 
     def _log_doubt(self, doubt: ChainBroken, obstacle: AbortReason | None) -> None:
         """Log a doubt, once for each reason and event: it is reported again and again
@@ -367,13 +378,13 @@
             is_replaced = self._promote_replacement()
             await self._note_broken(attempt, broken)
             if not is_replaced:
-                check_contact(self._parts, self._exchange)
+                self._pass_on_if_cut_off(attempt)
                 self._check_retry_allowed(str(broken))
                 self._current = self._start_chain(is_paid=True)
             return None
         except _NoWay as no_way:
             if not self._promote_replacement():
-                check_contact(self._parts, self._exchange)
+                self._pass_on_if_cut_off(attempt)
                 self._fail_request(no_way.kind, no_way.reason, str(no_way))
             return None
         except RequestRefused as refused:
@@ -390,6 +401,23 @@
                 assert self._exchange.response is not None
                 return self._exchange.response
 
+    def _pass_on_if_cut_off(self, failed: Attempt) -> None:
+        """Let another host run the request if this one reaches no target.
+
+        That takes a retry, unless one is left from an attempt that has not sent it.
+
+        :param failed: the last attempt.
+        :raises ContactLost: if the request is to be passed on.
+        """
+        parts, exchange = self._parts, self._exchange
+        if not is_cut_off(parts, exchange) or not exchange.may_run_again:
+            return
+        is_paid = (
+            isinstance(failed, _ChainAttempt) and failed.is_paid and not failed.has_sent
+        )
+        if is_paid or self._spend_retry():
+            check_contact(parts, exchange)
+
     def _promote_replacement(self) -> bool:
         """Let the oldest replacement be the current one; return whether there is
         one."""
@@ -409,7 +437,7 @@
     async def _record_lost_run(self, attempt: Attempt, broken: ChainBroken) -> None:
         if not isinstance(attempt, _ChainAttempt) or attempt.first is None:
             return
-        if attempt.run is None or not attempt.run.has_run:
+        if not attempt.has_sent:
             return
         try:
             await record_lost_run(
--- a/marigoldswitch/tests/test_counted_sendings.py
+++ b/marigoldswitch/tests/test_counted_sendings.py
@@ -14,6 +14,7 @@
 
 from marigoldswitch.core.retries import RetryBudget
 from marigoldswitch.gateway import (
+    connections,
     exchanges,
     plain,
     proxied_runs,
@@ -133,10 +134,11 @@
         return [name for name in once if self.ran[name] > 1]
 
 
-async def play_streams(fault, cuts=(), rounds=6):
-    """Play streams while half of the engines have a fault.
+async def play_streams(fault, cuts=(), faulty=ENGINES // 2):
+    """Play streams while some engines have a fault.
 
     :param fault: is called with each of these engines before every round.
+    :param faulty: number of engines that have it.
     :param cuts: pairs of a host's index and how it is cut off from all engines.
     """
     numbers, arrivals = iter(range(ONCE)), Arrivals(Counter(), Counter())
@@ -160,14 +162,21 @@
         patch.setattr(EngineStandin, "handle", handle_counted)
         async with run_site(engines=ENGINES, hosts=HOSTS) as site:
             await site.wait_for_layout()
+            engines = list(site.engines.engines.values())
+            for engine in engines:
+                engine.events = 60
             for _ in range(3):
                 await call_some(site)
-            for index, mode in cuts:
-                PathCut(site.hosts[index]).begin(mode)
-            for _ in range(rounds):
-                for engine in list(site.engines.engines.values())[: ENGINES // 2]:
+            path_cuts = [(PathCut(site.hosts[index]), mode) for index, mode in cuts]
+            for _ in range(6):
+                for engine in engines[:faulty]:
                     await fault(engine)
-                await call_some(site)
+                begun = asyncio.create_task(call_some(site))
+                await asyncio.sleep(0.05)
+                while path_cuts:
+                    cut, mode = path_cuts.pop()
+                    cut.begin(mode)
+                await asyncio.gather(begun, call_some(site))
     return arrivals
 
 
@@ -187,6 +196,10 @@
     engine.cut_after = 5
 
 
+async def cut_stream_late(engine):
+    engine.cut_after = 50
+
+
 async def forget_connections(engine):
     engine.drops_reused_connections = True
 
@@ -204,6 +217,7 @@
     refuse_requests,
     fail_requests,
     cut_stream,
+    cut_stream_late,
     forget_connections,
     fall_silent,
     crash,
@@ -276,7 +290,8 @@
 @pytest.mark.parametrize("fault", STREAM_FAULTS)
 def test_no_stream_is_begun_again_without_a_granted_retry(fault, cuts, grants):
     async def scenario():
-        arrivals = await play_streams(fault, cuts)
+        faulty = ENGINES if cuts else ENGINES // 2
+        arrivals = await play_streams(fault, cuts, faulty)
         assert arrivals.count_repeats() <= grants.granted
 
     run_scenario(scenario())
@@ -303,6 +318,16 @@
     run_scenario(scenario())
 
 
+def test_check_notices_requests_that_the_http_client_sends_again(grants, monkeypatch):
+    monkeypatch.setattr(connections, "_trace_use", aiohttp.TraceConfig)
+
+    async def scenario():
+        arrivals = await play([Fault.RESET])
+        assert arrivals.count_repeats() > grants.granted
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("fault", [reset_requests, refuse_requests])
 def test_check_notices_streams_that_are_not_counted(fault, grants, monkeypatch):
     monkeypatch.setattr(streams, "spend_retry", lambda *_, **__: True)
