--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -1,7 +1,7 @@
 """Runs one gateway host: listeners and background tasks, from start to shutdown."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from functools import partial
 from typing import Any, Protocol
 
@@ -338,19 +338,34 @@
             await self._read_rows()
 
     async def _read_rows(self) -> None:
-        """Read the rows of the other hosts, retrying until it works."""
-        parts = self.parts
+        """Read the rows of the other hosts, retrying until there are some.
+
+        A list without any is believed only where the settings name no other host: the
+        store may have lost the rows, or the others may be starting.
+        """
+        roster = self.parts.spread.roster
         while True:
-            listed = await parts.host_directory.list_hosts()
+            listed = await self.parts.host_directory.list_hosts()
             if isinstance(listed, Ok):
-                break
+                self._add_hosts(listed.ok_value)
+                if roster.knows_members or not self.parts.settings.seeds:
+                    break
             await asyncio.sleep(REGISTER_RETRY_SECONDS)
-        for record in listed.ok_value:
+        roster.knows_members = True
+
+    def _add_hosts(self, records: Sequence[HostRecord]) -> None:
+        """Adopt the list of hosts in the store."""
+        parts, roster = self.parts, self.parts.spread.roster
+        for record in records:
             parts.spread.add_peer(record)
-        parts.spread.roster.has_host_list = True
+        if any(record.address != self._record.address for record in records):
+            roster.knows_members = True
+        if roster.has_host_list and not roster.knows_members:
+            return
+        roster.has_host_list = True
         self._update_store_reading()
         parts.spread.announce()
-        logger.info("hosts_met", hosts=len(parts.spread.roster.peers))
+        logger.info("hosts_met", listed=len(records), hosts=len(roster.peers))
 
     def _relist_hosts(self) -> None:
         """Read the rows of the other hosts again, unless that was done lately."""
--- a/marigoldswitch/gateway/roster.py
+++ b/marigoldswitch/gateway/roster.py
@@ -87,7 +87,8 @@
     :param home: its data centre.
     :param source: of random choices.
     :param strength: of its link; hosts with the strongest links rank first.
-    :ivar has_host_list: the store has listed the other hosts.
+    :ivar has_host_list: the store's list of hosts has been read.
+    :ivar knows_members: that list names other hosts, or there are none.
     """
 
     def __init__(
@@ -107,6 +108,7 @@
         self._reader_turn = ReaderSelection()
         self._started_at = clock.monotonic()
         self.has_host_list = False
+        self.knows_members = False
         self._population = Population(own, home)
         self._summaries: dict[DataCentre, tuple[float, LoadSummary]] = {}
         """The last summary from each data centre, and when it was received."""
@@ -220,7 +222,7 @@
 
     def count_known_members(self) -> int | None:
         """Return the same, or ``None`` until this host has been told of the others."""
-        is_told = self.has_host_list or self._population.is_reported
+        is_told = self.knows_members or self._population.is_reported
         return self.count_members() if is_told else None
 
     def is_near(self, host: HostId) -> bool:
--- a/marigoldswitch/tests/crash_network.py
+++ b/marigoldswitch/tests/crash_network.py
@@ -78,6 +78,7 @@
         for other, place in self.names:
             self.exchanges[own].add_peer(HostRecord(other, place))
         self.exchanges[own].roster.has_host_list = True
+        self.exchanges[own].roster.knows_members = True
         self.exchanges[own].announce()
 
     def _send(self, own, host, message):
--- a/marigoldswitch/tests/fleet.py
+++ b/marigoldswitch/tests/fleet.py
@@ -78,6 +78,7 @@
         for name, centre in names.items():
             self.spread.add_peer(HostRecord(name, centre))
         self.spread.roster.has_host_list = True
+        self.spread.roster.knows_members = True
         self.spread.announce()
 
 
--- a/marigoldswitch/tests/test_relays.py
+++ b/marigoldswitch/tests/test_relays.py
@@ -123,7 +123,7 @@
     roster = Roster(clock, own, HOME, random.Random(1), strength)
     for host in HOSTS:
         roster.add_peer(HostRecord(host, HOME, get_strength(host)))
-    roster.has_host_list = True
+    roster.has_host_list = roster.knows_members = True
     return roster
 
 
