Let the store count as answering while its newest version is unreadable

While the newest configuration in the store could not be read, each reader counted its feed as lost, no host counted as knowing what the store holds, and all hosts read the store: the whole version again, each about every 0.75 s.

Cause: a version that can't be decoded was reported as an answer that can't be read.

The version is read again, not skipped, as the row may have been damaged on its way.

--- a/marigoldswitch/gateway/followers.py
+++ b/marigoldswitch/gateway/followers.py
@@ -185,9 +185,18 @@
             case Err(FeedFault.HISTORY_GONE):
                 logger.info("history_gone", what="configuration feed")
                 self._revision = 0
+            case Err(FeedFault.UNREADABLE):
+                # The store answers. If it counted as lost, no host would know what it
+                # holds, and all would read.
+                self.dependency.note_success()
+                await asyncio.sleep(self._choose_unreadable_pause())
             case Err(fault):
                 await self._pause_after(fault.value, began)
 
+    def _choose_unreadable_pause(self) -> float:
+        """Return the seconds until a version that can't be read is read again."""
+        return OUTAGE_RETRY_SECONDS * (1.0 + 0.5 * self._source.random())
+
     async def _pause_after(self, why: str, began: float) -> None:
         """Record that a read failed, and wait until the next one.
 
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -279,6 +279,9 @@
     UNAVAILABLE = "unavailable"
     HISTORY_GONE = "history_gone"
     MALFORMED = "malformed"
+    """The store's answer can't be read."""
+    UNREADABLE = "unreadable"
+    """The store answers, and the newest configuration that it holds can't be read."""
 
 
 class PlatformFeeds(Protocol):
--- a/marigoldswitch/platform/store.py
+++ b/marigoldswitch/platform/store.py
@@ -101,7 +101,7 @@
                     if row != self._unreadable_row:
                         self._unreadable_row = row
                         logger.error("configuration_unreadable", why=why)
-                    return Err(FeedFault.MALFORMED)
+                    return Err(FeedFault.UNREADABLE)
         return Ok((None, newest))
 
     def decode_configuration(self, content: bytes) -> Result[StoredConfiguration, str]:
--- a/marigoldswitch/tests/test_followers.py
+++ b/marigoldswitch/tests/test_followers.py
@@ -168,6 +168,25 @@
     run_scenario(scenario())
 
 
+def test_store_counts_as_answering_while_its_newest_version_is_unreadable(log_lines):
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            host = site.hosts[0].parts
+            await site.wait_until(lambda: host.spread._is_current)
+            site.store.put("op", "config", {"version": 4})
+            await site.wait_until(
+                lambda: any(
+                    line["event"] == "configuration_unreadable" for line in log_lines
+                )
+            )
+            assert not host.configuration.dependency.is_lost
+            assert host.spread._is_current
+            site.store.put("op", "config", build_configuration(version=5))
+            await site.wait_until(lambda: host.runs.directory.version == 5)
+
+    run_scenario(scenario())
+
+
 class ScriptedTargets:
     """A feed of targets that brings the next of some answers at each read."""
 
