--- a/marigoldswitch/tests/test_counted_sendings.py
+++ b/marigoldswitch/tests/test_counted_sendings.py
@@ -20,6 +20,7 @@
     proxied_runs,
     streams,
 )
+from marigoldswitch.gateway.bounded_connections import BoundedConnector
 from marigoldswitch.standins.platform_engines import EngineStandin
 from marigoldswitch.tests.faulty_targets import Fault, FaultyTarget
 from marigoldswitch.tests.gateway_site import (
@@ -271,6 +272,25 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("fault", [Fault.RESET, Fault.CLOSE, Fault.FORGOTTEN])
+def test_no_request_arrives_again_without_a_granted_retry_if_connecting_times_out(
+    fault, grants, monkeypatch
+):
+    """So it is at times under load, also for connections of the HTTP client's own."""
+    source, create = random.Random(0), BoundedConnector._create_connection
+
+    async def create_or_time_out(connector, *args, **fields):
+        if source.random() < 0.1:
+            raise aiohttp.ConnectionTimeoutError
+        return await create(connector, *args, **fields)
+
+    async def scenario():
+        check(await play([fault]), grants)
+
+    monkeypatch.setattr(BoundedConnector, "_create_connection", create_or_time_out)
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_no_request_arrives_again_without_a_granted_retry_in_mixtures(seed, grants):
     async def scenario():
