Show that requests crash plain targets that are back at once without end

Six plain targets that reset all of their connections and go on to listen when they get one request, four hosts that callers ask in turn: 58 crashes by POST and 60 by GET, where at most 6 are allowed. An end is proven by a closed port or a later start alone, and plain targets state no start.

A reset alone must hold no request off: targets may reset sound ones.

--- a/marigoldswitch/tests/faulty_targets.py
+++ b/marigoldswitch/tests/faulty_targets.py
@@ -42,6 +42,8 @@
     """Target that answers over kept connections, with faults once it has some.
 
     :ivar choose_fault: returns what to do with the next request; ``None`` to answer.
+    :ivar crashing: paths of requests that crash it; it is back at once.
+    :ivar crashes: number of these crashes.
     :ivar arrivals: number of times that each request has arrived, by attempt id.
     :ivar runs: the same of those that it did not refuse.
     """
@@ -50,6 +52,8 @@
         self.name = name
         self.address = ""
         self.choose_fault = lambda: None
+        self.crashing: frozenset[str] = frozenset()
+        self.crashes = 0
         self.arrivals: Counter[str] = Counter()
         self.runs: Counter[str] = Counter()
         self._server: asyncio.Server | None = None
@@ -84,6 +88,12 @@
         for writer in list(self._writers):
             reset(writer)
 
+    def crash(self) -> None:
+        """Reset all connections, and listen on."""
+        self.crashes += 1
+        for writer in list(self._writers):
+            reset(writer)
+
     def stop(self) -> None:
         """End for good and free the port."""
         self.end()
@@ -107,6 +117,9 @@
         fields = {name.lower(): value for name, _, value in lines}
         await reader.readexactly(int(fields.get("content-length", 0)))
         request = fields.get("attempt-id", "")
+        if head.split()[1] in self.crashing:
+            self.crash()
+            return False
         fault = None
         if request:
             self.arrivals[request] += 1
--- a/marigoldswitch/tests/test_crashes.py
+++ b/marigoldswitch/tests/test_crashes.py
@@ -3,9 +3,11 @@
 import asyncio
 
 import aiohttp
+import pytest
 
 from marigoldswitch.core.interruptions import InterruptedRequest
 from marigoldswitch.gateway import exchanges
+from marigoldswitch.tests.faulty_targets import FaultyTarget
 from marigoldswitch.tests.gateway_site import (
     ALL_EVENTS,
     get_targets,
@@ -89,6 +91,37 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_request_that_crashes_plain_targets_is_stopped_if_they_are_back_at_once(method):
+    """Callers send it to four hosts in turn, beside other requests."""
+
+    async def scenario():
+        targets = [FaultyTarget(f"d{index}") for index in range(6)]
+        async with run_site(hosts=4) as site:
+            for target in targets:
+                target.crashing = frozenset({"/look/crash"})
+                await target.start()
+                site.register_target(target, "desk", "north")
+            await site.wait_until(
+                lambda: all(
+                    len(host.parts.runs.directory.registry.targets) == 6
+                    for host in site.hosts
+                )
+            )
+            fields = {"data": None} if method == "GET" else {}
+            for number in range(0, 40, 2):
+                for index, path in enumerate(("/look/sound", "/look/crash")):
+                    async with site.call(
+                        path, number + index, number // 2 % 4, method=method, **fields
+                    ) as answer:
+                        await answer.read()
+            for target in targets:
+                target.stop()
+        assert 1 <= sum(item.crashes for item in targets) <= 2 * MAX_ENDS
+
+    run_scenario(scenario())
+
+
 def test_host_that_starts_later_lets_no_held_request_run():
     async def scenario():
         async with run_site(hosts=1) as site:
