Open no further connection for a request that has been lost

After a sending without an answer, the HTTP client opened another connection to send a GET, PUT or DELETE once more, and only its head was refused there: one connection for nothing for each such loss, mostly to targets that fail.

It is refused before the connection is opened now. Reads of engines' reports still connect again, as a closed port proves that the engine has ended; their heads are refused as before.

test_request_without_an_answer_is_not_sent_again_unnoticed counts connections, too: 2 before for GET, PUT and DELETE, 1 now.

--- a/marigoldswitch/gateway/connections.py
+++ b/marigoldswitch/gateway/connections.py
@@ -145,10 +145,13 @@
 class ConnectionUse(Struct):
     """Records how the HTTP client sent a request.
 
+    :param reconnects: the client may open another connection after a loss, which shows
+        whether the port is closed; the request is not sent on it.
     :ivar is_reused: the connection had been used before.
     :ivar is_sent: the request has been sent once.
     """
 
+    reconnects: bool = False
     is_reused: bool = False
     is_sent: bool = False
 
@@ -161,10 +164,20 @@
     """Return a trace that keeps the :class:`ConnectionUse` of a request.
 
     It ends requests that the client would send again: these may run only once, and are
-    retries that no budget counts. The client's own setting is private and would also
-    hold for reads of engines' reports.
+    retries that no budget counts. They are ended before another connection is opened,
+    or at their heads if one was kept or is opened for the sake of its result. The
+    client's own setting is private and would also hold for reads of engines' reports.
     """
 
+    async def refuse_connection(
+        _: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        __: aiohttp.TraceConnectionCreateStartParams,
+    ) -> None:
+        use = context.trace_request_ctx
+        if isinstance(use, ConnectionUse) and use.is_sent and not use.reconnects:
+            raise ResendRefused("no answer, and not sent again")
+
     async def record_reuse(
         _: aiohttp.ClientSession,
         context: SimpleNamespace,
@@ -186,6 +199,7 @@
             use.is_sent = True
 
     trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(refuse_connection)
     trace.on_connection_reuseconn.append(record_reuse)
     trace.on_request_headers_sent.append(refuse_resend)
     return trace
--- a/marigoldswitch/platform/engines.py
+++ b/marigoldswitch/platform/engines.py
@@ -67,7 +67,7 @@
             if the connection is refused, ``EngineSilent`` if a new one was opened and
             brought no answer, ``None`` if there is no answer else.
         """
-        use = ConnectionUse()
+        use = ConnectionUse(reconnects=True)
         client_timeout = aiohttp.ClientTimeout(total=timeout)
         try:
             session = self._connections.single_use
--- a/marigoldswitch/tests/test_connections.py
+++ b/marigoldswitch/tests/test_connections.py
@@ -125,8 +125,10 @@
     def __init__(self, answers):
         self.answers = answers
         self.requests = 0
+        self.connections = 0
 
     async def serve(self, reader, writer):
+        self.connections += 1
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\n")
@@ -153,6 +155,7 @@
             lost = await send(method=method)
             assert isinstance(lost, Lost) and lost.is_stale == bool(answers)
             assert target.requests == answers + 1
+            assert target.connections == 1
             assert isinstance(await send(True, method), Lost)
             assert target.requests == answers + 2
 
