Write a host's row again also while the list names no others

Hosts that start together while the store refuses writes would have waited for each other's rows for ever.

The row is written beside the reads now. The test fails on: no row within 10 s after writes were accepted.

--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -331,11 +331,15 @@
         would take bounds over all hosts for its own.
         """
         written = await self.parts.host_directory.register(self._record)
-        await self._read_rows()
         if isinstance(written, Err):
-            await asyncio.sleep(REGISTER_RETRY_SECONDS)
-            await self._write_row()
-            await self._read_rows()
+            self._spawn(self._register_late)
+        await self._read_rows()
+
+    async def _register_late(self) -> None:
+        """Write this host's row after a failure, and read those written meanwhile."""
+        await asyncio.sleep(REGISTER_RETRY_SECONDS)
+        await self._write_row()
+        await self._read_rows()
 
     async def _read_rows(self) -> None:
         """Read the rows of the other hosts, retrying until there are some.
--- a/marigoldswitch/tests/test_host_rows.py
+++ b/marigoldswitch/tests/test_host_rows.py
@@ -45,3 +45,18 @@
             )
 
     run_scenario(scenario())
+
+
+def test_row_is_written_though_its_first_write_failed_and_no_others_are_listed():
+    """Hosts that start together would wait for each other's rows otherwise."""
+
+    async def scenario():
+        async with run_site(hosts=0) as site:
+            site.store.refused_paths.add("/rows-tx")
+            host = await site.add_host("first", "north", seeds=(SILENT_HOST,))
+            await site.wait_until(lambda: host.parts.spread.roster.has_host_list)
+            site.store.refused_paths.clear()
+            row = host.parts.settings.identity.host
+            await site.wait_until(lambda: site.store.read("hosts", row) is not None)
+
+    run_scenario(scenario())
