--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -76,7 +76,9 @@
             directory=self.directory,
             planner=planner,
             retries=SimpleNamespace(
-                get=lambda service: self.budget, describe=lambda *_: {}
+                get=lambda service: self.budget,
+                describe=lambda *_: {},
+                count_decision=lambda *_: None,
             ),
             crashes=SimpleNamespace(is_empty=True, note_cut_off=self._note_cut_off),
             engines=self,
