Let a play of cuts draw its steps apart from its callers

Its log shows 172 times that no other host takes a request: all four hosts were cut off at once. Steps and callers drew from one generator, so that what a seed cuts depended on how many requests had been sent.

Steps have a generator of their own now; all checks are as before.

--- a/marigoldswitch/tests/test_cut_plays.py
+++ b/marigoldswitch/tests/test_cut_plays.py
@@ -36,6 +36,8 @@
     def __init__(self, site, seed):
         self.site = site
         self.rng = random.Random(seed)
+        self._callers_rng = random.Random(seed)
+        """Of its own: how many requests are sent must not change what is cut."""
         self.answers = Counter()
         self.sent_once = set()
         self._numbers = iter(range(100_000))
@@ -96,7 +98,7 @@
 
     async def _keep_calling(self, path):
         while not self._is_over:
-            host = self.rng.randrange(len(self.site.hosts))
+            host = self._callers_rng.randrange(len(self.site.hosts))
             try:
                 self.answers[path, await self._call(path, host)] += 1
             except (aiohttp.ClientError, TimeoutError):
