--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	$(BIN)/marigoldswitch-demo $(ARGS)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -m "not crowd"
+	$(BIN)/python -m pytest -n 0 -m crowd
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
