Keep no trail of requests that nobody can ask for

What was seen: after some thousand small requests a host held 100 MiB and more, and gave none of it back. A crowd that sends whole bodies held 217 MB.

Cause: the trail keeps 20,000 log lines. The encoder's result keeps a buffer of 8 KiB for a line of 0.5 KB (8,159 bytes a line, measured by tracemalloc), and the request's id that is kept beside it is as long as the caller likes. The daemon on the users' platform fills the trail too, though no operator can ask it.

Change: the platform's daemon keeps none.

--- a/marigoldswitch/platform/daemon.py
+++ b/marigoldswitch/platform/daemon.py
@@ -43,7 +43,9 @@
     if check:
         print(f"{path}: fine")
         return 0
-    configure_logs(log_level, BoundedStream(sys.stdout.fileno()))
+    stream = BoundedStream(sys.stdout.fileno())
+    # No operator can ask this daemon for a trail.
+    configure_logs(log_level, stream, keeps_trail=False)
     structlog.contextvars.bind_contextvars(host=settings.identity.name)
     asyncio.run(_run(path, settings, store_address))
     return 0
--- a/marigoldswitch/tests/test_logs.py
+++ b/marigoldswitch/tests/test_logs.py
@@ -3,8 +3,10 @@
 
 import io
 import os
+import tracemalloc
 
 import orjson
+import structlog
 
 from marigoldswitch.logs import BoundedStream, configure_logs
 from marigoldswitch.tests.helpers import (
@@ -13,6 +15,7 @@
     run_async,
     run_deployment,
 )
+from marigoldswitch.trails import TRAIL, DecisionTrail
 
 PROMPT = "a letter about nobody-else-knows"
 REFERENCE = "pickup-at-a-secret-place"
@@ -88,3 +91,25 @@
     os.close(reader)
     stream.write("nobody reads this\n")
     os.close(writer)
+
+
+def test_trail_takes_little_more_memory_than_its_lines_have_bytes():
+    trail, count = DecisionTrail(), 500
+    fields = {f"field-{number}": "x" * 20 for number in range(15)}
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(count):
+        trail(None, "info", {"request": f"try-{number}", **fields})
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert after - before <= count * 2 * 500
+
+
+def test_texts_of_callers_are_cut_in_lines_and_not_kept_as_names():
+    stream = io.StringIO()
+    configure_logs(stream=stream)
+    name = "long-" * 2_000
+    structlog.get_logger().info("request_refused", request=name, path=name)
+    configure_logs("error")
+    assert len(stream.getvalue()) < 3_000
+    assert TRAIL.find(name) == []
