Account for what callers make a host hold, over all its listeners

What callers saw: a host that had run out of memory ended, with all requests on it; one that had run out of descriptors answered none.

Cause: nothing bounded what all connections together hold. The HTTP server reads 32 requests ahead on each, takes heads and trailers of 8 MB, and its bodies were joined by copying; the kernel lets megabytes wait unread in each socket; an asyncio server takes all waiting connections at once. The settings' memory and descriptors were read by nothing.

Ruled out: a limit for each connection (the number of connections multiplies it), room for what is announced (clients that send nothing keep others out); see docs/design/clients-that-dont-behave.md.

Change: one account of bytes for the process, from its memory, and a share of its sockets for each listener. When the account is full, the heaviest and slowest unfinished body is refused; holdings of up to 16 KiB don't count. When a listener is full, the connection with the least claim makes room. Heads and framing are bounded, a request ahead is read no further, sockets' buffers are fixed, and connections whose bytes are dear to parse read in turn.

--- a/marigoldswitch/gateway/accepting.py
+++ b/marigoldswitch/gateway/accepting.py
@@ -1,4 +1,4 @@
-"""Takes callers' connections, or closes them unread in an overload.
+"""Takes clients' connections as there is room, or closes them unread in an overload.
 
 A connection that may hold any part of a request is never closed as idle.
 """
@@ -11,8 +11,12 @@
 import structlog
 from aiohttp import web
 
+from marigoldswitch.acceptors import Acceptor, Admission
+from marigoldswitch.core.client_limits import Listener
 from marigoldswitch.core.overload import OverloadGuard
 from marigoldswitch.core.ports import Clock
+from marigoldswitch.gateway.caller_connections import CallerConnection, Claim
+from marigoldswitch.gateway.intake import Intake
 
 logger = structlog.get_logger(__name__)
 
@@ -20,47 +24,29 @@
 """Interval at which the lag of the event loop is measured."""
 LOG_SECONDS = 1.0
 """Least time between two log lines on connections turned away."""
+LEAVING_SECONDS = 0.1
+"""Time that a connection has for its last answer when it makes room for another one."""
 UNREAD_RETRY_SECONDS = 0.1
 """Time after which a connection whose idle time has ended is looked at again, if bytes
 had arrived in it that the event loop had not read yet."""
 
 
-class _TurnedAwayConnection(asyncio.Protocol):
-    """A connection that is closed without reading from it."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        transport.abort()
-
-
-class CallerConnection(web.RequestHandler):
-    """A connection that can tell whether any part of a request stands in it."""
-
-    __slots__ = ("_has_partial_head",)
-
-    def __init__(self, server: web.Server, **options: Any) -> None:
-        super().__init__(server, **options)
-        self._has_partial_head = False
-
-    def data_received(self, data: bytes) -> None:
-        """Take bytes that have arrived."""
-        super().data_received(data)
-        if not self._awaits_request():
-            self._has_partial_head = False
-        elif data.strip(b"\r\n"):
-            # Some clients send an empty line after a body.
-            self._has_partial_head = True
+def find_unread(connections: Iterable[CallerConnection]) -> set[CallerConnection]:
+    """Return the connections whose socket holds bytes, or an end, not yet read."""
+    poll, by_number = select.poll(), {}
+    for connection in connections:
+        transport = connection.transport
+        number = transport.get_extra_info("socket").fileno() if transport else -1
+        if number >= 0:
+            by_number[number] = connection
+            poll.register(number, select.POLLIN)
+    return {by_number[number] for number, _ in poll.poll(0)}
 
-    def is_idle(self) -> bool:
-        """Return whether the event loop has read no part of an unanswered request."""
-        return self._awaits_request() and not self._has_partial_head
 
-    def _awaits_request(self) -> bool:
-        waiter = self._waiter
-        return waiter is not None and not waiter.done()
+class IdleClosingConnection(CallerConnection):
+    """A connection that is closed once it has been idle for the whole idle time."""
 
     def _process_keepalive(self) -> None:
-        """Close the connection if it has been idle for the whole idle time."""
         if self.is_idle() and find_unread([self]):
             loop = asyncio.get_running_loop()
             self._keepalive_handle = loop.call_later(
@@ -70,29 +56,106 @@
         super()._process_keepalive()
 
 
-def find_unread(connections: Iterable[CallerConnection]) -> set[CallerConnection]:
-    """Return the connections whose socket holds bytes, or an end, not yet read."""
-    poll, by_number = select.poll(), {}
-    for connection in connections:
-        transport = connection.transport
-        number = transport.get_extra_info("socket").fileno() if transport else -1
-        if number >= 0:
-            by_number[number] = connection
-            poll.register(number, select.POLLIN)
-    return {by_number[number] for number, _ in poll.poll(0)}
+class RequestServer(web.Server):
+    """HTTP server whose number of connections is bounded.
 
+    It can close its connections without losing a request.
 
-class RequestServer(web.Server):
-    """HTTP server that can close its connections without losing a request."""
+    :param listener: whose share of the sockets its connections may take.
+    :param guard: may turn new connections away, if given.
+    """
 
-    def __init__(self, handler: Any, **options: Any) -> None:
+    def __init__(
+        self,
+        handler: Any,
+        intake: Intake,
+        listener: Listener,
+        guard: OverloadGuard | None = None,
+        **options: Any,
+    ) -> None:
         super().__init__(handler, **options)
+        self._intake = intake
+        self._listener = listener
+        self._guard = guard
+        self._open = 0
+        """Connections that have been accepted and not closed."""
+        self._leaving: CallerConnection | None = None
+        """The connection that is being closed to make room for another one."""
+        self._leaving_since = 0.0
+        self._turned_away = 0
         self._last_idle: set[CallerConnection] = set()
         """Connections that were idle at the last call of :meth:`close_idle`."""
 
     def __call__(self) -> Any:
-        """Return the protocol of a new connection."""
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
+        """Return the protocol of a connection that was admitted."""
+        return IdleClosingConnection(
+            self, self._intake, loop=self._loop, **self._kwargs
+        )
+
+    def admit(self) -> Admission:
+        """Decide on a connection that waits to be accepted; count one that is taken."""
+        now = self._intake.clock.monotonic()
+        if self._guard is not None and self._guard.must_turn_away(now):
+            return Admission.TURN_AWAY
+        if self.is_full:
+            return self._make_room(now)
+        self._open += 1
+        return Admission.TAKE
+
+    def _make_room(self, now: float) -> Admission:
+        """Have a connection leave, if one can, and let the new one wait for that."""
+        if self._leaving is None:
+            self._leaving, self._leaving_since = self._choose_leaving(now), now
+            if self._leaving is None:
+                self._turned_away += 1
+                return Admission.TURN_AWAY
+            self._leaving.make_room()
+        elif now - self._leaving_since >= LEAVING_SECONDS:
+            transport = self._leaving.transport
+            if transport is not None:
+                transport.abort()
+        return Admission.WAIT
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether a further connection has room only if another one leaves."""
+        limit = self._intake.limits.count_connections(self._listener)
+        return self._open >= limit
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Make its room free."""
+        super().connection_lost(handler, exc)
+        self._open -= 1
+        if handler is self._leaving:
+            self._leaving = None
+
+    def check_connections(self, now: float) -> None:
+        """Close the connections that take too long; to be called every second or so."""
+        for connection in self.connections:
+            if isinstance(connection, CallerConnection):
+                connection.check(now)
+        if self._turned_away:
+            logger.warning(
+                "listener_full",
+                listener=self._listener.value,
+                open=self._open,
+                turned_away=self._turned_away,
+            )
+            self._turned_away = 0
+
+    def _choose_leaving(self, now: float) -> CallerConnection | None:
+        """Return the connection with the least claim to stay, if any can be closed."""
+        connections = [
+            item
+            for item in self.connections
+            if isinstance(item, CallerConnection) and item.transport is not None
+        ]
+        chosen = min(connections, key=lambda item: item.rate_claim(now), default=None)
+        if chosen is None or chosen.rate_claim(now)[0] is Claim.RUNNING:
+            return None
+        return chosen
 
     def close_idle(self) -> int:
         """Close the connections that are idle for the second time in a row.
@@ -116,21 +179,26 @@
         return len(connections) - len(idle)
 
 
-class GuardedServer(RequestServer):
-    """HTTP server that turns new connections away when its guard says so."""
+class BoundedSite(web.BaseSite):
+    """Listens for the connections of a server that admits them one by one."""
 
-    def __init__(
-        self, handler: Any, guard: OverloadGuard, clock: Clock, **options: Any
-    ) -> None:
-        super().__init__(handler, **options)
-        self._guard = guard
-        self._clock = clock
+    def __init__(self, runner: web.ServerRunner, address: str, port: int) -> None:
+        super().__init__(runner)
+        self._address = address
+        self._port = port
 
-    def __call__(self) -> Any:
-        """Return the protocol of a new connection."""
-        if self._guard.must_turn_away(self._clock.monotonic()):
-            return _TurnedAwayConnection()
-        return super().__call__()
+    @property
+    def name(self) -> str:
+        """Return the address for logs."""
+        return f"http://{self._address}:{self._port}"
+
+    async def start(self) -> None:
+        """Start listening."""
+        await super().start()
+        server = self._runner.server
+        assert isinstance(server, RequestServer)
+        acceptor = Acceptor(self._address, self._port, server.admit, server)
+        self._server = acceptor  # type: ignore[assignment]
 
 
 class LagMonitor:
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -24,6 +24,7 @@
 from marigoldswitch.gateway.connections import may_keep_connections
 from marigoldswitch.gateway.crashes import CrashWatch
 from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.intake import Intake
 from marigoldswitch.gateway.interruption_log import RecordPause, ignore_pause
 from marigoldswitch.gateway.planner import ChainPlanner
 from marigoldswitch.gateway.ports import Call, CallCodec, EngineControl
@@ -237,6 +238,11 @@
     accepting: bool = True
 
 
+CROWDED_RETRY_SECONDS = (0.5, 1.5)
+"""Bounds of the ``Retry-After`` time of a request that has to make room for others: as
+long as requests of a crowd usually take, and spread."""
+
+
 class RunParts(Struct):
     """The components that running a request needs."""
 
@@ -257,9 +263,16 @@
     home: str
     contact: TargetContact
     services: ServiceContacts
+    intake: Intake
     record_pause: RecordPause = ignore_pause
 
 
+def build_crowded(parts: RunParts, detail: str) -> Fault:
+    """Return the fault of a request that has to make room for others."""
+    seconds = parts.source.uniform(*CROWDED_RETRY_SECONDS)
+    return Fault(ErrorKind.SATURATED, detail, seconds)
+
+
 def needs_new_connection(parts: RunParts, exchange: Exchange) -> bool:
     """Return whether a request must not be sent over a reused connection.
 
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -1,6 +1,7 @@
 """HTTP frontend of a gateway host: takes callers' requests and runs each to its end."""
 
 import asyncio
+import io
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -16,6 +17,7 @@
     RoutedAccount,
     RoutingTable,
 )
+from marigoldswitch.gateway.caller_connections import CallerConnection
 from marigoldswitch.gateway.caller_writes import abort
 from marigoldswitch.gateway.exchanges import (
     AbortReason,
@@ -24,6 +26,7 @@
     Exchange,
     RequestRefused,
     RunParts,
+    build_crowded,
     check_hold,
     describe_timeout,
     has_not_run,
@@ -46,6 +49,8 @@
 BODY_TIMEOUT_SECONDS = 10.0
 """Longest time to receive a request body. On usual links it takes milliseconds."""
 
+NO_MEMORY = "no memory for the request"
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -82,8 +87,8 @@
     ) -> web.StreamResponse:
         """Answer one request.
 
-        While the host is draining, the connection is closed after an answer whose head
-        has not been sent yet.
+        While the host is draining, or its listener has no room for new connections, the
+        connection is closed after an answer whose head has not been sent yet.
 
         :param terms: those of the host that has sent it; ``None`` if its caller has.
         """
@@ -92,7 +97,11 @@
             response = await self._answer(http, terms)
         finally:
             self._running -= 1
-        if self._parts.state.draining and not response.prepared:
+        connection = http.protocol
+        must_leave = self._parts.state.draining or (
+            isinstance(connection, CallerConnection) and connection.is_crowded
+        )
+        if must_leave and not response.prepared:
             response.force_close()
         return response
 
@@ -139,6 +148,10 @@
             self._record_abort(exchange, AbortReason.INTERNAL)
             self._record_end(exchange, "broken off: internal fault")
             return exchange.response
+        finally:
+            if exchange is not None:
+                # What still refers to the exchange may stay for long.
+                exchange.body = b""
 
     async def _create_exchange(
         self,
@@ -200,27 +213,45 @@
         return exchange
 
     async def _read_body(self, http: web.BaseRequest, limits: ClientLimits) -> bytes:
+        """Return a request's body once it is complete.
+
+        :raises RequestRefused: if it is too large, doesn't arrive in time, or has to
+            give way as the memory for clients is full.
+        """
         if not http.can_read_body:
             return b""
-        try:
-            async with self._limit(BODY_TIMEOUT_SECONDS):
-                body = await http.content.read(limits.body_bytes + 1)
-                while not http.content.at_eof():
-                    chunk = await http.content.read(limits.body_bytes)
-                    body += chunk
-                    if len(body) > limits.body_bytes:
-                        raise RequestRefused(Fault(ErrorKind.TOO_LARGE))
-        except TimeoutError:
-            if not self._parts.state.accepting:
-                raise RequestRefused(Fault(ErrorKind.DRAINING)) from None
-            raise RequestRefused(
-                Fault(ErrorKind.MALFORMED, "the request body was not received in time")
-            ) from None
-        except web.RequestPayloadError as error:
-            raise RequestRefused(Fault(ErrorKind.MALFORMED, str(error))) from error
-        if len(body) > limits.body_bytes:
-            raise RequestRefused(Fault(ErrorKind.TOO_LARGE))
-        return body
+        connection = http.protocol
+        assert isinstance(connection, CallerConnection)
+        # Closed at the end, as the traceback of a failure may keep it for long.
+        with io.BytesIO() as parts:
+            try:
+                async with self._limit(BODY_TIMEOUT_SECONDS) as limit:
+                    connection.receive_limit = limit
+                    while not http.content.at_eof():
+                        parts.write(await http.content.readany())
+                        if parts.tell() > limits.body_bytes:
+                            raise RequestRefused(Fault(ErrorKind.TOO_LARGE))
+                        if not connection.hold_body(parts.tell()):
+                            raise RequestRefused(build_crowded(self._parts, NO_MEMORY))
+            except TimeoutError:
+                if connection.has_given_way:
+                    raise RequestRefused(
+                        build_crowded(self._parts, NO_MEMORY)
+                    ) from None
+                if not self._parts.state.accepting:
+                    raise RequestRefused(Fault(ErrorKind.DRAINING)) from None
+                raise RequestRefused(
+                    Fault(
+                        ErrorKind.MALFORMED, "the request body was not received in time"
+                    )
+                ) from None
+            except web.RequestPayloadError as error:
+                raise RequestRefused(Fault(ErrorKind.MALFORMED, str(error))) from error
+            except RuntimeError as error:
+                # Reading fails like this once the connection is closed.
+                raise RequestRefused(Fault(ErrorKind.MALFORMED, str(error))) from error
+            connection.note_running()
+            return parts.getvalue()
 
     async def _run(self, exchange: Exchange) -> web.StreamResponse:
         """Run a request until its deadline at the latest.
@@ -240,7 +271,7 @@
         return response
 
     @asynccontextmanager
-    async def _limit(self, seconds: float) -> AsyncIterator[None]:
+    async def _limit(self, seconds: float) -> AsyncIterator[asyncio.Timeout]:
         """Limit the time of a block; :meth:`end_requests` ends it at once.
 
         :raises TimeoutError: if the time is up.
@@ -248,7 +279,7 @@
         async with asyncio.timeout(seconds) as limit:
             self._limits.add(limit)
             try:
-                yield
+                yield limit
             finally:
                 self._limits.discard(limit)
 
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -12,12 +12,13 @@
 from result import Err, Ok
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.client_limits import Listener, derive_limits
 from marigoldswitch.core.contact import ContactChange, ContactState
 from marigoldswitch.core.ids import ServiceName, TargetId
 from marigoldswitch.core.overload import OverloadGuard
 from marigoldswitch.core.registry import Change, StoreRestored
 from marigoldswitch.core.routes import RoutingTable
-from marigoldswitch.gateway.accepting import GuardedServer, LagMonitor, RequestServer
+from marigoldswitch.gateway.accepting import BoundedSite, LagMonitor, RequestServer
 from marigoldswitch.gateway.contact_probing import ContactProber
 from marigoldswitch.gateway.engine_offers import LEAVING_USE_SECONDS
 from marigoldswitch.gateway.exchanges import HostState, RunParts
@@ -27,6 +28,7 @@
     choose_waits,
 )
 from marigoldswitch.gateway.fronts import Frontend
+from marigoldswitch.gateway.intake import Intake
 from marigoldswitch.gateway.orderer import LayerOrderer
 from marigoldswitch.gateway.ports import HostDirectory, HostRecord, HostSettings
 from marigoldswitch.gateway.proxy_listener import ProxyListener
@@ -38,14 +40,15 @@
 
 logger = structlog.get_logger(__name__)
 
-ACCEPT_BACKLOG = 1024
-"""Connections that may wait to be accepted; clients retry a rejected one only after
-seconds."""
 KEEPALIVE_MARGIN_SECONDS = 5.0
 """Time for which a connection is kept open beyond the configured idle time, so that no
 request arrives while it is being closed."""
 MAX_HEAD_LINE_BYTES = 65_536
 """Longest line of a request's head, above the limit of any configuration."""
+LINGERING_SECONDS = 1.0
+"""Time for which the rest of a body is read and dropped after a refusal."""
+CHECK_SECONDS = 1.0
+"""Interval at which connections that take too long are looked for."""
 BALANCER_REMOVAL_SECONDS = 2.4
 """Time after the stop signal for which new requests are still accepted. The load
 balancer probes every second and removes a host after two failures. Requests accepted
@@ -107,6 +110,7 @@
     reading: StoreReading
     contact_prober: ContactProber
     guard: OverloadGuard
+    intake: Intake
 
 
 class GatewayHost:
@@ -145,12 +149,20 @@
         parts, addresses = self.parts, self.parts.settings.addresses
         host, port = split_address(addresses.peers)
         await parts.network.start(host, port)
-        await self._listen(addresses.callers, parts.front.handle, parts.guard)
-        await self._listen(addresses.readiness, self._answer_readiness)
+        await self._listen(
+            Listener.CALLERS, addresses.callers, parts.front.handle, parts.guard
+        )
+        await self._listen(
+            Listener.READINESS, addresses.readiness, self._answer_readiness
+        )
         if addresses.proxied:
-            await self._listen(addresses.proxied, parts.proxy_listener.handle)
+            await self._listen(
+                Listener.PROXIED, addresses.proxied, parts.proxy_listener.handle
+            )
         if addresses.metrics:
-            await self._listen(addresses.metrics, self._answer_readiness)
+            await self._listen(
+                Listener.METRICS, addresses.metrics, self._answer_readiness
+            )
         for seed in parts.settings.seeds:
             parts.spread.add_peer(HostRecord(seed, ""))
         parts.spread.announce()
@@ -158,6 +170,7 @@
         self._spawn(parts.targets.run)
         self._spawn(self._run_spread)
         self._spawn(LagMonitor(parts.guard, parts.runs.clock).run)
+        self._spawn(self._check_connections)
         self._spawn(self._register)
         self._spawn(parts.orderer.run)
         logger.info(
@@ -199,6 +212,9 @@
         self.settings = replace(
             new_settings, identity=old.identity, addresses=old.addresses
         )
+        self.parts.intake.apply_limits(
+            derive_limits(new_settings.memory_bytes, new_settings.descriptors)
+        )
         self.parts.runs.retries.update_limits(
             new_settings.retry_allowance, new_settings.retry_share
         )
@@ -258,10 +274,15 @@
         return sum(server.close_idle() for server in self._servers)
 
     async def _listen(
-        self, address: str, handler: Any, guard: OverloadGuard | None = None
+        self,
+        listener: Listener,
+        address: str,
+        handler: Any,
+        guard: OverloadGuard | None = None,
     ) -> None:
         """Open a listener.
 
+        :param listener: whose share of the sockets its connections may take.
         :param guard: may turn new connections away, if given.
         """
         options: dict[str, Any] = {
@@ -271,15 +292,13 @@
             "keepalive_timeout": self._get_keepalive_seconds(),
             "max_line_size": MAX_HEAD_LINE_BYTES,
             "max_field_size": MAX_HEAD_LINE_BYTES,
+            "lingering_time": LINGERING_SECONDS,
         }
-        if guard is None:
-            server = RequestServer(handler, **options)
-        else:
-            server = GuardedServer(handler, guard, self.parts.runs.clock, **options)
+        server = RequestServer(handler, self.parts.intake, listener, guard, **options)
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_SECONDS)
         await runner.setup()
         host, port = split_address(address)
-        await web.TCPSite(runner, host, port, backlog=ACCEPT_BACKLOG).start()
+        await BoundedSite(runner, host, port).start()
         self._runners.append(runner)
         self._servers.append(server)
 
@@ -302,6 +321,13 @@
             return await self.parts.metrics.serve(http)  # type: ignore[arg-type]
         return web.Response(status=200 if self.is_ready else 503)
 
+    async def _check_connections(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            now = self.parts.runs.clock.monotonic()
+            for server in self._servers:
+                server.check_connections(now)
+
     async def _run_spread(self) -> None:
         parts = self.parts
         while True:
--- a/marigoldswitch/gateway/ports.py
+++ b/marigoldswitch/gateway/ports.py
@@ -403,6 +403,9 @@
     :param configuration_seconds: time from the store's record of a configuration until
         it must be in force.
     :param store_reads: reads a second that the store allows all hosts together.
+    :param memory_bytes: memory that the process may use, with what waits unread in its
+        sockets.
+    :param descriptors: descriptors that the process may open.
     """
 
     identity: Identity
@@ -417,3 +420,5 @@
     is_first_start: bool = False
     configuration_seconds: float = 2.0
     store_reads: float = 2000.0
+    memory_bytes: float = 256 * 1024 * 1024
+    descriptors: int = 4096
--- a/marigoldswitch/gateway/request_runs.py
+++ b/marigoldswitch/gateway/request_runs.py
@@ -13,6 +13,7 @@
     Exchange,
     RequestRefused,
     RunParts,
+    build_crowded,
     check_contact,
 )
 from marigoldswitch.gateway.plain import PlainRun
@@ -67,6 +68,14 @@
         :raises RequestRefused: if it fails before any part of an answer was sent.
         :raises AnswerAborted: if the answer had begun and was cut off.
         """
+        intake, size = self._parts.intake, len(exchange.body)
+        if not intake.may_run(size):
+            detail = "no sockets for the request"
+            raise RequestRefused(build_crowded(self._parts, detail))
+        with intake.run(size):
+            return await self._run(exchange)
+
+    async def _run(self, exchange: Exchange) -> web.StreamResponse:
         try:
             return await self._run_here(exchange)
         except ContactLost:
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -8,6 +8,7 @@
 from marigoldswitch.clocks import BootClock
 from marigoldswitch.core.admitting.elsewhere import WaitingElsewhere
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.core.client_limits import derive_limits
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.gateway_messages import GatewayMessage
 from marigoldswitch.core.ids import DataCentre, HostId
@@ -37,6 +38,7 @@
 )
 from marigoldswitch.gateway.fronts import Frontend
 from marigoldswitch.gateway.hosts import GatewayHost, GatewayParts, read_port
+from marigoldswitch.gateway.intake import Intake
 from marigoldswitch.gateway.metrics import GatewayMetrics
 from marigoldswitch.gateway.orderer import LayerOrderer
 from marigoldswitch.gateway.planner import ChainPlanner
@@ -87,6 +89,8 @@
     metrics = Metrics()
     gateway_metrics = GatewayMetrics(metrics)
     guard = ReadGuard(clock, gateway_metrics.count_unbounded)
+    limits = derive_limits(settings.memory_bytes, settings.descriptors)
+    intake = Intake(limits, clock)
     contact, services = TargetContact(clock.monotonic()), ServiceContacts(clock)
     connections = Connections(guard, lambda: contact.note_traffic(clock.monotonic()))
     session = open_session(SHORT_IDLE_SECONDS, guard)
@@ -100,6 +104,7 @@
     directory, loads, state = Directory(statements, source), Loads(home), HostState()
     directory.ramps.loads = loads
     directory.watch(lambda table: guard.apply_limits(table.limits))
+    directory.watch(intake.apply_table)
     directory.watch(ClientKeys(gateway_metrics).apply_table)
     planner = ChainPlanner(directory, loads, clock, home, source)
     directory.ramps.slowness = planner.slowness
@@ -134,6 +139,7 @@
         identity.data_centre,
         contact,
         services,
+        intake,
     )
 
     def create_prober(
@@ -237,5 +243,6 @@
             reading,
             create_prober(directory.registry.list_engines_or_all, contact),
             OverloadGuard(),
+            intake,
         )
     )
--- a/marigoldswitch/platform/settings.py
+++ b/marigoldswitch/platform/settings.py
@@ -12,6 +12,7 @@
 SETTINGS_FILE_VARIABLE = "MARIGOLDSWITCH_CONFIG"
 """Environment variable with the path of the settings file."""
 BYTES_PER_MEGABIT = 125_000
+BYTES_PER_MEBIBYTE = 1024 * 1024
 MILLISECONDS_PER_SECOND = 1000.0
 
 
@@ -125,6 +126,8 @@
         fields.get("bootstrap") is True,
         _read_seconds(bounds, "config_apply_ms") or defaults.configuration_seconds,
         float(fields["platform"].get("reads_per_s") or defaults.store_reads),
+        _read_limit(fields, "memory_mb", BYTES_PER_MEBIBYTE) or defaults.memory_bytes,
+        int(_read_limit(fields, "max_fds") or defaults.descriptors),
     )
 
 
@@ -148,10 +151,19 @@
 def _read_link_bytes(fields: dict[str, Any]) -> float | None:
     """Return the rate of the host's link in bytes a second, given in Mbit/s.
 
+    :return: ``None`` if it is missing or not a positive number.
+    """
+    return _read_limit(fields, "link_mbps", BYTES_PER_MEGABIT)
+
+
+def _read_limit(fields: dict[str, Any], name: str, unit: int = 1) -> float | None:
+    """Return a limit of the host's machine, in bytes or as a number.
+
+    :param unit: of the value in the settings.
     :return: ``None`` if it is missing or not a positive number.
     """
     limits = fields.get("limits")
-    megabits_per_second = limits.get("link_mbps") if isinstance(limits, dict) else None
-    if not isinstance(megabits_per_second, int | float) or megabits_per_second <= 0:
+    value = limits.get(name) if isinstance(limits, dict) else None
+    if not isinstance(value, int | float) or value <= 0:
         return None
-    return megabits_per_second * BYTES_PER_MEGABIT
+    return float(value * unit)
