Bound answers that callers don't take, and the sockets that requests open

Cause: answers were held without a bound and copied whole to the connection's buffer, bodies once for each sending. Each request opened up to two connections to targets, which stay open for seconds.

Change: answers count in the account, by their length as soon as it is known; one that doesn't fit is passed on as it arrives. Bodies and answers are written piece by piece and let go at their ends.

--- a/marigoldswitch/gateway/bounded_connections.py
+++ b/marigoldswitch/gateway/bounded_connections.py
@@ -112,8 +112,14 @@
         else:
             super().set_exception(exc, exc_cause)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection."""
+        super().connection_made(transport)
+        self._guard.open_connections += 1
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop measuring."""
+        self._guard.open_connections -= 1
         self._stop_head_watch()
         super().connection_lost(exc)
 
--- a/marigoldswitch/gateway/bounded_reads.py
+++ b/marigoldswitch/gateway/bounded_reads.py
@@ -1,8 +1,10 @@
 """Reads answers within bounds, and records those that exceed them."""
 
 import asyncio
+import io
 from collections.abc import Callable
 from enum import Enum
+from typing import Protocol
 
 import aiohttp
 import structlog
@@ -45,6 +47,7 @@
     :param clock: ``None`` to log every time.
     :param count: counts an unbounded answer, by its reader.
     :ivar bounds: the bounds in force.
+    :ivar open_connections: connections whose reads are bounded.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         count: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.bounds = ReadBounds()
+        self.open_connections = 0
         self._clock = clock
         self._count = count
         self._logged_at: dict[tuple[str, Reader], float] = {}
@@ -150,16 +154,34 @@
         self._response.close()
 
 
+class NoMemory(aiohttp.ClientError):
+    """There is no room for an answer that has to be kept until it is whole."""
+
+
+class AnswerHolder(Protocol):
+    """Accounts for the memory of an answer."""
+
+    def reserve_answer(self, size: int) -> bool:
+        """Reserve the room for an answer whose length is known, if there is any."""
+        ...
+
+    def hold_answer(self, size: int) -> bool:
+        """Account for an answer; return whether there is room for it."""
+        ...
+
+
 async def read_whole(
     response: aiohttp.ClientResponse,
     bounds: ReadBounds,
     bound: str,
     counts_silence: bool = False,
+    holder: AnswerHolder | None = None,
 ) -> bytes:
     """Return the body of an answer.
 
     :param bound: name of the bound on its length.
     :param counts_silence: see :class:`BodyReader`.
+    :param holder: accounts for the memory that it takes.
     :raises AnswerUnbounded: if it exceeds a bound; the connection is then closed. Also
         what reading raises otherwise.
     """
@@ -168,17 +190,19 @@
     if response.content.is_eof() and response.content.total_bytes <= max_bytes:
         return await response.read()
     reader = BodyReader(response, bounds, counts_silence)
-    parts: list[bytes] = []
+    parts = io.BytesIO()
     try:
         if get_stated_length(response) > max_bytes:
             raise reader.fail(bound)
         while content := await reader.read():
             if reader.size > max_bytes:
                 raise reader.fail(bound)
-            parts.append(content)
+            if holder is not None and not holder.hold_answer(reader.size):
+                raise NoMemory(f"no memory for {reader.size} bytes of an answer")
+            parts.write(content)
     finally:
         reader.stop()
-    return b"".join(parts)
+    return parts.getvalue()
 
 
 def get_stated_length(response: aiohttp.ClientResponse) -> int:
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -13,7 +13,7 @@
 from marigoldswitch.gateway.attempts import Claimant
 from marigoldswitch.gateway.bounded_reads import AnswerUnbounded
 from marigoldswitch.gateway.broken_chains import ChainBroken
-from marigoldswitch.gateway.caller_writes import write
+from marigoldswitch.gateway.caller_writes import begin, write
 from marigoldswitch.gateway.exchanges import AbortReason, AnswerAborted, Exchange
 from marigoldswitch.gateway.forecast_checks import ForecastCheck
 from marigoldswitch.gateway.upstream import EndOfBodyCheck, LongBody
@@ -163,8 +163,7 @@
     :raises AnswerAborted: if the body ends early.
     """
     response.content_length = body.length
-    await response.prepare(exchange.http)
-    exchange.response = response
+    await begin(exchange, response)
     try:
         while content := await body.read():
             await write(exchange, content)
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -12,6 +12,7 @@
 from marigoldswitch.core.read_bounds import Excess
 from marigoldswitch.core.selection import PlainSelector
 from marigoldswitch.core.suspects import Finding
+from marigoldswitch.gateway.caller_connections import CallerConnection
 from marigoldswitch.gateway.exchanges import (
     Exchange,
     RequestRefused,
@@ -28,6 +29,7 @@
     spend_retry,
 )
 from marigoldswitch.gateway.forwarding import pass_long_body
+from marigoldswitch.gateway.pieces import split_body
 from marigoldswitch.gateway.ports import ForwardOptions, ReplyFacts
 from marigoldswitch.gateway.upstream import Answered, Lost, NotSent, SendResult
 
@@ -135,6 +137,8 @@
             return None
         if exchange.send_count >= exchange.route.max_targets:
             return None
+        if not self._parts.intake.may_hedge:
+            return None
         now = self._parts.clock.monotonic()
         excluded = self._tried | self._list_blocked(now)
         if all(item.id in excluded for item in self._list_targets()):
@@ -162,19 +166,26 @@
         sending = ForwardOptions(
             target.id, exchange.deadline - now, exchange.account, exchange.priority
         )
-        own_connection = needs_new_connection(parts, exchange)
+        own_connection = (
+            needs_new_connection(parts, exchange)
+            or parts.upstream.guard.open_connections >= parts.intake.count_kept()
+        )
+        connection = exchange.http.protocol
+        assert isinstance(connection, CallerConnection)
         end: SendResult = Lost("cancelled")
         try:
             call, body = exchange.call, exchange.body
             end = await parts.upstream.fetch(
-                target, call, body, sending, own_connection
+                target, call, body, sending, own_connection, connection
             )
             if (
                 isinstance(end, Lost)
                 and end.is_stale
                 and await reserve_resend(parts, exchange, target)
             ):
-                end = await parts.upstream.fetch(target, call, body, sending, True)
+                end = await parts.upstream.fetch(
+                    target, call, body, sending, True, connection
+                )
             if isinstance(end, Lost) and end.excess is None:
                 await note_cut_off(parts, exchange, target, sent_at=now)
             return end
@@ -394,7 +405,9 @@
         headers = parts.codec.write_reply(answer.headers)
         if answer.rest is not None:
             return web.StreamResponse(status=answer.status, headers=headers)
-        response = web.Response(status=answer.status, headers=headers, body=answer.body)
+        response = web.Response(
+            status=answer.status, headers=headers, body=split_body(answer.body)
+        )
         exchange.response = response
         return response
 
--- a/marigoldswitch/gateway/proxied_runs.py
+++ b/marigoldswitch/gateway/proxied_runs.py
@@ -22,6 +22,7 @@
     read_whole,
 )
 from marigoldswitch.gateway.broken_chains import ChainBroken
+from marigoldswitch.gateway.caller_connections import CallerConnection
 from marigoldswitch.gateway.chain_runs import begin_stream
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
 from marigoldswitch.gateway.exchanges import (
@@ -34,6 +35,7 @@
     spend_retry,
 )
 from marigoldswitch.gateway.forwarding import EventForwarder, pass_long_body
+from marigoldswitch.gateway.pieces import PIECE_BYTES, split_body
 from marigoldswitch.gateway.proxy_hosts import ProxyHost, ProxyHosts
 from marigoldswitch.gateway.proxy_terms import (
     DECLINED_HEADER,
@@ -45,6 +47,7 @@
     LongBody,
     Lost,
     NotSent,
+    bound_unread,
     build_unbounded,
     open_response,
 )
@@ -448,14 +451,22 @@
     ) -> web.StreamResponse:
         guard = self._connections.guard
         length = get_stated_length(reply)
-        if guard.bounds.body_bytes < length <= guard.bounds.declared_bytes:
+        bound_unread(reply)
+        connection = self._exchange.http.protocol
+        assert isinstance(connection, CallerConnection)
+        is_kept = length <= guard.bounds.body_bytes and (
+            length <= PIECE_BYTES or connection.reserve_answer(length)
+        )
+        if not is_kept and length <= guard.bounds.declared_bytes:
             return await self._pass_long_on(host, reply)
         end_check = EndOfBodyCheck(reply)
-        body = await read_whole(reply, guard.bounds, "body_bytes")
+        body = await read_whole(reply, guard.bounds, "body_bytes", holder=connection)
         if not end_check.is_complete():
             raise _Broken("the connection was reset at the end of the answer")
         headers = self._parts.codec.write_reply(reply.headers)
-        response = web.Response(status=reply.status, headers=headers, body=body)
+        response = web.Response(
+            status=reply.status, headers=headers, body=split_body(body)
+        )
         self._exchange.response = response
         return response
 
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -1,6 +1,7 @@
 """Sends requests to targets and classifies how each sending ended."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 import aiohttp
@@ -9,12 +10,14 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from marigoldswitch.acceptors import RECEIVE_BUFFER_BYTES
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ids import ServiceName
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.read_bounds import Excess
 from marigoldswitch.gateway.bounded_reads import (
+    AnswerHolder,
     AnswerUnbounded,
     BodyReader,
     Reader,
@@ -23,6 +26,7 @@
     read_whole,
 )
 from marigoldswitch.gateway.connections import Connections, ConnectionUse
+from marigoldswitch.gateway.pieces import PIECE_BYTES, PiecewiseBody, split_body
 from marigoldswitch.gateway.ports import Call, CallCodec, ForwardOptions, ReplyFacts
 from marigoldswitch.gateway.resends import ResendGuard
 from marigoldswitch.gateway.service_contacts import ServiceContacts
@@ -111,6 +115,7 @@
     :param path: with its query, encoded as they are to be sent.
     :param use: is updated with how the request was sent.
     """
+    content = split_body(body)
     try:
         # As a path, the query is sent unchanged: an empty one would lose its "?".
         url = URL.build(scheme="http", authority=address, path=path, encoded=True)
@@ -118,7 +123,7 @@
             method,
             url,
             headers=headers,
-            data=body or None,
+            data=content or None,
             allow_redirects=False,
             trace_request_ctx=use,
         )
@@ -136,6 +141,9 @@
         return build_unbounded(error)
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Lost(f"{type(error).__name__}: {error}")
+    finally:
+        if isinstance(content, PiecewiseBody):
+            content.release()
 
 
 def build_unbounded(error: AnswerUnbounded) -> Lost:
@@ -145,6 +153,18 @@
     return Lost(f"{why}, beyond {excess.bound}", excess=excess)
 
 
+def bound_unread(response: aiohttp.ClientResponse) -> None:
+    """Bound what waits unread in the socket of an answer that is not short.
+
+    It counts towards the memory of this process while the caller doesn't read.
+    """
+    connection = response.connection
+    transport = connection.transport if connection is not None else None
+    if transport is not None and get_stated_length(response) > PIECE_BYTES:
+        receiver = transport.get_extra_info("socket")
+        receiver.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 class Upstream:
     """Sends requests to targets.
 
@@ -270,30 +290,37 @@
         body: bytes,
         sending: ForwardOptions,
         new_connection: bool,
+        holder: AnswerHolder | None = None,
     ) -> SendResult:
-        """Send a request and return its complete answer, within ``sending.left``."""
+        """Send a request and return its complete answer, within ``sending.left``.
+
+        :param holder: accounts for the memory that the answer takes.
+        """
         try:
             async with asyncio.timeout(sending.timeout):
                 result = await self.send(target, call, body, sending, new_connection)
                 if isinstance(result, Reply):
-                    return await self._read_answer(target, call, result)
+                    return await self._read_answer(target, call, result, holder)
                 return result
         except TimeoutError:
             return Lost("no complete answer in time")
 
     async def _read_answer(
-        self, target: Target, call: Call, reply: Reply
+        self, target: Target, call: Call, reply: Reply, holder: AnswerHolder | None
     ) -> Answered | Lost:
         response, facts = reply.response, reply.facts
         if facts.request != call.id:
             response.close()
             return Lost(f"answer to another request: {facts.request}")
-        if self._is_passed_on(reply):
+        bound_unread(response)
+        if self._is_passed_on(reply, holder):
             rest = LongBody(response, self.guard, target.id)
             return Answered(response.status, response.headers, b"", facts, rest)
         end_check = EndOfBodyCheck(response)
         try:
-            body = await read_whole(response, self.guard.bounds, "body_bytes")
+            body = await read_whole(
+                response, self.guard.bounds, "body_bytes", holder=holder
+            )
         except AnswerUnbounded as error:
             self.guard.note(target.id, Reader.ANSWER, error.excess)
             return build_unbounded(error)
@@ -306,8 +333,9 @@
             return Lost("the connection was reset at the end of the answer")
         return Answered(response.status, response.headers, body, facts)
 
-    def _is_passed_on(self, reply: Reply) -> bool:
-        """Return whether a body is long, and may be passed on as it arrives.
+    def _is_passed_on(self, reply: Reply, holder: AnswerHolder | None) -> bool:
+        """Return whether a body is passed on as it arrives, as it is long or there is
+        no memory for it.
 
         It must state its length, as one without an end is none. Errors and refusals are
         kept until another target has answered.
@@ -318,7 +346,11 @@
         if not facts.is_signed or facts.is_encoded:
             return False
         length = get_stated_length(response)
-        return bounds.body_bytes < length <= bounds.declared_bytes
+        if length <= bounds.body_bytes:
+            if holder is None or length <= PIECE_BYTES:
+                return False
+            return not holder.reserve_answer(length)
+        return length <= bounds.declared_bytes
 
 
 class LongBody:
