Bound what connections to the listener for other hosts hold

Cause: whoever connects may announce a message of 8 MiB and stop short of its end, on any number of connections.

Change: these connections have a share of the sockets, and their unfinished messages count in the account. Those on which no host has sent a whole message give way first.

--- a/marigoldswitch/peer_connections.py
+++ b/marigoldswitch/peer_connections.py
@@ -185,6 +185,7 @@
     """The receiving end of a connection: reads it and acknowledges what it has read.
 
     :ivar excess: the bound that a frame has exceeded, which ended the connection.
+    :ivar note_size: called with the bytes of a frame that have arrived.
     """
 
     def __init__(
@@ -200,6 +201,7 @@
         self._total = 0
         self._timer: asyncio.TimerHandle | None = None
         self.excess: Excess | None = None
+        self.note_size: Callable[[int], None] = lambda _: None
 
     async def read_rest(self, size: int) -> bytes:
         """Read what follows the first bytes of a frame, while it makes progress.
@@ -219,6 +221,7 @@
         try:
             while len(parts) < size:
                 parts += await self._read_part(size - len(parts))
+                self.note_size(len(parts))
                 if self._total - marked >= self._bounds.progress_bytes:
                     marked = self._total
                     watch.note_progress()
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -8,7 +8,7 @@
 from marigoldswitch.clocks import BootClock
 from marigoldswitch.core.admitting.elsewhere import WaitingElsewhere
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.client_limits import derive_limits
+from marigoldswitch.core.client_limits import Listener, derive_limits
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.gateway_messages import GatewayMessage
 from marigoldswitch.core.ids import DataCentre, HostId
@@ -55,6 +55,7 @@
 from marigoldswitch.gateway.store_reading import ReadSwitches, StoreReading
 from marigoldswitch.gateway.upstream import Upstream
 from marigoldswitch.metrics import Metrics
+from marigoldswitch.peer_intake import PeerIntake
 from marigoldswitch.peers import PeerNetwork
 from marigoldswitch.platform.engines import EngineClient
 from marigoldswitch.platform.headers import HeaderCodec
@@ -163,6 +164,11 @@
         Pacer(settings.link_bytes, clock),
         clock,
         lambda sender, excess: guard.note(sender, Reader.PEER, excess),
+        PeerIntake(
+            lambda: intake.limits.count_connections(Listener.PEERS),
+            intake.memory,
+            clock,
+        ),
     )
     switches = ReadSwitches(asyncio.Event(), asyncio.Event())
     waits = choose_waits(settings.touch_seconds, settings.leaving_seconds)
