Give the memory of large bodies back once they are freed

Cause: glibc raises the size from which blocks are given back to that of the largest block freed so far. Afterwards freed bodies stay in the heap, in pieces.

Change: the threshold is fixed at 128 KiB as the daemon starts.

--- a/marigoldswitch/platform/daemon.py
+++ b/marigoldswitch/platform/daemon.py
@@ -9,6 +9,7 @@
 import structlog
 from result import Err, Ok
 
+from marigoldswitch.allocator import release_large_blocks
 from marigoldswitch.gateway.hosts import GatewayHost
 from marigoldswitch.gateway.ports import HostSettings
 from marigoldswitch.logs import BoundedStream, configure_logs
@@ -43,6 +44,7 @@
     if check:
         print(f"{path}: fine")
         return 0
+    release_large_blocks()
     stream = BoundedStream(sys.stdout.fileno())
     # No operator can ask this daemon for a trail.
     configure_logs(log_level, stream, keeps_trail=False)
