--- a/marigoldswitch/tests/test_crowds.py
+++ b/marigoldswitch/tests/test_crowds.py
@@ -72,6 +72,10 @@
     run_async(play(tmp_path, act, count), MAX_SECONDS)
 
 
+def test_host_serves_others_while_many_bodies_come_in_the_smallest_chunks(tmp_path):
+    run_async(play(tmp_path, crowds.send_tiny_chunks, MANY), MAX_SECONDS)
+
+
 @pytest.mark.parametrize("act", [crowds.stop_short, crowds.send_whole])
 def test_host_outlives_a_crowd_with_wrong_keys(tmp_path, act):
     run_async(play(tmp_path, act, MANY, key="unknown"), MAX_SECONDS)
