Move no time limit of a body that has been read, and skip closed connections in turns

Found by reading: a refused body kept its time limit, so that giving way for memory a moment later would have raised in the request of another connection; turns were given to connections that had closed.

--- a/marigoldswitch/gateway/caller_connections.py
+++ b/marigoldswitch/gateway/caller_connections.py
@@ -208,9 +208,11 @@
         elif size >= FIRST_READ_BYTES:
             transport.max_size = MAX_READ_BYTES  # type: ignore[attr-defined]
 
-    def _take_turn(self) -> None:
+    def _take_turn(self) -> bool:
+        """Read again; return whether the connection is still open."""
         self._is_waiting_turn = False
         self._resume_if_free()
+        return self.transport is not None
 
     def _resume_if_free(self) -> None:
         if not self._reading_paused and not self._buffer_paused:
@@ -244,9 +246,8 @@
         self._resize()
         return not self.has_given_way
 
-    def note_running(self) -> None:
-        """Note that the request under way is complete, and can't be refused any more
-        for what it holds."""
+    def end_receiving(self) -> None:
+        """Note that the body of the request under way is complete, or refused."""
         self.receive_limit = None
         self.holding.use = Use.RUNNING
 
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -250,7 +250,8 @@
             except RuntimeError as error:
                 # Reading fails like this once the connection is closed.
                 raise RequestRefused(Fault(ErrorKind.MALFORMED, str(error))) from error
-            connection.note_running()
+            finally:
+                connection.end_receiving()
             return parts.getvalue()
 
     async def _run(self, exchange: Exchange) -> web.StreamResponse:
--- a/marigoldswitch/gateway/intake.py
+++ b/marigoldswitch/gateway/intake.py
@@ -26,13 +26,13 @@
     """
 
     def __init__(self) -> None:
-        self._waiting: deque[Callable[[], None]] = deque()
+        self._waiting: deque[Callable[[], bool]] = deque()
         self._timer: asyncio.TimerHandle | None = None
 
-    def wait(self, resume: Callable[[], None], seconds: float) -> None:
+    def wait(self, resume: Callable[[], bool], seconds: float) -> None:
         """Have a connection wait for its turn.
 
-        :param resume: called when it may read again.
+        :param resume: called when it may read again; returns whether it is still open.
         :param seconds: time that its last read took.
         """
         self._waiting.append(resume)
@@ -47,9 +47,9 @@
 
     def _resume_next(self) -> None:
         self._timer = None
-        if not self._waiting:
-            return
-        self._waiting.popleft()()
+        while self._waiting:
+            if self._waiting.popleft()():
+                break
         if self._waiting and self._timer is None:
             loop = asyncio.get_running_loop()
             pause = TURN_FACTOR * DEAR_READ_SECONDS
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -1,6 +1,7 @@
 """Sends requests to targets and classifies how each sending ended."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -162,7 +163,11 @@
     transport = connection.transport if connection is not None else None
     if transport is not None and get_stated_length(response) > PIECE_BYTES:
         receiver = transport.get_extra_info("socket")
-        receiver.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # It fails on a socket that has been closed meanwhile.
+        with contextlib.suppress(OSError):
+            receiver.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
 
 
 class Upstream:
