--- a/marigoldswitch/acceptors.py
+++ b/marigoldswitch/acceptors.py
@@ -27,7 +27,7 @@
 """Pause after a connection could not be taken, for lack of descriptors mostly."""
 
 
-class Admission(Enum):
+class AcceptDecision(Enum):
     """What happens to a connection that waits to be accepted."""
 
     TAKE = "take"
@@ -48,7 +48,7 @@
         self,
         address: str,
         port: int,
-        admit: Callable[[], Admission],
+        admit: Callable[[], AcceptDecision],
         create_protocol: Callable[[], asyncio.BaseProtocol],
     ) -> None:
         self._admit = admit
@@ -95,13 +95,13 @@
                 return
             self._waiting = None
             match self._admit():
-                case Admission.WAIT:
+                case AcceptDecision.WAIT:
                     self._waiting = connection
                     self._pause(WAIT_SECONDS)
                     return
-                case Admission.TURN_AWAY:
+                case AcceptDecision.TURN_AWAY:
                     connection.close()
-                case Admission.TAKE:
+                case AcceptDecision.TAKE:
                     self._connect(connection)
 
     def _take_next(self) -> socket.socket | None:
--- a/marigoldswitch/core/client_limits.py
+++ b/marigoldswitch/core/client_limits.py
@@ -36,7 +36,7 @@
 """The same for connections to targets and, with their requests, to other hosts."""
 
 
-class ClientLimits(Struct, frozen=True):
+class ProcessLimits(Struct, frozen=True):
     """What the clients of one process may make it hold.
 
     :param memory_bytes: bytes of requests and answers, over all listeners.
@@ -55,13 +55,13 @@
         return int(OUTGOING_SHARE * self.sockets)
 
 
-def derive_limits(memory_bytes: float, descriptors: int) -> ClientLimits:
+def derive_limits(memory_bytes: float, descriptors: int) -> ProcessLimits:
     """Return the limits of a process.
 
     :param memory_bytes: memory that the process may use.
     :param descriptors: descriptors that it may open.
     """
-    return ClientLimits(
+    return ProcessLimits(
         int(MEMORY_SHARE * memory_bytes),
         max(MIN_SOCKETS, descriptors - FILE_DESCRIPTORS),
     )
--- a/marigoldswitch/core/client_memory.py
+++ b/marigoldswitch/core/client_memory.py
@@ -47,12 +47,10 @@
     """The account of one process.
 
     :param limit: bytes that all holdings together may have.
-    :ivar given_way: number of holdings that had to give way so far.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self.given_way = 0
         self._used = 0
         self._leaving = 0
         """Bytes of holdings that give way and have not been released."""
@@ -60,13 +58,9 @@
 
     @property
     def used(self) -> int:
-        """Return the bytes that are held for good, without those that give way."""
+        """Return the bytes that are held, without those that give way."""
         return self._used - self._leaving
 
-    def has_room(self, size: int) -> bool:
-        """Return whether further bytes fit without anyone giving way."""
-        return self.used + size <= self.limit
-
     def resize(self, holding: Holding, size: int, now: float) -> bool:
         """Set the size of a holding; others, or this one, give way if it doesn't fit.
 
@@ -125,5 +119,4 @@
         """Have a holding give way."""
         holding.is_leaving = True
         self._leaving += holding.size
-        self.given_way += 1
         holding.give_way()
--- a/marigoldswitch/gateway/accepting.py
+++ b/marigoldswitch/gateway/accepting.py
@@ -11,7 +11,7 @@
 import structlog
 from aiohttp import web
 
-from marigoldswitch.acceptors import Acceptor, Admission
+from marigoldswitch.acceptors import AcceptDecision, Acceptor
 from marigoldswitch.core.client_limits import Listener
 from marigoldswitch.core.overload import OverloadGuard
 from marigoldswitch.core.ports import Clock
@@ -92,29 +92,29 @@
             self, self._intake, loop=self._loop, **self._kwargs
         )
 
-    def admit(self) -> Admission:
+    def admit(self) -> AcceptDecision:
         """Decide on a connection that waits to be accepted; count one that is taken."""
         now = self._intake.clock.monotonic()
         if self._guard is not None and self._guard.must_turn_away(now):
-            return Admission.TURN_AWAY
+            return AcceptDecision.TURN_AWAY
         if self.is_full:
             return self._make_room(now)
         self._open += 1
-        return Admission.TAKE
+        return AcceptDecision.TAKE
 
-    def _make_room(self, now: float) -> Admission:
+    def _make_room(self, now: float) -> AcceptDecision:
         """Have a connection leave, if one can, and let the new one wait for that."""
         if self._leaving is None:
             self._leaving, self._leaving_since = self._choose_leaving(now), now
             if self._leaving is None:
                 self._turned_away += 1
-                return Admission.TURN_AWAY
+                return AcceptDecision.TURN_AWAY
             self._leaving.make_room()
         elif now - self._leaving_since >= LEAVING_SECONDS:
             transport = self._leaving.transport
             if transport is not None:
                 transport.abort()
-        return Admission.WAIT
+        return AcceptDecision.WAIT
 
     @property
     def is_full(self) -> bool:
--- a/marigoldswitch/gateway/caller_connections.py
+++ b/marigoldswitch/gateway/caller_connections.py
@@ -109,7 +109,7 @@
         self.has_given_way = False
         self._has_partial_head = False
         self._head_size = 0
-        """Bytes received since the last whole head or body."""
+        """Bytes of a head that is not complete."""
         self._head_since = 0.0
         self._framing_size = 0
         self._last_payload: Any = None
--- a/marigoldswitch/gateway/intake.py
+++ b/marigoldswitch/gateway/intake.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from marigoldswitch.core.client_limits import ClientLimits
+from marigoldswitch.core.client_limits import ProcessLimits
 from marigoldswitch.core.client_memory import SMALL_BYTES, ClientMemory, Holding
 from marigoldswitch.core.ports import Clock
-from marigoldswitch.core.routes import ClientLimits as RequestLimits, RoutingTable
+from marigoldswitch.core.routes import ClientLimits, RoutingTable
 
 DEAR_READ_SECONDS = 0.002
 """Time to parse one read from which a connection's next read has to wait for its turn.
@@ -64,12 +64,12 @@
     :ivar running_large: those of them that are not small.
     """
 
-    def __init__(self, limits: ClientLimits, clock: Clock) -> None:
+    def __init__(self, limits: ProcessLimits, clock: Clock) -> None:
         self.limits = limits
         self.clock = clock
         self.memory = ClientMemory(limits.memory_bytes)
         self.turns = ReadTurns()
-        self.request_limits = RequestLimits()
+        self.request_limits = ClientLimits()
         self.running = self.running_large = 0
 
     def count_kept(self) -> int:
@@ -108,7 +108,7 @@
             self.running -= 1
             self.running_large -= is_large
 
-    def apply_limits(self, limits: ClientLimits) -> None:
+    def apply_limits(self, limits: ProcessLimits) -> None:
         """Apply changed limits; what is held already stays."""
         self.limits = limits
         self.memory.limit = limits.memory_bytes
--- a/marigoldswitch/peer_intake.py
+++ b/marigoldswitch/peer_intake.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from marigoldswitch.acceptors import Admission
+from marigoldswitch.acceptors import AcceptDecision
 from marigoldswitch.core.client_memory import ClientMemory, Holding, Use
 from marigoldswitch.core.ports import Clock
 
@@ -62,21 +62,21 @@
         self._open = 0
         """Connections that have been accepted and not closed."""
 
-    def admit(self) -> Admission:
+    def admit(self) -> AcceptDecision:
         """Decide on a connection that waits to be accepted; count one that is taken."""
         if self._open < self._count_allowed():
             self._open += 1
-            return Admission.TAKE
+            return AcceptDecision.TAKE
         leaving = min(
             self._entries, key=lambda item: (item.is_known, item.since), default=None
         )
         if leaving is None:
-            return Admission.WAIT
+            return AcceptDecision.WAIT
         idle = self.clock.monotonic() - leaving.since
         if leaving.is_known and idle < KNOWN_IDLE_SECONDS:
-            return Admission.TURN_AWAY
+            return AcceptDecision.TURN_AWAY
         leaving.abort()
-        return Admission.WAIT
+        return AcceptDecision.WAIT
 
     def open(self, abort: Callable[[], None]) -> PeerEntry:
         """Add a connection that was admitted.
