--- a/marigoldswitch/gateway/caller_connections.py
+++ b/marigoldswitch/gateway/caller_connections.py
@@ -358,6 +358,8 @@
                 seconds = now - self._idle_since + 0.01
                 return Claim.RECEIVING, -seconds * (payload.total_bytes + 1)
             return Claim.RUNNING, 0.0
+        if self._messages:
+            return Claim.RUNNING, 0.0
         return Claim.IDLE if self._was_used else Claim.STRANGER, self._idle_since
 
     def make_room(self) -> None:
