--- a/marigoldswitch/gateway/intake.py
+++ b/marigoldswitch/gateway/intake.py
@@ -11,8 +11,7 @@
 from marigoldswitch.core.routes import ClientLimits, RoutingTable
 
 DEAR_READ_SECONDS = 0.002
-"""Time to parse one read from which a connection's next read has to wait for its turn.
-A read of usual content takes a tenth of it."""
+"""Time to parse one read from which a connection waits for its turn to read on."""
 TURN_FACTOR = 3.0
 """Pause between two turns, as a multiple of the time that the last one took."""
 
@@ -20,9 +19,9 @@
 class ReadTurns:
     """Lets connections whose bytes are dear to parse read one after another.
 
-    Load: bodies in chunks of a byte cost a hundred times the time of others. Read as
-    they arrive on many connections, they would leave the event loop no time for other
-    requests.
+    Load: bodies in chunks of a byte cost far more time for each byte than others. Read
+    as they arrive on many connections, they would leave the event loop no time for
+    other requests.
     """
 
     def __init__(self) -> None:
