Tell why a target that broke requests off is not taken for ended

New log lines target_not_ended (answered, silent, doubted) and request_on_hold (with the ends it rests on), new metric end_verdicts_total. No decision changes.

--- a/marigoldswitch/core/crashes.py
+++ b/marigoldswitch/core/crashes.py
@@ -128,6 +128,10 @@
         ends = ((run.target, now - crash.at) for run, crash in record.crashes.items())
         return Hold(left, tuple(ends))
 
+    def list_held(self) -> frozenset[Fingerprint]:
+        """Return the requests that were put on hold."""
+        return frozenset(name for name, item in self._records.items() if item.is_held)
+
     def note_crash(
         self, run: TargetRun, requests: Sequence[InterruptedRequest], now: float
     ) -> None:
--- a/marigoldswitch/core/interruptions.py
+++ b/marigoldswitch/core/interruptions.py
@@ -1,11 +1,26 @@
 """Requests that targets interrupt when they crash, and holds on such requests."""
 
+from enum import Enum
+
 from msgspec import Struct
 
 from marigoldswitch.core.fingerprints import Fingerprint
 from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName, TargetId
 
 
+class EndVerdict(Enum):
+    """What a probe has found out about a target that broke a request off."""
+
+    ENDED = "ended"
+    """Its port is closed, or a later process answers there."""
+    ANSWERED = "answered"
+    """It has answered."""
+    SILENT = "silent"
+    """There was no answer."""
+    DOUBTED = "doubted"
+    """Its port is closed, but this host may be cut off from it."""
+
+
 class TargetRun(Struct, frozen=True):
     """One run of a target's process, from start to exit.
 
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -13,6 +13,7 @@
 from marigoldswitch.core.fingerprints import Fingerprint
 from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName, TargetId
 from marigoldswitch.core.interruptions import (
+    EndVerdict,
     Hold,
     InterruptedRequest,
     PromptPart,
@@ -69,6 +70,7 @@
     """Records the ends of targets and the requests that they ran.
 
     :ivar send_notes: sends notes to other hosts.
+    :ivar count_verdict: called with each verdict on a target that broke requests off.
     :ivar may_decide_trials: returns whether this host is the only one that now lets
         requests run on trial.
     """
@@ -77,6 +79,9 @@
         self, clock: Clock, directory: Directory, probes: EngineProbes
     ) -> None:
         self.send_notes: Callable[[CrashNotes], None] = lambda _: None
+        self.count_verdict: Callable[[ServiceName, EndVerdict], None] = lambda _, __: (
+            None
+        )
         self.may_decide_trials: Callable[[], bool] = lambda: False
         self._clock = clock
         self._directory = directory
@@ -86,6 +91,7 @@
         self._interruptions: dict[TargetRun, _Interruption] = {}
         self._urgent_sent_at = float("-inf")
         self._logged_holds: frozenset[PromptPart] = frozenset()
+        self._logged_requests: frozenset[Fingerprint] = frozenset()
 
     @property
     def checksum(self) -> int:
@@ -209,7 +215,9 @@
             self.send_pending_notes()
 
     def _log_changed_holds(self) -> None:
-        """Log the parts of prompts that were put on hold or taken off it."""
+        """Log the requests that were put on hold, and the parts of prompts that were
+        put on hold or taken off it."""
+        self._log_held_requests()
         held, known = self._parts.held_parts, self._logged_holds
         self._logged_holds = held
         for part in held - known:
@@ -224,7 +232,15 @@
 
         A reset connection, a cut link or a slow target is not an end.
         """
-        if not await self._probes.has_ended(target, start.born):
+        verdict = await self._probes.judge_end(target, start.born)
+        self.count_verdict(target.service, verdict)
+        if verdict is not EndVerdict.ENDED:
+            logger.info(
+                "target_not_ended",
+                target=start.target,
+                verdict=verdict.value,
+                requests=len(interruption.requests),
+            )
             return False
         await asyncio.sleep(SETTLE_SECONDS)
         self._note_end(start, interruption)
@@ -248,6 +264,19 @@
         self._log_changed_holds()
         self._send_if_urgent()
 
+    def _log_held_requests(self) -> None:
+        """Log the requests that were put on hold since the last time."""
+        held, known = self._ledger.list_held(), self._logged_requests
+        self._logged_requests = held
+        for fingerprint in held - known:
+            hold = self.find_hold(fingerprint)
+            if hold is not None:
+                logger.warning(
+                    "request_on_hold",
+                    fingerprint=fingerprint,
+                    ends=[(name, round(age, 2)) for name, age in hold.ends],
+                )
+
 
 def _count_parts(requests: list[InterruptedRequest]) -> list[tuple[PromptPartId, int]]:
     """Return the parts of requests without an event, the most frequent ones first."""
--- a/marigoldswitch/gateway/metrics.py
+++ b/marigoldswitch/gateway/metrics.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 
 from marigoldswitch.core.ids import ServiceName
+from marigoldswitch.core.interruptions import EndVerdict
 from marigoldswitch.gateway.exchanges import AbortReason
 from marigoldswitch.gateway.interruption_log import LossKind
 from marigoldswitch.gateway.placing import Placing
@@ -79,6 +80,11 @@
         decision = "granted" if is_granted else "denied"
         self._metrics.retries.inc({"service": service, "decision": decision})
 
+    def count_verdict(self, service: ServiceName, verdict: EndVerdict) -> None:
+        """Count one verdict on a target that broke requests off."""
+        labels = {"service": service, "verdict": verdict.value}
+        self._metrics.end_verdicts.inc(labels)
+
     def count_unbounded(self, reader: str) -> None:
         """Count one answer that exceeded a bound.
 
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -10,6 +10,7 @@
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.gaps import HostGaps
 from marigoldswitch.core.ids import DataCentre, TargetId
+from marigoldswitch.core.interruptions import EndVerdict
 from marigoldswitch.core.local_health import Cause
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.suspects import Finding
@@ -138,7 +139,14 @@
 
         :param born: start of the process, in ms since 1970; 0 if unknown.
         """
-        return await self._status_reader.has_ended(target, born)
+        return await self.judge_end(target, born) is EndVerdict.ENDED
+
+    async def judge_end(self, target: Target, born: int) -> EndVerdict:
+        """Return what a probe finds out about a target that broke a request off.
+
+        :param born: start of the process, in ms since 1970; 0 if unknown.
+        """
+        return await self._status_reader.judge_end(target, born)
 
     def _get_or_start_probe(self, target: Target) -> asyncio.Task[EngineStatus | None]:
         task = self._running_probes.get(target.id)
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -11,6 +11,7 @@
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import ContactState, TargetContact
 from marigoldswitch.core.ids import DataCentre, TargetId
+from marigoldswitch.core.interruptions import EndVerdict
 from marigoldswitch.core.local_health import Cause, LocalHealth
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.directory import Directory
@@ -113,7 +114,7 @@
         answer = await self._try(target, sum(TRY_TIMEOUTS))
         return answer if isinstance(answer, EngineStatus) else None
 
-    async def has_ended(self, target: Target, born: int) -> bool:
+    async def judge_end(self, target: Target, born: int) -> EndVerdict:
         """Return whether the process of a target has certainly ended.
 
         It has if its port is closed or another process answers there, such as a later
@@ -122,6 +123,7 @@
 
         :param born: start of the process, in ms since 1970; 0 if unknown.
         """
+        verdict = EndVerdict.SILENT
         for seconds in TRY_TIMEOUTS:
             asked = self._clock.monotonic()
             match await self._engines.read(target.address, seconds):
@@ -129,14 +131,17 @@
                     now = self._clock.monotonic()
                     self._note_silence(target, asked, now, is_refused=True)
                     if not self._may_be_cut_off(target):
-                        return True
+                        return EndVerdict.ENDED
+                    verdict = EndVerdict.DOUBTED
                 case EngineWithoutReport(has_reports):
-                    return bool(target.accelerator) and not has_reports
+                    has_ended = bool(target.accelerator) and not has_reports
+                    return EndVerdict.ENDED if has_ended else EndVerdict.ANSWERED
                 case EngineStatus(born=found):
-                    return found > born > 0
+                    has_ended = found > born > 0
+                    return EndVerdict.ENDED if has_ended else EndVerdict.ANSWERED
             # It may have closed its streams but not its port yet.
             await asyncio.sleep(seconds)
-        return False
+        return verdict
 
     def _note_silence(
         self, target: Target, began: float, now: float, is_refused: bool
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -153,6 +153,7 @@
     )
     runs.upstream.count_sending = gateway_metrics.count_sending
     runs.retries.count_decision = gateway_metrics.count_retry
+    crashes.count_verdict = gateway_metrics.count_verdict
     metrics.add_collector(
         partial(gateway_metrics.set_ramping, directory.ramps.count_ramping)
     )
