Show that a request crashes all targets of a small service without end

Callers send a request that crashes whatever runs it to four and eight hosts, beside three ordinary callers of each host; targets refuse connections for 0.3 to 2 s and are back under their ids or new ones.

--- a/marigoldswitch/tests/faulty_targets.py
+++ b/marigoldswitch/tests/faulty_targets.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 
 SLOW_SECONDS = 0.3
@@ -42,8 +43,10 @@
     """Target that answers over kept connections, with faults once it has some.
 
     :ivar choose_fault: returns what to do with the next request; ``None`` to answer.
-    :ivar crashing: paths of requests that crash it; it is back at once.
+    :ivar crashing: paths of requests that crash it.
+    :ivar down_seconds: time after a crash in which connections are refused.
     :ivar crashes: number of these crashes.
+    :ivar note_crash: called with the path of each request that crashes it.
     :ivar arrivals: number of times that each request has arrived, by attempt id.
     :ivar runs: the same of those that it did not refuse.
     """
@@ -53,7 +56,9 @@
         self.address = ""
         self.choose_fault = lambda: None
         self.crashing: frozenset[str] = frozenset()
+        self.down_seconds = 0.0
         self.crashes = 0
+        self.note_crash: Callable[[str], None] = lambda _: None
         self.arrivals: Counter[str] = Counter()
         self.runs: Counter[str] = Counter()
         self._server: asyncio.Server | None = None
@@ -88,11 +93,20 @@
         for writer in list(self._writers):
             reset(writer)
 
-    def crash(self) -> None:
-        """Reset all connections, and listen on."""
+    def crash(self, path: str) -> None:
+        """Reset all connections, and listen on unless ``down_seconds`` is set.
+
+        It can't crash again before it listens again.
+        """
+        if self._server is None:
+            return
         self.crashes += 1
-        for writer in list(self._writers):
-            reset(writer)
+        if self.down_seconds:
+            self.end()
+        else:
+            for writer in list(self._writers):
+                reset(writer)
+        self.note_crash(path)
 
     def stop(self) -> None:
         """End for good and free the port."""
@@ -118,7 +132,7 @@
         await reader.readexactly(int(fields.get("content-length", 0)))
         request = fields.get("attempt-id", "")
         if head.split()[1] in self.crashing:
-            self.crash()
+            self.crash(head.split()[1])
             return False
         fault = None
         if request:
