Count the end of a target though the repeat on a new connection is refused

A request that crashed its target on a kept connection was sent to it once more on a new one, as such connections are mostly stale. Where that was refused, the request counted as not sent, the loss before it was forgotten, and the request went on to the next target without a look at its hold.

The loss is now judged like any other, and the hold is checked before the next target. For streams the same was only read: after such a repeat the run of the chain counts as begun.

--- a/marigoldswitch/gateway/chain_runs.py
+++ b/marigoldswitch/gateway/chain_runs.py
@@ -61,6 +61,7 @@
         check: ForecastCheck | None = None,
     ) -> None:
         self.has_run = False
+        self._is_resent = False
         self._parts = parts
         self._exchange = exchange
         self._monitor = monitor
@@ -82,7 +83,9 @@
         result = await self._send_first(first_row.target)
         match result:
             case NotSent(why):
+                # If it was resent, the first sending may have run.
                 self._uncount_run()
+                self.has_run = self._is_resent
                 exchange.connect_failures += 1
                 self._losses.suspect_unreachable(first_row.target, result)
                 raise ChainBroken(f"not sent: {why}")
@@ -130,6 +133,7 @@
             and self._is_stale_connection(result, target)
             and await reserve_resend(parts, exchange, target)
         ):
+            self._is_resent = True
             result = await self._send(target, sending, new_connection=True)
         return result
 
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -178,16 +178,20 @@
             end = await parts.upstream.fetch(
                 target, call, body, sending, own_connection, connection
             )
-            if (
+            is_resent = (
                 isinstance(end, Lost)
                 and end.is_stale
                 and await reserve_resend(parts, exchange, target)
-            ):
+            )
+            if is_resent:
                 end = await parts.upstream.fetch(
                     target, call, body, sending, True, connection
                 )
-            if isinstance(end, Lost) and end.excess is None:
-                await note_cut_off(parts, exchange, target, sent_at=now)
+            match end:
+                case Lost(excess=None):
+                    await note_cut_off(parts, exchange, target, sent_at=now)
+                case NotSent() if is_resent:
+                    await note_cut_off(parts, exchange, target, sent_at=now)
             return end
         finally:
             parts.loads.release(target.id, usage)
@@ -305,6 +309,8 @@
                 self._unreachable_count += 1
                 if not is_last:
                     return None
+                if exchange.run_count > 0:
+                    check_hold(self._parts, exchange)
                 if self._unreachable_count >= MAX_UNREACHABLE_TARGETS:
                     raise RequestRefused(self._build_fault(why))
                 failed, self._failed = self._failed, None
--- a/marigoldswitch/tests/test_crashes.py
+++ b/marigoldswitch/tests/test_crashes.py
@@ -122,6 +122,24 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("path", ["/look/1", "/draft/1"])
+def test_end_counts_though_the_repeat_on_a_new_connection_is_refused(path):
+    async def scenario():
+        async with run_site(hosts=1, desks=4) as site:
+            await add_crashing_engines(site, 4)
+            await site.wait_until(lambda: len(get_targets(site)) == 8)
+            for desk in site.desks:
+                desk.crashing = {CRASHING}
+            for number in range(24):
+                assert (await send(site, number, 0, b"{}", path))[0] == 200
+            await send(site, 99, 0, CRASHING, path)
+            ends = count_ends([*site.desks, *site.engines.engines.values()])
+            notes = site.hosts[0].parts.runs.crashes.list_notes().notes
+            assert [len(item.ends) for item in notes] == [ends]
+
+    run_scenario(scenario())
+
+
 def test_host_that_starts_later_lets_no_held_request_run():
     async def scenario():
         async with run_site(hosts=1) as site:
