Judge a closed port by whether another target takes a connection

At the same time the first target of a real cut was taken for ended, as one refusal is no reason to doubt.

A closed port now proves an end if another target of the service takes a new connection between two refusals. What can't be told yet is kept for 5 s with the time of the loss, less the requests that have run to their ends by then. For the only target of a service, other hosts are asked; a target that refuses all of them has ended. The state of the contact has no part in it any more, for engines neither.

--- a/marigoldswitch/core/crash_messages.py
+++ b/marigoldswitch/core/crash_messages.py
@@ -74,3 +74,27 @@
 
     notes: tuple[CrashNote, ...]
     parts: tuple[PartNote, ...] = ()
+
+
+class ReachQuestion(Struct, frozen=True):
+    """Asks whether the recipient reaches a target that refuses the sender.
+
+    :param number: repeated in the answer.
+    :param age: seconds since the target refused the sender.
+    """
+
+    target: TargetId
+    number: int
+    age: float
+
+
+class ReachAnswer(Struct, frozen=True):
+    """Answer to a :class:`ReachQuestion`; neither is set if the sender can't tell.
+
+    :param is_reached: the target has taken a connection of the sender since.
+    :param is_refused: it has refused one.
+    """
+
+    number: int
+    is_reached: bool = False
+    is_refused: bool = False
--- a/marigoldswitch/core/gateway_messages.py
+++ b/marigoldswitch/core/gateway_messages.py
@@ -8,7 +8,11 @@
 
 from msgspec import Struct
 
-from marigoldswitch.core.crash_messages import CrashNotes
+from marigoldswitch.core.crash_messages import (
+    CrashNotes,
+    ReachAnswer,
+    ReachQuestion,
+)
 from marigoldswitch.core.ids import (
     AccountId,
     DataCentre,
@@ -377,4 +381,6 @@
     | TargetsContent
     | CrashNotes
     | LoanNotes
+    | ReachQuestion
+    | ReachAnswer
 )
--- a/marigoldswitch/core/registry.py
+++ b/marigoldswitch/core/registry.py
@@ -300,7 +300,7 @@
 
     def _is_address_taken(self, row: TargetRow) -> bool:
         """Return whether another target is known at the row's address."""
-        return self._by_address.get(row.target.address, row.target.id) != row.target.id
+        return self.has_successor(row.target)
 
     def remove(self, name: TargetId, now: float) -> None:
         """Handle a removed row: drop its target, or let it lapse during an outage."""
@@ -358,6 +358,10 @@
         row = self._rows.get(name)
         return row.born if row is not None else 0
 
+    def has_successor(self, target: Target) -> bool:
+        """Return whether another target has taken the place of one at its address."""
+        return self._by_address.get(target.address, target.id) != target.id
+
     def _replace_restarted(
         self, row: TargetRow, layers: LayerRange | None, born: int
     ) -> None:
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -37,17 +37,22 @@
 """Maximum number of parts of prompts in a log line."""
 URGENT_SECONDS = 0.1
 """Least time between two messages on parts of prompts that may soon be on hold."""
+DOUBT_SECONDS = 5.0
+"""Time for which a closed port is kept as evidence that can't be judged yet: longer
+than hosts and targets of a site take to be back."""
 LATE_REPORT_SECONDS = 1.0
 """Time from the first report in which further requests may report that the target
 interrupted them."""
 
 
-class _Interruption(Struct):
+class _Interruption(Struct, eq=False):
     """The requests of this host that one target has broken off.
 
+    :ivar lost_at: when it did, in monotonic seconds.
     :ivar verdict: finds out whether the target has ended.
     """
 
+    lost_at: float
     requests: list[InterruptedRequest] = field(default_factory=list)
     verdict: asyncio.Task[bool] | None = None
 
@@ -89,6 +94,8 @@
         self._parts = PartLedger()
         self._ledger = CrashLedger(self._parts.explains)
         self._interruptions: dict[TargetRun, _Interruption] = {}
+        self._undecided: set[_Interruption] = set()
+        """Those without a verdict yet."""
         self._urgent_sent_at = float("-inf")
         self._logged_holds: frozenset[PromptPart] = frozenset()
         self._logged_requests: frozenset[Fingerprint] = frozenset()
@@ -100,8 +107,9 @@
 
     @property
     def is_empty(self) -> bool:
-        """Return whether no request or part of a prompt is suspected."""
-        return not len(self._ledger) and self._parts.is_empty
+        """Return whether no request or part of a prompt is suspected or may be soon."""
+        is_suspected = len(self._ledger) > 0 or not self._parts.is_empty
+        return not is_suspected and not self._undecided
 
     def find_hold(self, fingerprint: Fingerprint) -> Hold | None:
         """Return the hold on a request, or ``None`` if it may run."""
@@ -135,8 +143,9 @@
             interruption.verdict = asyncio.create_task(
                 self._confirm_end(start, target, interruption)
             )
+            self._undecided.add(interruption)
         elif interruption.is_confirmed:
-            self._note_end(start, interruption)
+            self._note_end(start, interruption.requests, interruption.lost_at)
         if not request.had_event or self._ledger.has_record(request.fingerprint):
             await asyncio.wait({interruption.verdict}, timeout=VERDICT_SECONDS)
 
@@ -151,7 +160,8 @@
         """Return a target's current interruption, a new one if it was found alive."""
         interruption = self._interruptions.get(start)
         if interruption is None or interruption.is_refuted:
-            interruption = self._interruptions[start] = _Interruption()
+            interruption = _Interruption(self._clock.monotonic())
+            self._interruptions[start] = interruption
             loop = asyncio.get_running_loop()
             loop.call_later(
                 LATE_REPORT_SECONDS, self._forget_interruption, start, interruption
@@ -166,6 +176,12 @@
 
     def note_served(self, fingerprint: Fingerprint) -> None:
         """Record that a request has run to completion, which clears it of suspicion."""
+        for item in self._undecided:
+            item.requests = [
+                request
+                for request in item.requests
+                if request.fingerprint != fingerprint
+            ]
         if self._ledger.note_completed(fingerprint, self._clock.monotonic()):
             logger.info("suspicion_cleared", fingerprint=fingerprint)
 
@@ -232,8 +248,10 @@
 
         A reset connection, a cut link or a slow target is not an end.
         """
-        verdict = await self._probes.judge_end(target, start.born)
-        self.count_verdict(target.service, verdict)
+        try:
+            verdict = await self._judge_end(start, target, interruption)
+        finally:
+            self._undecided.discard(interruption)
         if verdict is not EndVerdict.ENDED:
             logger.info(
                 "target_not_ended",
@@ -242,8 +260,7 @@
                 requests=len(interruption.requests),
             )
             return False
-        await asyncio.sleep(SETTLE_SECONDS)
-        self._note_end(start, interruption)
+        self._note_end(start, interruption.requests, interruption.lost_at)
         logger.info(
             "target_ended",
             target=start.target,
@@ -256,11 +273,33 @@
         )
         return True
 
-    def _note_end(self, start: TargetRun, interruption: _Interruption) -> None:
-        now = self._clock.monotonic()
-        self._parts.expire(now)
-        self._parts.note_crash(start, interruption.requests, now)
-        self._ledger.note_crash(start, interruption.requests, now)
+    async def _judge_end(
+        self, start: TargetRun, target: Target, interruption: _Interruption
+    ) -> EndVerdict:
+        """Return the verdict on a target, which may take ``DOUBT_SECONDS``."""
+        verdict = await self._probes.judge_end(target, start.born)
+        self.count_verdict(target.service, verdict)
+        if verdict is EndVerdict.DOUBTED:
+            logger.info("end_doubted", target=start.target, born=start.born)
+            until = interruption.lost_at + DOUBT_SECONDS
+            verdict = await self._probes.settle_end(
+                target, start.born, interruption.lost_at, until
+            )
+            self.count_verdict(target.service, verdict)
+        if verdict is EndVerdict.ENDED:
+            await asyncio.sleep(SETTLE_SECONDS)
+        return verdict
+
+    def _note_end(
+        self, start: TargetRun, requests: list[InterruptedRequest], at: float
+    ) -> None:
+        """Record the end of a target and the requests that it ran.
+
+        :param at: when it ended, in monotonic seconds.
+        """
+        self._parts.expire(at)
+        self._parts.note_crash(start, requests, at)
+        self._ledger.note_crash(start, requests, at)
         self._log_changed_holds()
         self._send_if_urgent()
 
--- a/marigoldswitch/gateway/probing.py
+++ b/marigoldswitch/gateway/probing.py
@@ -19,6 +19,7 @@
 from marigoldswitch.gateway.ports import EngineControl, EngineStatus
 from marigoldswitch.gateway.questions import EngineStatusReader, build_default_status
 from marigoldswitch.gateway.service_contacts import ServiceContacts
+from marigoldswitch.gateway.witnesses import Witnesses
 
 logger = structlog.get_logger(__name__)
 
@@ -58,8 +59,10 @@
         clock: Clock,
         contact: TargetContact,
         services: ServiceContacts,
+        witnesses: Witnesses,
     ) -> None:
         self._contact = contact
+        self._witnesses = witnesses
         self._directory = directory
         self._planner = planner
         self._clock = clock
@@ -69,6 +72,7 @@
             clock,
             contact,
             services,
+            witnesses,
             self._get_last_event_time,
         )
         self.gaps = HostGaps()
@@ -137,17 +141,35 @@
     async def has_ended(self, target: Target, born: int) -> bool:
         """Return whether the process of a target has certainly ended.
 
-        :param born: start of the process, in ms since 1970; 0 if unknown.
+        :param born: start of the process, in ms since 1970; 0 or less if unknown.
         """
         return await self.judge_end(target, born) is EndVerdict.ENDED
 
     async def judge_end(self, target: Target, born: int) -> EndVerdict:
         """Return what a probe finds out about a target that broke a request off.
 
-        :param born: start of the process, in ms since 1970; 0 if unknown.
+        :param born: start of the process, in ms since 1970; 0 or less if unknown.
         """
         return await self._status_reader.judge_end(target, born)
 
+    def get_accepted_at(self, target: TargetId) -> float:
+        """Return when the last connection was begun that a target has taken.
+
+        In monotonic seconds; minus infinity if none is known.
+        """
+        return self._witnesses.get_accepted_at(target)
+
+    async def settle_end(
+        self, target: Target, born: int, lost_at: float, until: float
+    ) -> EndVerdict:
+        """Return what becomes known of a target whose end is in doubt.
+
+        :param born: start of the process, in ms since 1970; 0 or less if unknown.
+        :param lost_at: when it broke requests off, in monotonic seconds.
+        :param until: when to give up.
+        """
+        return await self._status_reader.settle_end(target, born, lost_at, until)
+
     def _get_or_start_probe(self, target: Target) -> asyncio.Task[EngineStatus | None]:
         task = self._running_probes.get(target.id)
         return task or self._start_task(target, self._probe(target))
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -9,7 +9,7 @@
 from typing import Any, Generic, TypeVar
 
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.contact import ContactState, TargetContact
+from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.core.interruptions import EndVerdict
 from marigoldswitch.core.local_health import Cause, LocalHealth
@@ -24,6 +24,7 @@
     EngineWithoutReport,
 )
 from marigoldswitch.gateway.service_contacts import ServiceContacts
+from marigoldswitch.gateway.witnesses import Witnesses
 
 TRY_TIMEOUTS = (0.025, 0.035)
 """Timeouts of the first two tries, in seconds. Live engines answer in 2 to 6 ms, and
@@ -37,6 +38,10 @@
 centre has answered or if this host was paused. A relay's link of 20 Mbit/s needs 85 ms
 to pass on a new configuration. With the first two tries, a partitioned data centre is
 detected after 0.21 s."""
+MIN_ASK_INTERVAL = 0.03
+MAX_ASK_INTERVAL = 0.25
+"""First and longest interval of questions to other targets while nobody can tell if
+a target has ended."""
 
 
 AnswerT = TypeVar("AnswerT")
@@ -57,6 +62,7 @@
         clock: Clock,
         contact: TargetContact,
         services: ServiceContacts,
+        witnesses: Witnesses,
         get_last_event_time: Callable[[TargetId], float],
     ) -> None:
         self.health = LocalHealth()
@@ -65,6 +71,7 @@
         self._clock = clock
         self._contact = contact
         self._services = services
+        self._witnesses = witnesses
         self._get_last_event_time = get_last_event_time
         self._control_probes: dict[DataCentre, asyncio.Future[Any]] = {}
         """Running probes of control engines, at most one for each data centre."""
@@ -117,43 +124,79 @@
     async def judge_end(self, target: Target, born: int) -> EndVerdict:
         """Return whether the process of a target has certainly ended.
 
-        It has if its port is closed or another process answers there, such as a later
-        start of the engine. Silence proves nothing, nor does a closed port while this
-        host may be cut off.
+        It has if another process answers at its port, such as a later start of the
+        engine, or if the port is closed and another target takes a connection between
+        two refusals: this host is not cut off then. Silence proves nothing.
 
-        :param born: start of the process, in ms since 1970; 0 if unknown.
+        :param born: start of the process, in ms since 1970; 0 or less if unknown.
         """
         verdict = EndVerdict.SILENT
         for seconds in TRY_TIMEOUTS:
-            asked = self._clock.monotonic()
-            match await self._engines.read(target.address, seconds):
-                case EngineGone():
-                    now = self._clock.monotonic()
-                    self._note_silence(target, asked, now, is_refused=True)
-                    if not self._may_be_cut_off(target):
-                        return EndVerdict.ENDED
-                    verdict = EndVerdict.DOUBTED
-                case EngineWithoutReport(has_reports):
-                    has_ended = bool(target.accelerator) and not has_reports
-                    return EndVerdict.ENDED if has_ended else EndVerdict.ANSWERED
-                case EngineStatus(born=found):
-                    has_ended = found > born > 0
-                    return EndVerdict.ENDED if has_ended else EndVerdict.ANSWERED
+            verdict = await self._probe_end(target, born, seconds)
+            if verdict is EndVerdict.DOUBTED:
+                verdict = await self._confirm_refusal(target, born, 0.0)
+            if verdict is not EndVerdict.SILENT:
+                return verdict
             # It may have closed its streams but not its port yet.
             await asyncio.sleep(seconds)
         return verdict
 
+    async def settle_end(
+        self, target: Target, born: int, lost_at: float, until: float
+    ) -> EndVerdict:
+        """Return what becomes known of a target whose end is in doubt.
+
+        :param lost_at: when it broke requests off, in monotonic seconds.
+        :param until: when to give up.
+        """
+        verdict, interval = EndVerdict.DOUBTED, MIN_ASK_INTERVAL
+        while verdict is EndVerdict.DOUBTED and self._clock.monotonic() < until:
+            verdict = await self._confirm_refusal(target, born, interval)
+            interval = min(2.0 * interval, MAX_ASK_INTERVAL)
+            if self._witnesses.get_accepted_at(target.id) > lost_at:
+                # It was back in between, so that this may be another end.
+                return EndVerdict.ANSWERED
+        return verdict
+
+    async def _confirm_refusal(
+        self, target: Target, born: int, seconds: float
+    ) -> EndVerdict:
+        """Return what a target that has refused a connection does once another one has
+        taken one.
+
+        :param seconds: how long to wait for that.
+        """
+        if self._directory.registry.has_successor(target):
+            return EndVerdict.ENDED
+        refused_at = self._clock.monotonic()
+        if not await self._witnesses.wait(target, refused_at, seconds):
+            return EndVerdict.DOUBTED
+        verdict = await self._probe_end(target, born, sum(TRY_TIMEOUTS))
+        return EndVerdict.ENDED if verdict is EndVerdict.DOUBTED else verdict
+
+    async def _probe_end(self, target: Target, born: int, seconds: float) -> EndVerdict:
+        """Return what one probe shows; a closed port alone leaves the end in doubt."""
+        asked = self._clock.monotonic()
+        has_ended = False
+        match await self._engines.read(target.address, seconds):
+            case EngineGone():
+                now = self._clock.monotonic()
+                self._note_silence(target, asked, now, is_refused=True)
+                return EndVerdict.DOUBTED
+            case EngineWithoutReport(has_reports):
+                has_ended = bool(target.accelerator) and not has_reports
+            case EngineStatus(born=found):
+                has_ended = found > born > 0
+            case _:
+                return EndVerdict.SILENT
+        return EndVerdict.ENDED if has_ended else EndVerdict.ANSWERED
+
     def _note_silence(
         self, target: Target, began: float, now: float, is_refused: bool
     ) -> None:
         self._contact.note_silence(target.id, began, now, is_refused)
         self._services.note_silence(target, began, now, is_refused)
 
-    def _may_be_cut_off(self, target: Target) -> bool:
-        """Return whether this host may be cut off from a target and those like it."""
-        is_reached = self._contact.state is ContactState.REACHED
-        return not is_reached or self._services.is_doubted(target)
-
     def _is_explained(self, target: Target, began: float) -> bool:
         """Return whether two tries are enough to consider an engine dead."""
         now = self._clock.monotonic()
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -14,7 +14,7 @@
 from marigoldswitch.acceptors import RECEIVE_BUFFER_BYTES
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import TargetContact
-from marigoldswitch.core.ids import ServiceName
+from marigoldswitch.core.ids import ServiceName, TargetId
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.read_bounds import Excess
 from marigoldswitch.gateway.bounded_reads import (
@@ -179,6 +179,8 @@
 
     :ivar resends: which targets may be sent a request again after it broke off.
     :ivar guard: the bounds on what is read.
+    :ivar note_accepted: called with each target that has taken a new connection, and
+        when it was begun.
     :ivar count_sending: called with the service of each request that is written to a
         connection.
     """
@@ -199,6 +201,7 @@
         self._contact = contact
         self._services = services
         self.count_sending: Callable[[ServiceName], None] = lambda _: None
+        self.note_accepted: Callable[[TargetId, float], None] = lambda _, __: None
         self.resends = ResendGuard()
         self.guard = connections.guard
 
@@ -227,6 +230,8 @@
         finally:
             self._record_sending(target, call, use, result)
         now = self._clock.monotonic()
+        if use.is_sent and not use.is_reused:
+            self.note_accepted(target.id, began)
         match result:
             case NotSent():
                 self._note_silence(target, began, now, not result.is_timeout)
--- a/marigoldswitch/platform/compose.py
+++ b/marigoldswitch/platform/compose.py
@@ -47,6 +47,7 @@
 from marigoldswitch.gateway.proxy_hosts import ProxyHosts
 from marigoldswitch.gateway.proxy_listener import ProxyListener
 from marigoldswitch.gateway.proxying import PeerProxy
+from marigoldswitch.gateway.reach_exchange import ReachExchange
 from marigoldswitch.gateway.request_runs import RequestRuns
 from marigoldswitch.gateway.service_contacts import ServiceContacts
 from marigoldswitch.gateway.spread import DigestExchange
@@ -54,6 +55,7 @@
 from marigoldswitch.gateway.statements import TargetStatements
 from marigoldswitch.gateway.store_reading import ReadSwitches, StoreReading
 from marigoldswitch.gateway.upstream import Upstream
+from marigoldswitch.gateway.witnesses import Witnesses
 from marigoldswitch.metrics import Metrics
 from marigoldswitch.peer_intake import PeerIntake
 from marigoldswitch.peers import PeerNetwork
@@ -111,7 +113,10 @@
     directory.ramps.slowness = planner.slowness
     owns_from = 0.0 if settings.is_first_start else clock.monotonic() + START_SECONDS
     loans = LoanBook(source.getrandbits(PROCESS_BITS), owns_from)
-    probes = EngineProbes(engines, directory, planner, clock, contact, services)
+    witnesses = Witnesses(engines, directory, clock, source)
+    probes = EngineProbes(
+        engines, directory, planner, clock, contact, services, witnesses
+    )
     crashes = CrashWatch(clock, directory, probes)
     admission = Admission(planner, clock, source, planner)
     directory.watch(admission.apply_table)
@@ -152,6 +157,7 @@
         partial(directory.registry.list_targets, service), contact
     )
     runs.upstream.count_sending = gateway_metrics.count_sending
+    runs.upstream.note_accepted = witnesses.note_accepted
     runs.retries.count_decision = gateway_metrics.count_retry
     crashes.count_verdict = gateway_metrics.count_verdict
     metrics.add_collector(
@@ -197,6 +203,8 @@
             proxy_port,
         )
     )
+    reach = ReachExchange(clock, network, spread.roster, directory, witnesses, source)
+    witnesses.is_refused_everywhere = reach.is_refused_everywhere
     proxy_hosts = ProxyHosts(spread.roster, home, proxy_port, clock, source)
     requests = RequestRuns(runs, PeerProxy(runs, proxy_hosts, host_connections))
     gateway_metrics.watch_placing(planner.placing)
