Tell two ends of a target apart that states no start

Such a run is now numbered by the time of its end. Ends of one target within a second are one, unless this host has opened a connection to it in between, so that two hosts that see one end count it once. A host that can't judge an end by itself also takes over what others have found of it.

--- a/marigoldswitch/core/crashes.py
+++ b/marigoldswitch/core/crashes.py
@@ -219,7 +219,10 @@
 
     @property
     def checksum(self) -> int:
-        """Return a checksum of crashes and holds, to compare hosts; 0 if none."""
+        """Return a checksum of crashes and holds, to compare hosts; 0 if none.
+
+        Numbers that hosts have given to runs without a stated start don't compare.
+        """
         if self._checksum is None:
             self._checksum = self._compute_checksum()
         return self._checksum
@@ -229,7 +232,7 @@
             (
                 name,
                 record.is_held,
-                sorted((item.target, item.born) for item in record.crashes),
+                sorted({(item.target, max(0, item.born)) for item in record.crashes}),
             )
             for name, record in self._records.items()
             if record.is_shared
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -1,14 +1,17 @@
 """Detects the requests that crash the targets running them, and puts them on hold."""
 
 import asyncio
+import contextlib
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from typing import TypeVar
 
 import structlog
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from marigoldswitch.core.catalogue import Target
-from marigoldswitch.core.crash_messages import CrashNotes
+from marigoldswitch.core.crash_messages import CrashNotes, EndNote, PartEndNote
 from marigoldswitch.core.crashes import CrashLedger
 from marigoldswitch.core.fingerprints import Fingerprint
 from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName, TargetId
@@ -21,6 +24,7 @@
 )
 from marigoldswitch.core.part_crashes import PartLedger
 from marigoldswitch.core.ports import Clock
+from marigoldswitch.core.target_runs import TargetRuns
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.probing import EngineProbes
 
@@ -45,15 +49,21 @@
 interrupted them."""
 
 
+EndT = TypeVar("EndT", EndNote, PartEndNote)
+
+
 class _Interruption(Struct, eq=False):
     """The requests of this host that one target has broken off.
 
     :ivar lost_at: when it did, in monotonic seconds.
+    :ivar is_proven: set once another host has found that the target has ended.
     :ivar verdict: finds out whether the target has ended.
     """
 
+    run: TargetRun
     lost_at: float
     requests: list[InterruptedRequest] = field(default_factory=list)
+    is_proven: asyncio.Event = field(default_factory=asyncio.Event)
     verdict: asyncio.Task[bool] | None = None
 
     @property
@@ -93,6 +103,7 @@
         self._probes = probes
         self._parts = PartLedger()
         self._ledger = CrashLedger(self._parts.explains)
+        self._runs = TargetRuns()
         self._interruptions: dict[TargetRun, _Interruption] = {}
         self._undecided: set[_Interruption] = set()
         """Those without a verdict yet."""
@@ -136,7 +147,7 @@
         row = self._directory.registry.rows.get(target.id)
         if row is None or row.leaving:
             return
-        start = TargetRun(target.id, row.born)
+        start = self._identify_run(target.id, row.born)
         interruption = self._get_interruption(start)
         interruption.requests.append(request)
         if interruption.verdict is None:
@@ -156,11 +167,20 @@
             for start, item in self._interruptions.items()
         )
 
+    def _identify_run(self, target: TargetId, born: int) -> TargetRun:
+        """Return the run of a target that has just broken a request off."""
+        now = self._clock.monotonic()
+        if not born:
+            self._runs.expire(now)
+            born = -round(self._clock.wall() * 1000)
+        alive_at = self._probes.get_accepted_at(target)
+        return self._runs.identify(TargetRun(target, born), now, alive_at)
+
     def _get_interruption(self, start: TargetRun) -> _Interruption:
         """Return a target's current interruption, a new one if it was found alive."""
         interruption = self._interruptions.get(start)
         if interruption is None or interruption.is_refuted:
-            interruption = _Interruption(self._clock.monotonic())
+            interruption = _Interruption(start, self._clock.monotonic())
             self._interruptions[start] = interruption
             loop = asyncio.get_running_loop()
             loop.call_later(
@@ -204,11 +224,35 @@
         """
         now = self._clock.monotonic()
         self._parts.expire(now)
-        self._parts.merge(notes.parts, now, passes_on)
-        self._ledger.merge(notes.notes, now)
+        parts = [
+            replace(item, ends=self._identify_ends(item.ends, now))
+            for item in notes.parts
+        ]
+        self._parts.merge(parts, now, passes_on)
+        suspects = [
+            replace(item, ends=self._identify_ends(item.ends, now))
+            for item in notes.notes
+        ]
+        self._ledger.merge(suspects, now)
         self._log_changed_holds()
         self._send_if_urgent()
 
+    def _identify_ends(self, ends: Iterable[EndT], now: float) -> tuple[EndT, ...]:
+        """Return ends with the runs of targets as this host knows them."""
+        known = []
+        for item in ends:
+            run = TargetRun(item.target, item.born)
+            run = self._runs.identify(run, now - item.age)
+            self._note_proof(run)
+            known.append(replace(item, born=run.born))
+        return tuple(known)
+
+    def _note_proof(self, run: TargetRun) -> None:
+        """Record that another host has found that a target has ended."""
+        for item in self._undecided:
+            if item.run == run:
+                item.is_proven.set()
+
     def send_pending_notes(self) -> None:
         """Send other hosts the notes that are new since the last time, if any."""
         now = self._clock.monotonic()
@@ -285,6 +329,11 @@
             verdict = await self._probes.settle_end(
                 target, start.born, interruption.lost_at, until
             )
+            if verdict is not EndVerdict.ENDED:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(until - self._clock.monotonic()):
+                        await interruption.is_proven.wait()
+                        verdict = EndVerdict.ENDED
             self.count_verdict(target.service, verdict)
         if verdict is EndVerdict.ENDED:
             await asyncio.sleep(SETTLE_SECONDS)
--- a/marigoldswitch/tests/crash_network.py
+++ b/marigoldswitch/tests/crash_network.py
@@ -117,7 +117,9 @@
 
     def report_interruptions(self, host, run, requests):
         """Have a host observe which of its requests a crash has interrupted."""
-        self.watches[host]._note_end(run, requests, self.now)
+        watch = self.watches[host]
+        run = watch._runs.identify(run, self.now)
+        watch._note_end(run, requests, self.now)
 
     def list_without_hold(self, name="bad"):
         return [
