Believe no silence in a round of questions that the host was paused in

A host that doubts its contact asks targets on new connections, for 0.2 s. Where its own process stood still for that time, connections that had been opened meanwhile looked like none, and a host whose targets were silent took itself for cut off from all of them; its requests then went through other hosts and what waited was dismissed.

A round that ends 0.04 s late or more now settles a doubt only by refusals, and the targets are asked again. test_host_that_stood_still_while_it_asked_is_not_cut_off fails in three of six cases on the code before.

--- a/marigoldswitch/gateway/contact_probing.py
+++ b/marigoldswitch/gateway/contact_probing.py
@@ -15,6 +15,9 @@
 this host's link may be full for some 0.1 s."""
 PROBE_INTERVAL_SECONDS = 0.4
 """Pause between two rounds while this host is cut off."""
+HOST_PAUSE_SECONDS = 0.04
+"""A round that takes this much longer than it should met a pause of this host. Targets
+that were silent meanwhile may have answered; refusals count."""
 NEAR_TARGETS = 2
 FAR_TARGETS = 1
 """Targets asked in a round, of this host's data centre and of others. A host may reach
@@ -76,9 +79,10 @@
         ]
         answers = await asyncio.gather(*reads)
         now = self._clock.monotonic()
+        is_late = now - asked_at > PROBE_TIMEOUT_SECONDS + HOST_PAUSE_SECONDS
         if any(item and not isinstance(item, EngineGone) for item in answers):
             self._contact.note_answer(now)
-        else:
+        elif not is_late or all(answers):
             names = [item.id for item in targets]
             answered = zip(names, answers, strict=True)
             refused = {name for name, item in answered if item is not None}
--- a/marigoldswitch/tests/test_contact_probing.py
+++ b/marigoldswitch/tests/test_contact_probing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -10,7 +11,9 @@
 from marigoldswitch.core.ids import DataCentre, TargetId
 from marigoldswitch.gateway.contact_probing import ContactProber
 from marigoldswitch.gateway.ports import EngineGone, EngineSilent, EngineWithoutReport
+from marigoldswitch.tests.gateway_site import get_targets, run_scenario, run_site
 from marigoldswitch.tests.helpers import run_virtually
+from marigoldswitch.tests.quiet_desks import QuietDesk
 
 HOME = DataCentre("near")
 CENTRES = (HOME, DataCentre("far"), DataCentre("farther"))
@@ -152,3 +155,27 @@
         assert states == [ContactState.DOUBTED, ContactState.REACHED]
 
     run_virtually(play)
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_host_that_stood_still_while_it_asked_is_not_cut_off(turns):
+    async def scenario():
+        async with run_site(hosts=1) as site:
+            for number in range(4):
+                desk = QuietDesk(f"q{number}")
+                desk.awake.clear()
+                await desk.start()
+                site.register_target(desk, "desk", "north")
+            await site.wait_until(lambda: len(get_targets(site)) == 4)
+            runs, states = site.hosts[0].parts.runs, []
+            runs.contact.watch(lambda change: states.append(change.state))
+            now = runs.clock.monotonic()
+            for name in ("q0", "q1"):
+                runs.contact.note_silence(TargetId(name), now - 0.001, now)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            time.sleep(0.3)  # noqa: ASYNC251
+            await site.wait_until(lambda: len(states) > 1)
+            assert states == [ContactState.DOUBTED, ContactState.REACHED]
+
+    run_scenario(scenario())
