--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -44,6 +44,9 @@
 DOUBT_SECONDS = 5.0
 """Time for which a closed port is kept as evidence that can't be judged yet: longer
 than hosts and targets of a site take to be back."""
+MAX_DOUBTED = 16
+"""Targets whose ends are kept in doubt at a time. A cut takes many at once; a service
+of more is hardly ended whole by one request."""
 LATE_REPORT_SECONDS = 1.0
 """Time from the first report in which further requests may report that the target
 interrupted them."""
@@ -56,6 +59,7 @@
     """The requests of this host that one target has broken off.
 
     :ivar lost_at: when it did, in monotonic seconds.
+    :ivar is_doubted: the port is closed, but that may be due to this host.
     :ivar is_proven: set once another host has found that the target has ended.
     :ivar verdict: finds out whether the target has ended.
     """
@@ -63,6 +67,7 @@
     run: TargetRun
     lost_at: float
     requests: list[InterruptedRequest] = field(default_factory=list)
+    is_doubted: bool = False
     is_proven: asyncio.Event = field(default_factory=asyncio.Event)
     verdict: asyncio.Task[bool] | None = None
 
@@ -323,7 +328,8 @@
         """Return the verdict on a target, which may take ``DOUBT_SECONDS``."""
         verdict = await self._probes.judge_end(target, start.born)
         self.count_verdict(target.service, verdict)
-        if verdict is EndVerdict.DOUBTED:
+        if verdict is EndVerdict.DOUBTED and self._count_doubted() < MAX_DOUBTED:
+            interruption.is_doubted = True
             logger.info("end_doubted", target=start.target, born=start.born)
             until = interruption.lost_at + DOUBT_SECONDS
             verdict = await self._probes.settle_end(
@@ -339,6 +345,9 @@
             await asyncio.sleep(SETTLE_SECONDS)
         return verdict
 
+    def _count_doubted(self) -> int:
+        return sum(item.is_doubted for item in self._undecided)
+
     def _note_end(
         self, start: TargetRun, requests: list[InterruptedRequest], at: float
     ) -> None:
--- a/marigoldswitch/gateway/witnesses.py
+++ b/marigoldswitch/gateway/witnesses.py
@@ -21,8 +21,6 @@
 """Time for a new connection; live targets take a few milliseconds."""
 ASKED_PER_SIDE = 2
 """Targets asked at a time, of the data centre of the one in question and of others."""
-POLL_SECONDS = 0.01
-"""Interval at which a waiting verdict looks for connections of other requests."""
 NEVER = float("-inf")
 
 
@@ -66,6 +64,8 @@
         """When the last connection was begun that each target has taken."""
         self._refused: dict[TargetId, float] = {}
         """When the last question was begun for which each target refused one."""
+        self._waiters: set[asyncio.Event] = set()
+        """Set whenever a target takes a connection, while a verdict waits for that."""
         self._rounds: dict[ServiceName | None, asyncio.Task[None]] = {}
         """Running rounds of questions, by service; ``None`` for engines."""
         self._round_began: dict[ServiceName | None, float] = {}
@@ -77,6 +77,8 @@
         :param began: when this host began to open it.
         """
         self._accepted[target] = max(began, self.get_accepted_at(target))
+        for waiter in self._waiters:
+            waiter.set()
 
     def get_accepted_at(self, target: TargetId) -> float:
         """Return when the last connection was begun that a target has taken."""
@@ -95,10 +97,17 @@
             return await self._ask_hosts(target, since, until)
         if not self._has_witness(target, since):
             await asyncio.shield(self._get_or_start_round(target, since))
-        while not self._has_witness(target, since):
-            if self._clock.monotonic() >= until:
-                return False
-            await asyncio.sleep(POLL_SECONDS)
+        waiter = asyncio.Event()
+        self._waiters.add(waiter)
+        try:
+            async with asyncio.timeout(until - self._clock.monotonic()):
+                while not self._has_witness(target, since):
+                    waiter.clear()
+                    await waiter.wait()
+        except TimeoutError:
+            return False
+        finally:
+            self._waiters.discard(waiter)
         return True
 
     async def _ask_hosts(self, target: Target, since: float, until: float) -> bool:
