Keep a proven end though the target has been back since

Found in the reading: an engine in doubt that was reached again before its later start was read counted as having answered. Also drops what is known of connections to targets that are gone, and says in the docs what the new lines, numbers and questions mean.

--- a/marigoldswitch/core/crash_messages.py
+++ b/marigoldswitch/core/crash_messages.py
@@ -9,7 +9,8 @@
 class EndNote(Struct, frozen=True):
     """An end of a target while it ran a request.
 
-    :param born: when the target had started, in ms since 1970; 0 if unknown.
+    :param born: when the target had started, in ms since 1970. If it states none, a
+        negative number that names the run, or 0.
     :param age: seconds since the end.
     :param blame: share of the blame that the request bears, in hundredths.
     """
@@ -40,7 +41,8 @@
 class PartEndNote(Struct, frozen=True):
     """An end of a target that had not answered a request with some part.
 
-    :param born: when the target had started, in ms since 1970; 0 if unknown.
+    :param born: when the target had started, in ms since 1970. If it states none, a
+        negative number that names the run, or 0.
     :param age: seconds since the end.
     :param sent: seconds since the request was sent to the target.
     :param request: begin of the request's fingerprint.
--- a/marigoldswitch/core/interruptions.py
+++ b/marigoldswitch/core/interruptions.py
@@ -24,7 +24,8 @@
 class TargetRun(Struct, frozen=True):
     """One run of a target's process, from start to exit.
 
-    :param born: start time in ms since 1970; 0 if unknown.
+    :param born: start time in ms since 1970. Where the target states none, 0 or a
+        negative number, by which the host that saw its end names the run.
     """
 
     target: TargetId
--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -229,6 +229,7 @@
         """
         now = self._clock.monotonic()
         self._parts.expire(now)
+        self._runs.expire(now)
         parts = [
             replace(item, ends=self._identify_ends(item.ends, now))
             for item in notes.parts
@@ -243,7 +244,8 @@
         self._send_if_urgent()
 
     def _identify_ends(self, ends: Iterable[EndT], now: float) -> tuple[EndT, ...]:
-        """Return ends with the runs of targets as this host knows them."""
+        """Return ends that another host has found, with the runs of targets as this
+        host knows them."""
         known = []
         for item in ends:
             run = TargetRun(item.target, item.born)
--- a/marigoldswitch/gateway/questions.py
+++ b/marigoldswitch/gateway/questions.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any, Generic, TypeVar
 
@@ -151,20 +152,19 @@
         """
         verdict, interval = EndVerdict.DOUBTED, MIN_ASK_INTERVAL
         while verdict is EndVerdict.DOUBTED and self._clock.monotonic() < until:
-            verdict = await self._confirm_refusal(target, born, interval)
+            verdict = await self._confirm_refusal(target, born, interval, lost_at)
             interval = min(2.0 * interval, MAX_ASK_INTERVAL)
-            if self._witnesses.get_accepted_at(target.id) > lost_at:
-                # It was back in between, so that this may be another end.
-                return EndVerdict.ANSWERED
         return verdict
 
     async def _confirm_refusal(
-        self, target: Target, born: int, seconds: float
+        self, target: Target, born: int, seconds: float, lost_at: float = math.inf
     ) -> EndVerdict:
         """Return what a target that has refused a connection does once another one has
         taken one.
 
         :param seconds: how long to wait for that.
+        :param lost_at: when the target broke requests off, if it may have been back
+            since.
         """
         if self._directory.registry.has_successor(target):
             return EndVerdict.ENDED
@@ -172,7 +172,12 @@
         if not await self._witnesses.wait(target, refused_at, seconds):
             return EndVerdict.DOUBTED
         verdict = await self._probe_end(target, born, sum(TRY_TIMEOUTS))
-        return EndVerdict.ENDED if verdict is EndVerdict.DOUBTED else verdict
+        if verdict is not EndVerdict.DOUBTED:
+            return verdict
+        if self._witnesses.get_accepted_at(target.id) > lost_at:
+            # It was back in between, so that this is another end.
+            return EndVerdict.ANSWERED
+        return EndVerdict.ENDED
 
     async def _probe_end(self, target: Target, born: int, seconds: float) -> EndVerdict:
         """Return what one probe shows; a closed port alone leaves the end in doubt."""
--- a/marigoldswitch/gateway/witnesses.py
+++ b/marigoldswitch/gateway/witnesses.py
@@ -76,7 +76,8 @@
 
         :param began: when this host began to open it.
         """
-        self._accepted[target] = max(began, self.get_accepted_at(target))
+        if target in self._directory.registry.rows:
+            self._accepted[target] = max(began, self.get_accepted_at(target))
         for waiter in self._waiters:
             waiter.set()
 
--- a/marigoldswitch/tests/test_crash_doubts.py
+++ b/marigoldswitch/tests/test_crash_doubts.py
@@ -134,6 +134,7 @@
         self.targets = [build_target(name, name[0]) for name in names]
         for target in self.targets:
             self.registry.targets[target.id] = target
+            self.registry._rows[target.id] = SimpleNamespace(target=target)
         source = SimpleNamespace(sample=lambda items, count: list(items)[:count])
         self.witnesses = Witnesses(self, directory, clock, source)
 
