Find requests that crash targets which are back at once

A reset is no evidence, as targets reset sound requests, too, and no port was ever closed.

A request that was lost without a known reason now gets two idle connections before it is sent again, to its target and to another one. If the target's breaks with it and the other doesn't, the target has ended; a cut takes both, a reset neither. Such an end is told to other hosts at once.

Three plays of targets that refuse connections for no time at all are new.

--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -12,7 +12,7 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.crash_messages import CrashNotes, EndNote, PartEndNote
-from marigoldswitch.core.crashes import CrashLedger
+from marigoldswitch.core.crashes import EXPIRY_SECONDS, CrashLedger
 from marigoldswitch.core.fingerprints import Fingerprint
 from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName, TargetId
 from marigoldswitch.core.interruptions import (
@@ -26,6 +26,7 @@
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.target_runs import TargetRuns
 from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.guard_connections import GuardConnections
 from marigoldswitch.gateway.probing import EngineProbes
 
 logger = structlog.get_logger(__name__)
@@ -47,6 +48,8 @@
 MAX_DOUBTED = 16
 """Targets whose ends are kept in doubt at a time. A cut takes many at once; a service
 of more is hardly ended whole by one request."""
+MAX_LOST = 512
+"""Requests remembered that targets have lost."""
 LATE_REPORT_SECONDS = 1.0
 """Time from the first report in which further requests may report that the target
 interrupted them."""
@@ -59,6 +62,7 @@
     """The requests of this host that one target has broken off.
 
     :ivar lost_at: when it did, in monotonic seconds.
+    :ivar guards: connections that were opened before one of the requests was sent.
     :ivar is_doubted: the port is closed, but that may be due to this host.
     :ivar is_proven: set once another host has found that the target has ended.
     :ivar verdict: finds out whether the target has ended.
@@ -67,6 +71,7 @@
     run: TargetRun
     lost_at: float
     requests: list[InterruptedRequest] = field(default_factory=list)
+    guards: GuardConnections | None = None
     is_doubted: bool = False
     is_proven: asyncio.Event = field(default_factory=asyncio.Event)
     verdict: asyncio.Task[bool] | None = None
@@ -86,6 +91,16 @@
         return verdict is not None and verdict.done() and verdict.result() is has_ended
 
 
+class _Losses(Struct):
+    """How often a request was lost.
+
+    :ivar since: when it was first lost, in monotonic seconds.
+    """
+
+    since: float
+    count: int = 0
+
+
 class CrashWatch:
     """Records the ends of targets and the requests that they ran.
 
@@ -110,6 +125,9 @@
         self._ledger = CrashLedger(self._parts.explains)
         self._runs = TargetRuns()
         self._interruptions: dict[TargetRun, _Interruption] = {}
+        self._lost: dict[Fingerprint, _Losses] = {}
+        """Requests that targets have lost without an end that is known, in the order in
+        which they were lost first."""
         self._undecided: set[_Interruption] = set()
         """Those without a verdict yet."""
         self._urgent_sent_at = float("-inf")
@@ -123,9 +141,13 @@
 
     @property
     def is_empty(self) -> bool:
-        """Return whether no request or part of a prompt is suspected or may be soon."""
-        is_suspected = len(self._ledger) > 0 or not self._parts.is_empty
-        return not is_suspected and not self._undecided
+        """Return whether no request or part of a prompt is suspected."""
+        return not len(self._ledger) and self._parts.is_empty
+
+    @property
+    def has_lost_requests(self) -> bool:
+        """Return whether targets have lost requests that have not run since."""
+        return bool(self._lost or self._undecided) or not self.is_empty
 
     def find_hold(self, fingerprint: Fingerprint) -> Hold | None:
         """Return the hold on a request, or ``None`` if it may run."""
@@ -143,11 +165,27 @@
             return False
         return self._parts.may_try(hold.part, self._clock.monotonic())
 
-    async def note_cut_off(self, request: InterruptedRequest, target: Target) -> None:
+    def is_suspect(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request was lost lately, without having run since."""
+        return fingerprint in self._lost or self._ledger.has_record(fingerprint)
+
+    def is_lost_again(self, fingerprint: Fingerprint) -> bool:
+        """Return whether that happened more than once, for reasons unknown so far."""
+        losses = self._lost.get(fingerprint)
+        return losses is not None and losses.count > 1
+
+    async def note_cut_off(
+        self,
+        request: InterruptedRequest,
+        target: Target,
+        guards: GuardConnections | None = None,
+    ) -> None:
         """Record that a target broke a request off, perhaps because it ended.
 
         If the request may be the cause, this waits for the verdict on the target, for
         at most ``VERDICT_SECONDS``.
+
+        :param guards: connections that were opened before the request was sent.
         """
         row = self._directory.registry.rows.get(target.id)
         if row is None or row.leaving:
@@ -155,6 +193,8 @@
         start = self._identify_run(target.id, row.born)
         interruption = self._get_interruption(start)
         interruption.requests.append(request)
+        if guards is not None:
+            interruption.guards = guards
         if interruption.verdict is None:
             interruption.verdict = asyncio.create_task(
                 self._confirm_end(start, target, interruption)
@@ -207,6 +247,7 @@
                 for request in item.requests
                 if request.fingerprint != fingerprint
             ]
+        self._lost.pop(fingerprint, None)
         if self._ledger.note_completed(fingerprint, self._clock.monotonic()):
             logger.info("suspicion_cleared", fingerprint=fingerprint)
 
@@ -310,8 +351,12 @@
                 verdict=verdict.value,
                 requests=len(interruption.requests),
             )
+            self._note_lost(interruption.requests)
             return False
         self._note_end(start, interruption.requests, interruption.lost_at)
+        if interruption.guards is not None:
+            # Targets that are back at once don't slow the request down.
+            self.send_pending_notes()
         logger.info(
             "target_ended",
             target=start.target,
@@ -329,6 +374,10 @@
     ) -> EndVerdict:
         """Return the verdict on a target, which may take ``DOUBT_SECONDS``."""
         verdict = await self._probes.judge_end(target, start.born)
+        if verdict is not EndVerdict.ENDED and interruption.guards is not None:
+            is_refused = verdict is EndVerdict.DOUBTED
+            if await interruption.guards.has_target_ended(is_refused):
+                verdict = EndVerdict.ENDED
         self.count_verdict(target.service, verdict)
         if verdict is EndVerdict.DOUBTED and self._count_doubted() < MAX_DOUBTED:
             interruption.is_doubted = True
@@ -347,6 +396,18 @@
             await asyncio.sleep(SETTLE_SECONDS)
         return verdict
 
+    def _note_lost(self, requests: list[InterruptedRequest]) -> None:
+        """Record requests that a target has lost, perhaps without an end of it."""
+        now = self._clock.monotonic()
+        for item in requests:
+            if not item.had_event:
+                losses = self._lost.setdefault(item.fingerprint, _Losses(now))
+                losses.count += 1
+        for fingerprint, losses in list(self._lost.items()):
+            if len(self._lost) <= MAX_LOST and now - losses.since < EXPIRY_SECONDS:
+                break
+            del self._lost[fingerprint]
+
     def _count_doubted(self) -> int:
         return sum(item.is_doubted for item in self._undecided)
 
--- a/marigoldswitch/gateway/exchanges.py
+++ b/marigoldswitch/gateway/exchanges.py
@@ -24,6 +24,7 @@
 from marigoldswitch.gateway.connections import may_keep_connections
 from marigoldswitch.gateway.crashes import CrashWatch
 from marigoldswitch.gateway.directory import Directory
+from marigoldswitch.gateway.guard_connections import GuardConnections
 from marigoldswitch.gateway.intake import Intake
 from marigoldswitch.gateway.interruption_log import RecordPause, ignore_pause
 from marigoldswitch.gateway.planner import ChainPlanner
@@ -397,12 +398,14 @@
     sent_at: float,
     had_event: bool = False,
     is_answering: bool = False,
+    guards: GuardConnections | None = None,
 ) -> None:
     """Record that a target cut a request off, perhaps because it crashed.
 
     :param sent_at: when the request was sent to it, in monotonic seconds.
     :param had_event: whether the target had delivered part of the answer.
     :param is_answering: whether it had got past the begin of the answer.
+    :param guards: connections that were opened before it was sent.
     """
     cut = InterruptedRequest(
         exchange.fingerprint,
@@ -411,7 +414,7 @@
         () if is_answering else exchange.shared_parts,
         sent_at,
     )
-    await parts.crashes.note_cut_off(cut, target)
+    await parts.crashes.note_cut_off(cut, target, guards)
 
 
 def note_answering(parts: RunParts, exchange: Exchange) -> None:
@@ -424,7 +427,7 @@
     """Record a success in the retry budget, and clear the request of suspicion."""
     now = parts.clock.monotonic()
     parts.retries.get(exchange.service.name).note_success(now)
-    if not parts.crashes.is_empty:
+    if parts.crashes.has_lost_requests:
         parts.crashes.note_served(exchange.fingerprint)
 
 
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -29,6 +29,7 @@
     spend_retry,
 )
 from marigoldswitch.gateway.forwarding import pass_long_body
+from marigoldswitch.gateway.guard_connections import GuardConnections, open_guards
 from marigoldswitch.gateway.pieces import split_body
 from marigoldswitch.gateway.ports import ForwardOptions, ReplyFacts
 from marigoldswitch.gateway.upstream import Answered, Lost, NotSent, SendResult
@@ -45,6 +46,8 @@
 RETRY_AFTER_SECONDS = (0.05, 0.2)
 """Bounds of the ``Retry-After`` time in seconds: running requests end within about
 25 ms, and callers wait one second in total."""
+SUSPECT_SPREAD_SECONDS = 0.1
+"""Longest delay of a request that targets lose again and again."""
 RETRY_SPREAD_SECONDS = 0.5
 """Time over which callers come back to targets that take no requests until a known
 moment."""
@@ -166,8 +169,10 @@
         sending = ForwardOptions(
             target.id, exchange.deadline - now, exchange.account, exchange.priority
         )
+        guards = await self._open_guards(target)
         own_connection = (
-            needs_new_connection(parts, exchange)
+            guards is not None
+            or needs_new_connection(parts, exchange)
             or parts.upstream.guard.open_connections >= parts.intake.count_kept()
         )
         connection = exchange.http.protocol
@@ -189,14 +194,41 @@
                 )
             match end:
                 case Lost(excess=None):
-                    await note_cut_off(parts, exchange, target, sent_at=now)
+                    await note_cut_off(parts, exchange, target, now, guards=guards)
                 case NotSent() if is_resent:
-                    await note_cut_off(parts, exchange, target, sent_at=now)
+                    await note_cut_off(parts, exchange, target, now)
             return end
         finally:
+            if guards is not None:
+                guards.close()
             parts.loads.release(target.id, usage)
             self._record_attempt(target, end, now)
 
+    async def _open_guards(self, target: Target) -> GuardConnections | None:
+        """Open connections that show whether a request that was lost before ends its
+        target.
+
+        One that is lost again and again is sent a little later: others of its kind may
+        come at the same moment, and what ends a target could not be told.
+        """
+        exchange, parts = self._exchange, self._parts
+        if not parts.crashes.has_lost_requests:
+            return None
+        if not parts.crashes.is_suspect(exchange.fingerprint):
+            return None
+        if parts.crashes.is_lost_again(exchange.fingerprint):
+            await asyncio.sleep(parts.source.uniform(0.0, SUSPECT_SPREAD_SECONDS))
+        if parts.upstream.guard.open_connections >= parts.intake.count_kept():
+            return None
+        now, suspects = parts.clock.monotonic(), parts.directory.suspects
+        others = [
+            item
+            for item in self._list_targets()
+            if item.id != target.id and not suspects.is_excluded(item.id, now)
+        ]
+        other = parts.source.choice(others) if others else None
+        return await open_guards(target, other)
+
     def _choose_target(self, now: float) -> Target | None:
         """Choose a target; suspects are considered only if no other takes requests."""
         parts = self._parts
--- a/marigoldswitch/tests/small_service.py
+++ b/marigoldswitch/tests/small_service.py
@@ -146,7 +146,8 @@
 
     def _note_crash(self, index: int, path: str) -> None:
         self.outcome.crashes[path].append(time.monotonic())
-        self._group.create_task(self._restart(index))
+        if self._play.down:
+            self._group.create_task(self._restart(index))
 
     async def _restart(self, index: int) -> None:
         if not self._play.keeps_row:
--- a/marigoldswitch/tests/test_crash_doubts.py
+++ b/marigoldswitch/tests/test_crash_doubts.py
@@ -6,13 +6,14 @@
 import pytest
 
 from marigoldswitch.core.crash_messages import CrashNote, CrashNotes, EndNote
-from marigoldswitch.core.ids import DataCentre, ServiceName, TargetId
+from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.interruptions import EndVerdict, InterruptedRequest
 from marigoldswitch.core.registry import Change
 from marigoldswitch.gateway.crashes import DOUBT_SECONDS, MAX_DOUBTED, CrashWatch
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import EngineGone, EngineWithoutReport
 from marigoldswitch.gateway.witnesses import ASKED_PER_SIDE, Reach, Witnesses
+from marigoldswitch.tests.crash_targets import build_target
 from marigoldswitch.tests.helpers import run_virtually
 
 
@@ -54,17 +55,6 @@
         return [item.fingerprint for item in self.watch.list_notes().notes]
 
 
-def build_target(name, centre="north"):
-    return SimpleNamespace(
-        id=TargetId(name),
-        service=ServiceName("desk"),
-        address=name,
-        accelerator="",
-        layers=None,
-        data_centre=DataCentre(centre),
-    )
-
-
 @pytest.mark.parametrize("verdict", EndVerdict)
 def test_request_is_suspected_only_once_its_targets_end_is_settled(verdict):
     async def play(clock):
@@ -84,7 +74,7 @@
         doubts = Doubts(clock, 1)
         doubts.verdict = EndVerdict.ENDED
         await asyncio.gather(doubts.lose("bad"), doubts.lose("sound"))
-        assert not doubts.watch.is_empty
+        assert doubts.watch.has_lost_requests
         doubts.watch.note_served("sound")
         await asyncio.sleep(2.0)
         assert doubts.list_suspects() == ["bad"]
@@ -131,7 +121,7 @@
         self.asked = []
         directory = Directory()
         self.registry = directory.registry
-        self.targets = [build_target(name, name[0]) for name in names]
+        self.targets = [build_target(name, centre=name[0]) for name in names]
         for target in self.targets:
             self.registry.targets[target.id] = target
             self.registry._rows[target.id] = SimpleNamespace(target=target)
--- a/marigoldswitch/tests/test_detours.py
+++ b/marigoldswitch/tests/test_detours.py
@@ -31,7 +31,7 @@
 class MonitoredChain:
     """A monitored chain of three engines that records which of them are probed."""
 
-    async def _note_cut_off(self, request, target):
+    async def _note_cut_off(self, request, target, _):
         """Ignore the cut-off request: these tests don't cover crashes."""
 
     def __init__(self):
--- a/marigoldswitch/tests/test_small_services.py
+++ b/marigoldswitch/tests/test_small_services.py
@@ -22,6 +22,9 @@
     "play",
     [
         SmallService(hosts=4, targets=1, down=1.0),
+        SmallService(hosts=4, targets=1, down=0.0),
+        SmallService(hosts=4, targets=2, down=0.0, requests=3),
+        SmallService(hosts=4, targets=3, down=0.0, method="POST"),
         SmallService(hosts=4, targets=1, down=0.3, renames=True, method="POST"),
         SmallService(hosts=4, targets=2, down=1.0, keeps_row=False),
         SmallService(hosts=4, targets=2, down=0.3, requests=3),
