--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -88,7 +88,9 @@
 
     def _has_verdict(self, has_ended: bool) -> bool:
         verdict = self.verdict
-        return verdict is not None and verdict.done() and verdict.result() is has_ended
+        if verdict is None or not verdict.done() or verdict.cancelled():
+            return False
+        return verdict.result() is has_ended
 
 
 class _Losses(Struct):
@@ -149,6 +151,12 @@
         """Return whether targets have lost requests that have not run since."""
         return bool(self._lost or self._undecided) or not self.is_empty
 
+    def stop(self) -> None:
+        """Give up the verdicts that are still open."""
+        for item in self._undecided:
+            if item.verdict is not None:
+                item.verdict.cancel()
+
     def find_hold(self, fingerprint: Fingerprint) -> Hold | None:
         """Return the hold on a request, or ``None`` if it may run."""
         return self._ledger.find_hold(fingerprint, self._clock.monotonic())
--- a/marigoldswitch/gateway/hosts.py
+++ b/marigoldswitch/gateway/hosts.py
@@ -239,6 +239,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        parts.runs.crashes.stop()
         result = await parts.host_directory.deregister(self._record)
         if isinstance(result, Err):
             logger.info("host_row_left", why=result.err_value.value)
--- a/marigoldswitch/tests/test_crash_doubts.py
+++ b/marigoldswitch/tests/test_crash_doubts.py
@@ -97,6 +97,18 @@
     run_virtually(play)
 
 
+def test_host_that_stops_gives_up_what_it_doubts():
+    async def play(clock):
+        doubts = Doubts(clock, 1)
+        await doubts.lose("bad")
+        doubts.watch.stop()
+        await asyncio.sleep(0.1)
+        assert len(asyncio.all_tasks()) == 1
+        assert doubts.watch.is_empty and not doubts.watch.has_ended(TargetId("d0"))
+
+    run_virtually(play)
+
+
 def test_ends_in_doubt_are_bounded():
     async def play(clock):
         doubts = Doubts(clock, 3 * MAX_DOUBTED)
