--- a/marigoldswitch/gateway/crashes.py
+++ b/marigoldswitch/gateway/crashes.py
@@ -12,7 +12,7 @@
 
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.crash_messages import CrashNotes, EndNote, PartEndNote
-from marigoldswitch.core.crashes import EXPIRY_SECONDS, CrashLedger
+from marigoldswitch.core.crashes import CrashLedger
 from marigoldswitch.core.fingerprints import Fingerprint
 from marigoldswitch.core.ids import AccountId, PromptPartId, ServiceName, TargetId
 from marigoldswitch.core.interruptions import (
@@ -49,7 +49,9 @@
 """Targets whose ends are kept in doubt at a time. A cut takes many at once; a service
 of more is hardly ended whole by one request."""
 MAX_LOST = 512
-"""Requests remembered that targets have lost."""
+LOST_SECONDS = 60.0
+"""Number of lost requests that are remembered, and for how long since the first loss.
+Callers repeat them sooner."""
 LATE_REPORT_SECONDS = 1.0
 """Time from the first report in which further requests may report that the target
 interrupted them."""
@@ -128,8 +130,8 @@
         self._runs = TargetRuns()
         self._interruptions: dict[TargetRun, _Interruption] = {}
         self._lost: dict[Fingerprint, _Losses] = {}
-        """Requests that targets have lost without an end that is known, in the order in
-        which they were lost first."""
+        """Requests that plain targets have lost without an end that is known, in the
+        order in which they were lost first."""
         self._undecided: set[_Interruption] = set()
         """Those without a verdict yet."""
         self._urgent_sent_at = float("-inf")
@@ -148,7 +150,11 @@
 
     @property
     def has_lost_requests(self) -> bool:
-        """Return whether targets have lost requests that have not run since."""
+        """Return whether targets have lost requests that have not run since.
+
+        Otherwise no fingerprint of a request is needed.
+        """
+        self._expire_lost()
         return bool(self._lost or self._undecided) or not self.is_empty
 
     def stop(self) -> None:
@@ -359,7 +365,8 @@
                 verdict=verdict.value,
                 requests=len(interruption.requests),
             )
-            self._note_lost(interruption.requests)
+            if not target.accelerator:
+                self._note_lost(interruption.requests)
             return False
         self._note_end(start, interruption.requests, interruption.lost_at)
         if interruption.guards is not None:
@@ -411,10 +418,16 @@
             if not item.had_event:
                 losses = self._lost.setdefault(item.fingerprint, _Losses(now))
                 losses.count += 1
-        for fingerprint, losses in list(self._lost.items()):
-            if len(self._lost) <= MAX_LOST and now - losses.since < EXPIRY_SECONDS:
-                break
-            del self._lost[fingerprint]
+        while len(self._lost) > MAX_LOST:
+            del self._lost[next(iter(self._lost))]
+
+    def _expire_lost(self) -> None:
+        now = self._clock.monotonic()
+        while self._lost:
+            oldest = next(iter(self._lost))
+            if now - self._lost[oldest].since < LOST_SECONDS:
+                return
+            del self._lost[oldest]
 
     def _count_doubted(self) -> int:
         return sum(item.is_doubted for item in self._undecided)
--- a/marigoldswitch/tests/test_crash_doubts.py
+++ b/marigoldswitch/tests/test_crash_doubts.py
@@ -9,7 +9,13 @@
 from marigoldswitch.core.ids import TargetId
 from marigoldswitch.core.interruptions import EndVerdict, InterruptedRequest
 from marigoldswitch.core.registry import Change
-from marigoldswitch.gateway.crashes import DOUBT_SECONDS, MAX_DOUBTED, CrashWatch
+from marigoldswitch.gateway.crashes import (
+    DOUBT_SECONDS,
+    LOST_SECONDS,
+    MAX_DOUBTED,
+    MAX_LOST,
+    CrashWatch,
+)
 from marigoldswitch.gateway.directory import Directory
 from marigoldswitch.gateway.ports import EngineGone, EngineWithoutReport
 from marigoldswitch.gateway.witnesses import ASKED_PER_SIDE, Reach, Witnesses
@@ -97,6 +103,20 @@
     run_virtually(play)
 
 
+def test_lost_requests_are_forgotten_and_bounded():
+    async def play(clock):
+        doubts = Doubts(clock, 1)
+        for number in range(2 * MAX_LOST):
+            doubts.watch._note_lost([InterruptedRequest(f"r{number}", None, False)])
+        assert not doubts.watch.is_suspect("r0")
+        assert doubts.watch.is_suspect(f"r{2 * MAX_LOST - 1}")
+        assert doubts.watch.has_lost_requests
+        await asyncio.sleep(LOST_SECONDS)
+        assert not doubts.watch.has_lost_requests
+
+    run_virtually(play)
+
+
 def test_host_that_stops_gives_up_what_it_doubts():
     async def play(clock):
         doubts = Doubts(clock, 1)
