Count guard connections, and give up those on which bytes arrive

Found in the reading: guards were opened under the bound of kept connections but not counted in it, and a target that floods one would have been read for as long as the request ran.

--- a/marigoldswitch/gateway/guard_connections.py
+++ b/marigoldswitch/gateway/guard_connections.py
@@ -7,9 +7,11 @@
 
 import asyncio
 import contextlib
+from functools import partial
 from typing import cast
 
 from marigoldswitch.core.catalogue import Target
+from marigoldswitch.gateway.bounded_reads import ReadGuard
 
 OPEN_SECONDS = 0.1
 """Longest time to open guard connections; a request waits for them."""
@@ -18,20 +20,27 @@
 
 
 class _Guard(asyncio.Protocol):
-    """One idle connection.
+    """One idle connection. It is given up if anything arrives on it.
 
+    :param bounds: counts the open connections.
     :ivar lost_at: when the target ended it, in the loop's time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, bounds: ReadGuard) -> None:
+        self._bounds = bounds
         self.lost_at: float | None = None
         self.is_lost = asyncio.Event()
         self._transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
+        self._bounds.open_connections += 1
+
+    def data_received(self, _: bytes) -> None:
+        self.close()
 
     def connection_lost(self, _: Exception | None) -> None:
+        self._bounds.open_connections -= 1
         if self._transport is not None:
             self.lost_at = asyncio.get_running_loop().time()
             self.is_lost.set()
@@ -81,10 +90,17 @@
             self._other.close()
 
 
-async def open_guards(target: Target, other: Target | None) -> GuardConnections | None:
-    """Open guard connections, or return ``None`` if the target takes none."""
+async def open_guards(
+    target: Target, other: Target | None, bounds: ReadGuard
+) -> GuardConnections | None:
+    """Open guard connections, or return ``None`` if the target takes none.
+
+    :param bounds: counts the open connections.
+    """
     targets = [target] if other is None else [target, other]
-    own, *others = await asyncio.gather(*(_open(item.address) for item in targets))
+    own, *others = await asyncio.gather(
+        *(_open(item.address, bounds) for item in targets)
+    )
     if own is not None:
         return GuardConnections(own, others[0] if others else None)
     for item in others:
@@ -93,12 +109,14 @@
     return None
 
 
-async def _open(address: str) -> _Guard | None:
+async def _open(address: str, bounds: ReadGuard) -> _Guard | None:
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(OPEN_SECONDS):
-            _, guard = await loop.create_connection(_Guard, host, int(port))
+            _, guard = await loop.create_connection(
+                partial(_Guard, bounds), host, int(port)
+            )
     except (OSError, TimeoutError):
         return None
     return guard
--- a/marigoldswitch/gateway/plain.py
+++ b/marigoldswitch/gateway/plain.py
@@ -227,7 +227,7 @@
             if item.id != target.id and not suspects.is_excluded(item.id, now)
         ]
         other = parts.source.choice(others) if others else None
-        return await open_guards(target, other)
+        return await open_guards(target, other, parts.upstream.guard)
 
     def _choose_target(self, now: float) -> Target | None:
         """Choose a target; suspects are considered only if no other takes requests."""
--- a/marigoldswitch/tests/test_guard_connections.py
+++ b/marigoldswitch/tests/test_guard_connections.py
@@ -1,9 +1,11 @@
 """Connections that show whether a target's process ends with a request."""
 
 import asyncio
+import contextlib
 
 import pytest
 
+from marigoldswitch.gateway.bounded_reads import ReadGuard
 from marigoldswitch.gateway.guard_connections import SAME_MOMENT_SECONDS, open_guards
 from marigoldswitch.tests.crash_targets import build_target
 from marigoldswitch.tests.faulty_targets import Fault, FaultyTarget
@@ -33,7 +35,7 @@
     async def scenario():
         targets = await start_targets()
         own, other = (build_target(item.name, item.address) for item in targets)
-        guards = await open_guards(own, other)
+        guards = await open_guards(own, other, ReadGuard())
         await asyncio.sleep(0.02)
         for target in targets:
             if target.name in ended:
@@ -50,7 +52,9 @@
 def test_only_target_that_refuses_connections_may_be_cut_off(is_refused):
     async def scenario():
         targets = await start_targets()
-        guards = await open_guards(build_target("own", targets[0].address), None)
+        guards = await open_guards(
+            build_target("own", targets[0].address), None, ReadGuard()
+        )
         await asyncio.sleep(0.02)
         targets[0].crash("/")
         assert await guards.has_target_ended(is_refused) is not is_refused
@@ -65,7 +69,7 @@
     async def scenario():
         targets = await start_targets()
         own, other = (build_target(item.name, item.address) for item in targets)
-        guards = await open_guards(own, other)
+        guards = await open_guards(own, other, ReadGuard())
         await asyncio.sleep(0.02)
         targets[0].crash("/")
         await asyncio.sleep(3.0 * SAME_MOMENT_SECONDS)
@@ -82,12 +86,32 @@
         targets = await start_targets()
         own, other = (build_target(item.name, item.address) for item in targets)
         targets[0].stop()
-        assert await open_guards(own, other) is None
+        assert await open_guards(own, other, ReadGuard()) is None
         targets[1].stop()
 
     run_scenario(scenario())
 
 
+def test_guards_are_counted_and_given_up_if_bytes_arrive():
+    async def scenario():
+        async def flood(_, writer):
+            with contextlib.suppress(ConnectionError):
+                while True:
+                    writer.write(b"x" * 2**16)
+                    await writer.drain()
+
+        server = await asyncio.start_server(flood, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        bounds = ReadGuard()
+        guards = await open_guards(build_target("own", address), None, bounds)
+        assert bounds.open_connections == 1
+        assert not await guards.has_target_ended(False)
+        assert bounds.open_connections == 0
+        server.close()
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("method", ["GET", "POST"])
 @pytest.mark.parametrize("fault", [Fault.RESET, Fault.CLOSE, Fault.LATE_RESET])
 def test_request_that_live_targets_lose_again_and_again_is_not_held(fault, method):
