Take no answer whose status line breaks the grammar

Callers got answers with status 000, 600 or 999, with an unasked 101 or with control bytes in the reason as if their target had answered. A 503 of that kind could also say "not run".

Cause: the HTTP client's parser is lenient towards servers. It takes any three digits for a status, and versions 0.9 and 2.0 and other protocols for HTTP. Nothing looked at it after.

Its strict mode was ruled out: it is a global switch for debugging, it lets all of these pass, and it refuses what recipients may accept (bare LF, a repeated Content-Type).

Change: the connections of the gateway check the bytes of each head once, as soon as it is complete, before the parser passes it on. Nothing that it states is read.

--- /dev/null
+++ b/marigoldswitch/answer_connections.py
@@ -0,0 +1,94 @@
+"""Client connections that tell answers from other bytes.
+
+All clients of this package use them, so that one place decides what an answer is.
+"""
+
+import asyncio
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import StreamReader
+
+from marigoldswitch.core.answer_grammar import (
+    FIRST_FINAL_STATUS,
+    AnswerScanner,
+    GrammarFault,
+)
+
+
+class AnswerMalformed(aiohttp.ClientError):
+    """Bytes that break the grammar of HTTP; their connection is reset."""
+
+
+class AnswerHandler(ResponseHandler):
+    """Protocol of a connection on which nothing but answers is accepted.
+
+    The HTTP client's parser is lenient.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._scanner: AnswerScanner | None = None
+        """Of the answer that is awaited or read; ``None`` before the first request."""
+        self._body: StreamReader | None = None
+        """Of the last answer whose head has come."""
+        self._has_failed = False
+
+    def set_response_params(self, **params: Any) -> None:
+        """Await an answer."""
+        self._scanner, self._body = AnswerScanner(), None
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Check what arrives, and parse it."""
+        if self._has_failed:
+            return
+        if self._scanner is not None:
+            try:
+                self._scanner.feed(data)
+            except GrammarFault as fault:
+                self.fail(AnswerMalformed(str(fault)))
+                return
+        super().data_received(data)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Take a head that is complete."""
+        if self._has_failed:
+            return
+        message, body = data
+        if self._body is not None:
+            self.fail(AnswerMalformed("bytes after an answer"))
+            return
+        if message.code >= FIRST_FINAL_STATUS:
+            self._body = body
+        super().feed_data(data, size)
+
+    def fail(self, error: aiohttp.ClientError) -> None:
+        """Reset the connection and fail whoever reads it.
+
+        An answer that is already whole stays one.
+        """
+        self._has_failed = True
+        transport = self.transport
+        # Otherwise the end of the connection would look like that of the body.
+        self._payload = self._parser = None
+        super().set_exception(error)
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
+
+class AnswerConnector(aiohttp.TCPConnector):
+    """Opens connections on which nothing but answers is accepted."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self.use_handler(AnswerHandler)
+
+    def use_handler(self, handler: type[ResponseHandler], **options: Any) -> None:
+        """Set the protocol of the connections that are opened from now on."""
+        # Private: the client has no other place for the protocol of a connection.
+        self._factory = functools.partial(handler, loop=self._loop, **options)
--- a/marigoldswitch/gateway/bounded_connections.py
+++ b/marigoldswitch/gateway/bounded_connections.py
@@ -6,24 +6,20 @@
 """
 
 import asyncio
-import functools
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any
 
-import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import _EXC_SENTINEL as _NO_CAUSE
 from aiohttp.http_exceptions import HttpProcessingError
 
+from marigoldswitch.answer_connections import AnswerConnector, AnswerHandler
+from marigoldswitch.core.answer_grammar import FIRST_FINAL_STATUS
 from marigoldswitch.core.read_bounds import Excess, ReadBounds
 from marigoldswitch.gateway.bounded_reads import AnswerUnbounded, ReadGuard
 from marigoldswitch.stalls import ActivityClock, StallWatch
 
-SWITCHING_PROTOCOLS = 101
-FIRST_FINAL_STATUS = 200
 
-
-class BoundedHandler(ResponseHandler):
+class BoundedHandler(AnswerHandler):
     """Protocol of a connection that is reset when what it receives exceeds a bound.
 
     :param note_bytes: called whenever bytes arrive.
@@ -50,7 +46,6 @@
         """Whether an informational head is complete and no byte has come since."""
         self._framing_size = 0
         self._body_size = 0
-        self._is_cut = False
 
     @property
     def _bounds(self) -> ReadBounds:
@@ -66,14 +61,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrives, and count it."""
-        if self._is_cut:
+        if self._has_failed:
             return
         self.activity.note_bytes()
         self._note_bytes()
         if self._is_head_open:
             self._note_head_bytes(len(data))
         super().data_received(data)
-        if self._is_cut or not data:
+        if self._has_failed or not data:
             return
         if self._is_head_open:
             self._check_open_head()
@@ -82,13 +77,13 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a head that is complete."""
-        if self._is_cut:
+        if self._has_failed:
             return
         status = data[0].code
         if not self._is_head_open:
             self._cut("framing_bytes", self._head_size)
             return
-        if status < FIRST_FINAL_STATUS and status != SWITCHING_PROTOCOLS:
+        if status < FIRST_FINAL_STATUS:
             self._informational_heads += 1
             if self._informational_heads > self._bounds.informational_heads:
                 self._cut("informational_heads", self._head_size)
@@ -163,21 +158,12 @@
 
     def _cut(self, bound: str, size: int) -> None:
         """Reset the connection and fail whoever reads it."""
-        self._is_cut = True
         self._stop_head_watch()
         began = self._head_began or self._loop.time()
-        error = AnswerUnbounded(Excess(bound, size, self._loop.time() - began))
-        body, transport = self._payload, self.transport
-        # Otherwise the end of the connection would look like that of the body.
-        self._payload = self._parser = None
-        self.set_exception(error)
-        if body is not None:
-            body.set_exception(error)
-        if transport is not None:
-            transport.abort()
-
-
-class BoundedConnector(aiohttp.TCPConnector):
+        self.fail(AnswerUnbounded(Excess(bound, size, self._loop.time() - began)))
+
+
+class BoundedConnector(AnswerConnector):
     """Opens connections whose reading is bounded.
 
     :param note_bytes: called whenever bytes arrive on one of them.
@@ -187,10 +173,4 @@
         self, guard: ReadGuard, note_bytes: Callable[[], None], **options: Any
     ) -> None:
         super().__init__(**options)
-        # Private: the client has no other place for the protocol of a connection.
-        self._factory = cast(
-            functools.partial[ResponseHandler],
-            functools.partial(
-                BoundedHandler, loop=self._loop, guard=guard, note_bytes=note_bytes
-            ),
-        )
+        self.use_handler(BoundedHandler, guard=guard, note_bytes=note_bytes)
--- /dev/null
+++ b/marigoldswitch/tests/test_broken_heads.py
@@ -0,0 +1,78 @@
+"""Answers that break the protocol's grammar reach nobody; unusual ones are served."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+import pytest
+
+from marigoldswitch.gateway.connections import ConnectionUse, open_session
+from marigoldswitch.tests.answer_heads import BROKEN, SOUND
+from marigoldswitch.tests.raw_targets import run_raw_target
+
+SPLIT = pytest.mark.parametrize("is_split", [False, True], ids=["whole", "split"])
+TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+
+
+async def fetch(session, target, method="GET"):
+    """Return status, fields and body of an answer, or why there is none."""
+    url = f"http://{target.address}/"
+    try:
+        # Without it, the client itself would send some requests again.
+        use = ConnectionUse()
+        async with session.request(
+            method, url, timeout=TIMEOUT, trace_request_ctx=use
+        ) as response:
+            body = await response.read()
+            return response.status, response.raw_headers, body
+    except aiohttp.ClientError as error:
+        return error
+
+
+@SPLIT
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("name", BROKEN)
+def test_bytes_that_break_the_grammar_are_no_answer(name, method, is_split):
+    async def scenario():
+        broken = msgspec.structs.replace(BROKEN[name], is_split=is_split)
+        async with run_raw_target(broken) as target, open_session(8.0) as session:
+            assert isinstance(await fetch(session, target, method), aiohttp.ClientError)
+            status, _, _ = await fetch(session, target)
+            assert status == 200
+            assert not target.was_reused
+            async with asyncio.timeout(1.0):
+                while target.open_count:
+                    await asyncio.sleep(0.001)
+
+    asyncio.run(scenario())
+
+
+@SPLIT
+@pytest.mark.parametrize("name", SOUND)
+def test_unusual_answers_are_served(name, is_split):
+    async def scenario():
+        sound = SOUND[name]
+        answer = msgspec.structs.replace(sound.answer, is_split=is_split)
+        async with run_raw_target(answer) as target, open_session(8.0) as session:
+            status, fields, body = await fetch(session, target)
+            assert (status, body) == (sound.status, sound.body)
+            if sound.field is not None:
+                key, value = sound.field
+                assert (key.encode(), value) in fields
+
+    asyncio.run(scenario())
+
+
+@SPLIT
+@pytest.mark.parametrize("name", ["plain", "length of no body", "chunks", "extensions"])
+def test_answers_to_head_have_no_body(name, is_split):
+    async def scenario():
+        head, _, _ = SOUND[name].answer.content.partition(b"\r\n\r\n")
+        answer = msgspec.structs.replace(
+            SOUND[name].answer, content=head + b"\r\n\r\n", is_split=is_split
+        )
+        async with run_raw_target(answer) as target, open_session(8.0) as session:
+            status, _, body = await fetch(session, target, "HEAD")
+            assert (status, body) == (SOUND[name].status, b"")
+
+    asyncio.run(scenario())
