Take no answer whose field lines break the grammar

Callers got answers with a blank before the colon of Connection, Content-Length or Transfer-Encoding, with that line passed on or with a body that was cut or joined in another way than the target meant, and with folded lines joined. A control byte in a value made the writing of the answer to the caller fail, which closed its connection without any answer.

Cause: the parser's lenient mode lets blanks before a colon pass where it knows the name, and control bytes and folds in all values. Other faults in names it refuses itself; their tests stay.

Change: the check of a head covers its field lines as well: a token, a colon at once, and no control byte but tabs. Heads before the answer are checked in the same way.

The tests hold 28 more heads.

--- a/marigoldswitch/core/answer_grammar.py
+++ b/marigoldswitch/core/answer_grammar.py
@@ -11,12 +11,18 @@
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*+"
+_FIELD_LINE = _TOKEN + rb":" + _TEXT + rb"\r?\n"
 
 HEAD_END = re.compile(rb"\n\r?\n")
-STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] ([1-5][0-9]{2})(?: " + _TEXT + rb")?\r?\n")
-"""A status line. Its end may be a bare LF, and the blank before an empty reason may be
-missing: recipients may accept both (sections 2.2 and 4)."""
+HEAD = re.compile(
+    rb"HTTP/1\.[0-9] ([1-5][0-9]{2})(?: " + _TEXT + rb")?\r?\n"
+    rb"(?:" + _FIELD_LINE + rb")*+\r?\n"
+)
+"""A head. The end of a line may be a bare LF, and the blank before an empty reason may
+be missing: recipients may accept both (sections 2.2 and 4)."""
+FIELD_LINE = re.compile(_FIELD_LINE)
 
 
 class GrammarFault(ValueError):
@@ -34,15 +40,24 @@
 
     :raises GrammarFault: if it is none.
     """
-    found = STATUS_LINE.match(content)
+    found = HEAD.fullmatch(content)
     if found is None:
-        raise GrammarFault(f"status line {content[:100]!r}")
+        raise GrammarFault(_describe_fault(content))
     status = int(found[1])
     if status == SWITCHING_PROTOCOLS:
         raise GrammarFault("change of protocol that was not asked for")
     return AnswerHead(status)
 
 
+def _describe_fault(content: bytes) -> str:
+    """Return a description of the first line of a head that breaks the grammar."""
+    first, *lines = content.splitlines(keepends=True)
+    if HEAD.fullmatch(first + b"\r\n") is None:
+        return f"status line {first[:100]!r}"
+    faulty = (item for item in lines if FIELD_LINE.fullmatch(item) is None)
+    return f"field line {next(faulty, b'')[:100]!r}"
+
+
 class AnswerScanner:
     """Checks one answer, with the informational heads before it.
 
--- a/marigoldswitch/tests/answer_heads.py
+++ b/marigoldswitch/tests/answer_heads.py
@@ -50,10 +50,45 @@
     "empty line before": b"\r\nHTTP/1.1 200 OK",
     "blank before": b" HTTP/1.1 200 OK",
 }
+BROKEN_FIELDS = {
+    "blank in a name": b"Na me: v",
+    "tab in a name": b"Na\tme: v",
+    "control byte in a name": b"Na\x01me: v",
+    "null in a name": b"Na\x00me: v",
+    "delete in a name": b"Na\x7fme: v",
+    "bare CR in a name": b"Na\rme: v",
+    "high byte in a name": b"Na\xe9me: v",
+    "separator in a name": b"Na(me: v",
+    "empty name": b": v",
+    "no colon": b"Name",
+    "blank before a colon": b"Name : v",
+    "tab before a colon": b"Name\t: v",
+    "blank before the colon of an option": b"Connection : close",
+    "blank before the colon of a promise": b"Not-Executed : 1",
+    "blank before a name": b" Name: v",
+    "folded value": b"Name: v\r\n w",
+    "value folded by a tab": b"Name: v\r\n\tw",
+    "value folded at its begin": b"Name:\r\n v",
+    "control byte in a value": b"Name: v\x01w",
+    "null in a value": b"Name: v\x00w",
+    "delete in a value": b"Name: v\x7fw",
+    "escape in a value": b"Name: v\x1bw",
+    "vertical tab in a value": b"Name: v\x0bw",
+    "bare CR in a value": b"Name: v\rw",
+    "bare CR at the end of a value": b"Name: v\r\r\nNext: w",
+    "blank before the first field": b"",
+}
 
 
 def _list_broken():
     yield from ((k, _with_status_line(v)) for k, v in BROKEN_STATUS_LINES.items())
+    yield from ((k, _with_field(v)) for k, v in BROKEN_FIELDS.items() if v)
+    first = b"HTTP/1.1 200 OK\r\n Name: v\r\n%S" + LENGTH + b"\r\n%B"
+    yield "blank before the first field", first
+    hint = b"HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n"
+    yield "broken head before the answer", hint + OK + LENGTH + b"\r\n%B"
+    hint = b"HTTP/1.1 103 Early Hints\r\nLink: \x01\r\n\r\n"
+    yield "control byte before the answer", hint + OK + LENGTH + b"\r\n%B"
 
 
 BROKEN = {name: RawAnswer(content) for name, content in _list_broken()}
--- a/marigoldswitch/tests/test_broken_answers.py
+++ b/marigoldswitch/tests/test_broken_answers.py
@@ -38,6 +38,11 @@
     "status 600",
     "unasked change of protocol",
     "control byte in the reason",
+    "blank in a name",
+    "blank before a colon",
+    "control byte in a value",
+    "folded value",
+    "control byte before the answer",
 )
 """Names of answers that break the grammar in each part of it."""
 
