Take no answer whose framing breaks the grammar

Callers got bodies that were not those of their targets as whole successes: with the lines of chunks among them ("Transfer-Encoding: chunked, gzip"), compressed without saying so ("gzip, chunked"), or with a byte of the framing at the end (a size that is too large by one). After other faults in chunks they got nothing until their deadline.

Cause: the parser reads each transfer coding that it does not know up to the end of the connection, and accepts a bare LF, blanks and control bytes in the lines of chunks and trailers. If it does refuse a part of a body, the HTTP client fails the reader of the next head instead of that of the body, which waits on.

Change: chunked is the only transfer coding that is accepted, once, last and by HTTP/1.1, beside the empty "identity". The lines of chunks and trailers are checked as they arrive; the data between them is skipped. What the parser and the check frame in two ways is no answer. An error of the parser fails the reader of the body. Too many bytes of framing are still told as such.

A chunk of the stand-in for endless events stated one byte too many, which the parser had accepted; it states its size now, so that the test meets the flood and not that.

The tests hold 55 more answers.

--- a/marigoldswitch/answer_connections.py
+++ b/marigoldswitch/answer_connections.py
@@ -9,11 +9,14 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import _EXC_SENTINEL as _NO_CAUSE
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 
 from marigoldswitch.core.answer_grammar import (
     FIRST_FINAL_STATUS,
     AnswerScanner,
+    Framing,
     GrammarFault,
 )
 
@@ -25,7 +28,8 @@
 class AnswerHandler(ResponseHandler):
     """Protocol of a connection on which nothing but answers is accepted.
 
-    The HTTP client's parser is lenient.
+    The HTTP client's parser is lenient, and after an error within a body its readers
+    wait for ever.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -36,10 +40,10 @@
         """Of the last answer whose head has come."""
         self._has_failed = False
 
-    def set_response_params(self, **params: Any) -> None:
+    def set_response_params(self, *, skip_payload: bool = False, **params: Any) -> None:
         """Await an answer."""
-        self._scanner, self._body = AnswerScanner(), None
-        super().set_response_params(**params)
+        self._scanner, self._body = AnswerScanner(not skip_payload), None
+        super().set_response_params(skip_payload=skip_payload, **params)
 
     def data_received(self, data: bytes) -> None:
         """Check what arrives, and parse it."""
@@ -63,8 +67,22 @@
             return
         if message.code >= FIRST_FINAL_STATUS:
             self._body = body
+            framing = self._get_framing()
+            is_chunked = framing is Framing.CHUNKS
+            if framing is not Framing.NO_BODY and message.chunked != is_chunked:
+                self.fail(AnswerMalformed("transfer codings"))
+                return
         super().feed_data(data, size)
 
+    def set_exception(
+        self, exc: BaseException, exc_cause: BaseException = _NO_CAUSE
+    ) -> None:
+        """Fail the readers of the head, and of the body if it can't be parsed."""
+        if isinstance(exc, HttpProcessingError):
+            self.fail(AnswerMalformed(exc.message))
+        else:
+            super().set_exception(exc, exc_cause)
+
     def fail(self, error: aiohttp.ClientError) -> None:
         """Reset the connection and fail whoever reads it.
 
@@ -80,6 +98,11 @@
         if transport is not None:
             transport.abort()
 
+    def _get_framing(self) -> Framing | None:
+        """Return the framing of the answer, once its head has come."""
+        head = self._scanner.head if self._scanner is not None else None
+        return head.framing if head is not None else None
+
 
 class AnswerConnector(aiohttp.TCPConnector):
     """Opens connections on which nothing but answers is accepted."""
--- a/marigoldswitch/gateway/bounded_connections.py
+++ b/marigoldswitch/gateway/bounded_connections.py
@@ -46,6 +46,8 @@
         """Whether an informational head is complete and no byte has come since."""
         self._framing_size = 0
         self._body_size = 0
+        self._arriving = 0
+        """Bytes that arrived last."""
 
     @property
     def _bounds(self) -> ReadBounds:
@@ -65,6 +67,7 @@
             return
         self.activity.note_bytes()
         self._note_bytes()
+        self._arriving = len(data)
         if self._is_head_open:
             self._note_head_bytes(len(data))
         super().data_received(data)
@@ -100,11 +103,13 @@
     def set_exception(
         self, exc: BaseException, exc_cause: BaseException = _NO_CAUSE
     ) -> None:
-        """Fail the reader; a head that can't be parsed may also be too long."""
-        is_head = self._is_head_open and isinstance(exc, HttpProcessingError)
-        if is_head and self._head_size > self._bounds.head_bytes:
-            self._cut("head_bytes", self._head_size)
-        else:
+        """Fail the reader; bytes that can't be parsed may also be too many."""
+        if isinstance(exc, HttpProcessingError):
+            if not self._is_head_open:
+                self._count_framing(self._arriving)
+            elif self._head_size > self._bounds.head_bytes:
+                self._cut("head_bytes", self._head_size)
+        if not self._has_failed:
             super().set_exception(exc, exc_cause)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/marigoldswitch/standins/floods.py
+++ b/marigoldswitch/standins/floods.py
@@ -84,7 +84,7 @@
         case Flood.LENGTH:
             return head + b"Content-Length: 999999999999\r\n\r\n", b"x" * size
         case Flood.EVENT:
-            return chunked + b"9\r\nid: 1\nda\r\n", _build_chunk(b"x" * size)
+            return chunked + b"8\r\nid: 1\nda\r\n", _build_chunk(b"x" * size)
         case Flood.COMMENTS:
             return chunked, _build_chunk(b": x\n\n" * (1 + size // 5))
 
--- a/marigoldswitch/tests/answer_heads.py
+++ b/marigoldswitch/tests/answer_heads.py
@@ -23,6 +23,10 @@
     return OK + line + b"\r\n" + LENGTH + b"\r\n%B"
 
 
+def _with_framing(line, body=b"%B"):
+    return OK + line + b"\r\n\r\n" + body
+
+
 BROKEN_STATUS_LINES = {
     "status 000": b"HTTP/1.1 000 Nothing",
     "status 099": b"HTTP/1.1 099 Nothing",
@@ -78,6 +82,70 @@
     "bare CR at the end of a value": b"Name: v\r\r\nNext: w",
     "blank before the first field": b"",
 }
+BROKEN_FRAMING = {
+    "length with a sign": b"Content-Length: +%L",
+    "negative length": b"Content-Length: -%L",
+    "hexadecimal length": b"Content-Length: 0xf",
+    "empty length": b"Content-Length: ",
+    "two words of length": b"Content-Length: 1 5",
+    "length with a fraction": b"Content-Length: %L.0",
+    "length beyond all bounds": b"Content-Length: 99999999999999999999999",
+    "list of different lengths": b"Content-Length: %L, 3",
+    "two different lengths": LENGTH + b"Content-Length: 3",
+    "blank before the colon of a length": b"Content-Length : %L",
+    "folded length": b"Content-Length:\r\n %L",
+}
+BROKEN_CODINGS = {
+    "length and chunks": LENGTH + b"Transfer-Encoding: chunked",
+    "chunks and length": b"Transfer-Encoding: chunked\r\nContent-Length: %L",
+    "blank before the colon of a coding": b"Transfer-Encoding : chunked",
+    "folded coding": b"Transfer-Encoding:\r\n chunked",
+    "compressed chunks": b"Transfer-Encoding: gzip, chunked",
+    "chunks twice": b"Transfer-Encoding: chunked, chunked",
+    "two fields of chunks": (
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"
+    ),
+    "compressed last": b"Transfer-Encoding: chunked, gzip",
+    "compressed, to the end": b"Transfer-Encoding: gzip",
+    "unknown coding": b"Transfer-Encoding: xchunked",
+    "unknown coding before chunks": b"Transfer-Encoding: x, chunked",
+    "coding in quotes": b'Transfer-Encoding: "chunked"',
+    "coding with a parameter": b"Transfer-Encoding: chunked;a=b",
+    "control byte in a coding": b"Transfer-Encoding: \x0bchunked",
+}
+BROKEN_CHUNKS = {
+    "size of letters": b"zz\r\n%B\r\n" + LAST_CHUNK,
+    "size with a prefix": b"0x%H\r\n%B\r\n" + LAST_CHUNK,
+    "size with a sign": b"+%H\r\n%B\r\n" + LAST_CHUNK,
+    "negative size": b"-%H\r\n%B\r\n" + LAST_CHUNK,
+    "empty size": b"\r\n%B\r\n" + LAST_CHUNK,
+    "size beyond all bounds": b"fffffffffffffffff\r\n%B\r\n" + LAST_CHUNK,
+    "blank before a size": b" %H\r\n%B\r\n" + LAST_CHUNK,
+    "blank after a size": b"%H \r\n%B\r\n" + LAST_CHUNK,
+    "bare LF after a size": b"%H\n%B\r\n" + LAST_CHUNK,
+    "bare LF after data": b"%H\r\n%B\n" + LAST_CHUNK,
+    "nothing after data": b"%H\r\n%B" + LAST_CHUNK,
+    "size too large by one": b"10\r\n%B\r\n" + LAST_CHUNK,
+    "size too small": b"3\r\n%B\r\n" + LAST_CHUNK,
+    "control byte in an extension": b"%H;a\x01=b\r\n%B\r\n" + LAST_CHUNK,
+    "bare LF after an extension": b"%H;a\n%B\r\n" + LAST_CHUNK,
+    "bare CR in an extension": b"%H;a\rb\r\n%B\r\n" + LAST_CHUNK,
+    "extension without a name": b"%H;\r\n%B\r\n" + LAST_CHUNK,
+    "blank in a trailer's name": CHUNK + b"0\r\nT x: y\r\n\r\n",
+    "blank before a trailer's colon": CHUNK + b"0\r\nT : y\r\n\r\n",
+    "control byte in a trailer": CHUNK + b"0\r\nT: \x01\r\n\r\n",
+    "null in a trailer": CHUNK + b"0\r\nT: \x00\r\n\r\n",
+    "folded trailer": CHUNK + b"0\r\nT: x\r\n y\r\n\r\n",
+    "trailer without a colon": CHUNK + b"0\r\nT\r\n\r\n",
+}
+TRUNCATED = {
+    "end within the status line": b"HTTP/1.1 20",
+    "end within the head": OK + LENGTH,
+    "end within the body": OK + b"Content-Length: 20\r\n\r\n%B",
+    "end before the last chunk": CHUNKED + CHUNK,
+    "end within the last chunk": CHUNKED + CHUNK + b"0\r\n",
+    "end within a chunk": CHUNKED + b"20\r\n%B",
+}
 
 
 def _list_broken():
@@ -85,6 +153,12 @@
     yield from ((k, _with_field(v)) for k, v in BROKEN_FIELDS.items() if v)
     first = b"HTTP/1.1 200 OK\r\n Name: v\r\n%S" + LENGTH + b"\r\n%B"
     yield "blank before the first field", first
+    yield from ((k, _with_framing(v)) for k, v in BROKEN_FRAMING.items())
+    chunks = CHUNK + LAST_CHUNK
+    yield from ((k, _with_framing(v, chunks)) for k, v in BROKEN_CODINGS.items())
+    old = CHUNKED.replace(b"HTTP/1.1", b"HTTP/1.0")
+    yield "chunks by HTTP/1.0", old + chunks
+    yield from ((k, CHUNKED + v) for k, v in BROKEN_CHUNKS.items())
     hint = b"HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n"
     yield "broken head before the answer", hint + OK + LENGTH + b"\r\n%B"
     hint = b"HTTP/1.1 103 Early Hints\r\nLink: \x01\r\n\r\n"
@@ -93,6 +167,10 @@
 
 BROKEN = {name: RawAnswer(content) for name, content in _list_broken()}
 """Answers that are none, by name."""
+BROKEN.update((k, RawAnswer(v, End.CLOSE)) for k, v in TRUNCATED.items())
+BROKEN["compressed, to the end"] = RawAnswer(
+    _with_framing(BROKEN_CODINGS["compressed, to the end"]), End.CLOSE
+)
 
 
 class Sound(Struct, frozen=True):
--- a/marigoldswitch/tests/test_broken_answers.py
+++ b/marigoldswitch/tests/test_broken_answers.py
@@ -42,6 +42,13 @@
     "blank before a colon",
     "control byte in a value",
     "folded value",
+    "blank before the colon of a length",
+    "length and chunks",
+    "compressed chunks",
+    "size too large by one",
+    "size with a prefix",
+    "control byte in a trailer",
+    "end before the last chunk",
     "control byte before the answer",
 )
 """Names of answers that break the grammar in each part of it."""
