Take no body without a length for whole that was not closed in order

Callers got a part of an answer as a complete success: its target had answered a long upload at once, without a length, sent a part and reset the connection while the upload was still being written. Reports, orders, the store's rows and errors of engines were read in the same way, also without an upload.

Cause: the parser takes any end of a connection for the end of such a body. The check against that asked the HTTP client for the error of the connection after the answer had been closed; with an upload under way, closing it clears that error. The other readers had no check. The check also took any coding with "chunked" in its name for chunks.

Change: the connection itself fails the reader of such a body, unless the other end has closed it in order, by the framing that was read from the head. All readers get that error without asking for it, so that the check apart is gone.

Evidence: uploads of 6 MB to targets that read 64 KB of them.

--- a/marigoldswitch/answer_connections.py
+++ b/marigoldswitch/answer_connections.py
@@ -25,6 +25,10 @@
     """Bytes that break the grammar of HTTP; their connection is reset."""
 
 
+class BodyCut(aiohttp.ClientPayloadError):
+    """A body without a length whose connection was not closed in order."""
+
+
 class AnswerHandler(ResponseHandler):
     """Protocol of a connection on which nothing but answers is accepted.
 
@@ -39,6 +43,7 @@
         self._body: StreamReader | None = None
         """Of the last answer whose head has come."""
         self._has_failed = False
+        self._is_closed_in_order = False
 
     def set_response_params(self, *, skip_payload: bool = False, **params: Any) -> None:
         """Await an answer."""
@@ -98,6 +103,28 @@
         if transport is not None:
             transport.abort()
 
+    def eof_received(self) -> None:
+        """Note that the other end has closed the connection in order."""
+        self._is_closed_in_order = True
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the answer, or fail its reader if its end has not come.
+
+        A body without a length ends with its connection, but only if that was closed in
+        order. The parser takes any end for that of the body.
+        """
+        body = self._body
+        if (
+            body is not None
+            and not body.is_eof()
+            and self._get_framing() is Framing.CLOSE
+            and not self._is_closed_in_order
+        ):
+            self._payload = self._parser = None
+            body.set_exception(BodyCut("the connection was not closed in order"))
+        super().connection_lost(exc)
+
     def _get_framing(self) -> Framing | None:
         """Return the framing of the answer, once its head has come."""
         head = self._scanner.head if self._scanner is not None else None
--- a/marigoldswitch/gateway/forwarding.py
+++ b/marigoldswitch/gateway/forwarding.py
@@ -16,7 +16,7 @@
 from marigoldswitch.gateway.caller_writes import begin, write
 from marigoldswitch.gateway.exchanges import AbortReason, AnswerAborted, Exchange
 from marigoldswitch.gateway.forecast_checks import ForecastCheck
-from marigoldswitch.gateway.upstream import EndOfBodyCheck, LongBody
+from marigoldswitch.gateway.upstream import LongBody
 
 
 class AnswerCut(ChainBroken):
@@ -72,7 +72,6 @@
         """
         bounds, clock = self._get_bounds(), self._clock
         splitter = EventSplitter(bounds.event_bytes)
-        end_check = EndOfBodyCheck(response)
         progress = EventProgress(bounds, self._exchange.route.is_resumable)
         began = clock.monotonic()
         async with self._monitor.monitor(response):
@@ -98,8 +97,6 @@
                     await self._write_unseen(events, is_progress)
         if splitter.has_remainder:
             raise AnswerCut("the answer ended within an event")
-        if not end_check.is_complete():
-            raise AnswerCut("the connection was reset at the end of the answer")
         self._claimant.claim()
         await self._begin()
 
--- a/marigoldswitch/gateway/proxied_runs.py
+++ b/marigoldswitch/gateway/proxied_runs.py
@@ -43,7 +43,6 @@
     VERSION_HEADER,
 )
 from marigoldswitch.gateway.upstream import (
-    EndOfBodyCheck,
     LongBody,
     Lost,
     NotSent,
@@ -459,10 +458,7 @@
         )
         if not is_kept and length <= guard.bounds.declared_bytes:
             return await self._pass_long_on(host, reply)
-        end_check = EndOfBodyCheck(reply)
         body = await read_whole(reply, guard.bounds, "body_bytes", holder=connection)
-        if not end_check.is_complete():
-            raise _Broken("the connection was reset at the end of the answer")
         headers = self._parts.codec.write_reply(reply.headers)
         response = web.Response(
             status=reply.status, headers=headers, body=split_body(body)
--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -326,7 +326,6 @@
         if self._is_passed_on(reply, holder):
             rest = LongBody(response, self.guard, target.id)
             return Answered(response.status, response.headers, b"", facts, rest)
-        end_check = EndOfBodyCheck(response)
         try:
             body = await read_whole(
                 response, self.guard.bounds, "body_bytes", holder=holder
@@ -339,8 +338,6 @@
         finally:
             # Closes the connection unless the whole answer has been read.
             response.close()
-        if not end_check.is_complete():
-            return Lost("the connection was reset at the end of the answer")
         return Answered(response.status, response.headers, body, facts)
 
     def _is_passed_on(self, reply: Reply, holder: AnswerHolder | None) -> bool:
@@ -400,24 +397,3 @@
         """Close the connection unless the whole body has been read."""
         self._body.stop()
         self._response.close()
-
-
-class EndOfBodyCheck:
-    """Checks whether a response body without a length is complete.
-
-    The end of such a body is the end of its connection, and aiohttp does not
-    distinguish a reset from a normal close.
-    """
-
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        headers = response.headers
-        self._has_length = "Content-Length" in headers
-        self._is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-        # Private: ``connection`` is already ``None`` if the end came with the headers.
-        self._protocol = response._protocol
-
-    def is_complete(self) -> bool:
-        """Return whether the body ended normally; to be called after reading it."""
-        if self._has_length or self._is_chunked or self._protocol is None:
-            return True
-        return not isinstance(self._protocol.exception(), OSError)
--- a/marigoldswitch/tests/raw_targets.py
+++ b/marigoldswitch/tests/raw_targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections import Counter
 from enum import Enum
 
@@ -13,6 +14,8 @@
 BODY = b"id: 1\ndata: x\n\n"
 """Body of the answers in the tables; also the first event of a stream."""
 GOOD_BODY = b"answered well"
+RECEIVE_BUFFER_BYTES = 65_536
+"""Small, so that the writing of an upload that is not read stops early."""
 
 
 class End(Enum):
@@ -30,6 +33,7 @@
     for the length of the body in decimal and hexadecimal digits, ``%B`` for the body.
 
     :param is_split: whether each byte arrives alone.
+    :param pause: seconds between the answer and its end.
     :param reads: bytes of the request's body that are read before; ``None`` for all.
     """
 
@@ -37,6 +41,7 @@
     end: End = End.KEEP
     is_split: bool = False
     reads: int | None = None
+    pause: float = 0.0
     body: bytes = BODY
 
     def build(self, request):
@@ -81,7 +86,9 @@
 
     async def start(self):
         """Listen on a port chosen by the kernel."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._server = await asyncio.start_server(self._serve, sock=listener)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
@@ -143,6 +150,7 @@
                 await asyncio.sleep(0)
         else:
             writer.write(content)
+        await asyncio.sleep(answer.pause)
         match answer.end:
             case End.CLOSE:
                 writer.close()
--- a/marigoldswitch/tests/test_broken_answers.py
+++ b/marigoldswitch/tests/test_broken_answers.py
@@ -14,7 +14,7 @@
 from marigoldswitch.gateway.proxy_hosts import ProxyHost
 from marigoldswitch.platform.engines import EngineClient
 from marigoldswitch.platform.store_calls import StoreCalls
-from marigoldswitch.tests.answer_heads import BROKEN, SOUND
+from marigoldswitch.tests.answer_heads import BROKEN, OK, SOUND
 from marigoldswitch.tests.gateway_site import (
     ALL_EVENTS,
     build_configuration,
@@ -24,13 +24,14 @@
 )
 from marigoldswitch.tests.raw_targets import (
     GOOD_BODY,
+    End,
     RawAnswer,
     RawTarget,
     run_raw_target,
 )
 from marigoldswitch.tests.test_unframed_answers import cut_off_first_host
 
-UPLOAD = b"u" * 3_000_000
+UPLOAD = b"u" * 6_000_000
 READ_BYTES = 65_536
 """Part of an upload that a target reads before it answers."""
 SAMPLE = (
@@ -243,10 +244,70 @@
     run_scenario(scenario())
 
 
+# Answers to uploads that are still under way.
+
+PARTS = {
+    "HTTP/1.1": OK + b"\r\n%B",
+    "HTTP/1.0": b"HTTP/1.0 200 OK\r\n%S\r\n%B",
+    "close": OK + b"Connection: close\r\n\r\n%B",
+    "no byte": OK + b"\r\n",
+}
+
+
+PAUSES = pytest.mark.parametrize("pause", [0.0, 0.02], ids=["at once", "later"])
+
+
+@WAYS
+@BY_WAY_OF_HOST
+@PAUSES
+@pytest.mark.parametrize("name", PARTS)
+def test_part_of_an_early_answer_reaches_no_caller(name, pause, is_proxied, way):
+    async def scenario():
+        part = RawAnswer(PARTS[name], End.RESET, reads=READ_BYTES, pause=pause)
+        async with run_raw_site(is_proxied) as (site, answers, _):
+            for number in range(5):
+                answers.append(part)
+                check_answer(way, *await send(site, way, number, UPLOAD))
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("way", [Way.ONCE, Way.STREAM])
+def test_part_of_an_early_error_is_no_answer(way):
+    async def scenario():
+        content = b"HTTP/1.1 400 Bad Request\r\n%S\r\n%B"
+        part = RawAnswer(content, End.RESET, reads=READ_BYTES)
+        async with run_raw_site() as (site, answers, _):
+            answers += [part] * 2
+            assert (await send(site, way, 1, UPLOAD))[0] == 502
+
+    run_scenario(scenario())
+
+
+@WAYS
+@PAUSES
+def test_part_of_an_early_answer_of_another_host_reaches_no_caller(pause, way):
+    async def scenario():
+        part = RawAnswer(OK + b"\r\n%B", End.RESET, reads=READ_BYTES, pause=pause)
+        async with (
+            run_raw_site(is_proxied=True) as (site, _, _),
+            run_raw_target(part) as other,
+        ):
+            hosts = site.hosts[0].parts.requests._proxy._hosts
+            choose = hosts.choose
+            hosts.choose = lambda tried: (
+                choose(tried) if tried else ProxyHost(HostId("x"), other.address)
+            )
+            check_answer(way, *await send(site, way, 1, UPLOAD))
+
+    run_scenario(scenario())
+
+
 # Answers that callers don't see.
 
 REPORT_BODY = b'{"layers": {"from": 0, "target": 8}, "sequence": 1}'
-UNSEEN = {name: BROKEN[name] for name in SAMPLE}
+CUT_ANSWER = RawAnswer(OK + b"\r\n%B", End.RESET)
+UNSEEN = {**{name: BROKEN[name] for name in SAMPLE}, "reset": CUT_ANSWER}
 
 
 @pytest.mark.parametrize("name", UNSEEN)
