Keep whole answers whose connection breaks while the request is being written

Callers lost answers that their targets had sent whole, as a connection broke after them: a target that answers an upload early and closes its connection resets it. Requests that may run again were sent to another target for it, others got 502.

Cause: if the writing of the request notices the reset first, the event loop drops the connection with what waits unread in its socket, and the HTTP client fails the reader of the head. Where the reading was paused, the parser also keeps the rest of the body to itself.

Change: before a connection whose writing has failed is given up, what waits is read and parsed, also beyond a pause. A body without a length is whole if its end is among that: a connection that was closed in order and then reset fails writing with a broken pipe, one that was only reset does not.

The tests break a connection between two pieces of a request, as noticed by the reader, by the writer, and by the writer while reading is paused.

--- a/marigoldswitch/answer_connections.py
+++ b/marigoldswitch/answer_connections.py
@@ -4,7 +4,10 @@
 """
 
 import asyncio
+import contextlib
 import functools
+import os
+import socket
 from typing import Any
 
 import aiohttp
@@ -20,6 +23,8 @@
     GrammarFault,
 )
 
+READ_BYTES = 262_144
+
 
 class AnswerMalformed(aiohttp.ClientError):
     """Bytes that break the grammar of HTTP; their connection is reset."""
@@ -43,6 +48,7 @@
         self._body: StreamReader | None = None
         """Of the last answer whose head has come."""
         self._has_failed = False
+        self._socket: socket.socket | None = None
         self._is_closed_in_order = False
 
     def set_response_params(self, *, skip_payload: bool = False, **params: Any) -> None:
@@ -82,11 +88,16 @@
     def set_exception(
         self, exc: BaseException, exc_cause: BaseException = _NO_CAUSE
     ) -> None:
-        """Fail the readers of the head, and of the body if it can't be parsed."""
+        """Fail the readers of the head, and of the body if it can't be parsed.
+
+        Where the writing of the request fails, the answer may wait unread.
+        """
         if isinstance(exc, HttpProcessingError):
             self.fail(AnswerMalformed(exc.message))
-        else:
-            super().set_exception(exc, exc_cause)
+            return
+        if isinstance(exc, OSError) and not isinstance(exc, TimeoutError):
+            self._read_waiting()
+        super().set_exception(exc, exc_cause)
 
     def fail(self, error: aiohttp.ClientError) -> None:
         """Reset the connection and fail whoever reads it.
@@ -103,6 +114,12 @@
         if transport is not None:
             transport.abort()
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket, from which may be read until it is closed."""
+        super().connection_made(transport)
+        if transport.get_extra_info("sslcontext") is None:
+            self._socket = transport.get_extra_info("socket")
+
     def eof_received(self) -> None:
         """Note that the other end has closed the connection in order."""
         self._is_closed_in_order = True
@@ -114,6 +131,12 @@
         A body without a length ends with its connection, but only if that was closed in
         order. The parser takes any end for that of the body.
         """
+        if isinstance(exc, OSError):
+            has_end = self._read_waiting()
+            # It can't be written to a connection that was closed, and then reset.
+            if has_end and isinstance(exc, BrokenPipeError):
+                self._is_closed_in_order = True
+        self._socket = None
         body = self._body
         if (
             body is not None
@@ -125,6 +148,25 @@
             body.set_exception(BodyCut("the connection was not closed in order"))
         super().connection_lost(exc)
 
+    def _read_waiting(self) -> bool:
+        """Read what waits in the socket; return whether that includes its end.
+
+        Once writing has failed, the event loop reads no more.
+        """
+        has_end = False
+        if self._socket is not None:
+            with contextlib.suppress(OSError):
+                while not self._has_failed:
+                    data = os.read(self._socket.fileno(), READ_BYTES)
+                    if not data:
+                        has_end = True
+                        break
+                    self.data_received(data)
+        if self._reading_paused:
+            # The parser keeps what came after its body was paused.
+            self.data_received(b"")
+        return has_end
+
     def _get_framing(self) -> Framing | None:
         """Return the framing of the answer, once its head has come."""
         head = self._scanner.head if self._scanner is not None else None
--- a/marigoldswitch/tests/test_broken_answers.py
+++ b/marigoldswitch/tests/test_broken_answers.py
@@ -272,6 +272,24 @@
     run_scenario(scenario())
 
 
+@BY_WAY_OF_HOST
+@pytest.mark.parametrize(
+    "name", ["plain", "chunks", "trailers", "unknown status", "no body"]
+)
+def test_whole_early_answer_is_passed_on(name, is_proxied):
+    async def scenario():
+        sound = SOUND[name]
+        early = msgspec.structs.replace(sound.answer, end=End.RESET, reads=READ_BYTES)
+        async with run_raw_site(is_proxied) as (site, answers, targets):
+            for number in range(5):
+                answers.append(early)
+                status, body = await send(site, Way.ONCE, number, UPLOAD)
+                assert (status, body) == (sound.status, sound.body)
+                assert count_runs(targets, number) == 1
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("way", [Way.ONCE, Way.STREAM])
 def test_part_of_an_early_error_is_no_answer(way):
     async def scenario():
--- a/marigoldswitch/tests/test_early_answers.py
+++ b/marigoldswitch/tests/test_early_answers.py
@@ -132,6 +132,28 @@
     assert isinstance(run_exchange(noticer, b"", body, False), Exception)
 
 
+@pytest.mark.parametrize("noticer", list(Noticer))
+def test_answer_without_a_length_is_whole_if_it_was_closed_before_the_reset(noticer):
+    body = choose_body(noticer)
+    assert run_exchange(noticer, b"", body, True) == body
+
+
+@pytest.mark.parametrize("is_closed_first", [False, True])
+@pytest.mark.parametrize("noticer", list(Noticer))
+def test_whole_answer_with_a_length_stays_an_answer(noticer, is_closed_first):
+    body = choose_body(noticer)
+    field = b"Content-Length: %d\r\n" % len(body)
+    assert run_exchange(noticer, field, body, is_closed_first) == body
+
+
+@pytest.mark.parametrize("is_closed_first", [False, True])
+@pytest.mark.parametrize("noticer", list(Noticer))
+def test_answer_with_its_last_chunk_stays_an_answer(noticer, is_closed_first):
+    body = choose_body(noticer)
+    field = b"Transfer-Encoding: chunked\r\n"
+    assert run_exchange(noticer, field, build_chunks(body), is_closed_first) == body
+
+
 @pytest.mark.parametrize("is_closed_first", [False, True])
 @pytest.mark.parametrize("noticer", list(Noticer))
 @pytest.mark.parametrize("field", [b"Content-Length: 200050\r\n", b"chunked"])
