Don't send a request again to a target that has answered with other bytes

A request that may run again reached a target twice where the target had sent bytes that are no answer on a kept connection, and the second sending took a retry from the budget.

Cause: a kept connection that breaks within 0.1 s counts as one that the target has forgotten, and the request is sent to it once more. Bytes that are no answer show the contrary.

Change: such a loss is told apart; the request goes to another target at once. As with answers without end, the target is taken for neither silent nor trusted with resendings.

The test finds two runs on the code before, one now.

--- a/marigoldswitch/gateway/upstream.py
+++ b/marigoldswitch/gateway/upstream.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from marigoldswitch.acceptors import RECEIVE_BUFFER_BYTES
+from marigoldswitch.answer_connections import AnswerMalformed
 from marigoldswitch.core.catalogue import Target
 from marigoldswitch.core.contact import TargetContact
 from marigoldswitch.core.ids import ServiceName, TargetId
@@ -73,11 +74,13 @@
         has most likely closed or forgotten it, which is no sign of a failing target.
     :param excess: the bound that the answer exceeded, if it did; the request is then
         not what made the target fail.
+    :param is_malformed: the target sent bytes that are no answer.
     """
 
     why: str
     is_stale: bool = False
     excess: Excess | None = None
+    is_malformed: bool = False
 
 
 SendResult = Answered | NotSent | Lost
@@ -140,6 +143,8 @@
         return NotSent(why, is_timeout=True)
     except AnswerUnbounded as error:
         return build_unbounded(error)
+    except AnswerMalformed as error:
+        return Lost(f"malformed answer: {error}", is_malformed=True)
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Lost(f"{type(error).__name__}: {error}")
     finally:
@@ -240,6 +245,9 @@
                 self.resends.note_lost(target.id)
                 self.guard.note(target.id, Reader.HEAD, excess)
                 return result
+            case Lost(is_malformed=True):
+                self.resends.note_lost(target.id)
+                return result
             case Lost(why) if use.is_reused:
                 return Lost(why, now - began < STALE_CONNECTION_SECONDS)
             case Lost():
--- a/marigoldswitch/tests/raw_targets.py
+++ b/marigoldswitch/tests/raw_targets.py
@@ -104,7 +104,9 @@
         self._tasks.add(task)
         told = 0
         try:
-            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            with contextlib.suppress(
+                ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError
+            ):
                 while not writer.transport.is_closing():
                     is_told = await self._answer(reader, writer, told > 0)
                     told += is_told
--- a/marigoldswitch/tests/test_broken_answers.py
+++ b/marigoldswitch/tests/test_broken_answers.py
@@ -225,6 +225,19 @@
     run_scenario(scenario())
 
 
+def test_broken_answer_on_a_kept_connection_is_not_sent_again_to_its_target():
+    async def scenario():
+        async with run_raw_site(targets=1) as (site, answers, targets):
+            for number in range(3):
+                assert (await send(site, Way.AGAIN, number))[0] == 200
+            answers += [BROKEN["status 000"]] * 3
+            status, _ = await send(site, Way.AGAIN, 3)
+            assert status == 502
+            assert count_runs(targets, 3) == 1
+
+    run_scenario(scenario())
+
+
 @WAYS
 @pytest.mark.parametrize("name", SAMPLE)
 def test_broken_answer_of_another_host_reaches_no_caller(name, way):
