Tell callers if the head of their answer can't be written

Callers' connections were closed without any answer where the HTTP library refused to write the head of one, as for a control byte in a value.

Cause: an answer counted as begun before its head was written, and one that has begun is broken off. Short answers were written after the last place that could replace them.

Change: all heads are written in one place, while the request is still being handled. If that fails, nothing has been sent, and the caller gets 502.

Since heads of targets are checked, none is known that can't be written.

--- a/marigoldswitch/gateway/chain_runs.py
+++ b/marigoldswitch/gateway/chain_runs.py
@@ -215,8 +215,7 @@
         self._claimant.claim()
         headers = self._parts.codec.write_reply(reply.headers)
         response = web.Response(status=reply.status, headers=headers, body=body)
-        exchange.response = response
-        await response.prepare(exchange.http)
+        await begin(exchange, response)
         await response.write_eof()
         return Completed()
 
--- a/marigoldswitch/gateway/fronts.py
+++ b/marigoldswitch/gateway/fronts.py
@@ -18,7 +18,7 @@
     RoutingTable,
 )
 from marigoldswitch.gateway.caller_connections import CallerConnection
-from marigoldswitch.gateway.caller_writes import abort
+from marigoldswitch.gateway.caller_writes import abort, begin
 from marigoldswitch.gateway.exchanges import (
     AbortReason,
     AnswerAborted,
@@ -97,13 +97,17 @@
             response = await self._answer(http, terms)
         finally:
             self._running -= 1
+        self._let_leave(http, response)
+        return response
+
+    def _let_leave(self, http: web.BaseRequest, response: web.StreamResponse) -> None:
+        """Close a connection after its answer, if it has to leave."""
         connection = http.protocol
         must_leave = self._parts.state.draining or (
             isinstance(connection, CallerConnection) and connection.is_crowded
         )
         if must_leave and not response.prepared:
             response.force_close()
-        return response
 
     async def _answer(
         self, http: web.BaseRequest, terms: ProxyTerms | None
@@ -264,6 +268,9 @@
         try:
             async with self._limit(max(0.0, remaining)):
                 response = await self._runs.run(exchange)
+                if not response.prepared:
+                    self._let_leave(exchange.http, response)
+                    await begin(exchange, response)
         except TimeoutError:
             if exchange.response is None:
                 raise RequestRefused(self._describe_timeout(exchange)) from None
--- a/marigoldswitch/tests/test_broken_answers.py
+++ b/marigoldswitch/tests/test_broken_answers.py
@@ -398,3 +398,24 @@
                 await connections.close()
 
     asyncio.run(scenario())
+
+
+@BY_WAY_OF_HOST
+@WAYS
+def test_caller_is_told_if_the_head_of_its_answer_can_not_be_written(way, is_proxied):
+    async def scenario():
+        async with run_raw_site(is_proxied) as (site, _, _):
+            codec = site.hosts[0].parts.runs.codec
+            write_reply = codec.write_reply
+
+            def write_badly(headers):
+                written = write_reply(headers)
+                written["Name"] = "line\nbreak"
+                return written
+
+            codec.write_reply = write_badly
+            assert (await send(site, way, 1))[0] == 502
+            codec.write_reply = write_reply
+            assert (await send(site, way, 2))[0] == 200
+
+    run_scenario(scenario())
