Pass on header values that are not UTF-8 as they are

Callers got header values without their bytes that are not UTF-8 ("caf" for "caf\xe9" in Latin-1). Such values are sound (RFC 9110, section 5.5).

Cause: the HTTP library keeps such bytes as surrogates and leaves them out when it writes a head.

Change: the listeners of a host write heads with values that are not ASCII themselves, after the library's own check for control characters.

--- a/marigoldswitch/gateway/accepting.py
+++ b/marigoldswitch/gateway/accepting.py
@@ -9,13 +9,16 @@
 from typing import Any
 
 import structlog
-from aiohttp import web
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
 
 from marigoldswitch.acceptors import AcceptDecision, Acceptor
 from marigoldswitch.core.client_limits import Listener
 from marigoldswitch.core.overload import OverloadGuard
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.gateway.caller_connections import CallerConnection, Claim
+from marigoldswitch.gateway.caller_writes import HeadWriter
 from marigoldswitch.gateway.intake import Intake
 
 logger = structlog.get_logger(__name__)
@@ -73,7 +76,7 @@
         guard: OverloadGuard | None = None,
         **options: Any,
     ) -> None:
-        super().__init__(handler, **options)
+        super().__init__(handler, request_factory=self._create_request, **options)
         self._intake = intake
         self._listener = listener
         self._guard = guard
@@ -92,6 +95,17 @@
             self, self._intake, loop=self._loop, **self._kwargs
         )
 
+    def _create_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        _: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        writer = HeadWriter(protocol, self._loop)
+        return web.BaseRequest(message, payload, protocol, writer, task, self._loop)
+
     def admit(self) -> AcceptDecision:
         """Decide on a connection that waits to be accepted; count one that is taken."""
         now = self._intake.clock.monotonic()
--- a/marigoldswitch/gateway/caller_writes.py
+++ b/marigoldswitch/gateway/caller_writes.py
@@ -2,6 +2,7 @@
 
 from aiohttp import web
 from aiohttp.http_writer import StreamWriter
+from multidict import CIMultiDict
 
 from marigoldswitch.core.errors import ErrorKind, Fault
 from marigoldswitch.gateway.exchanges import (
@@ -11,6 +12,24 @@
 )
 
 
+class HeadWriter(StreamWriter):
+    """Writes heads with the values of a target's headers as they are.
+
+    The HTTP library leaves out the bytes that are not UTF-8.
+    """
+
+    async def write_headers(self, status_line: str, headers: CIMultiDict[str]) -> None:
+        """Keep a head until it is sent.
+
+        :raises ValueError: if it contains control characters.
+        """
+        await super().write_headers(status_line, headers)
+        if not all(value.isascii() for value in headers.values()):
+            lines = (f"{name}: {value}\r\n" for name, value in headers.items())
+            head = f"{status_line}\r\n{''.join(lines)}\r\n"
+            self._headers_buf = head.encode("utf-8", "surrogateescape")
+
+
 def abort(exchange: Exchange) -> None:
     """Reset the caller's connection, so that a partial answer can't look complete."""
     transport = exchange.http.transport
@@ -34,7 +53,7 @@
         # Nothing has been sent, so that the caller can still be told.
         exchange.response = None
         writer = exchange.http._payload_writer
-        assert isinstance(writer, StreamWriter)
+        assert isinstance(writer, HeadWriter)
         writer.chunked = False
         raise RequestRefused(Fault(ErrorKind.TARGET_FAULT, str(error))) from error
 
--- a/marigoldswitch/tests/answer_heads.py
+++ b/marigoldswitch/tests/answer_heads.py
@@ -230,6 +230,7 @@
     "tab in a value": _keep_field("Name", b"a\tb"),
     "colon in a value": _keep_field("Name", b"a: b"),
     "text in UTF-8": _keep_field("Name", "é€".encode()),
+    "high bytes in a value": _keep_field("Name", b"caf\xe9 \xff\x80"),
     "long value": _keep_field("Name", b"v" * 8000),
     "many fields": _serve(
         OK + b"".join(b"N%d: v\r\n" % i for i in range(100)) + LENGTH + b"\r\n%B"
