Bound the line of a chunk that is kept while it is checked

The check of chunks keeps the begin of a line until its end comes. The gateway's bounds on framing end such answers before; clients without them would have kept all of an extension without end. The test feeds 2.5 MB, which the code before keeps.

--- a/marigoldswitch/core/answer_grammar.py
+++ b/marigoldswitch/core/answer_grammar.py
@@ -13,6 +13,8 @@
 FIRST_FINAL_STATUS = 200
 NO_CONTENT = 204
 NOT_MODIFIED = 304
+MAX_LINE_BYTES = 2**20
+"""Longest line of a chunk or trailer, as its begin is kept until its end comes."""
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*+"
@@ -143,6 +145,8 @@
                 continue
             end = data.find(b"\n", position) + 1
             self._line += data[position : end or len(data)]
+            if len(self._line) > MAX_LINE_BYTES:
+                raise GrammarFault(f"line of more than {MAX_LINE_BYTES} bytes")
             if not end:
                 return
             line, self._line = self._line, b""
--- a/marigoldswitch/tests/test_broken_heads.py
+++ b/marigoldswitch/tests/test_broken_heads.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from marigoldswitch.core.answer_grammar import ChunkScanner, GrammarFault
 from marigoldswitch.gateway.connections import ConnectionUse, open_session
 from marigoldswitch.tests.answer_heads import BROKEN, SOUND
 from marigoldswitch.tests.raw_targets import run_raw_target
@@ -76,3 +77,12 @@
             assert (status, body) == (SOUND[name].status, b"")
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("begin", [b"1;", b"0\r\nT: "], ids=["extension", "trailer"])
+def test_line_of_a_chunk_does_not_grow_without_end(begin):
+    scanner = ChunkScanner()
+    scanner.feed(begin)
+    with pytest.raises(GrammarFault):
+        for _ in range(40):
+            scanner.feed(b"x" * 65_536)
