--- a/marigoldswitch/tools/peer_soak.py
+++ b/marigoldswitch/tools/peer_soak.py
@@ -19,6 +19,7 @@
 import aiohttp
 import defopt
 
+from marigoldswitch.answer_connections import AnswerConnector
 from marigoldswitch.standins.floods import FloodingDesk
 from marigoldswitch.standins.platform_engines import PlainStandin
 from marigoldswitch.standins.platform_store import StoreStandin
@@ -114,7 +115,7 @@
         """Start everything, play, and stop it."""
         started: list[HostProcess] = []
         watch = asyncio.create_task(watch_loop(self._note_delay))
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=600.0)
+        connector = AnswerConnector(limit=0, keepalive_timeout=600.0)
         try:
             async with aiohttp.ClientSession(connector=connector) as session:
                 await self._start_rig()
