--- a/marigoldswitch/tests/test_broken_answers.py
+++ b/marigoldswitch/tests/test_broken_answers.py
@@ -4,6 +4,7 @@
 import contextlib
 from enum import Enum
 
+import aiohttp
 import msgspec
 import pytest
 
@@ -315,6 +316,21 @@
     run_scenario(scenario())
 
 
+@BY_WAY_OF_HOST
+@PAUSES
+def test_part_of_a_long_early_answer_is_broken_off(pause, is_proxied):
+    async def scenario():
+        head = OK + b"Content-Length: %d\r\n\r\n" % (3 * len(UPLOAD))
+        part = RawAnswer(head + UPLOAD, End.RESET, reads=READ_BYTES, pause=pause)
+        async with run_raw_site(is_proxied) as (site, answers, targets):
+            answers.append(part)
+            with pytest.raises(aiohttp.ClientError):
+                await send(site, Way.ONCE, 1, UPLOAD)
+            assert count_runs(targets, 1) == 1
+
+    run_scenario(scenario())
+
+
 @WAYS
 @PAUSES
 def test_part_of_an_early_answer_of_another_host_reaches_no_caller(pause, way):
