--- a/marigoldswitch/answer_connections.py
+++ b/marigoldswitch/answer_connections.py
@@ -24,6 +24,7 @@
 )
 
 READ_BYTES = 262_144
+"""Most bytes that are read from a socket at once."""
 
 
 class AnswerMalformed(aiohttp.ClientError):
@@ -81,7 +82,7 @@
             framing = self._get_framing()
             is_chunked = framing is Framing.CHUNKS
             if framing is not Framing.NO_BODY and message.chunked != is_chunked:
-                self.fail(AnswerMalformed("transfer codings"))
+                self.fail(AnswerMalformed("the parser frames it in another way"))
                 return
         super().feed_data(data, size)
 
@@ -133,7 +134,7 @@
         """
         if isinstance(exc, OSError):
             has_end = self._read_waiting()
-            # It can't be written to a connection that was closed, and then reset.
+            # Writing fails like this if a close was followed by a reset.
             if has_end and isinstance(exc, BrokenPipeError):
                 self._is_closed_in_order = True
         self._socket = None
