--- a/marigoldswitch/tests/test_broken_answers.py
+++ b/marigoldswitch/tests/test_broken_answers.py
@@ -116,6 +116,15 @@
         return answer.status, await answer.read()
 
 
+def choose_first(site, other):
+    """Have the first host send requests by way of another one that is not a host."""
+    hosts = site.hosts[0].parts.requests._proxy._hosts
+    choose = hosts.choose
+    hosts.choose = lambda tried: (
+        choose(tried) if tried else ProxyHost(HostId("x"), other.address)
+    )
+
+
 def count_runs(targets, number):
     return sum(target.arrivals[f"try-{number}"] for target in targets)
 
@@ -247,11 +256,7 @@
             run_raw_site(is_proxied=True) as (site, _, _),
             run_raw_target(BROKEN[name]) as other,
         ):
-            hosts = site.hosts[0].parts.requests._proxy._hosts
-            choose = hosts.choose
-            hosts.choose = lambda tried: (
-                choose(tried) if tried else ProxyHost(HostId("x"), other.address)
-            )
+            choose_first(site, other)
             check_answer(way, *await send(site, way, 1))
             assert other.arrivals["try-1"] == 1
 
@@ -340,11 +345,7 @@
             run_raw_site(is_proxied=True) as (site, _, _),
             run_raw_target(part) as other,
         ):
-            hosts = site.hosts[0].parts.requests._proxy._hosts
-            choose = hosts.choose
-            hosts.choose = lambda tried: (
-                choose(tried) if tried else ProxyHost(HostId("x"), other.address)
-            )
+            choose_first(site, other)
             check_answer(way, *await send(site, way, 1, UPLOAD))
 
     run_scenario(scenario())
--- a/marigoldswitch/tests/test_early_answers.py
+++ b/marigoldswitch/tests/test_early_answers.py
@@ -14,8 +14,10 @@
 PIECE = b"x" * 65_536
 HEAD = b"HTTP/1.1 200 OK\r\n"
 SHORT = b"part of an answer"
-LONG = b"y" * 100_000
-"""More than one of them is more than the client keeps before it pauses reading."""
+LONG = b"y" * 200_000
+"""More than the client keeps before it pauses reading."""
+SENT_BYTES = 50_000
+"""What the peer sends at once; a socket holds it."""
 
 
 class Noticer(Enum):
@@ -87,12 +89,11 @@
     head = HEAD + framing_field + b"\r\n"
 
     async def act():
-        if noticer is Noticer.WRITER_BESIDE_PAUSED_READER:
-            peer.send(head + content[:-20])
-            await asyncio.sleep(0.05)
-            peer.send(content[-20:])
-        else:
-            peer.send(head + content)
+        peer.send(head)
+        for first in range(0, len(content), SENT_BYTES):
+            if first:
+                await asyncio.sleep(0.01)
+            peer.send(content[first : first + SENT_BYTES])
         if is_closed_first:
             peer.close_sending()
         peer.reset()
@@ -123,7 +124,7 @@
 
 def choose_body(noticer):
     is_paused = noticer is Noticer.WRITER_BESIDE_PAUSED_READER
-    return 2 * LONG if is_paused else SHORT
+    return LONG if is_paused else SHORT
 
 
 @pytest.mark.parametrize("noticer", list(Noticer))
