Accept any transfer coding of answers that have no body

Answers to HEAD and with status 304 may name the codings that another answer would have (RFC 9112, section 6.1). Since framing is checked, they were refused for other codings than chunked; the code before that served them.

Change: the framing of an answer without a body is not read.

--- a/marigoldswitch/core/answer_grammar.py
+++ b/marigoldswitch/core/answer_grammar.py
@@ -11,8 +11,7 @@
 
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
-NO_CONTENT = 204
-NOT_MODIFIED = 304
+EMPTY_STATUSES = frozenset({204, 304})
 MAX_LINE_BYTES = 2**20
 """Longest line of a chunk or trailer, as its begin is kept until its end comes."""
 
@@ -72,17 +71,16 @@
     status = int(found[2])
     if status == SWITCHING_PROTOCOLS:
         raise GrammarFault("change of protocol that was not asked for")
+    if not has_body or status < FIRST_FINAL_STATUS or status in EMPTY_STATUSES:
+        # What it states of a body is true of another answer (section 6.1).
+        return AnswerHead(status, Framing.NO_BODY)
     fields = FRAMING_FIELD.findall(content)
     codings = [value for length, value in fields if not length]
-    framing = Framing.CLOSE
+    framing = Framing.LENGTH if fields else Framing.CLOSE
     if codings:
         if len(codings) < len(fields):
             raise GrammarFault("both a length and a transfer coding")
         framing = _read_codings(b",".join(codings), is_old=found[1] == b"0")
-    elif fields:
-        framing = Framing.LENGTH
-    if not has_body or status in (NO_CONTENT, NOT_MODIFIED):
-        framing = Framing.NO_BODY
     return AnswerHead(status, framing)
 
 
--- a/marigoldswitch/tests/answer_heads.py
+++ b/marigoldswitch/tests/answer_heads.py
@@ -214,6 +214,11 @@
     "length of an unchanged body": _serve(
         b"HTTP/1.1 304 Same\r\n%SContent-Length: 9000000\r\n\r\n", status=304, body=b""
     ),
+    "codings of an unchanged body": _serve(
+        b"HTTP/1.1 304 Same\r\n%STransfer-Encoding: gzip, chunked\r\n\r\n",
+        status=304,
+        body=b"",
+    ),
     "by HTTP/1.0": _serve(b"HTTP/1.0 200 OK\r\n%S" + LENGTH + b"\r\n%B"),
     "to the end": _serve(OK + b"\r\n%B", End.CLOSE),
     "to the end, by HTTP/1.0": _serve(b"HTTP/1.0 200 OK\r\n%S\r\n%B", End.CLOSE),
