--- a/marigoldswitch/tests/answer_heads.py
+++ b/marigoldswitch/tests/answer_heads.py
@@ -214,6 +214,12 @@
     "length of an unchanged body": _serve(
         b"HTTP/1.1 304 Same\r\n%SContent-Length: 9000000\r\n\r\n", status=304, body=b""
     ),
+    "long unchanged body": _serve(
+        b"HTTP/1.1 304 Same\r\n%SContent-Length: 90000000\r\n\r\n", status=304, body=b""
+    ),
+    "long body that is none": _serve(
+        b"HTTP/1.1 204 None\r\n%SContent-Length: 90000000\r\n\r\n", status=204, body=b""
+    ),
     "codings of an unchanged body": _serve(
         b"HTTP/1.1 304 Same\r\n%STransfer-Encoding: gzip, chunked\r\n\r\n",
         status=304,
