Read no length of bodies that answers don't have

A 304 with the length of the unchanged body reserved that much of a host's memory for clients, for a body that never comes, or took the way of long bodies.

Cause: the length was asked of the text of the header and the method, not of what was parsed; a status without a body was not thought of.

--- a/marigoldswitch/gateway/bounded_reads.py
+++ b/marigoldswitch/gateway/bounded_reads.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import structlog
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from marigoldswitch.core.ports import Clock
 from marigoldswitch.core.read_bounds import Excess, ReadBounds
@@ -206,8 +207,9 @@
 
 
 def get_stated_length(response: aiohttp.ClientResponse) -> int:
-    """Return the length that an answer states of its body; 0 if it states none."""
-    if response.method == "HEAD":
+    """Return the length that an answer states of its body; 0 if it states or has
+    none."""
+    if response.content is EMPTY_PAYLOAD:
         return 0
     try:
         return response.content_length or 0
--- a/marigoldswitch/tests/test_broken_heads.py
+++ b/marigoldswitch/tests/test_broken_heads.py
@@ -7,6 +7,7 @@
 import pytest
 
 from marigoldswitch.core.answer_grammar import ChunkScanner, GrammarFault
+from marigoldswitch.gateway.bounded_reads import get_stated_length
 from marigoldswitch.gateway.connections import ConnectionUse, open_session
 from marigoldswitch.tests.answer_heads import BROKEN, OK, SOUND
 from marigoldswitch.tests.raw_targets import RawAnswer, run_raw_target
@@ -87,3 +88,19 @@
     with pytest.raises(GrammarFault):
         for _ in range(40):
             scanner.feed(b"x" * 65_536)
+
+
+NO_BODIES = ["length of an unchanged body", "long unchanged body"]
+
+
+@pytest.mark.parametrize("name", [*NO_BODIES, "long body that is none"])
+def test_no_length_is_read_of_a_body_that_is_none(name):
+    async def scenario():
+        async with (
+            run_raw_target(SOUND[name].answer) as target,
+            open_session(8.0) as session,
+            session.get(f"http://{target.address}/") as response,
+        ):
+            assert get_stated_length(response) == 0
+
+    asyncio.run(scenario())
